--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# SPDX-License-Identifier: Apache-2.0
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core routing nodes platform wire daemon cli standins
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/ochreway-$(name))
+SEED ?= 1
+RUNS ?= 500
+JOBS ?= 4
+
+.PHONY: setup demo test lint unit soak guards faults bench bench-policy slopes repairs format
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt setuptools wheel
+	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE)
+	touch $@
+
+demo: setup
+	$(BIN)/python -m ochreway_standins.demo
+
+test: setup lint unit
+
+lint: setup
+	$(BIN)/ruff format --check packages tests
+	$(BIN)/ruff check packages tests
+	$(BIN)/mypy packages/*/src
+
+unit: setup
+	$(BIN)/python -m pytest -n $(JOBS) tests
+
+format: setup
+	$(BIN)/ruff format packages tests
+	$(BIN)/ruff check --fix packages tests
--- /dev/null
+++ b/packages/ochreway-cli/src/ochreway_cli/entries.py
@@ -0,0 +1,58 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Calls to the entries that an operator knows."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+
+from ochreway_core.codec import encode
+from ochreway_core.view import Snapshot
+
+TIMEOUT = aiohttp.ClientTimeout(total=3.0)
+
+
+class Entries:
+    """Speak to several entries at once; one that does not answer is left out."""
+
+    def __init__(self, session: aiohttp.ClientSession, urls: tuple[str, ...], token: str) -> None:
+        self._session = session
+        self._urls = [url.rstrip("/") for url in urls]
+        self._headers = {"Authorization": f"Bearer {token}"}
+
+    async def push(self, snapshot: Snapshot) -> int:
+        """Push an accepted version; return how many entries took it."""
+        taken = await asyncio.gather(*(self._push(url, snapshot) for url in self._urls))
+        return sum(taken)
+
+    async def _push(self, url: str, snapshot: Snapshot) -> bool:
+        try:
+            async with self._session.post(
+                f"{url}/operator/snapshot",
+                data=encode(snapshot),
+                headers=self._headers,
+                timeout=TIMEOUT,
+            ) as response:
+                return response.status == 202
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
+
+    async def statuses(self) -> list[dict[str, Any]]:
+        """Return the status of each entry that answers."""
+        found = await asyncio.gather(*(self._status(url) for url in self._urls))
+        return [status for status in found if status is not None]
+
+    async def _status(self, url: str) -> dict[str, Any] | None:
+        try:
+            async with self._session.get(
+                f"{url}/operator/status", headers=self._headers, timeout=TIMEOUT
+            ) as response:
+                if response.status != 200:
+                    return None
+                status: dict[str, Any] = await response.json()
+                return status
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return None
+
+
+__all__ = ["Entries"]
--- /dev/null
+++ b/packages/ochreway-cli/src/ochreway_cli/errors.py
@@ -0,0 +1,60 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Errors of the operators' command, each with its exit code."""
+
+from ochreway_core.errors import OchrewayError
+
+
+class CommandError(OchrewayError):
+    """The command could not do what it was asked."""
+
+    exit_code = 1
+
+
+class BundleRefused(CommandError):
+    """The bundle is not acceptable."""
+
+    exit_code = 3
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("\n".join(faults))
+
+
+class NotFound(CommandError):
+    """There is no such bundle or version."""
+
+    exit_code = 4
+
+
+class RaceLost(CommandError):
+    """Another operator's change came first."""
+
+    exit_code = 5
+
+
+class NotApproved(CommandError):
+    """The bundle has not been signed off."""
+
+    exit_code = 6
+
+
+class PlatformDown(CommandError):
+    """The platform did not answer, and nothing is known to have changed."""
+
+    exit_code = 7
+
+
+class FateUnknown(CommandError):
+    """The platform took the change but never said what became of it."""
+
+    exit_code = 8
+
+
+__all__ = [
+    "BundleRefused",
+    "CommandError",
+    "FateUnknown",
+    "NotApproved",
+    "NotFound",
+    "PlatformDown",
+    "RaceLost",
+]
--- /dev/null
+++ b/packages/ochreway-cli/src/ochreway_cli/rollprogress.py
@@ -0,0 +1,54 @@
+# SPDX-License-Identifier: Apache-2.0
+"""How far a roll has come, from what the entries say."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from ochreway_core.bundle import Bundle
+
+
+@dataclass(frozen=True, slots=True)
+class RollProgress:
+    """Count the groups that run what the accepted version wants."""
+
+    version: int
+    wanted: int
+    current: int
+    serving: int
+    entries_in_force: int
+    entries: int
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every group serves what is wanted and every entry knows the version."""
+        all_know = self.entries > 0 and self.entries_in_force == self.entries
+        return all_know and self.current == self.serving == self.wanted
+
+
+def progress(bundle: Bundle, version: int, statuses: list[dict[str, Any]]) -> RollProgress:
+    """Return the progress of a roll."""
+    wanted = {
+        replica: bundle.artifact(spec) for spec in bundle.group for replica in spec.replica_ids()
+    }
+    groups = {
+        group["group"]: group
+        for status in statuses
+        for domain in status["domains"]
+        for group in domain["groups"]
+    }
+    current = [
+        groups[name]
+        for name, artifact in wanted.items()
+        if name in groups and groups[name]["artifact"] == artifact
+    ]
+    return RollProgress(
+        version=version,
+        wanted=len(wanted),
+        current=len(current),
+        serving=sum(bool(group["serving"]) for group in current),
+        entries_in_force=sum(status["version"] >= version for status in statuses),
+        entries=len(statuses),
+    )
+
+
+__all__ = ["RollProgress", "progress"]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Decisions of ochreway without input or output."""
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/attemptledger.py
@@ -0,0 +1,101 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What an agent knows of each attempt it was ever sent."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ochreway_core.attemptid import AttemptId
+from ochreway_core.messages.requests import Submit
+from ochreway_core.outcome import Outcome
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+
+RETAINED_BYTES = 256 * 1024
+
+
+class AttemptState(Enum):
+    """Say how far an attempt has come at the agent."""
+
+    QUEUED = "queued"
+    HANDED = "handed"
+    DONE = "done"
+
+
+@dataclass(slots=True)
+class Answer:
+    """Keep what an answer holds so far, so that it can be resumed on a new link."""
+
+    kept: bytearray = field(default_factory=bytearray)
+    kept_from: int = 0
+    tokens: int = 0
+    status: int = 0
+    content_type: str = ""
+    total: int | None = None
+    passed: int = 0
+
+    @property
+    def length(self) -> int:
+        """Return how many bytes the target has given."""
+        return self.kept_from + len(self.kept)
+
+    def add(self, payload: bytes) -> None:
+        """Keep a piece, and forget the oldest bytes beyond the bound."""
+        self.kept += payload
+        excess = len(self.kept) - RETAINED_BYTES
+        if excess > 0:
+            del self.kept[:excess]
+            self.kept_from += excess
+
+    def since(self, offset: int) -> bytes | None:
+        """Return what follows the offset, or ``None`` when that is not kept any more."""
+        if not self.kept_from <= offset <= self.length:
+            return None
+        return bytes(self.kept[offset - self.kept_from :])
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """Hold one attempt's state and answer."""
+
+    state: AttemptState
+    forget_s: float
+    submit: Submit | None = None
+    entry: Peer | None = None
+    outcome: Outcome = Outcome.NOT_RUN
+    reason: Reason = Reason.NONE
+    answer: Answer = field(default_factory=Answer)
+
+
+class AttemptLedger:
+    """Remember attempts until nobody may ask for them again."""
+
+    def __init__(self) -> None:
+        self._records: dict[AttemptId, AttemptRecord] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, attempt: AttemptId) -> AttemptRecord | None:
+        """Return what is known of the attempt."""
+        return self._records.get(attempt)
+
+    def add(self, attempt: AttemptId, record: AttemptRecord) -> None:
+        """Remember a new attempt."""
+        self._records[attempt] = record
+
+    def in_state(self, state: AttemptState) -> list[AttemptRecord]:
+        """Return the attempts in a state, oldest first."""
+        return [record for record in self._records.values() if record.state is state]
+
+    def forget(self, now_s: float) -> None:
+        """Drop ended attempts whose time has passed."""
+        old = [
+            attempt
+            for attempt, record in self._records.items()
+            if record.state is AttemptState.DONE and record.forget_s < now_s
+        ]
+        for attempt in old:
+            del self._records[attempt]
+
+
+__all__ = ["RETAINED_BYTES", "Answer", "AttemptLedger", "AttemptRecord", "AttemptState"]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/chunk.py
@@ -0,0 +1,18 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A piece of a target's answer."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """Hold bytes of an answer and how many tokens they are; ``last`` ends a whole answer."""
+
+    payload: bytes
+    tokens: int
+    status: int
+    content_type: str
+    last: bool
+
+
+__all__ = ["Chunk"]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/claimround.py
@@ -0,0 +1,63 @@
+# SPDX-License-Identifier: Apache-2.0
+"""An entry's count of votes on one key."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ochreway_core.ids import NodeId
+from ochreway_core.messages.claims import Vote
+from ochreway_core.outcome import Outcome
+
+
+class ClaimState(Enum):
+    """Say how a claim stands."""
+
+    OPEN = "open"
+    WON = "won"
+    TAKEN = "taken"
+    LOST = "lost"
+
+
+@dataclass(slots=True)
+class ClaimRound:
+    """Count votes; a claim is won with a majority of every set of homes."""
+
+    sets: list[frozenset[NodeId]]
+    give_up_s: float
+    votes: dict[NodeId, Vote] = field(default_factory=dict)
+    holder_outcome: Outcome = Outcome.UNKNOWN
+
+    @property
+    def homes(self) -> frozenset[NodeId]:
+        """Return every home that is asked."""
+        return frozenset().union(*self.sets)
+
+    def voted(self, node: NodeId, vote: Vote, outcome: Outcome) -> None:
+        """Count a vote; the first one of a home stands."""
+        self.votes.setdefault(node, vote)
+        if vote is Vote.TAKEN and outcome is Outcome.ANSWERED:
+            self.holder_outcome = outcome
+
+    def state(self) -> ClaimState:
+        """Return how the claim stands by the votes so far."""
+        if not self.sets:
+            return ClaimState.LOST
+        if all(self._granted(each) >= _majority(each) for each in self.sets):
+            return ClaimState.WON
+        if all(self._possible(each) >= _majority(each) for each in self.sets):
+            return ClaimState.OPEN
+        taken = Vote.TAKEN in self.votes.values()
+        return ClaimState.TAKEN if taken else ClaimState.LOST
+
+    def _granted(self, homes: frozenset[NodeId]) -> int:
+        return sum(self.votes.get(node) is Vote.GRANTED for node in homes)
+
+    def _possible(self, homes: frozenset[NodeId]) -> int:
+        return sum(self.votes.get(node, Vote.GRANTED) is Vote.GRANTED for node in homes)
+
+
+def _majority(homes: frozenset[NodeId]) -> int:
+    return len(homes) // 2 + 1
+
+
+__all__ = ["ClaimRound", "ClaimState"]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/codec.py
@@ -0,0 +1,98 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Compact encoding of dataclasses, checked when read."""
+
+import dataclasses
+from collections.abc import Callable
+from enum import Enum
+from functools import cache
+from typing import Any, TypeVar
+
+import cbor2
+from pydantic import TypeAdapter, ValidationError
+
+from ochreway_core.errors import CodecError
+
+T = TypeVar("T")
+
+
+def _field_names(kind: Any) -> tuple[str, ...]:
+    return tuple(item.name for item in dataclasses.fields(kind))
+
+
+_adapter: Callable[[Any], TypeAdapter[Any]] = cache(TypeAdapter)
+_names: Callable[[Any], tuple[str, ...]] = cache(_field_names)
+
+
+def to_fields(value: Any) -> list[Any]:
+    """Return a dataclass's fields in order, as plain values."""
+    return [_plain(getattr(value, name)) for name in _names(type(value))]
+
+
+def _plain(value: Any) -> Any:
+    plain = _PLAIN.get(type(value))
+    if plain is None:
+        plain = _PLAIN[type(value)] = _plain_for(type(value))
+    return plain(value)
+
+
+def _as_is(value: Any) -> Any:
+    return value
+
+
+def _by_name(value: Any) -> dict[str, Any]:
+    return {name: _plain(getattr(value, name)) for name in _names(type(value))}
+
+
+def _plain_for(kind: type) -> Callable[[Any], Any]:
+    if dataclasses.is_dataclass(kind):
+        return _by_name
+    if issubclass(kind, Enum):
+        return lambda value: value.value
+    raise CodecError(f"{kind.__name__} cannot be encoded")
+
+
+_PLAIN: dict[type, Callable[[Any], Any]] = {
+    **dict.fromkeys((str, int, float, bytes, bool, type(None)), _as_is),
+    dict: lambda value: {key: _plain(item) for key, item in value.items()},
+    tuple: lambda value: [_plain(item) for item in value],
+    list: lambda value: [_plain(item) for item in value],
+}
+
+
+def from_fields(kind: type[T], values: list[Any]) -> T:
+    """Build a dataclass from its fields in order.
+
+    Raises:
+        CodecError: when their number or a type is wrong.
+    """
+    names = _names(kind)
+    if len(names) != len(values):
+        raise CodecError(f"{kind.__name__}: {len(values)} fields, expected {len(names)}")
+    try:
+        built: T = _adapter(kind).validate_python(dict(zip(names, values, strict=True)))
+    except ValidationError as fault:
+        raise CodecError(f"{kind.__name__}: {fault.errors()[0]['msg']}") from None
+    return built
+
+
+def encode(value: Any) -> bytes:
+    """Return a dataclass as CBOR."""
+    return cbor2.dumps(to_fields(value))
+
+
+def decode(kind: type[T], content: bytes) -> T:
+    """Read a dataclass from CBOR.
+
+    Raises:
+        CodecError: when the bytes are not CBOR or not of this type.
+    """
+    try:
+        values = cbor2.loads(content)
+    except (cbor2.CBORDecodeError, ValueError, EOFError) as fault:
+        raise CodecError(f"{kind.__name__}: {fault}") from None
+    if not isinstance(values, list):
+        raise CodecError(f"{kind.__name__}: not a list of fields")
+    return from_fields(kind, values)
+
+
+__all__ = ["decode", "encode", "from_fields", "to_fields"]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/ids.py
@@ -0,0 +1,45 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Identifiers, each its own type."""
+
+from typing import NewType
+
+NodeId = NewType("NodeId", str)
+InstanceId = NewType("InstanceId", str)
+GroupId = NewType("GroupId", str)
+DomainId = NewType("DomainId", str)
+HallId = NewType("HallId", str)
+ScopeId = NewType("ScopeId", str)
+OrganisationId = NewType("OrganisationId", str)
+TargetName = NewType("TargetName", str)
+BundleHash = NewType("BundleHash", str)
+ChangeId = NewType("ChangeId", str)
+RequestId = NewType("RequestId", str)
+KeyDigest = NewType("KeyDigest", str)
+Version = NewType("Version", int)
+Epoch = NewType("Epoch", int)
+Term = NewType("Term", int)
+Incarnation = NewType("Incarnation", int)
+
+NO_VERSION = Version(0)
+NO_EPOCH = Epoch(0)
+
+__all__ = [
+    "NO_EPOCH",
+    "NO_VERSION",
+    "BundleHash",
+    "ChangeId",
+    "DomainId",
+    "Epoch",
+    "GroupId",
+    "HallId",
+    "Incarnation",
+    "InstanceId",
+    "KeyDigest",
+    "NodeId",
+    "OrganisationId",
+    "RequestId",
+    "ScopeId",
+    "TargetName",
+    "Term",
+    "Version",
+]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/keyhome.py
@@ -0,0 +1,67 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A home's memory of callers' keys."""
+
+from dataclasses import dataclass
+
+from ochreway_core.ids import KeyDigest, RequestId
+from ochreway_core.messages.claims import Vote
+from ochreway_core.outcome import Outcome
+
+
+@dataclass(slots=True)
+class _Claimed:
+    request: RequestId
+    outcome: Outcome
+    expires_s: float
+
+
+class KeyHome:
+    """Grant each key to one request until its time has passed.
+
+    A process that starts has forgotten what it granted, so for one key memory it grants
+    nothing, unless it stood before the first version was accepted.
+    """
+
+    def __init__(self, memory_s: float, now_s: float) -> None:
+        self._memory_s = memory_s
+        self._forgetful_until_s = now_s + memory_s
+        self._claims: dict[KeyDigest, _Claimed] = {}
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def stood_before_first_version(self) -> None:
+        """Note that no key can have been granted before this process started."""
+        self._forgetful_until_s = 0.0
+
+    def claim(
+        self, key: KeyDigest, request: RequestId, expires_in_s: float, now_s: float
+    ) -> tuple[Vote, Outcome]:
+        """Vote on a claim and tell what is known of the request that holds the key."""
+        held = self._claims.get(key)
+        if held is not None and held.request != request:
+            return Vote.TAKEN, held.outcome
+        if held is None and now_s < self._forgetful_until_s:
+            return Vote.FORGETFUL, Outcome.UNKNOWN
+        if held is None:
+            expires_s = now_s + min(expires_in_s, self._memory_s)
+            self._claims[key] = _Claimed(request, Outcome.UNKNOWN, expires_s)
+        return Vote.GRANTED, Outcome.UNKNOWN
+
+    def end(self, key: KeyDigest, request: RequestId, outcome: Outcome) -> None:
+        """Note how the request that holds the key ended."""
+        held = self._claims.get(key)
+        if held is None or held.request != request:
+            return
+        if outcome is Outcome.NOT_RUN:
+            del self._claims[key]
+        else:
+            held.outcome = outcome
+
+    def forget(self, now_s: float) -> None:
+        """Drop the keys whose time has passed."""
+        for key in [key for key, held in self._claims.items() if held.expires_s < now_s]:
+            del self._claims[key]
+
+
+__all__ = ["KeyHome"]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/messages/__init__.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Messages between processes, by subject."""
+
+from ochreway_core.messages.claims import Claim, ClaimEnd, ClaimReply, Vote
+from ochreway_core.messages.configuration import (
+    FollowView,
+    GroupsUpdate,
+    LeaveNotice,
+    ViewRequest,
+    ViewUpdate,
+)
+from ochreway_core.messages.membership import (
+    Dismiss,
+    Follow,
+    Grant,
+    GrantRefusal,
+    Heartbeat,
+    LoadReport,
+    Order,
+    Probe,
+    Release,
+    Report,
+)
+from ochreway_core.messages.requests import (
+    Cancel,
+    Credit,
+    Frame,
+    Refusal,
+    Settled,
+    Submit,
+    Withdraw,
+)
+
+__all__ = [
+    "Cancel",
+    "Claim",
+    "ClaimEnd",
+    "ClaimReply",
+    "Credit",
+    "Dismiss",
+    "Follow",
+    "FollowView",
+    "Frame",
+    "Grant",
+    "GrantRefusal",
+    "GroupsUpdate",
+    "Heartbeat",
+    "LeaveNotice",
+    "LoadReport",
+    "Order",
+    "Probe",
+    "Refusal",
+    "Release",
+    "Report",
+    "Settled",
+    "Submit",
+    "ViewRequest",
+    "ViewUpdate",
+    "Vote",
+    "Withdraw",
+]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/messages/membership.py
@@ -0,0 +1,146 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Messages that form groups and keep them alive."""
+
+from dataclasses import dataclass
+
+from ochreway_core.ids import DomainId, Epoch, GroupId, Incarnation, NodeId, Term
+from ochreway_core.message import message
+from ochreway_core.reason import Reason
+from ochreway_core.rows import GroupRow
+
+
+@message(1)
+@dataclass(frozen=True, slots=True)
+class Order:
+    """Tell a member what the table says of its group."""
+
+    domain: DomainId
+    term: Term
+    row: GroupRow
+
+
+@message(10)
+@dataclass(frozen=True, slots=True)
+class Dismiss:
+    """Tell an agent that it is in no group as of the domain's epoch counter."""
+
+    domain: DomainId
+    counter: Epoch
+
+
+@message(2)
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Ask a member for a grant; the row rides along until the member has granted once."""
+
+    group: GroupId
+    epoch: Epoch
+    step: int
+    sequence: int
+    row: GroupRow | None
+
+
+@message(3)
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Promise a leader to grant nobody else for the grant's time to live."""
+
+    group: GroupId
+    epoch: Epoch
+    sequence: int
+    ready: bool
+    leaving: bool
+
+
+@message(4)
+@dataclass(frozen=True, slots=True)
+class GrantRefusal:
+    """Refuse a leader a grant."""
+
+    group: GroupId
+    epoch: Epoch
+    sequence: int
+    reason: Reason
+    wait_s: float
+
+
+@message(5)
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Return a grant before it lapses."""
+
+    group: GroupId
+    epoch: Epoch
+
+
+@message(6)
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask an agent of the domain how it fares."""
+
+    domain: DomainId
+    term: Term
+
+
+@message(7)
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Tell a controller how an agent fares.
+
+    ``granting`` says that the agent's grant to its leader is fresh; ``missing`` names the
+    members whose grants a leader lacks.
+    """
+
+    node: NodeId
+    incarnation: Incarnation
+    group: GroupId
+    epoch: Epoch
+    step: int
+    ready: bool
+    leaving: bool
+    granting: bool
+    gate: Reason
+    drained: bool
+    missing: tuple[NodeId, ...]
+
+
+@message(8)
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """Ask a leader for its load reports for a while."""
+
+    group: GroupId
+
+
+@message(9)
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Tell entries whether a group takes work and how much it has.
+
+    ``cached`` and ``evicted`` are block hashes of the engine's prefix cache, late and with gaps.
+    """
+
+    group: GroupId
+    epoch: Epoch
+    incarnation: Incarnation
+    gate: Reason
+    in_flight: int
+    queued: int
+    queued_tokens: int
+    slots: int
+    cached: tuple[int, ...]
+    evicted: tuple[int, ...]
+
+
+__all__ = [
+    "Dismiss",
+    "Follow",
+    "Grant",
+    "GrantRefusal",
+    "Heartbeat",
+    "LoadReport",
+    "Order",
+    "Probe",
+    "Release",
+    "Report",
+]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -0,0 +1,41 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The closed set of reasons for a refusal or a retry."""
+
+from enum import Enum
+
+
+class Reason(Enum):
+    """Name why a request was refused, retried or cut."""
+
+    NONE = "none"
+    BAD_REQUEST = "bad_request"
+    UNAUTHORISED = "unauthorised"
+    UNKNOWN_TARGET = "unknown_target"
+    TOO_LARGE = "too_large"
+    NO_CONFIGURATION = "no_configuration"
+    NO_GROUP = "no_group"
+    GROUP_INCOMPLETE = "group_incomplete"
+    GROUP_LOADING = "group_loading"
+    DRAINING = "draining"
+    LEAVING = "leaving"
+    STALE_VERSION = "stale_version"
+    STALE_EPOCH = "stale_epoch"
+    HAND_OVER_LATE = "hand_over_late"
+    WITHDRAWN = "withdrawn"
+    AGENT_RESTARTED = "agent_restarted"
+    QUEUE_FULL = "queue_full"
+    OVER_SHARE = "over_share"
+    ORGANISATION_IN_FLIGHT = "organisation_in_flight"
+    ORGANISATION_RATE = "organisation_rate"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    DEADLINE_PASSED = "deadline_passed"
+    RETRY_BUDGET = "retry_budget"
+    LINK_LOST = "link_lost"
+    TARGET_FAILED = "target_failed"
+    ANSWER_SHORT = "answer_short"
+    KEY_TAKEN = "key_taken"
+    KEY_ANSWERED = "key_answered"
+    KEY_HOMES_UNREACHABLE = "key_homes_unreachable"
+    STOPPING = "stopping"
+    CALLER_GONE = "caller_gone"
+    INVARIANT = "invariant"
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/reassembly.py
@@ -0,0 +1,57 @@
+# SPDX-License-Identifier: Apache-2.0
+"""An answer put together from frames that may come late, doubled or out of order."""
+
+from dataclasses import dataclass, field
+
+from ochreway_core.messages.requests import Frame
+
+HELD_FRAMES = 256
+
+
+@dataclass(slots=True)
+class Reassembly:
+    """Pass on each byte of an answer once and in order."""
+
+    received: int = 0
+    total: int | None = None
+    _held: dict[int, Frame] = field(default_factory=dict)
+
+    def add(self, frame: Frame) -> list[Frame]:
+        """Return the frames that can be passed on now, trimmed of what went before."""
+        if frame.total is not None:
+            self.total = frame.total
+        if frame.offset > self.received:
+            if len(self._held) < HELD_FRAMES:
+                self._held.setdefault(frame.offset, frame)
+            return []
+        ready = []
+        following: Frame | None = frame
+        while following is not None:
+            fresh = _after(following, self.received)
+            if fresh is not None:
+                ready.append(fresh)
+                self.received += len(fresh.payload)
+            following = self._next_held()
+        return ready
+
+    def _next_held(self) -> Frame | None:
+        offset = min(self._held, default=self.received + 1)
+        return self._held.pop(offset) if offset <= self.received else None
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether every byte of the stated total has been passed on."""
+        return self.total is not None and self.received == self.total
+
+
+def _after(frame: Frame, offset: int) -> Frame | None:
+    skipped = offset - frame.offset
+    if skipped == 0 and frame.payload:
+        return frame
+    payload = frame.payload[skipped:]
+    if not payload:
+        return None
+    return Frame(frame.attempt, offset, payload, 0, frame.status, frame.content_type, frame.total)
+
+
+__all__ = ["HELD_FRAMES", "Reassembly"]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/rows.py
@@ -0,0 +1,144 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The rows that the system keeps in the platform's table, and their keys."""
+
+from dataclasses import dataclass
+
+from ochreway_core.ids import (
+    BundleHash,
+    ChangeId,
+    DomainId,
+    Epoch,
+    GroupId,
+    NodeId,
+    ScopeId,
+    TargetName,
+    Term,
+    Version,
+)
+from ochreway_core.peer import Peer
+from ochreway_core.targetkind import TargetKind
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRow:
+    """Hold a fabric domain's controller lease and its epoch counter."""
+
+    holder: NodeId
+    term: Term
+    beat: int
+    counter: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class GroupRow:
+    """Hold one serving group; its first member leads."""
+
+    group: GroupId
+    domain: DomainId
+    kind: TargetKind
+    target: TargetName
+    artifact: str
+    slots: int
+    priority: int
+    epoch: Epoch
+    step: int
+    version: Version
+    draining: bool
+    members: tuple[Peer, ...]
+
+    @property
+    def leader(self) -> Peer:
+        """Return the member that admits the group's work."""
+        return self.members[0]
+
+    def names(self, node: NodeId) -> bool:
+        """Tell whether the node is a member."""
+        return any(peer.node == node for peer in self.members)
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRow:
+    """Hold the one group that an instance belongs to."""
+
+    node: NodeId
+    group: GroupId
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class BundleRow:
+    """Describe a submitted bundle; its body is in the object store under its hash."""
+
+    bundle: BundleHash
+    author: str
+    name: str
+    submitted_wall_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RollRow:
+    """Record one accepted version for good.
+
+    ``former`` holds the key keepers of versions that were superseded a short while before.
+    """
+
+    scope: ScopeId
+    version: Version
+    bundle: BundleHash
+    author: str
+    operator: str
+    change: ChangeId
+    accepted_wall_s: float
+    first_accepted_wall_s: float
+    former: tuple[tuple[NodeId, ...], ...]
+
+
+def lease_key(domain: str) -> str:
+    """Return the key of a domain's lease row."""
+    return f"controller/{domain}"
+
+
+def group_key(domain: str, group: str) -> str:
+    """Return the key of a group row."""
+    return f"group/{domain}/{group}"
+
+
+def instance_key(domain: str, node: str) -> str:
+    """Return the key of an instance row."""
+    return f"instance/{domain}/{node}"
+
+
+def bundle_key(bundle: str) -> str:
+    """Return the key of a bundle row."""
+    return f"bundle/{bundle}"
+
+
+def approval_key(bundle: str, approver: str = "") -> str:
+    """Return the key of an approval row, or the prefix of a bundle's approvals."""
+    return f"approval/{bundle}/{approver}"
+
+
+def head_key(scope: str) -> str:
+    """Return the key of the row that names the accepted version."""
+    return f"head/{scope}"
+
+
+def roll_key(scope: str, version: int) -> str:
+    """Return the key of one version's record."""
+    return f"roll/{scope}/{version:010d}"
+
+
+__all__ = [
+    "BundleRow",
+    "GroupRow",
+    "InstanceRow",
+    "LeaseRow",
+    "RollRow",
+    "approval_key",
+    "bundle_key",
+    "group_key",
+    "head_key",
+    "instance_key",
+    "lease_key",
+    "roll_key",
+]
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/timing.py
@@ -0,0 +1,37 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The durations that the protocol depends on."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Hold every protocol duration.
+
+    A leader counts a grant for ``grant_ttl_s`` less ``clock_margin``, a share that covers the
+    difference between two monotonic clocks' rates.
+    """
+
+    tick_s: float = 0.1
+    heartbeat_s: float = 0.4
+    grant_ttl_s: float = 1.5
+    clock_margin: float = 0.05
+    view_poll_s: float = 0.5
+    lease_renew_s: float = 2.0
+    lease_s: float = 6.0
+    probe_s: float = 0.5
+    member_lost_s: float = 3.0
+    load_report_s: float = 0.25
+    load_fresh_s: float = 2.0
+    settle_resend_s: float = 0.4
+    settle_give_up_s: float = 4.0
+    claim_timeout_s: float = 1.0
+    key_memory_s: float = 120.0
+    table_timeout_s: float = 3.0
+    backoff_max_s: float = 5.0
+    list_poll_s: float = 1.0
+
+    @property
+    def leader_grant_ttl_s(self) -> float:
+        """Return how long a leader counts a grant."""
+        return self.grant_ttl_s * (1.0 - self.clock_margin)
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/view.py
@@ -0,0 +1,111 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The configuration that a process has applied."""
+
+from dataclasses import dataclass
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
+from result import Err, Ok, Result
+
+from ochreway_core import invariants
+from ochreway_core.bundle import Bundle, bundle_hash, parse_bundle
+from ochreway_core.errors import SignatureInvalid
+from ochreway_core.ids import NO_VERSION, NodeId, Version
+from ochreway_core.rendezvous import rank
+from ochreway_core.rows import RollRow
+from ochreway_core.signoff import Approval, verify
+
+KEEPERS_AT_MOST = 64
+HOMES_PER_KEY = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Carry everything that a process needs to apply one accepted version."""
+
+    roll: RollRow
+    body: bytes
+    approvals: tuple[Approval, ...]
+
+
+@dataclass(slots=True)
+class _Former:
+    keepers: tuple[NodeId, ...]
+    superseded_s: float
+
+
+class View:
+    """Apply accepted versions, each verified and none lower than one seen."""
+
+    def __init__(self, operator_keys: dict[str, Ed25519PublicKey], key_memory_s: float) -> None:
+        self._operator_keys = operator_keys
+        self._key_memory_s = key_memory_s
+        self._former: list[_Former] = []
+        self.snapshot: Snapshot | None = None
+        self.bundle: Bundle | None = None
+        self.keepers: tuple[NodeId, ...] = ()
+
+    @property
+    def version(self) -> Version:
+        """Return the version in force here, 0 before the first."""
+        return self.snapshot.roll.version if self.snapshot else NO_VERSION
+
+    def apply(self, snapshot: Snapshot, now_s: float) -> Result[bool, str]:
+        """Put a newer version in force; return whether anything changed.
+
+        A lower or equal version is left alone: messages may come late.
+        """
+        if snapshot.roll.version <= self.version:
+            return Ok(False)
+        checked = self._check(snapshot)
+        if checked.is_err():
+            return Err(checked.unwrap_err())
+        invariants.version_moves_forward(self.version, snapshot.roll.version)
+        self._remember_former(snapshot.roll.former, now_s)
+        self.snapshot = snapshot
+        self.bundle = checked.unwrap()
+        self.keepers = key_keepers(self.bundle)
+        return Ok(True)
+
+    def _check(self, snapshot: Snapshot) -> Result[Bundle, str]:
+        digest = bundle_hash(snapshot.body)
+        if digest != snapshot.roll.bundle:
+            return Err("the body is not the one that was rolled")
+        faults: list[str] = []
+        for approval in snapshot.approvals:
+            try:
+                verify(approval, digest, self._operator_keys)
+            except SignatureInvalid as fault:
+                faults.append(str(fault))
+                continue
+            if approval.author == snapshot.roll.author:
+                return parse_bundle(snapshot.body).map_err("; ".join)
+            faults.append("the approval names another author")
+        return Err("no valid approval: " + ("; ".join(faults) or "none given"))
+
+    def _remember_former(self, listed: tuple[tuple[NodeId, ...], ...], now_s: float) -> None:
+        oldest_s = now_s - self._key_memory_s
+        self._former = [item for item in self._former if item.superseded_s > oldest_s]
+        known = {item.keepers for item in self._former}
+        superseded = {self.keepers, *listed} - known - {()}
+        self._former.extend(_Former(keepers, now_s) for keepers in sorted(superseded))
+
+    def homes(self, key: str, now_s: float) -> list[frozenset[NodeId]]:
+        """Return each set of nodes of which a majority must grant a claim on the key.
+
+        The sets of versions that were superseded less than the key memory ago count too,
+        so a claim made under one version is seen under the next.
+        """
+        recent = [
+            item.keepers for item in self._former if now_s - item.superseded_s < self._key_memory_s
+        ]
+        sets = [frozenset(rank(key, each)[:HOMES_PER_KEY]) for each in (self.keepers, *recent)]
+        return list(dict.fromkeys(item for item in sets if item))
+
+
+def key_keepers(bundle: Bundle) -> tuple[NodeId, ...]:
+    """Return the nodes that remember callers' keys under a bundle."""
+    names = [NodeId(name) for name in bundle.instance_names()]
+    return tuple(rank("keepers", names)[:KEEPERS_AT_MOST])
+
+
+__all__ = ["HOMES_PER_KEY", "KEEPERS_AT_MOST", "Snapshot", "View", "key_keepers"]
--- /dev/null
+++ b/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
@@ -0,0 +1,145 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The agent process around its node."""
+
+import asyncio
+import contextlib
+import time
+
+from ochreway_core.attemptid import AttemptId
+from ochreway_core.chunk import Chunk
+from ochreway_core.effects import CancelWork, HandOver, OrderTarget
+from ochreway_core.ids import NodeId
+from ochreway_core.peer import Peer
+from ochreway_core.timing import Timing
+from ochreway_daemon.logs import EventLog
+from ochreway_daemon.metrics import Metrics
+from ochreway_daemon.settings import AgentSettings
+from ochreway_daemon.shell import Shell
+from ochreway_nodes.agent import AgentNode
+from ochreway_nodes.targetstate import TargetState
+from ochreway_platform.errors import HandOverRefused, TargetBroke, TargetUnreachable
+from ochreway_platform.target import Target
+
+STATE_POLL_S = 0.25
+WINDOW_POLL_S = 0.005
+
+
+class AgentShell(Shell):
+    """Speak to the target on the node's behalf."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        node: AgentNode,
+        target: Target,
+        timing: Timing,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        me = Peer(NodeId(settings.name), settings.link_listen)
+        super().__init__(settings, me, node, timing, log, metrics)
+        self.node = node
+        self._target = target
+        self._running: dict[AttemptId, asyncio.Task[None]] = {}
+        self._polling = False
+        self.effects[HandOver] = self._hand_over
+        self.effects[CancelWork] = self._cancel_work
+        self.effects[OrderTarget] = self._order_target
+
+    async def start(self) -> None:
+        """Begin to watch the target too."""
+        await super().start()
+        self.timer.every(STATE_POLL_S, lambda _: self._poll_state())
+
+    # The target's state
+
+    def _poll_state(self) -> None:
+        if not self._polling:
+            self._polling = True
+            self.spawn(self._read_state())
+
+    async def _read_state(self) -> None:
+        loop = asyncio.get_running_loop()
+        asked_s = loop.time()
+        try:
+            report = await self._target.state()
+        except TargetUnreachable:
+            self.metrics.count("target.unreachable")
+            return
+        finally:
+            self._polling = False
+        state = TargetState(report.epoch, report.artifact, report.loaded, asked_s)
+        self.post(lambda _: self.node.on_target_state(state))
+        if report.cached or report.evicted:
+            cached, evicted = list(report.cached), list(report.evicted)
+            self.post(lambda _: self.node.loads.on_cache_events(cached, evicted))
+
+    def _order_target(self, effect: OrderTarget) -> None:
+        self.spawn(self._send_order(effect))
+
+    async def _send_order(self, effect: OrderTarget) -> None:
+        if not self.node.may_order(effect, asyncio.get_running_loop().time()):
+            self.metrics.count("order.late")
+            return
+        row = effect.row
+        self.log.event("target_ordered", group=row.group, epoch=row.epoch, artifact=row.artifact)
+        with contextlib.suppress(TargetUnreachable):
+            await self._target.order(row)
+
+    # Requests
+
+    def _hand_over(self, effect: HandOver) -> None:
+        attempt = effect.submit.attempt
+        task = self.spawn(self._run(effect))
+        self._running[attempt] = task
+        task.add_done_callback(lambda _: self._running.pop(attempt, None))
+
+    async def _run(self, effect: HandOver) -> None:
+        submit = effect.submit
+        attempt = submit.attempt
+        began_s = time.monotonic()
+        self.log.detail("handed_over", request=submit.request, attempt=attempt)
+        try:
+            async for chunk in self._target.run(submit, lambda: self._allowed(effect)):
+                self._pass_on(attempt, chunk)
+                while not self.node.serving.may_read(attempt):
+                    await asyncio.sleep(WINDOW_POLL_S)
+        except HandOverRefused:
+            self.post(lambda now_s: self.node.on_hand_over_missed(attempt, now_s))
+        except TargetUnreachable:
+            self.post(lambda now_s: self.node.on_target_failed(attempt, False, now_s))
+        except TargetBroke as fault:
+            self.log.event("target_broke", request=submit.request, fault=fault)
+            self.post(lambda now_s: self.node.on_target_failed(attempt, True, now_s))
+        took_s = time.monotonic() - began_s
+        self.metrics.timing("target.total", took_s)
+        self.log.event(
+            "attempt_ended", request=submit.request, attempt=attempt, took_s=f"{took_s:.4f}"
+        )
+
+    def _allowed(self, effect: HandOver) -> bool:
+        return self.node.may_hand_over(effect, asyncio.get_running_loop().time())
+
+    def _pass_on(self, attempt: AttemptId, chunk: Chunk) -> None:
+        self.post(lambda now_s: self.node.on_chunk(attempt, chunk, now_s))
+
+    def _cancel_work(self, effect: CancelWork) -> None:
+        task = self._running.get(effect.attempt)
+        if task is not None:
+            task.cancel()
+
+    # Planned stop
+
+    async def drain(self) -> bool:
+        """Take no new work and wait until what runs has ended; False when time ran out."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + self.settings.drain_timeout_s
+        self.post(self.node.leave)
+        while loop.time() < end_s:
+            await asyncio.sleep(self.timing.tick_s)
+            if self.node.may_stop(loop.time()):
+                return True
+        return False
+
+
+__all__ = ["AgentShell"]
--- /dev/null
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/callerheaders.py
@@ -0,0 +1,87 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What callers state in headers, with defaults that are safe."""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TypeVar
+
+from ochreway_core.ids import KeyDigest, OrganisationId
+from ochreway_core.priority import Priority
+from ochreway_daemon.errors import CallerFault
+
+T = TypeVar("T")
+
+DEADLINE_HEADER = "X-Deadline-Ms"
+PRIORITY_HEADER = "X-Priority"
+REPEATABLE_HEADER = "X-Repeatable"
+KEY_HEADER = "Idempotency-Key"
+CALLER_HEADER = "X-Caller"
+ADAPTER_HEADER = "X-Adapter"
+KEY_BYTES_AT_MOST = 256
+DEADLINE_S_AT_MOST = 900.0
+
+_PRIORITIES = {"visit": Priority.VISIT, "normal": Priority.NORMAL, "batch": Priority.BATCH}
+_REPEATABLE = {"true": True, "false": False}
+
+
+@dataclass(frozen=True, slots=True)
+class CallerHeaders:
+    """Hold a request's terms."""
+
+    deadline_in_s: float
+    priority: Priority
+    repeatable: bool
+    key: KeyDigest | None
+    caller: str
+    adapter: str
+
+
+def read_headers(
+    headers: Mapping[str, str],
+    organisation: OrganisationId,
+    default_deadline_s: float,
+    default_repeatable: bool,
+) -> CallerHeaders:
+    """Read the terms of a request.
+
+    Raises:
+        CallerFault: when a header's value is not allowed.
+    """
+    return CallerHeaders(
+        deadline_in_s=_deadline(headers.get(DEADLINE_HEADER), default_deadline_s),
+        priority=_choice(headers, PRIORITY_HEADER, _PRIORITIES, Priority.NORMAL),
+        repeatable=_choice(headers, REPEATABLE_HEADER, _REPEATABLE, default_repeatable),
+        key=_key(headers.get(KEY_HEADER), organisation),
+        caller=headers.get(CALLER_HEADER, organisation),
+        adapter=headers.get(ADAPTER_HEADER, ""),
+    )
+
+
+def _deadline(text: str | None, default_s: float) -> float:
+    if text is None:
+        return default_s
+    if not text.isdigit() or not 0 < int(text) <= DEADLINE_S_AT_MOST * 1000:
+        most_ms = int(DEADLINE_S_AT_MOST * 1000)
+        raise CallerFault(f"{DEADLINE_HEADER} must be whole milliseconds from 1 to {most_ms}")
+    return int(text) / 1000.0
+
+
+def _choice(headers: Mapping[str, str], name: str, allowed: Mapping[str, T], default: T) -> T:
+    text = headers.get(name)
+    if text is None:
+        return default
+    if text.lower() not in allowed:
+        raise CallerFault(f"{name} must be one of {', '.join(allowed)}")
+    return allowed[text.lower()]
+
+
+def _key(text: str | None, organisation: OrganisationId) -> KeyDigest | None:
+    if text is None:
+        return None
+    if not text or len(text.encode()) > KEY_BYTES_AT_MOST:
+        raise CallerFault(f"{KEY_HEADER} must have 1 to {KEY_BYTES_AT_MOST} bytes")
+    return KeyDigest(hashlib.sha256(f"{organisation}\0{text}".encode()).hexdigest()[:32])
+
+
+__all__ = ["CallerHeaders", "read_headers"]
--- /dev/null
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/callers.py
@@ -0,0 +1,265 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The callers' interface: completions, models and plain services."""
+
+import asyncio
+import hashlib
+import json
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from ochreway_core.bundle import Bundle, Organisation
+from ochreway_core.effects import Deliver, Finish
+from ochreway_core.ids import OrganisationId, RequestId, TargetName
+from ochreway_core.outcome import Outcome
+from ochreway_core.reason import Reason
+from ochreway_core.request import Request
+from ochreway_core.targetkind import TargetKind
+from ochreway_daemon.api.callerheaders import CallerHeaders, read_headers
+from ochreway_daemon.api.completionbody import read_completion
+from ochreway_daemon.api.refusal import content, fault, refusal
+from ochreway_daemon.callerstream import CallerStream
+from ochreway_daemon.entryshell import EntryShell
+from ochreway_daemon.errors import CallerFault
+from ochreway_routing.prefix import blocks_of
+
+ANSWER_BYTES_AT_MOST = 64 * 1024 * 1024
+STOPPING_RETRY_S = 1.0
+CONFIGURATION_RETRY_S = 2.0
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class CallerApi:
+    """Turn HTTP requests into the node's requests and its answers into HTTP."""
+
+    def __init__(self, shell: EntryShell, body_bytes_at_most: int, default_deadline_s: float):
+        self._shell = shell
+        self._body_bytes_at_most = body_bytes_at_most
+        self._default_deadline_s = default_deadline_s
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.post("/v1/chat/completions", self._guarded(self._chat)),
+            web.post("/v1/completions", self._guarded(self._complete)),
+            web.get("/v1/models", self._guarded(self._models)),
+            web.route("*", "/services/{service}/{path:.*}", self._guarded(self._service)),
+        ]
+
+    def _guarded(self, handler: Handler) -> Handler:
+        async def guarded(request: web.Request) -> web.StreamResponse:
+            if self._shell.node.stopping:
+                return refusal(Outcome.NOT_RUN, Reason.STOPPING, STOPPING_RETRY_S)
+            if self._shell.node.spread.view.bundle is None:
+                return refusal(Outcome.NOT_RUN, Reason.NO_CONFIGURATION, CONFIGURATION_RETRY_S)
+            try:
+                return await handler(request)
+            except CallerFault as wrong:
+                self._shell.metrics.count(f"refusal.{Reason.BAD_REQUEST.value}")
+                return fault(Reason.BAD_REQUEST, str(wrong))
+            except web.HTTPRequestEntityTooLarge:
+                self._shell.metrics.count(f"refusal.{Reason.TOO_LARGE.value}")
+                most = self._body_bytes_at_most
+                return fault(Reason.TOO_LARGE, f"a body may have {most} bytes at most")
+
+        return guarded
+
+    @property
+    def _bundle(self) -> Bundle:
+        bundle = self._shell.node.spread.view.bundle
+        assert bundle is not None
+        return bundle
+
+    def _organisation(self, request: web.Request) -> Organisation | None:
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer":
+            return None
+        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        matching = (each for each in self._bundle.organisation if each.token_sha256 == digest)
+        return next(matching, None)
+
+    def _refuse_unauthorised(self) -> web.Response:
+        self._shell.metrics.count(f"refusal.{Reason.UNAUTHORISED.value}")
+        return fault(Reason.UNAUTHORISED, "give an organisation's token as a bearer token")
+
+    def _refuse_unknown(self, what: str) -> web.Response:
+        self._shell.metrics.count(f"refusal.{Reason.UNKNOWN_TARGET.value}")
+        return fault(Reason.UNKNOWN_TARGET, f"{what} is not served")
+
+    async def _models(self, request: web.Request) -> web.StreamResponse:
+        if self._organisation(request) is None:
+            return self._refuse_unauthorised()
+        models = [
+            {"id": model.name, "object": "model", "created": 0, "owned_by": self._bundle.name}
+            for model in self._bundle.model
+        ]
+        return web.json_response({"object": "list", "data": models})
+
+    async def _chat(self, request: web.Request) -> web.StreamResponse:
+        return await self._completion(request, chat=True)
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        return await self._completion(request, chat=False)
+
+    async def _completion(self, request: web.Request, chat: bool) -> web.StreamResponse:
+        organisation = self._organisation(request)
+        if organisation is None:
+            return self._refuse_unauthorised()
+        raw = await request.read()
+        body = read_completion(raw, chat)
+        if self._bundle.model_named(body.model) is None:
+            return self._refuse_unknown(f"model {body.model}")
+        name = OrganisationId(organisation.name)
+        # An answer costs tokens and may be acted on, so it is not repeated unless allowed.
+        headers = read_headers(request.headers, name, self._default_deadline_s, False)
+        begun = self._request(
+            name,
+            headers,
+            TargetKind.MODEL,
+            body.model,
+            "POST",
+            request.path,
+            raw,
+            body.prompt_tokens,
+            body.max_tokens,
+            blocks_of(body.model, body.prompt),
+        )
+        return await self._answer(request, begun, body.stream)
+
+    async def _service(self, request: web.Request) -> web.StreamResponse:
+        organisation = self._organisation(request)
+        if organisation is None:
+            return self._refuse_unauthorised()
+        service = self._bundle.service_named(request.match_info["service"])
+        if service is None:
+            return self._refuse_unknown(f"service {request.match_info['service']}")
+        raw = await request.read()
+        name = OrganisationId(organisation.name)
+        repeatable = request.method in service.repeatable_methods
+        headers = read_headers(request.headers, name, self._default_deadline_s, repeatable)
+        path = "/" + request.match_info["path"]
+        if request.query_string:
+            path += "?" + request.query_string
+        begun = self._request(
+            name, headers, TargetKind.SERVICE, service.name, request.method, path, raw, 1, 1, ()
+        )
+        return await self._answer(request, begun, streamed=False)
+
+    def _request(
+        self,
+        organisation: OrganisationId,
+        headers: CallerHeaders,
+        kind: TargetKind,
+        target: str,
+        method: str,
+        path: str,
+        body: bytes,
+        prompt_tokens: int,
+        max_tokens: int,
+        blocks: tuple[int, ...],
+    ) -> Request:
+        return Request(
+            request=RequestId(uuid.uuid4().hex),
+            organisation=organisation,
+            kind=kind,
+            target=TargetName(target),
+            repeatable=headers.repeatable,
+            key=headers.key,
+            priority=headers.priority,
+            deadline_s=time.monotonic() + headers.deadline_in_s,
+            prompt_tokens=prompt_tokens,
+            max_tokens=max_tokens,
+            blocks=blocks,
+            caller=headers.caller,
+            adapter=headers.adapter,
+            method=method,
+            path=path,
+            body=body,
+        )
+
+    # Answers
+
+    async def _answer(
+        self, http: web.Request, request: Request, streamed: bool
+    ) -> web.StreamResponse:
+        self._shell.log.event(
+            "request_begun",
+            request=request.request,
+            organisation=request.organisation,
+            target=request.target,
+        )
+        stream = self._shell.begin(request)
+        try:
+            if streamed:
+                return await self._streamed(http, stream)
+            return await self._whole(stream)
+        except (ConnectionResetError, asyncio.CancelledError):
+            self._shell.caller_gone(request.request)
+            raise
+
+    async def _whole(self, stream: CallerStream) -> web.StreamResponse:
+        """Wait for the whole answer, so that a broken one can be refused as such."""
+        pieces: list[Deliver] = []
+        received = 0
+        while True:
+            piece = await stream.get()
+            if isinstance(piece, Finish):
+                return _whole_response(pieces, piece)
+            pieces.append(piece)
+            received += len(piece.payload)
+            self._shell.passed_on(stream.request, received)
+            if received > ANSWER_BYTES_AT_MOST:
+                self._shell.caller_gone(stream.request)
+                return fault(Reason.TOO_LARGE, "the answer is too long to be given unstreamed")
+
+    async def _streamed(self, http: web.Request, stream: CallerStream) -> web.StreamResponse:
+        first = await stream.get()
+        if isinstance(first, Finish):
+            return _whole_response([], first)
+        if first.status != 200:
+            return await self._whole_after(first, stream)
+        response = web.StreamResponse(headers={"X-Request-Id": stream.request})
+        response.content_type = first.content_type
+        await response.prepare(http)
+        pieces: list[Deliver | Finish] = [first]
+        passed = 0
+        while True:
+            payload = b"".join(each.payload for each in pieces if isinstance(each, Deliver))
+            await response.write(payload)
+            passed += len(payload)
+            self._shell.passed_on(stream.request, passed)
+            if isinstance(pieces[-1], Finish):
+                return await _end(response, pieces[-1])
+            pieces = [await stream.get(), *stream.ready()]
+
+    async def _whole_after(self, first: Deliver, stream: CallerStream) -> web.StreamResponse:
+        rest = await self._whole(stream)
+        if isinstance(rest, web.Response) and isinstance(rest.body, bytes) and rest.status == 200:
+            return web.Response(
+                body=first.payload + rest.body, status=first.status, content_type=first.content_type
+            )
+        return rest
+
+
+def _whole_response(pieces: list[Deliver], finish: Finish) -> web.Response:
+    if finish.outcome is not Outcome.ANSWERED:
+        return refusal(finish.outcome, finish.reason, finish.retry_after_s, "", finish.request)
+    body = b"".join(piece.payload for piece in pieces)
+    status = pieces[0].status if pieces else 200
+    content_type = pieces[0].content_type if pieces else "application/json"
+    headers = {"X-Request-Id": finish.request}
+    return web.Response(body=body, status=status, content_type=content_type, headers=headers)
+
+
+async def _end(response: web.StreamResponse, finish: Finish) -> web.StreamResponse:
+    if finish.outcome is not Outcome.ANSWERED:
+        error = content(finish.outcome, finish.reason, "", finish.request)
+        await response.write(b"event: error\ndata: " + json.dumps(error).encode() + b"\n\n")
+    await response.write_eof()
+    return response
+
+
+__all__ = ["CallerApi"]
--- /dev/null
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/completionbody.py
@@ -0,0 +1,79 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The body of a completion request, as far as the system needs to understand it."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from ochreway_daemon.errors import CallerFault
+
+BYTES_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionBody:
+    """Hold what routing and limits need of a body; the engine gets the bytes as they came."""
+
+    model: str
+    prompt: bytes
+    stream: bool
+    max_tokens: int
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return about how many tokens the prompt has."""
+        return max(1, len(self.prompt) // BYTES_PER_TOKEN)
+
+
+def read_completion(raw: bytes, chat: bool) -> CompletionBody:
+    """Read a completion request.
+
+    Raises:
+        CallerFault: when it is not JSON, or a field is missing or of the wrong type.
+    """
+    try:
+        content = json.loads(raw)
+    except (ValueError, RecursionError) as fault:
+        raise CallerFault(f"the body is not JSON: {fault}") from fault
+    if not isinstance(content, dict):
+        raise CallerFault("the body must be a JSON object")
+    return CompletionBody(
+        model=_field(content, "model", str, None),
+        prompt=_chat_prompt(content) if chat else _field(content, "prompt", str, None).encode(),
+        stream=_field(content, "stream", bool, False),
+        max_tokens=_max_tokens(content),
+    )
+
+
+def _field(content: dict[str, Any], name: str, kind: type, default: Any) -> Any:
+    value = content.get(name, default)
+    if type(value) is not kind:
+        raise CallerFault(f"{name} must be given as {kind.__name__}")
+    return value
+
+
+def _max_tokens(content: dict[str, Any]) -> int:
+    given = content.get("max_completion_tokens", content.get("max_tokens", DEFAULT_MAX_TOKENS))
+    if type(given) is not int or given < 1:
+        raise CallerFault("max_tokens must be a whole number above 0")
+    return given
+
+
+def _chat_prompt(content: dict[str, Any]) -> bytes:
+    messages = content.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise CallerFault("messages must be a list with at least one message")
+    return b"\n".join(_message(each) for each in messages)
+
+
+def _message(message: Any) -> bytes:
+    if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+        raise CallerFault("each message must be an object with a role")
+    text = message.get("content")
+    if not isinstance(text, str):
+        text = json.dumps(text)
+    return f"{message['role']}:{text}".encode()
+
+
+__all__ = ["CompletionBody", "read_completion"]
--- /dev/null
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/operators.py
@@ -0,0 +1,55 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The operators' interface of an entry: status, and the push of a committed roll."""
+
+import asyncio
+import hmac
+from typing import Any
+
+from aiohttp import web
+
+from ochreway_core.codec import decode
+from ochreway_core.errors import CodecError
+from ochreway_core.view import Snapshot
+from ochreway_daemon.api.status import entry_status
+from ochreway_daemon.entryshell import EntryShell
+
+
+class OperatorApi:
+    """Serve the operators' command, which shows the operator token."""
+
+    def __init__(self, shell: EntryShell, token: str) -> None:
+        self._shell = shell
+        self._token = token
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.get("/operator/status", self._status),
+            web.post("/operator/snapshot", self._snapshot),
+        ]
+
+    def _allowed(self, request: web.Request) -> bool:
+        given = request.headers.get("Authorization", "").removeprefix("Bearer ").strip()
+        return bool(self._token) and hmac.compare_digest(given, self._token)
+
+    async def _status(self, request: web.Request) -> web.Response:
+        if not self._allowed(request):
+            raise web.HTTPUnauthorized
+        now_s = asyncio.get_running_loop().time()
+        status: dict[str, Any] = entry_status(self._shell.node, now_s)
+        status["counters"] = self._shell.metrics.counters
+        return web.json_response(status)
+
+    async def _snapshot(self, request: web.Request) -> web.Response:
+        if not self._allowed(request):
+            raise web.HTTPUnauthorized
+        try:
+            snapshot = decode(Snapshot, await request.read())
+        except CodecError as fault:
+            return web.json_response({"error": str(fault)}, status=400)
+        self._shell.post(lambda now_s: self._shell.node.on_snapshot(snapshot, now_s))
+        await asyncio.sleep(0)
+        return web.json_response({"version": snapshot.roll.version}, status=202)
+
+
+__all__ = ["OperatorApi"]
--- /dev/null
+++ b/packages/ochreway-daemon/src/ochreway_daemon/legacyrunner.py
@@ -0,0 +1,63 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Requests to targets that the operators' old tools still run."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+
+from ochreway_core.attemptid import AttemptId
+from ochreway_core.messages import Frame, Refusal, Submit
+from ochreway_core.outcome import Outcome
+from ochreway_core.reason import Reason
+from ochreway_core.targetkind import TargetKind
+from ochreway_platform.errors import PlatformError, TargetUnreachable
+from ochreway_platform.httptarget import HttpTarget
+
+Answer = Callable[[object], None]
+
+
+class LegacyRunner:
+    """Run attempts at such targets, answering as an agent would."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._running: dict[AttemptId, asyncio.Task[None]] = {}
+
+    def start(self, task: "asyncio.Task[None]", submit: Submit) -> None:
+        """Remember the task of an attempt until it ends."""
+        self._running[submit.attempt] = task
+        task.add_done_callback(lambda _: self._running.pop(submit.attempt, None))
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Cancel an attempt."""
+        task = self._running.get(attempt)
+        if task is not None:
+            task.cancel()
+
+    async def run(self, url: str, submit: Submit, answer: Answer) -> None:
+        """Run one attempt and answer with frames or a refusal."""
+        target = HttpTarget(self._session, url, TargetKind.MODEL)
+        offset = 0
+        try:
+            async for chunk in target.run(submit, lambda: True):
+                total = offset + len(chunk.payload) if chunk.last else None
+                answer(
+                    Frame(
+                        submit.attempt,
+                        offset,
+                        chunk.payload,
+                        chunk.tokens,
+                        chunk.status,
+                        chunk.content_type,
+                        total,
+                    )
+                )
+                offset += len(chunk.payload)
+        except TargetUnreachable:
+            answer(Refusal(submit.attempt, Outcome.NOT_RUN, Reason.TARGET_FAILED, 1.0))
+        except PlatformError:
+            answer(Refusal(submit.attempt, Outcome.UNKNOWN, Reason.TARGET_FAILED, 1.0))
+
+
+__all__ = ["LegacyRunner"]
--- /dev/null
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -0,0 +1,251 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The ochrewayd binary."""
+
+import asyncio
+import os
+import random
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import aiohttp
+import click
+from aiohttp import web
+
+from ochreway_core.ids import HallId, Incarnation, NodeId, ScopeId
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+from ochreway_core.targetkind import TargetKind
+from ochreway_core.timing import Timing
+from ochreway_daemon.agentshell import AgentShell
+from ochreway_daemon.api.callers import CallerApi
+from ochreway_daemon.api.health import health_routes
+from ochreway_daemon.api.operators import OperatorApi
+from ochreway_daemon.entryshell import EntryShell
+from ochreway_daemon.errors import SettingsInvalid
+from ochreway_daemon.legacyrunner import LegacyRunner
+from ochreway_daemon.logs import EventLog
+from ochreway_daemon.metrics import Metrics
+from ochreway_daemon.settings import (
+    AgentSettings,
+    CommonSettings,
+    EntrySettings,
+    check,
+    operator_keys,
+    shown,
+)
+from ochreway_daemon.shell import Shell
+from ochreway_nodes.agent import AgentNode
+from ochreway_nodes.controller.repair import REPAIR_POLICIES, RepairTuning
+from ochreway_nodes.entry import EntryNode
+from ochreway_platform.httpobjectstore import HttpObjectStore
+from ochreway_platform.httptable import HttpTable
+from ochreway_platform.httptarget import HttpTarget
+from ochreway_platform.instancelist import HttpInstanceList
+from ochreway_routing.policy import POLICIES
+
+EXIT_SETTINGS = 2
+EXIT_CUT = 3
+HEADER_BYTES_AT_MOST = 16 * 1024
+IDLE_CALLER_S = 30.0
+
+F = TypeVar("F", bound=Callable[..., Any])
+
+
+def setting(flag: str, default: Any, text: str, **more: Any) -> Callable[[F], F]:
+    """Declare a setting as a flag and an environment variable."""
+    variable = "OCHREWAY_" + flag.removeprefix("--").replace("-", "_").upper()
+    return click.option(
+        flag,
+        default=default,
+        envvar=variable,
+        show_envvar=True,
+        show_default=True,
+        help=text,
+        **more,
+    )
+
+
+_COMMON = (
+    setting("--name", "", "Name of this instance in the platform's list."),
+    setting("--hall", "hall-1", "Data hall of this instance."),
+    setting("--domain", "domain-1", "Fabric domain of this instance."),
+    setting("--scope", "main", "Scope whose rolled versions are followed."),
+    setting("--link-listen", "127.0.0.1:7400", "host:port for links of other processes."),
+    setting("--http-listen", "127.0.0.1:7480", "host:port for HTTP."),
+    setting("--platform-url", "http://127.0.0.1:7000", "Base URL of the platform's services."),
+    setting("--link-key", "", "Key that every process of the system shares (secret)."),
+    setting("--operator-key", (), "NAME=BASE64 public key of an approver.", multiple=True),
+    setting("--statsd", "", "host:port of a statsd server; empty for none."),
+    setting("--log-level", "info", "debug, info, warning or error."),
+    setting("--drain-timeout-s", 900.0, "How long a planned stop waits for requests."),
+    setting("--link-tick-s", 0.001, "How long frames are gathered into one batch."),
+    setting("--key-memory-s", 120.0, "How long an idempotency key is remembered."),
+    setting("--tls-certificate", "", "Certificate of this process for links (PEM)."),
+    setting("--tls-key", "", "Private key of the certificate (PEM)."),
+    setting("--tls-authority", "", "Certificate of the authority for links (PEM)."),
+    click.option("--check", "only_check", is_flag=True, help="Print the settings and stop."),
+)
+
+
+def common(command: F) -> F:
+    """Declare the settings that every daemon has."""
+    for each in reversed(_COMMON):
+        command = each(command)
+    return command
+
+
+@click.group()
+def main() -> None:
+    """Run an ochreway process beside callers (entry) or beside a target (agent)."""
+
+
+@main.command()
+@common
+@setting("--operator-token", "", "Token that the ochreway command shows (secret).")
+@setting("--routing-policy", "cost", "One of: " + ", ".join(sorted(POLICIES)) + ".")
+@setting("--repair-policy", "expected_cost", "One of: " + ", ".join(sorted(REPAIR_POLICIES)) + ".")
+@setting("--body-bytes-at-most", 8 * 1024 * 1024, "Longest body of a caller's request.")
+@setting("--default-deadline-s", 60.0, "Deadline of a request that states none.")
+@setting("--load-s", 30.0, "How long a group is expected to take to load a model.")
+def entry(only_check: bool, **given: Any) -> None:
+    """Take callers' requests, route them, and hold controller leases."""
+    settings = EntrySettings(**given)
+    _checked(settings, only_check)
+    sys.exit(asyncio.run(_run_entry(settings)))
+
+
+@main.command()
+@common
+@setting("--target-url", "http://127.0.0.1:8000", "Base URL of the target beside this agent.")
+@setting("--target-kind", "model", "model or service.")
+def agent(only_check: bool, **given: Any) -> None:
+    """Stand beside one target: its group, its orders, its requests."""
+    settings = AgentSettings(**given)
+    _checked(settings, only_check)
+    sys.exit(asyncio.run(_run_agent(settings)))
+
+
+def _checked(settings: CommonSettings, only_check: bool) -> None:
+    try:
+        check(settings)
+    except SettingsInvalid as fault:
+        for line in fault.faults:
+            click.echo(line, err=True)
+        sys.exit(EXIT_SETTINGS)
+    if only_check:
+        click.echo("\n".join(shown(settings)))
+        sys.exit(0)
+
+
+def _timing(settings: CommonSettings) -> Timing:
+    return Timing(key_memory_s=settings.key_memory_s)
+
+
+async def _run_entry(settings: EntrySettings) -> int:
+    timing = _timing(settings)
+    log = EventLog("entry", settings.name, settings.log_level)
+    metrics = Metrics(settings.statsd, "entry")
+    loop = asyncio.get_running_loop()
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        base_url, patience_s = settings.platform_url, timing.table_timeout_s
+        node = EntryNode(
+            Peer(NodeId(settings.name), settings.link_listen),
+            Incarnation(secrets.randbits(48)),
+            HallId(settings.hall),
+            ScopeId(settings.scope),
+            timing,
+            operator_keys(settings.operator_key),
+            random.Random(),
+            loop.time(),
+            settings.routing_policy,
+            settings.repair_policy,
+            RepairTuning(load_s=settings.load_s),
+        )
+        shell = EntryShell(
+            settings,
+            node,
+            HttpTable(session, base_url, patience_s),
+            HttpObjectStore(session, base_url, patience_s),
+            HttpInstanceList(session, base_url, patience_s),
+            LegacyRunner(session),
+            timing,
+            log,
+            metrics,
+        )
+        application = web.Application(client_max_size=settings.body_bytes_at_most)
+        callers = CallerApi(shell, settings.body_bytes_at_most, settings.default_deadline_s)
+        application.add_routes(callers.routes())
+        application.add_routes(OperatorApi(shell, settings.operator_token).routes())
+        application.add_routes(health_routes(lambda: _entry_not_ready(node)))
+        return await _serve(shell, application, shell.drain)
+
+
+def _entry_not_ready(node: EntryNode) -> str:
+    if node.stopping:
+        return "stopping"
+    return "" if node.version else "no configuration yet"
+
+
+async def _run_agent(settings: AgentSettings) -> int:
+    timing = _timing(settings)
+    log = EventLog("agent", settings.name, settings.log_level)
+    metrics = Metrics(settings.statsd, "agent")
+    loop = asyncio.get_running_loop()
+    node = AgentNode(
+        Peer(NodeId(settings.name), settings.link_listen),
+        Incarnation(secrets.randbits(48)),
+        timing,
+        operator_keys(settings.operator_key),
+        loop.time(),
+        time.time(),
+    )
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        target = HttpTarget(session, settings.target_url, TargetKind(settings.target_kind))
+        shell = AgentShell(settings, node, target, timing, log, metrics)
+        application = web.Application()
+        application.add_routes(health_routes(lambda: _agent_not_ready(node, loop.time())))
+        return await _serve(shell, application, shell.drain)
+
+
+def _agent_not_ready(node: AgentNode, now_s: float) -> str:
+    if not node.membership.leads:
+        return "" if node.membership.ready(now_s) else "not ready"
+    reason = node.membership.closed_because(now_s)
+    return "" if reason is Reason.NONE else reason.value
+
+
+async def _serve(
+    shell: Shell, application: web.Application, drain: Callable[[], Awaitable[bool]]
+) -> int:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await shell.start()
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        handler_cancellation=True,
+        max_field_size=HEADER_BYTES_AT_MOST,
+        max_line_size=HEADER_BYTES_AT_MOST,
+        shutdown_timeout=1.0,
+    )
+    await runner.setup()
+    host, _, port = shell.settings.http_listen.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    shell.log.event("started", pid=os.getpid(), http=shell.settings.http_listen)
+    await stop.wait()
+    shell.log.event("stopping")
+    drained = await drain()
+    await runner.cleanup()
+    await shell.stop()
+    shell.log.event("stopped", drained=drained)
+    return 0 if drained else EXIT_CUT
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/ochreway-daemon/src/ochreway_daemon/shell.py
@@ -0,0 +1,147 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The task that owns a node: events come as messages, effects go out."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from ochreway_core import invariants
+from ochreway_core.effects import Count, Effect, Log, Send
+from ochreway_core.ids import NodeId, Version
+from ochreway_core.peer import Peer
+from ochreway_core.timing import Timing
+from ochreway_daemon.logs import EventLog
+from ochreway_daemon.metrics import Metrics
+from ochreway_daemon.settings import CommonSettings
+from ochreway_daemon.timer import TimerService
+from ochreway_daemon.tls import client_context, server_context
+from ochreway_wire.batch import Batch
+from ochreway_wire.links import Links, LinkSettings
+
+EventHandler = Callable[[float], None]
+EffectHandler = Callable[[Any], None]
+
+
+class Node(Protocol):
+    """What a shell needs of a node."""
+
+    @property
+    def version(self) -> Version:
+        """Return the configuration version in force."""
+
+    def take(self) -> list[Effect]:
+        """Return the effects asked for."""
+
+    def on_message(self, sender: Peer, version: Version, message: object, now_s: float) -> None:
+        """Handle a message."""
+
+    def on_tick(self, now_s: float) -> None:
+        """Do what is due."""
+
+
+class Shell:
+    """Run one node: its mailbox, its links, its timer, its counters."""
+
+    def __init__(
+        self,
+        settings: CommonSettings,
+        me: Peer,
+        node: Node,
+        timing: Timing,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.me = me
+        self.log = log
+        self.metrics = metrics
+        self.timing = timing
+        self.timer = TimerService(timing.tick_s / 2)
+        self.links = Links(
+            me,
+            LinkSettings(
+                settings.link_key.encode(),
+                settings.link_tick_s,
+                server_context(settings),
+                client_context(settings),
+            ),
+            lambda: node.version,
+            self._received,
+            self._link_down,
+        )
+        self.effects: dict[type, EffectHandler] = {
+            Send: self._send,
+            Count: lambda effect: metrics.count(effect.name, effect.amount),
+            Log: lambda effect: log.event(effect.event, **effect.fields),
+        }
+        self._node = node
+        self._mailbox: deque[EventHandler] = deque()
+        self._mail = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        invariants.set_reporter(self._violated)
+
+    def _violated(self, invariant: invariants.Invariant, detail: str) -> None:
+        self.metrics.count(f"invariant.{invariant.value}")
+        self.log.fault("invariant_violated", invariant=invariant.value, detail=detail)
+
+    def post(self, event: EventHandler) -> None:
+        """Put an event into the node's mailbox."""
+        self._mailbox.append(event)
+        self._mail.set()
+
+    def spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        """Run a task of this process until it ends or the process stops."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _send(self, effect: Send) -> None:
+        self.links.send(effect.peer, effect.message)
+
+    def _received(self, sender: Peer, batch: Batch) -> None:
+        def handle(now_s: float) -> None:
+            for message in batch.messages:
+                self._node.on_message(sender, batch.version, message, now_s)
+
+        self.post(handle)
+
+    def _link_down(self, node: NodeId) -> None:
+        self.metrics.count("link.down")
+        self.log.detail("link_down", peer=node)
+        self.on_link_down(node)
+
+    def on_link_down(self, node: NodeId) -> None:
+        """Tell the node of a lost link, where it needs to know."""
+
+    async def own_node(self) -> None:
+        """Handle events one by one and carry out the effects of each."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._mail.wait()
+            self._mail.clear()
+            while self._mailbox:
+                self._handle(self._mailbox.popleft(), loop.time())
+
+    def _handle(self, event: EventHandler, now_s: float) -> None:
+        event(now_s)
+        for effect in self._node.take():
+            self.effects[type(effect)](effect)
+
+    async def start(self) -> None:
+        """Accept links and begin to tick."""
+        host, _, port = self.settings.link_listen.rpartition(":")
+        await self.links.listen(host, int(port))
+        self.timer.every(self.timing.tick_s, lambda _: self.post(self._node.on_tick))
+        self.spawn(self.own_node())
+        self.spawn(self.timer.run())
+
+    async def stop(self) -> None:
+        """Close the links and end every task."""
+        await self.links.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+
+__all__ = ["Node", "Shell"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/__init__.py
@@ -0,0 +1,6 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The agent beside each target."""
+
+from ochreway_nodes.agent.node import AgentNode
+
+__all__ = ["AgentNode"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -0,0 +1,218 @@
+# SPDX-License-Identifier: Apache-2.0
+"""An agent's part in a group: its grant, and its gate when it leads."""
+
+from collections.abc import Callable
+
+from ochreway_core.effects import OrderTarget
+from ochreway_core.gate import LeaderGate
+from ochreway_core.grant import MemberGrant
+from ochreway_core.ids import GroupId, Incarnation
+from ochreway_core.messages import (
+    Dismiss,
+    Grant,
+    GrantRefusal,
+    Heartbeat,
+    Order,
+    Release,
+    Report,
+)
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+from ochreway_core.rows import GroupRow
+from ochreway_core.targetkind import TargetKind
+from ochreway_core.timing import Timing
+from ochreway_nodes.outbox import Outbox
+from ochreway_nodes.targetstate import TargetState
+
+NO_GROUP_ID = GroupId("")
+ORDER_AGAIN_S = 1.0
+ORDER_VALID_S = 0.5
+TARGET_SEEN_S = 2.0
+
+
+class Membership:
+    """Follow the orders of the domain's controller, newest epoch and step first."""
+
+    def __init__(
+        self,
+        me: Peer,
+        incarnation: Incarnation,
+        timing: Timing,
+        outbox: Outbox,
+        epoch_changed: Callable[[float], None],
+        now_s: float,
+    ) -> None:
+        self.me = me
+        self.incarnation = incarnation
+        self.timing = timing
+        self.row: GroupRow | None = None
+        self.gate: LeaderGate | None = None
+        self.grant = MemberGrant(timing.grant_ttl_s, now_s)
+        self.target = TargetState()
+        self.leaving = False
+        self._outbox = outbox
+        self._epoch_changed = epoch_changed
+        self._heartbeat_s = -1.0e9
+        self._ordered_s = -1.0e9
+
+    def on_order(self, sender: Peer, order: Order, now_s: float) -> None:
+        """Take an order from a controller."""
+        self.adopt(order.row, now_s)
+
+    def on_dismiss(self, sender: Peer, message: Dismiss, now_s: float) -> None:
+        """Leave a group that the table no longer names this instance in."""
+        self.grant.learn(message.counter)
+        if self.row is not None and self.row.epoch <= message.counter:
+            self._leave_group(now_s)
+
+    def adopt(self, row: GroupRow, now_s: float) -> None:
+        """Take a newer row of this instance's group, or of the group it joins."""
+        if row.epoch < self.grant.highest or not self._is_newer(row):
+            return
+        if not row.names(self.me.node):
+            return
+        same_epoch = self.row is not None and self.row.epoch == row.epoch
+        if same_epoch and self.gate is not None:
+            self.gate.advance(row)
+        if not same_epoch:
+            self._leave_group(now_s)
+            if row.leader.node == self.me.node:
+                self.gate = LeaderGate(row, self.timing.leader_grant_ttl_s)
+        self.row = row
+        self.grant.learn(row.epoch)
+        self._heartbeat_s = -1.0e9
+        self._outbox.log(
+            "group_row_adopted", group=row.group, epoch=row.epoch, step=row.step, leads=self.leads
+        )
+
+    def _is_newer(self, row: GroupRow) -> bool:
+        if self.row is None:
+            return True
+        return (row.epoch, row.step) > (self.row.epoch, self.row.step)
+
+    def _leave_group(self, now_s: float) -> None:
+        former, self.row, gate, self.gate = self.row, None, self.gate, None
+        if former is None:
+            return
+        if gate is not None:
+            for peer in self._others(former):
+                self._outbox.send(peer, Release(former.group, former.epoch))
+            self.grant.returned(former.epoch)
+        self._epoch_changed(now_s)
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this agent leads its group."""
+        return self.gate is not None
+
+    def on_heartbeat(self, sender: Peer, beat: Heartbeat, now_s: float) -> None:
+        """Grant or refuse a leader."""
+        if beat.row is not None:
+            self.adopt(beat.row, now_s)
+        if self.row is None or (self.row.group, self.row.epoch) != (beat.group, beat.epoch):
+            stale = beat.epoch < self.grant.highest
+            reason = Reason.STALE_EPOCH if stale else Reason.NO_GROUP
+            self._refuse(sender, beat, reason, 0.0)
+            return
+        held = self.grant.request(beat.epoch, now_s)
+        if held.is_err():
+            self._refuse(sender, beat, held.unwrap_err().reason, held.unwrap_err().wait_s)
+            return
+        grant = Grant(beat.group, beat.epoch, beat.sequence, self.ready(now_s), self.leaving)
+        self._outbox.send(sender, grant)
+
+    def _refuse(self, sender: Peer, beat: Heartbeat, reason: Reason, wait_s: float) -> None:
+        self._outbox.count(f"grant.refused.{reason.value}")
+        refusal = GrantRefusal(beat.group, beat.epoch, beat.sequence, reason, wait_s)
+        self._outbox.send(sender, refusal)
+
+    def on_grant(self, sender: Peer, grant: Grant, now_s: float) -> None:
+        """Count a member's grant."""
+        if self.gate is not None and grant.epoch == self.gate.row.epoch:
+            self.gate.granted(sender.node, grant.sequence, grant.ready, grant.leaving)
+
+    def on_grant_refusal(self, sender: Peer, refusal: GrantRefusal, now_s: float) -> None:
+        """Send the row again to a member that does not know it."""
+        if self.gate is not None and refusal.epoch == self.gate.row.epoch:
+            self.gate.forgot_row(sender.node)
+
+    def on_release(self, sender: Peer, release: Release, now_s: float) -> None:
+        """Take back the grant that a leader returns."""
+        self.grant.returned(release.epoch)
+
+    def report(self, now_s: float, drained: bool) -> Report:
+        """Describe this agent to a controller."""
+        row = self.row
+        epoch = row.epoch if row else self.grant.highest
+        return Report(
+            node=self.me.node,
+            incarnation=self.incarnation,
+            group=row.group if row else NO_GROUP_ID,
+            epoch=epoch,
+            step=row.step if row else 0,
+            ready=self.ready(now_s),
+            leaving=self.leaving,
+            granting=row is not None and self.grant.fresh(row.epoch, now_s),
+            gate=self.closed_because(now_s),
+            drained=drained,
+            missing=self.gate.missing(now_s) if self.gate else (),
+        )
+
+    def closed_because(self, now_s: float) -> Reason:
+        """Return why this agent takes no work, or ``NONE``."""
+        if self.gate is None:
+            return Reason.NO_GROUP
+        if self.leaving:
+            return Reason.LEAVING
+        return self.gate.closed_because(now_s)
+
+    def ready(self, now_s: float) -> bool:
+        """Tell whether the target has loaded what the row says, as of late."""
+        row, target = self.row, self.target
+        if row is None or now_s - target.seen_s > TARGET_SEEN_S:
+            return False
+        if row.kind is TargetKind.SERVICE:
+            return target.loaded
+        return target.loaded and target.epoch == row.epoch and target.artifact == row.artifact
+
+    def order_stands(self, row: GroupRow, now_s: float) -> bool:
+        """Tell, right before the target is ordered, whether the order still stands."""
+        return (
+            self.row is not None
+            and self.row.epoch == row.epoch
+            and self.grant.may_move(row.epoch, now_s)
+        )
+
+    def tick(self, now_s: float) -> None:
+        """Send heartbeats and order the target when due."""
+        if self.gate is not None and now_s - self._heartbeat_s >= self.timing.heartbeat_s:
+            self._heartbeat_s = now_s
+            self._beat(self.gate, now_s)
+        self._order_target(now_s)
+
+    def _beat(self, gate: LeaderGate, now_s: float) -> None:
+        sequence = gate.next_heartbeat(now_s)
+        row = gate.row
+        if self.grant.request(row.epoch, now_s).is_ok():
+            gate.granted(self.me.node, sequence, self.ready(now_s), self.leaving)
+        for peer in self._others(row):
+            riding = None if gate.knows_row(peer.node) else row
+            beat = Heartbeat(row.group, row.epoch, row.step, sequence, riding)
+            self._outbox.send(peer, beat)
+
+    def _others(self, row: GroupRow) -> list[Peer]:
+        return [peer for peer in row.members if peer.node != self.me.node]
+
+    def _order_target(self, now_s: float) -> None:
+        row = self.row
+        if row is None or row.kind is TargetKind.SERVICE:
+            return
+        ordered = (self.target.epoch, self.target.artifact) == (row.epoch, row.artifact)
+        if ordered or now_s - self._ordered_s < ORDER_AGAIN_S:
+            return
+        if self.order_stands(row, now_s):
+            self._ordered_s = now_s
+            self._outbox.add(OrderTarget(row, now_s + ORDER_VALID_S))
+
+
+__all__ = ["Membership"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
@@ -0,0 +1,194 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The agent as one node: a message or a tick in, effects out."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
+
+from ochreway_core.attemptid import AttemptId
+from ochreway_core.chunk import Chunk
+from ochreway_core.effects import Effect, HandOver, OrderTarget
+from ochreway_core.ids import Incarnation, Version
+from ochreway_core.keyhome import KeyHome
+from ochreway_core.messages import (
+    Cancel,
+    Claim,
+    ClaimEnd,
+    ClaimReply,
+    Credit,
+    Dismiss,
+    Follow,
+    Grant,
+    GrantRefusal,
+    Heartbeat,
+    LeaveNotice,
+    Order,
+    Probe,
+    Release,
+    Submit,
+    ViewRequest,
+    ViewUpdate,
+    Vote,
+    Withdraw,
+)
+from ochreway_core.outcome import Outcome
+from ochreway_core.peer import Peer
+from ochreway_core.timing import Timing
+from ochreway_core.view import View
+from ochreway_nodes.agent.loadreports import LoadReports
+from ochreway_nodes.agent.membership import Membership
+from ochreway_nodes.agent.serving import Serving
+from ochreway_nodes.outbox import Outbox
+from ochreway_nodes.targetstate import TargetState
+from ochreway_nodes.viewspread import ViewSpread
+
+CLOCK_SKEW_S = 1.0
+
+Handler = Callable[[Peer, Any, float], None]
+
+
+class AgentNode:
+    """Join membership, serving and the memory of keys."""
+
+    def __init__(
+        self,
+        me: Peer,
+        incarnation: Incarnation,
+        timing: Timing,
+        operator_keys: dict[str, Ed25519PublicKey],
+        now_s: float,
+        wall_s: float,
+    ) -> None:
+        self.me = me
+        self.incarnation = incarnation
+        self._started_wall_s = wall_s
+        self._outbox = Outbox()
+        self.spread = ViewSpread(View(operator_keys, timing.key_memory_s), self._outbox)
+        self.membership = Membership(
+            me, incarnation, timing, self._outbox, self._on_epoch_changed, now_s
+        )
+        self.serving = Serving(self.membership, lambda: self.version, self._outbox)
+        self.loads = LoadReports(self.membership, self.serving, self._outbox)
+        self.keys = KeyHome(timing.key_memory_s, now_s)
+        self._handlers: dict[type, Handler] = {
+            Order: self.membership.on_order,
+            Dismiss: self.membership.on_dismiss,
+            Heartbeat: self.membership.on_heartbeat,
+            Grant: self.membership.on_grant,
+            GrantRefusal: self.membership.on_grant_refusal,
+            Release: self.membership.on_release,
+            Probe: self._on_probe,
+            Follow: self.loads.on_follow,
+            Submit: self.serving.on_submit,
+            Withdraw: self.serving.on_withdraw,
+            Cancel: self.serving.on_cancel,
+            Credit: self.serving.on_credit,
+            Claim: self._on_claim,
+            ClaimEnd: self._on_claim_end,
+            ViewRequest: self._on_view_request,
+            ViewUpdate: self._on_view_update,
+            LeaveNotice: self._on_leave_notice,
+        }
+
+    @property
+    def version(self) -> Version:
+        """Return the configuration version in force here."""
+        return self.spread.view.version
+
+    def take(self) -> list[Effect]:
+        """Return the effects asked for since they were last taken."""
+        return self._outbox.take()
+
+    def on_message(self, sender: Peer, version: Version, message: object, now_s: float) -> None:
+        """Handle a message that showed its sender's version."""
+        self.spread.seen(sender, version, now_s)
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._outbox.count("message.unexpected")
+            return
+        handler(sender, message, now_s)
+
+    def on_tick(self, now_s: float) -> None:
+        """Do what is due."""
+        self.membership.tick(now_s)
+        self.serving.tick(now_s)
+        self.loads.tick(now_s)
+        self.keys.forget(now_s)
+
+    def on_target_state(self, state: TargetState) -> None:
+        """Take in what the target says it has loaded."""
+        self.membership.target = state
+
+    def on_chunk(self, attempt: AttemptId, chunk: Chunk, now_s: float) -> None:
+        """Take in a piece of an answer."""
+        self.serving.on_chunk(attempt, chunk, now_s)
+
+    def on_hand_over_missed(self, attempt: AttemptId, now_s: float) -> None:
+        """End an attempt whose hand-over did not happen."""
+        self.serving.on_hand_over_missed(attempt, now_s)
+
+    def on_target_failed(self, attempt: AttemptId, started: bool, now_s: float) -> None:
+        """End an attempt that the target gave up; ``started`` when it may have begun."""
+        self.serving.on_target_failed(attempt, started, now_s)
+
+    def may_hand_over(self, order: HandOver, now_s: float) -> bool:
+        """Tell, at the moment of the hand-over, whether it may still happen."""
+        return self.serving.may_hand_over(order, now_s)
+
+    def may_order(self, order: OrderTarget, now_s: float) -> bool:
+        """Tell, at the moment of the order, whether it still stands."""
+        return now_s < order.valid_until_s and self.membership.order_stands(order.row, now_s)
+
+    def leave(self, now_s: float) -> None:
+        """Begin a planned stop: take no new work, finish what runs."""
+        if not self.membership.leaving:
+            self.membership.leaving = True
+            self._outbox.log("leaving", node=self.me.node)
+            self.serving.tick(now_s)
+            self.loads.tick(now_s)
+
+    def may_stop(self, now_s: float) -> bool:
+        """Tell whether a planned stop would cut nothing."""
+        if self.membership.leads:
+            return self.serving.drained
+        row = self.membership.row
+        return row is None or not self.membership.grant.fresh(row.epoch, now_s)
+
+    def _on_epoch_changed(self, now_s: float) -> None:
+        self.serving.on_epoch_changed(now_s)
+
+    def _on_probe(self, sender: Peer, probe: Probe, now_s: float) -> None:
+        self._outbox.send(sender, self.membership.report(now_s, self.serving.drained))
+
+    def _on_leave_notice(self, sender: Peer, notice: LeaveNotice, now_s: float) -> None:
+        if notice.node == self.me.node:
+            self.leave(now_s)
+
+    def _on_view_request(self, sender: Peer, request: ViewRequest, now_s: float) -> None:
+        self.spread.push(sender, now_s)
+
+    def _on_view_update(self, sender: Peer, update: ViewUpdate, now_s: float) -> None:
+        if not self.spread.apply(update.snapshot, now_s):
+            return
+        first_wall_s = update.snapshot.roll.first_accepted_wall_s
+        if first_wall_s > self._started_wall_s + CLOCK_SKEW_S:
+            self.keys.stood_before_first_version()
+        bundle = self.spread.view.bundle
+        if bundle is not None:
+            self.serving.queue.set_shares(
+                (item.name, item.weight, item.guaranteed_percent) for item in bundle.organisation
+            )
+
+    def _on_claim(self, sender: Peer, claim: Claim, now_s: float) -> None:
+        vote, outcome = Vote.STALE, Outcome.UNKNOWN
+        if claim.version >= self.version:
+            vote, outcome = self.keys.claim(claim.key, claim.request, claim.expires_in_s, now_s)
+        self._outbox.count(f"claim.{vote.value}")
+        self._outbox.send(sender, ClaimReply(claim.key, claim.request, vote, outcome))
+
+    def _on_claim_end(self, sender: Peer, message: ClaimEnd, now_s: float) -> None:
+        self.keys.end(message.key, message.request, message.outcome)
+
+
+__all__ = ["AgentNode"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
@@ -0,0 +1,333 @@
+# SPDX-License-Identifier: Apache-2.0
+"""An agent's handling of attempts: queue, hand-over, answers, withdrawal."""
+
+from collections.abc import Callable
+
+from ochreway_core import invariants
+from ochreway_core.attemptid import AttemptId
+from ochreway_core.attemptledger import AttemptLedger, AttemptRecord, AttemptState
+from ochreway_core.chunk import Chunk
+from ochreway_core.effects import CancelWork, HandOver
+from ochreway_core.messages import Cancel, Credit, Frame, Refusal, Settled, Submit, Withdraw
+from ochreway_core.outcome import Outcome
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+from ochreway_nodes.agent.membership import Membership
+from ochreway_nodes.outbox import Outbox
+from ochreway_routing.estimate import honest_retry_after_s
+from ochreway_routing.fairqueue import FairQueue
+from ochreway_routing.work import Work
+
+FORGET_AFTER_S = 60.0
+QUEUE_PER_SLOT = 2
+CLOSED_RETRY_S = 2.0
+WINDOW_BYTES = 64 * 1024
+PREFILL_S_PER_TOKEN = 0.00012
+ANSWER_TURN_S = 2.0
+
+Check = tuple[Outcome, Reason]
+
+
+class Serving:
+    """Run each attempt at most once and say truthfully what became of it."""
+
+    def __init__(self, membership: Membership, version: Callable[[], int], outbox: Outbox) -> None:
+        self.ledger = AttemptLedger()
+        self.queue: FairQueue[AttemptRecord] = FairQueue(at_most=QUEUE_PER_SLOT, slots=1)
+        self.running = 0
+        self._membership = membership
+        self._version = version
+        self._outbox = outbox
+
+    # Arrival
+
+    def on_submit(self, sender: Peer, submit: Submit, now_s: float) -> None:
+        """Queue an attempt, or refuse it."""
+        known = self.ledger.get(submit.attempt)
+        if known is not None:
+            self._answer_again(sender, submit.attempt, known)
+            return
+        forget_s = now_s + submit.expires_in_s + FORGET_AFTER_S
+        record = AttemptRecord(AttemptState.QUEUED, forget_s, submit, sender)
+        self.ledger.add(submit.attempt, record)
+        fault = self._unfit(submit, now_s)
+        if fault is not None:
+            self._end(record, *fault, CLOSED_RETRY_S)
+            return
+        self._queue(record, now_s)
+        self.dispatch(now_s)
+
+    def _answer_again(self, sender: Peer, attempt: AttemptId, record: AttemptRecord) -> None:
+        record.entry = sender
+        if record.state is AttemptState.DONE and record.outcome is not Outcome.ANSWERED:
+            self._outbox.send(sender, Settled(attempt, record.outcome, record.reason))
+
+    def _unfit(self, submit: Submit, now_s: float) -> Check | None:
+        membership = self._membership
+        if submit.incarnation != membership.incarnation:
+            # An earlier delivery may have run before this process started.
+            return Outcome.UNKNOWN, Reason.AGENT_RESTARTED
+        if submit.version < self._version():
+            return Outcome.NOT_RUN, Reason.STALE_VERSION
+        row = membership.row
+        if row is None or (row.group, row.epoch) != (submit.group, submit.epoch):
+            return Outcome.NOT_RUN, Reason.STALE_EPOCH
+        closed = membership.closed_because(now_s)
+        if closed is not Reason.NONE:
+            return Outcome.NOT_RUN, closed
+        return None
+
+    def _queue(self, record: AttemptRecord, now_s: float) -> None:
+        submit = record.submit
+        assert submit is not None
+        row = self._membership.row
+        assert row is not None
+        self.queue.slots = row.slots
+        self.queue.at_most = row.slots * QUEUE_PER_SLOT
+        work = Work(
+            item=record,
+            organisation=submit.organisation,
+            priority=submit.priority,
+            cost_tokens=float(submit.prompt_tokens + submit.max_tokens),
+            deadline_s=now_s + submit.expires_in_s,
+            queued_s=now_s,
+        )
+        offered = self.queue.offer(work)
+        if offered.is_err():
+            self._end(record, Outcome.NOT_RUN, offered.unwrap_err(), self.retry_after_s())
+            return
+        displaced = offered.unwrap()
+        if displaced is not None:
+            self._end(displaced.item, Outcome.NOT_RUN, Reason.OVER_SHARE, self.retry_after_s())
+
+    def retry_after_s(self) -> float:
+        """Return when the queue is expected to have room."""
+        turns = (len(self.queue) + 1) / max(self.queue.slots, 1)
+        return honest_retry_after_s(turns * ANSWER_TURN_S)
+
+    # Hand-over
+
+    def dispatch(self, now_s: float) -> None:
+        """Hand queued work to the target while slots are free and the gate is open."""
+        if not len(self.queue):
+            return
+        closed = self._membership.closed_because(now_s)
+        if closed is not Reason.NONE:
+            for work in self.queue.take_all():
+                self._end(work.item, Outcome.NOT_RUN, closed, CLOSED_RETRY_S)
+            return
+        for work in self.queue.take_hopeless(now_s, 0.0):
+            self._end(work.item, Outcome.NOT_RUN, Reason.DEADLINE_PASSED, 1.0)
+        while self.running < self.queue.slots:
+            following = self.queue.next()
+            if following is None:
+                return
+            self._hand_over(following, now_s)
+
+    def _hand_over(self, work: Work[AttemptRecord], now_s: float) -> None:
+        record = work.item
+        gate = self._membership.gate
+        assert gate is not None
+        assert record.submit is not None
+        # In doubt it counts as handed over, so this goes before the effect.
+        record.state = AttemptState.HANDED
+        self.running += 1
+        valid_until_s = min(gate.valid_until_s(), work.deadline_s)
+        self._outbox.add(HandOver(record.submit, valid_until_s))
+
+    def may_hand_over(self, order: HandOver, now_s: float) -> bool:
+        """Tell, at the moment of the hand-over, whether it may still happen."""
+        record = self.ledger.get(order.submit.attempt)
+        if record is None or record.state is not AttemptState.HANDED:
+            return False
+        row = self._membership.row
+        same = row is not None and row.epoch == order.submit.epoch
+        open_now = self._membership.closed_because(now_s) is Reason.NONE
+        return same and open_now and now_s < order.valid_until_s
+
+    def on_hand_over_missed(self, attempt: AttemptId, now_s: float) -> None:
+        """End an attempt whose hand-over did not happen."""
+        record = self.ledger.get(attempt)
+        if record is not None and record.state is AttemptState.HANDED:
+            self._slot_free(record)
+            self._end(record, Outcome.NOT_RUN, Reason.HAND_OVER_LATE, CLOSED_RETRY_S)
+
+    # Answers
+
+    def on_chunk(self, attempt: AttemptId, chunk: Chunk, now_s: float) -> None:
+        """Pass on a piece of the target's answer."""
+        record = self.ledger.get(attempt)
+        if record is None or record.state is not AttemptState.HANDED:
+            return
+        answer = record.answer
+        offset = answer.length
+        answer.add(chunk.payload)
+        answer.tokens += chunk.tokens
+        answer.status = chunk.status
+        answer.content_type = chunk.content_type
+        if chunk.last:
+            answer.total = answer.length
+        if record.entry is not None:
+            frame = Frame(
+                attempt,
+                offset,
+                chunk.payload,
+                chunk.tokens,
+                chunk.status,
+                chunk.content_type,
+                answer.total,
+            )
+            self._outbox.send(record.entry, frame)
+        if chunk.last:
+            self._slot_free(record)
+            record.state = AttemptState.DONE
+            record.outcome = Outcome.ANSWERED
+            self.dispatch(now_s)
+
+    def on_target_failed(self, attempt: AttemptId, started: bool, now_s: float) -> None:
+        """End an attempt that the target gave up.
+
+        Args:
+            attempt: which one.
+            started: False only when the target cannot have begun it.
+            now_s: the time.
+        """
+        record = self.ledger.get(attempt)
+        if record is None or record.state is not AttemptState.HANDED:
+            return
+        self._slot_free(record)
+        outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
+        self._end(record, outcome, Reason.TARGET_FAILED, 1.0)
+        self.dispatch(now_s)
+
+    def on_credit(self, sender: Peer, credit: Credit, now_s: float) -> None:
+        """Note how much of an answer has been passed on."""
+        record = self.ledger.get(credit.attempt)
+        if record is not None:
+            record.answer.passed = max(record.answer.passed, credit.passed)
+
+    def may_read(self, attempt: AttemptId) -> bool:
+        """Tell whether the attempt's answer has room in its window."""
+        record = self.ledger.get(attempt)
+        if record is None or record.state is not AttemptState.HANDED:
+            return True
+        return record.answer.length - record.answer.passed < WINDOW_BYTES
+
+    # Withdrawal
+
+    def on_withdraw(self, sender: Peer, message: Withdraw, now_s: float) -> None:
+        """Forbid an attempt, resume its answer, or say how it ended."""
+        record = self.ledger.get(message.attempt)
+        if record is None:
+            self._forbid(sender, message, now_s)
+            return
+        record.entry = sender
+        _WITHDRAWALS[record.state](self, sender, message, record)
+
+    def _forbid(self, sender: Peer, message: Withdraw, now_s: float) -> None:
+        record = AttemptRecord(AttemptState.DONE, now_s + FORGET_AFTER_S, entry=sender)
+        mine = message.incarnation == self._membership.incarnation
+        record.outcome = Outcome.NOT_RUN if mine else Outcome.UNKNOWN
+        record.reason = Reason.WITHDRAWN if mine else Reason.AGENT_RESTARTED
+        self.ledger.add(message.attempt, record)
+        self._outbox.send(sender, Settled(message.attempt, record.outcome, record.reason))
+
+    def _withdraw_queued(self, sender: Peer, message: Withdraw, record: AttemptRecord) -> None:
+        chosen = {id(work) for work in self.queue.waiting() if work.item is record}
+        self.queue.remove_if(chosen)
+        record.state = AttemptState.DONE
+        record.reason = Reason.WITHDRAWN
+        self._outbox.send(sender, Settled(message.attempt, Outcome.NOT_RUN, Reason.WITHDRAWN))
+
+    def _resume(self, sender: Peer, message: Withdraw, record: AttemptRecord) -> None:
+        answer = record.answer
+        rest = answer.since(message.received)
+        if rest is None:
+            settled = Settled(message.attempt, Outcome.UNKNOWN, Reason.ANSWER_SHORT)
+            self._outbox.send(sender, settled)
+            return
+        answer.passed = max(answer.passed, message.received)
+        frame = Frame(
+            message.attempt,
+            message.received,
+            rest,
+            0,
+            answer.status,
+            answer.content_type,
+            answer.total,
+        )
+        self._outbox.send(sender, frame)
+
+    def _withdraw_done(self, sender: Peer, message: Withdraw, record: AttemptRecord) -> None:
+        if record.outcome is Outcome.ANSWERED:
+            self._resume(sender, message, record)
+            return
+        self._outbox.send(sender, Settled(message.attempt, record.outcome, record.reason))
+
+    def on_cancel(self, sender: Peer, message: Cancel, now_s: float) -> None:
+        """Stop an attempt that nobody waits for."""
+        record = self.ledger.get(message.attempt)
+        if record is None:
+            self._forbid(sender, Withdraw(message.attempt, self._membership.incarnation, 0), now_s)
+        elif record.state is AttemptState.QUEUED:
+            self._withdraw_queued(
+                sender, Withdraw(message.attempt, self._membership.incarnation, 0), record
+            )
+        elif record.state is AttemptState.HANDED:
+            self._outbox.add(CancelWork(message.attempt))
+            self._slot_free(record)
+            self._end(record, Outcome.UNKNOWN, Reason.CALLER_GONE, 0.0)
+        self.dispatch(now_s)
+
+    # Group changes
+
+    def on_epoch_changed(self, now_s: float) -> None:
+        """End what belongs to the group that this agent has left."""
+        for work in self.queue.take_all():
+            self._end(work.item, Outcome.NOT_RUN, Reason.STALE_EPOCH, CLOSED_RETRY_S)
+        for record in self.ledger.in_state(AttemptState.HANDED):
+            assert record.submit is not None
+            self._outbox.add(CancelWork(record.submit.attempt))
+            self._slot_free(record)
+            self._end(record, Outcome.UNKNOWN, Reason.GROUP_INCOMPLETE, CLOSED_RETRY_S)
+
+    @property
+    def drained(self) -> bool:
+        """Tell whether no attempt is queued or running."""
+        return not self.running and not len(self.queue)
+
+    def tick(self, now_s: float) -> None:
+        """Dispatch what can go and forget what is old."""
+        self.dispatch(now_s)
+        self.ledger.forget(now_s)
+
+    def _slot_free(self, record: AttemptRecord) -> None:
+        assert record.submit is not None
+        self.running -= 1
+        self.queue.ended(record.submit.organisation)
+
+    def _end(
+        self, record: AttemptRecord, outcome: Outcome, reason: Reason, retry_after_s: float
+    ) -> None:
+        handed = record.state is AttemptState.HANDED
+        honest = outcome is not Outcome.NOT_RUN or not handed or reason in _NOT_STARTED
+        if not invariants.never_handed_over(not honest, f"reason={reason.value}"):
+            outcome = Outcome.UNKNOWN
+        record.state = AttemptState.DONE
+        record.outcome = outcome
+        record.reason = reason
+        self._outbox.count(f"refusal.{reason.value}")
+        if record.entry is not None and record.submit is not None:
+            refusal = Refusal(record.submit.attempt, outcome, reason, retry_after_s)
+            self._outbox.send(record.entry, refusal)
+
+
+_NOT_STARTED = frozenset({Reason.HAND_OVER_LATE, Reason.TARGET_FAILED})
+
+_WITHDRAWALS: dict[AttemptState, Callable[[Serving, Peer, Withdraw, AttemptRecord], None]] = {
+    AttemptState.QUEUED: Serving._withdraw_queued,
+    AttemptState.HANDED: Serving._resume,
+    AttemptState.DONE: Serving._withdraw_done,
+}
+
+__all__ = ["Serving", "WINDOW_BYTES"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/domainrows.py
@@ -0,0 +1,49 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A domain's rows as a controller last read or wrote them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ochreway_core.codec import decode
+from ochreway_core.ids import DomainId, GroupId, NodeId
+from ochreway_core.rows import GroupRow, InstanceRow, LeaseRow, group_key, instance_key, lease_key
+from ochreway_core.table import ABSENT, Condition, Row
+
+
+@dataclass(slots=True)
+class DomainRows:
+    """Hold the lease, groups and instances of a domain with their revisions."""
+
+    domain: DomainId
+    lease: LeaseRow | None = None
+    groups: dict[GroupId, GroupRow] = field(default_factory=dict)
+    instances: dict[NodeId, InstanceRow] = field(default_factory=dict)
+    revisions: dict[str, int] = field(default_factory=dict)
+
+    @classmethod
+    def read(cls, domain: DomainId, rows: Mapping[str, Row]) -> "DomainRows":
+        """Decode what a read of the domain's prefixes gave."""
+        built = cls(domain)
+        lease = rows.get(lease_key(domain))
+        built.lease = decode(LeaseRow, lease.content) if lease else None
+        for key, row in rows.items():
+            built.revisions[key] = row.revision
+            if key.startswith(group_key(domain, "")):
+                group = decode(GroupRow, row.content)
+                built.groups[group.group] = group
+            elif key.startswith(instance_key(domain, "")):
+                instance = decode(InstanceRow, row.content)
+                built.instances[instance.node] = instance
+        return built
+
+    def condition(self, key: str) -> Condition:
+        """Return the condition that a row has not changed since it was read."""
+        return Condition(key, self.revisions.get(key, ABSENT))
+
+    def group_of(self, node: str) -> GroupId | None:
+        """Return the group that the instance belongs to."""
+        row = self.instances.get(NodeId(node))
+        return row.group if row else None
+
+
+__all__ = ["DomainRows"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/groupchange.py
@@ -0,0 +1,46 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One change to a domain's groups, to be committed as one transaction."""
+
+from dataclasses import dataclass
+
+from ochreway_core.ids import GroupId
+from ochreway_core.peer import Peer
+
+
+@dataclass(frozen=True, slots=True)
+class FormGroup:
+    """Form a group, or form it anew with other members or another artifact."""
+
+    group: GroupId
+    members: tuple[Peer, ...]
+    why: str
+    dissolve: tuple[GroupId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class DrainGroup:
+    """Let a group finish what it has and take nothing new."""
+
+    group: GroupId
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReopenGroup:
+    """Let a draining group take work again."""
+
+    group: GroupId
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class DissolveGroup:
+    """Free a group's instances."""
+
+    group: GroupId
+    why: str
+
+
+GroupChange = FormGroup | DrainGroup | ReopenGroup | DissolveGroup
+
+__all__ = ["DissolveGroup", "DrainGroup", "FormGroup", "GroupChange", "ReopenGroup"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
@@ -0,0 +1,270 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The next change that brings a domain's groups closer to the bundle."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ochreway_core.bundle import Bundle, Group
+from ochreway_core.ids import GroupId, NodeId
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+from ochreway_core.rows import GroupRow
+from ochreway_nodes.controller.domainrows import DomainRows
+from ochreway_nodes.controller.groupchange import (
+    DissolveGroup,
+    DrainGroup,
+    FormGroup,
+    GroupChange,
+    ReopenGroup,
+)
+from ochreway_nodes.controller.health import Health
+from ochreway_nodes.controller.repair import Damage, Repair, RepairPolicy
+
+DRAIN_AT_MOST_S = 900.0
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """Hold all that a plan depends on."""
+
+    bundle: Bundle
+    rows: DomainRows
+    health: Mapping[NodeId, Health]
+    lost_after_s: float
+    draining_since_s: Mapping[GroupId, float]
+    now_s: float
+
+    def specs(self) -> dict[GroupId, Group]:
+        """Return the group section of each replica that the bundle wants in the domain."""
+        return {
+            replica: group
+            for group in self.bundle.group
+            if group.domain == self.rows.domain
+            for replica in group.replica_ids()
+        }
+
+    def is_lost(self, node: str) -> bool:
+        """Tell whether the instance has not been heard of for long."""
+        health = self.health.get(NodeId(node))
+        return health is None or health.lost_for_s(self.now_s) > self.lost_after_s
+
+    def is_leaving(self, node: str) -> bool:
+        """Tell whether the instance is about to go."""
+        health = self.health.get(NodeId(node))
+        if health is None:
+            return False
+        return health.leaving or (health.report is not None and health.report.leaving)
+
+    def usable(self, node: str) -> bool:
+        """Tell whether the instance may join a group."""
+        return not self.is_lost(node) and not self.is_leaving(node)
+
+    def lost_members(self, row: GroupRow) -> list[Peer]:
+        """Return the members that are lost, unless the leader still hears all of them."""
+        lost = [peer for peer in row.members if self.is_lost(peer.node)]
+        return [] if lost and self._still_serving(row) else lost
+
+    def _still_serving(self, row: GroupRow) -> bool:
+        leader = self.health.get(row.leader.node)
+        if leader is not None and not self.is_lost(row.leader.node) and leader.report is not None:
+            report = leader.report
+            return report.epoch == row.epoch and report.gate is Reason.NONE
+        return any(self._grants_afresh(peer, row) for peer in row.members)
+
+    def _grants_afresh(self, peer: Peer, row: GroupRow) -> bool:
+        health = self.health.get(peer.node)
+        if health is None or health.report is None or self.is_lost(peer.node):
+            return False
+        return health.report.granting and health.report.epoch == row.epoch
+
+    def drained(self, row: GroupRow) -> bool:
+        """Tell whether the draining group has nothing left to finish."""
+        health = self.health.get(row.leader.node)
+        report = health.report if health else None
+        if report is None or report.epoch != row.epoch or report.step != row.step:
+            return self.is_lost(row.leader.node)
+        since_s = self.draining_since_s.get(row.group, self.now_s)
+        return report.drained or self.now_s - since_s > DRAIN_AT_MOST_S
+
+    def serves(self, row: GroupRow) -> bool:
+        """Tell whether the group's leader last said that it takes work."""
+        health = self.health.get(row.leader.node)
+        report = health.report if health else None
+        if report is None or self.is_lost(row.leader.node):
+            return False
+        return report.epoch == row.epoch and report.gate is Reason.NONE
+
+    def free(self, spec: Group) -> list[Peer]:
+        """Return the section's usable instances that are in no group."""
+        free = []
+        for name in spec.instances:
+            health = self.health.get(NodeId(name))
+            grouped = self.rows.group_of(name) is not None
+            if health is not None and health.peer is not None and not grouped and self.usable(name):
+                free.append(health.peer)
+        return free
+
+
+def plan(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    """Return the most pressing change, or nothing when all is as the bundle wants it."""
+    steps = (_unwanted, _broken, _leaving, _missing, _outdated)
+    for step in steps:
+        change = step(situation, policy)
+        if change is not None:
+            return change
+    return None
+
+
+def _unwanted(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    specs = situation.specs()
+    for row in situation.rows.groups.values():
+        spec = specs.get(row.group)
+        if spec is not None and _fits(row, spec):
+            continue
+        if situation.lost_members(row):
+            return DissolveGroup(row.group, "not wanted and broken")
+        if not row.draining:
+            return DrainGroup(row.group, "not wanted")
+        if situation.drained(row):
+            return DissolveGroup(row.group, "not wanted")
+    return None
+
+
+def _fits(row: GroupRow, spec: Group) -> bool:
+    allowed = set(spec.instances)
+    taken_in = all(peer.node in allowed for peer in row.members)
+    return row.target == spec.target and len(row.members) == spec.instances_per_replica and taken_in
+
+
+def _broken(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    specs = situation.specs()
+    broken = [row for row in situation.rows.groups.values() if situation.lost_members(row)]
+    for row in sorted(broken, key=lambda row: (row.priority, row.group)):
+        spec = specs.get(row.group)
+        change = _repair(situation, policy, row, spec) if spec else None
+        if change is not None:
+            return change
+    return None
+
+
+def _repair(
+    situation: Situation, policy: RepairPolicy, row: GroupRow, spec: Group
+) -> GroupChange | None:
+    lost = situation.lost_members(row)
+    healthy = [peer for peer in row.members if peer not in lost]
+    healthy = [peer for peer in healthy if situation.usable(peer.node)]
+    needed = spec.instances_per_replica - len(healthy)
+    spares = situation.free(spec)
+    donor = _remnant(situation, row, spec)
+    victim = _victim(situation, row, spec)
+    damage = Damage(
+        lost=needed,
+        healthy=len(healthy),
+        lost_for_s=max(_lost_for_s(situation, peer) for peer in lost),
+        known_dead=any(not _listed(situation, peer) for peer in lost),
+        spares=len(spares),
+        joinable=len(spares) + len(_healthy(situation, donor)),
+        takeable=len(spares) + len(_healthy(situation, victim)),
+        priority_ratio=1.0 / (1.0 + (victim.priority - row.priority if victim else 0)),
+        weights=situation.bundle.weights,
+    )
+    sources: dict[Repair, GroupRow | None] = {Repair.JOIN: donor, Repair.TAKE: victim}
+    repair = policy.choose(damage)
+    if repair is Repair.WAIT:
+        return None
+    source = sources.get(repair)
+    fresh = (spares + _healthy(situation, source))[:needed]
+    dissolved = (source.group,) if source is not None and len(spares) < needed else ()
+    return FormGroup(row.group, tuple(healthy + fresh), repair.value, dissolved)
+
+
+def _remnant(situation: Situation, row: GroupRow, spec: Group) -> GroupRow | None:
+    """Return another broken group of the section, whose healthy members could join."""
+    others = [
+        other
+        for other in situation.rows.groups.values()
+        if other.group != row.group
+        and situation.lost_members(other)
+        and (other.target, other.priority >= row.priority) == (row.target, True)
+        and all(peer.node in spec.instances for peer in other.members)
+    ]
+    return max(others, key=lambda other: len(_healthy(situation, other)), default=None)
+
+
+def _victim(situation: Situation, row: GroupRow, spec: Group) -> GroupRow | None:
+    """Return the least important group whose members this section may use."""
+    others = [
+        other
+        for other in situation.rows.groups.values()
+        if other.priority > row.priority and all(p.node in spec.instances for p in other.members)
+    ]
+    return max(others, key=lambda other: other.priority, default=None)
+
+
+def _healthy(situation: Situation, row: GroupRow | None) -> list[Peer]:
+    if row is None:
+        return []
+    return [peer for peer in row.members if situation.usable(peer.node)]
+
+
+def _lost_for_s(situation: Situation, peer: Peer) -> float:
+    health = situation.health.get(peer.node)
+    return health.lost_for_s(situation.now_s) if health else 1.0e9
+
+
+def _listed(situation: Situation, peer: Peer) -> bool:
+    health = situation.health.get(peer.node)
+    return health is not None and health.listed
+
+
+def _leaving(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    specs = situation.specs()
+    for row in situation.rows.groups.values():
+        staying = [peer for peer in row.members if not situation.is_leaving(peer.node)]
+        if len(staying) == len(row.members) or situation.lost_members(row):
+            continue
+        if not row.draining:
+            return DrainGroup(row.group, "a member is leaving")
+        if not situation.drained(row):
+            continue
+        spares = situation.free(specs[row.group])
+        missing = len(row.members) - len(staying)
+        if len(spares) >= missing:
+            return FormGroup(row.group, tuple(staying + spares[:missing]), "a member left")
+        return DissolveGroup(row.group, "a member left and there is no spare")
+    return None
+
+
+def _missing(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    specs = situation.specs()
+    wanted = [item for item in specs.items() if item[0] not in situation.rows.groups]
+    for replica, spec in sorted(wanted, key=lambda item: (item[1].priority, item[0])):
+        free = situation.free(spec)
+        if len(free) >= spec.instances_per_replica:
+            return FormGroup(replica, tuple(free[: spec.instances_per_replica]), "wanted")
+    return None
+
+
+def _outdated(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    specs = situation.specs()
+    rows = list(situation.rows.groups.values())
+    down = {row.group for row in rows if row.draining or not situation.serves(row)}
+    for row in rows:
+        spec = specs[row.group]
+        outdated = row.artifact != situation.bundle.artifact(spec)
+        if not outdated:
+            if row.draining and not any(situation.is_leaving(p.node) for p in row.members):
+                return ReopenGroup(row.group, "nothing to drain for")
+            continue
+        if row.group in down and not row.draining and not situation.lost_members(row):
+            return FormGroup(row.group, row.members, "new version while down")
+        if row.draining:
+            if situation.drained(row):
+                return FormGroup(row.group, row.members, "new version")
+            continue
+        if len(down) < situation.bundle.roll.max_groups_down:
+            return DrainGroup(row.group, "new version")
+    return None
+
+
+__all__ = ["DRAIN_AT_MOST_S", "Situation", "plan"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/rowwrites.py
@@ -0,0 +1,147 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The rows that a change to a domain's groups writes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from ochreway_core.bundle import Bundle
+from ochreway_core.codec import encode
+from ochreway_core.ids import ChangeId, Epoch, GroupId, NodeId, TargetName, Version
+from ochreway_core.rows import GroupRow, InstanceRow, LeaseRow, group_key, instance_key, lease_key
+from ochreway_core.table import Transaction
+from ochreway_nodes.controller.domainrows import DomainRows
+from ochreway_nodes.controller.groupchange import (
+    DissolveGroup,
+    DrainGroup,
+    FormGroup,
+    GroupChange,
+    ReopenGroup,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SpecSource:
+    """Hold the bundle that a change follows."""
+
+    bundle: Bundle
+    version: Version
+
+
+@dataclass(slots=True)
+class RowWrites:
+    """Collect a transaction over the lease row and any groups and instances."""
+
+    before: DomainRows
+    lease: LeaseRow
+    groups: dict[GroupId, GroupRow | None] = field(default_factory=dict)
+    instances: dict[NodeId, InstanceRow | None] = field(default_factory=dict)
+
+    @property
+    def changed(self) -> list[GroupId]:
+        """Return the groups that stand after the change and differ by it."""
+        return [group for group, row in self.groups.items() if row is not None]
+
+    def _encoded(self) -> dict[str, bytes | None]:
+        domain = self.before.domain
+        writes: dict[str, bytes | None] = {lease_key(domain): encode(self.lease)}
+        for group, row in self.groups.items():
+            writes[group_key(domain, group)] = encode(row) if row else None
+        for node, instance in self.instances.items():
+            writes[instance_key(domain, node)] = encode(instance) if instance else None
+        return writes
+
+    def transaction(self, change: ChangeId) -> Transaction:
+        """Return the transaction; every row that it writes must stand as it was read."""
+        writes = self._encoded()
+        conditions = tuple(self.before.condition(key) for key in writes)
+        return Transaction(change, conditions, writes)
+
+    def committed(self, revision: int) -> DomainRows:
+        """Return the domain's rows after the commit."""
+        before = self.before
+        groups = {**before.groups, **self.groups}
+        instances = {**before.instances, **self.instances}
+        revisions = dict(before.revisions)
+        for key, content in self._encoded().items():
+            if content is None:
+                revisions.pop(key, None)
+            else:
+                revisions[key] = revision
+        return DomainRows(
+            before.domain,
+            self.lease,
+            {group: row for group, row in groups.items() if row is not None},
+            {node: row for node, row in instances.items() if row is not None},
+            revisions,
+        )
+
+
+def writes_for(
+    change: GroupChange, rows: DomainRows, source: SpecSource, now_s: float
+) -> RowWrites:
+    """Return the rows that a change writes, under the domain's next epoch."""
+    assert rows.lease is not None
+    lease = replace(rows.lease, beat=rows.lease.beat + 1, counter=Epoch(rows.lease.counter + 1))
+    writes = RowWrites(rows, lease)
+    _WRITERS[type(change)](writes, change, source)
+    return writes
+
+
+def _form(writes: RowWrites, change: FormGroup, source: SpecSource) -> None:
+    for dissolved in change.dissolve:
+        _free_group(writes, dissolved)
+    if change.group in writes.before.groups:
+        _free_group(writes, change.group)
+    bundle = source.bundle
+    spec = next(each for each in bundle.group if change.group in each.replica_ids())
+    writes.groups[change.group] = GroupRow(
+        group=change.group,
+        domain=writes.before.domain,
+        kind=spec.kind,
+        target=TargetName(spec.target),
+        artifact=bundle.artifact(spec),
+        slots=bundle.slots(spec),
+        priority=spec.priority,
+        epoch=writes.lease.counter,
+        step=0,
+        version=source.version,
+        draining=False,
+        members=change.members,
+    )
+    for peer in change.members:
+        writes.instances[peer.node] = InstanceRow(peer.node, change.group, writes.lease.counter)
+
+
+def _free_group(writes: RowWrites, group: GroupId) -> None:
+    writes.groups[group] = None
+    for node, instance in writes.before.instances.items():
+        if instance.group == group:
+            writes.instances[node] = None
+
+
+def _set_draining(writes: RowWrites, group: GroupId, draining: bool) -> None:
+    row = writes.before.groups[group]
+    writes.groups[group] = replace(row, step=row.step + 1, draining=draining)
+
+
+def _drain(writes: RowWrites, change: DrainGroup, source: SpecSource) -> None:
+    _set_draining(writes, change.group, True)
+
+
+def _reopen(writes: RowWrites, change: ReopenGroup, source: SpecSource) -> None:
+    _set_draining(writes, change.group, False)
+
+
+def _dissolve(writes: RowWrites, change: DissolveGroup, source: SpecSource) -> None:
+    _free_group(writes, change.group)
+
+
+_WRITERS: dict[type, Callable[[RowWrites, Any, SpecSource], None]] = {
+    FormGroup: _form,
+    DrainGroup: _drain,
+    ReopenGroup: _reopen,
+    DissolveGroup: _dissolve,
+}
+
+__all__ = ["RowWrites", "SpecSource", "writes_for"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/tally.py
@@ -0,0 +1,45 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Running sums of what operators are measured by."""
+
+from dataclasses import dataclass, field
+
+from ochreway_core.ids import GroupId
+from ochreway_nodes.controller.planner import Situation
+
+
+@dataclass(slots=True)
+class Tally:
+    """Add up group downtime and stranded instance-seconds while the lease is held."""
+
+    serving: dict[GroupId, bool] = field(default_factory=dict)
+    down_s: dict[GroupId, float] = field(default_factory=dict)
+    stranded: int = 0
+    stranded_instance_s: float = 0.0
+    _counted_s: float | None = None
+
+    def count(self, situation: Situation) -> None:
+        """Add what has passed since the last count."""
+        now_s = situation.now_s
+        passed_s = now_s - self._counted_s if self._counted_s is not None else 0.0
+        self._counted_s = now_s
+        rows = situation.rows.groups
+        self.serving = {
+            group: group in rows and situation.serves(rows[group]) for group in situation.specs()
+        }
+        for group, serves in self.serving.items():
+            self.down_s[group] = self.down_s.get(group, 0.0) + (0.0 if serves else passed_s)
+        self.stranded = self._stranded(situation)
+        self.stranded_instance_s += self.stranded * passed_s
+
+    def _stranded(self, situation: Situation) -> int:
+        working = {
+            peer.node
+            for group, row in situation.rows.groups.items()
+            if self.serving.get(group)
+            for peer in row.members
+        }
+        named = {name for spec in situation.specs().values() for name in spec.instances}
+        return sum(situation.usable(name) for name in named - working)
+
+
+__all__ = ["Tally"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/call.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One request in progress at an entry."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ochreway_core.attemptid import AttemptId
+from ochreway_core.claimround import ClaimRound
+from ochreway_core.ids import GroupId, Incarnation
+from ochreway_core.peer import Peer
+from ochreway_core.reassembly import Reassembly
+from ochreway_core.request import Request
+
+
+class CallState(Enum):
+    """Say what a call waits for."""
+
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    SETTLING = "settling"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Hold the attempt that a call waits for."""
+
+    attempt: AttemptId
+    group: GroupId
+    peer: Peer
+    incarnation: Incarnation
+    sent_s: float
+    expected_s: float
+    answer: Reassembly = field(default_factory=Reassembly)
+    lost_s: float = 0.0
+    asked_s: float = 0.0
+    credited: int = 0
+
+
+@dataclass(slots=True)
+class Call:
+    """Hold a request, what has been tried and what it waits for."""
+
+    request: Request
+    state: CallState
+    claim: ClaimRound | None = None
+    attempt: Attempt | None = None
+    tried: frozenset[GroupId] = frozenset()
+    attempts: int = 0
+
+    @property
+    def streamed(self) -> bool:
+        """Tell whether any of the answer has been passed on."""
+        return self.attempt is not None and self.attempt.answer.received > 0
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that the request counts for."""
+        return self.request.prompt_tokens + self.request.max_tokens
+
+
+__all__ = ["Attempt", "Call", "CallState"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -0,0 +1,419 @@
+# SPDX-License-Identifier: Apache-2.0
+"""An entry's requests in progress: claim, route, settle, retry, answer."""
+
+from collections.abc import Callable
+
+from ochreway_core import invariants
+from ochreway_core.attemptid import AttemptId
+from ochreway_core.claimround import ClaimRound, ClaimState
+from ochreway_core.effects import Deliver, Finish
+from ochreway_core.ids import Incarnation, NodeId, RequestId
+from ochreway_core.messages import (
+    Cancel,
+    Claim,
+    ClaimEnd,
+    ClaimReply,
+    Credit,
+    Frame,
+    Refusal,
+    Settled,
+    Submit,
+    Vote,
+    Withdraw,
+)
+from ochreway_core.outcome import Outcome
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+from ochreway_core.request import Request
+from ochreway_core.timing import Timing
+from ochreway_nodes.entry.call import Attempt, Call, CallState
+from ochreway_nodes.outbox import Outbox
+from ochreway_nodes.viewspread import ViewSpread
+from ochreway_routing.estimate import expected_first_token_s
+from ochreway_routing.limits import Limits
+from ochreway_routing.query import RouteQuery
+from ochreway_routing.replica import ReplicaView
+from ochreway_routing.retry import Action, after
+from ochreway_routing.router import Router
+
+CREDIT_EVERY_BYTES = 16 * 1024
+RETRY_SOON_S = 1.0
+
+_NO_FAULT = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.OVER_SHARE,
+        Reason.DRAINING,
+        Reason.LEAVING,
+        Reason.STALE_VERSION,
+        Reason.STALE_EPOCH,
+        Reason.DEADLINE_PASSED,
+        Reason.CALLER_GONE,
+    }
+)
+
+
+class Calls:
+    """See each request through to exactly one of the closed outcomes."""
+
+    def __init__(
+        self,
+        me: Peer,
+        incarnation: Incarnation,
+        timing: Timing,
+        spread: ViewSpread,
+        router: Router,
+        limits: Limits,
+        address_of: Callable[[NodeId], Peer | None],
+        outbox: Outbox,
+    ) -> None:
+        self._me = me
+        self._incarnation = incarnation
+        self._timing = timing
+        self._spread = spread
+        self._router = router
+        self._limits = limits
+        self._address_of = address_of
+        self._outbox = outbox
+        self._sequence = 0
+        self._calls: dict[RequestId, Call] = {}
+        self._by_attempt: dict[AttemptId, Call] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    # Start
+
+    def start(self, request: Request, now_s: float) -> None:
+        """Begin a request; it ends with one ``Finish`` effect."""
+        call = Call(request, CallState.CLAIMING)
+        admitted = self._limits.admit(request.organisation, call.tokens, now_s)
+        if admitted.is_err():
+            refused = admitted.unwrap_err()
+            self._finish_refused(request, refused.reason, refused.retry_after_s)
+            return
+        self._calls[request.request] = call
+        if request.key is not None and not request.repeatable:
+            self._claim(call, now_s)
+        else:
+            self._route(call, now_s)
+
+    def _finish_refused(self, request: Request, reason: Reason, retry_after_s: float) -> None:
+        self._outbox.count(f"refusal.{reason.value}")
+        finish = Finish(request.request, Outcome.NOT_RUN, reason, retry_after_s)
+        self._outbox.add(finish)
+
+    # Keys
+
+    def _claim(self, call: Call, now_s: float) -> None:
+        assert call.request.key is not None
+        sets = self._spread.view.homes(call.request.key, now_s)
+        call.claim = ClaimRound(sets, now_s + self._timing.claim_timeout_s)
+        message = Claim(
+            self._spread.view.version,
+            call.request.key,
+            call.request.request,
+            call.request.deadline_s - now_s + self._timing.settle_give_up_s,
+        )
+        for node in sorted(call.claim.homes):
+            peer = self._address_of(node)
+            if peer is not None:
+                self._send_fresh(peer, message, now_s)
+        self._follow_claim(call, now_s)
+
+    def on_claim_reply(self, sender: Peer, reply: ClaimReply, now_s: float) -> None:
+        """Count a home's vote."""
+        call = self._calls.get(reply.request)
+        if call is None or call.claim is None or call.state is not CallState.CLAIMING:
+            return
+        if reply.vote is Vote.STALE:
+            return
+        call.claim.voted(sender.node, reply.vote, reply.outcome)
+        self._follow_claim(call, now_s)
+
+    def _follow_claim(self, call: Call, now_s: float) -> None:
+        assert call.claim is not None
+        state = call.claim.state()
+        if state is ClaimState.OPEN:
+            return
+        if state is ClaimState.WON:
+            self._route(call, now_s)
+            return
+        self._claim_failed(call, state, call.claim)
+
+    def _claim_failed(self, call: Call, state: ClaimState, claim: ClaimRound) -> None:
+        reasons = {
+            (ClaimState.TAKEN, Outcome.ANSWERED): Reason.KEY_ANSWERED,
+            (ClaimState.TAKEN, Outcome.UNKNOWN): Reason.KEY_TAKEN,
+        }
+        reason = reasons.get((state, claim.holder_outcome), Reason.KEY_HOMES_UNREACHABLE)
+        self._free_key(call, Outcome.NOT_RUN)
+        # Another request under the key may have run, so this is not "not run".
+        self._finish(call, Outcome.UNKNOWN, reason, RETRY_SOON_S)
+
+    def _free_key(self, call: Call, outcome: Outcome) -> None:
+        if call.claim is None or call.request.key is None:
+            return
+        for node in sorted(call.claim.homes):
+            peer = self._address_of(node)
+            if peer is not None:
+                self._outbox.send(peer, ClaimEnd(call.request.key, call.request.request, outcome))
+
+    def on_view_changed(self, now_s: float) -> None:
+        """Claim anew under the version that has come into force."""
+        for call in [each for each in self._calls.values() if each.state is CallState.CLAIMING]:
+            self._claim(call, now_s)
+
+    # Routing
+
+    def _query(self, request: Request) -> RouteQuery:
+        return RouteQuery(
+            target=request.target,
+            caller=request.caller,
+            blocks=request.blocks,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+            deadline_s=request.deadline_s,
+            adapter=request.adapter,
+            share_key=request.key or request.request,
+        )
+
+    def _route(self, call: Call, now_s: float) -> None:
+        query = self._query(call.request)
+        chosen = self._router.choose(query, call.tried, now_s)
+        if chosen.is_err():
+            refused = chosen.unwrap_err()
+            self._end(call, Outcome.NOT_RUN, refused.reason, refused.retry_after_s)
+            return
+        self._submit(call, chosen.unwrap(), query, now_s)
+
+    def _submit(self, call: Call, replica: ReplicaView, query: RouteQuery, now_s: float) -> None:
+        self._sequence += 1
+        attempt = AttemptId(self._me.node, self._incarnation, self._sequence)
+        expected_s = expected_first_token_s(
+            query, replica, self._router.tuning, self._router.hall, now_s
+        )
+        call.state = CallState.RUNNING
+        call.attempts += 1
+        call.tried |= {replica.group}
+        call.attempt = Attempt(
+            attempt, replica.group, replica.leader, replica.incarnation, now_s, expected_s
+        )
+        self._by_attempt[attempt] = call
+        self._router.sent(replica, str(attempt), query, now_s)
+        self._outbox.count("attempt")
+        request = call.request
+        submit = Submit(
+            attempt=attempt,
+            request=request.request,
+            version=self._spread.view.version,
+            incarnation=replica.incarnation,
+            group=replica.group,
+            epoch=replica.epoch,
+            organisation=request.organisation,
+            target=request.target,
+            priority=request.priority,
+            expires_in_s=request.deadline_s - now_s,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            blocks=request.blocks,
+            method=request.method,
+            path=request.path,
+            body=request.body,
+        )
+        self._send_fresh(replica.leader, submit, now_s)
+
+    def _send_fresh(self, peer: Peer, message: object, now_s: float) -> None:
+        """Send a message behind the version that it was decided under."""
+        if self._spread.shown_by(peer.node) < self._spread.view.version:
+            self._spread.push(peer, now_s)
+        self._outbox.send(peer, message)
+
+    # Answers
+
+    def on_frame(self, sender: Peer, frame: Frame, now_s: float) -> None:
+        """Pass on what is new of an answer."""
+        call = self._by_attempt.get(frame.attempt)
+        if call is None or call.attempt is None or call.attempt.attempt != frame.attempt:
+            self._outbox.count("frame.late")
+            return
+        attempt = call.attempt
+        call.state = CallState.RUNNING
+        for fresh in attempt.answer.add(frame):
+            self._deliver(call, attempt, fresh, now_s)
+        if attempt.answer.whole:
+            self._answered(call, attempt)
+
+    def _deliver(self, call: Call, attempt: Attempt, frame: Frame, now_s: float) -> None:
+        if frame.offset == 0:
+            self._learn_first_token(attempt, now_s)
+        request = call.request.request
+        self._outbox.add(
+            Deliver(request, frame.payload, frame.tokens, frame.status, frame.content_type)
+        )
+
+    def passed_on(self, request: RequestId, passed: int) -> None:
+        """Note how much of an answer the caller has taken, and credit its agent."""
+        call = self._calls.get(request)
+        if call is None or call.attempt is None:
+            return
+        if passed - call.attempt.credited >= CREDIT_EVERY_BYTES:
+            call.attempt.credited = passed
+            self._outbox.send(call.attempt.peer, Credit(call.attempt.attempt, passed))
+
+    def _learn_first_token(self, attempt: Attempt, now_s: float) -> None:
+        replica = self._router.replicas.get(attempt.group)
+        if replica is not None:
+            self._router.first_token(replica, attempt.expected_s, now_s - attempt.sent_s)
+
+    def _answered(self, call: Call, attempt: Attempt) -> None:
+        answer = attempt.answer
+        assert answer.total is not None
+        whole = invariants.answer_is_whole(answer.received, answer.total, str(attempt.attempt))
+        self._router.answered(attempt.group, str(attempt.attempt))
+        outcome = Outcome.ANSWERED if whole else Outcome.UNKNOWN
+        self._end(call, outcome, Reason.NONE if whole else Reason.ANSWER_SHORT, 0.0)
+
+    def on_refusal(self, sender: Peer, refusal: Refusal, now_s: float) -> None:
+        """Retry or end an attempt that its agent ended."""
+        self._attempt_ended(
+            refusal.attempt, refusal.outcome, refusal.reason, refusal.retry_after_s, now_s
+        )
+
+    def on_settled(self, sender: Peer, settled: Settled, now_s: float) -> None:
+        """Retry or end an attempt that its agent knows to have ended."""
+        self._attempt_ended(settled.attempt, settled.outcome, settled.reason, RETRY_SOON_S, now_s)
+
+    def _attempt_ended(
+        self,
+        attempt: AttemptId,
+        outcome: Outcome,
+        reason: Reason,
+        retry_after_s: float,
+        now_s: float,
+    ) -> None:
+        call = self._by_attempt.get(attempt)
+        if call is None or call.attempt is None or call.attempt.attempt != attempt:
+            return
+        fault = reason not in _NO_FAULT
+        if self._router.failed(call.attempt.group, str(attempt), fault, now_s):
+            self._outbox.count("ejection")
+        if self._may_retry(call, outcome, reason):
+            self._retry(call, reason, now_s)
+            return
+        self._end(call, outcome, reason, retry_after_s)
+
+    def _may_retry(self, call: Call, outcome: Outcome, reason: Reason) -> bool:
+        action = after(outcome, reason, call.request.repeatable, call.streamed)
+        if action is not Action.RETRY:
+            return False
+        if self._limits.budget(call.request.organisation).spend():
+            return True
+        self._outbox.count("retry.no_budget")
+        return False
+
+    def _retry(self, call: Call, reason: Reason, now_s: float) -> None:
+        self._outbox.count(f"retry.{reason.value}")
+        assert call.attempt is not None
+        del self._by_attempt[call.attempt.attempt]
+        call.attempt = None
+        self._route(call, now_s)
+
+    # Loss
+
+    def on_link_down(self, node: NodeId, now_s: float) -> None:
+        """Settle the attempts that were sent over a link that is gone."""
+        for call in list(self._by_attempt.values()):
+            if call.attempt is not None and call.attempt.peer.node == node:
+                self._lose(call, call.attempt, now_s)
+
+    def _lose(self, call: Call, attempt: Attempt, now_s: float) -> None:
+        if call.request.repeatable and not call.streamed:
+            self._outbox.send(attempt.peer, Cancel(attempt.attempt))
+            self._attempt_ended(
+                attempt.attempt, Outcome.UNKNOWN, Reason.LINK_LOST, RETRY_SOON_S, now_s
+            )
+            return
+        if call.state is CallState.RUNNING:
+            call.state = CallState.SETTLING
+            attempt.lost_s = now_s
+            self._ask_to_withdraw(attempt, now_s)
+
+    def _ask_to_withdraw(self, attempt: Attempt, now_s: float) -> None:
+        attempt.asked_s = now_s
+        message = Withdraw(attempt.attempt, attempt.incarnation, attempt.answer.received)
+        self._outbox.send(attempt.peer, message)
+
+    def cancel(self, request: RequestId) -> None:
+        """End a request whose caller has gone."""
+        call = self._calls.get(request)
+        if call is not None:
+            self._cancel_attempt(call)
+            self._end(call, Outcome.UNKNOWN, Reason.CALLER_GONE, 0.0)
+
+    def _cancel_attempt(self, call: Call) -> None:
+        if call.attempt is not None:
+            self._outbox.send(call.attempt.peer, Cancel(call.attempt.attempt))
+
+    def tick(self, now_s: float) -> None:
+        """End what has run out of time and ask again where answers are due."""
+        for call in list(self._calls.values()):
+            if now_s >= call.request.deadline_s:
+                self._out_of_time(call)
+            else:
+                _TICKS[call.state](self, call, now_s)
+
+    def _out_of_time(self, call: Call) -> None:
+        self._cancel_attempt(call)
+        outcome = Outcome.UNKNOWN if call.attempt or call.claim else Outcome.NOT_RUN
+        self._end(call, outcome, Reason.DEADLINE_PASSED, RETRY_SOON_S)
+
+    def _tick_claiming(self, call: Call, now_s: float) -> None:
+        if call.claim is not None and now_s >= call.claim.give_up_s:
+            taken = Vote.TAKEN in call.claim.votes.values()
+            state = ClaimState.TAKEN if taken else ClaimState.LOST
+            self._claim_failed(call, state, call.claim)
+
+    def _tick_running(self, call: Call, now_s: float) -> None:
+        """Wait: the link's end or the deadline will tell."""
+
+    def _tick_settling(self, call: Call, now_s: float) -> None:
+        attempt = call.attempt
+        assert attempt is not None
+        if now_s - attempt.lost_s >= self._timing.settle_give_up_s:
+            self._attempt_ended(
+                attempt.attempt, Outcome.UNKNOWN, Reason.LINK_LOST, RETRY_SOON_S, now_s
+            )
+        elif now_s - attempt.asked_s >= self._timing.settle_resend_s:
+            self._ask_to_withdraw(attempt, now_s)
+
+    # End
+
+    def _end(self, call: Call, outcome: Outcome, reason: Reason, retry_after_s: float) -> None:
+        self._free_key(call, outcome)
+        self._finish(call, outcome, reason, retry_after_s)
+
+    def _finish(self, call: Call, outcome: Outcome, reason: Reason, retry_after_s: float) -> None:
+        request = call.request
+        if self._calls.pop(request.request, None) is None:
+            return
+        if call.attempt is not None:
+            self._by_attempt.pop(call.attempt.attempt, None)
+            replica = self._router.replicas.get(call.attempt.group)
+            if replica is not None:
+                replica.own.pop(str(call.attempt.attempt), None)
+        self._limits.ended(request.organisation, call.tokens)
+        if outcome is not Outcome.ANSWERED:
+            self._outbox.count(f"refusal.{reason.value}")
+        self._outbox.count(f"outcome.{outcome.value}")
+        self._outbox.add(Finish(request.request, outcome, reason, retry_after_s))
+
+
+_TICKS: dict[CallState, Callable[[Calls, Call, float], None]] = {
+    CallState.CLAIMING: Calls._tick_claiming,
+    CallState.RUNNING: Calls._tick_running,
+    CallState.SETTLING: Calls._tick_settling,
+}
+
+__all__ = ["Calls"]
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -0,0 +1,272 @@
+# SPDX-License-Identifier: Apache-2.0
+"""How an entry keeps up with the table: versions, leases and groups."""
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import TypeVar
+
+import xxhash
+
+from ochreway_core.backoff import Backoff
+from ochreway_core.codec import decode
+from ochreway_core.effects import FetchBody, TableRead, TableUse
+from ochreway_core.ids import BundleHash, DomainId, Epoch, NodeId, ScopeId
+from ochreway_core.messages import FollowView, GroupsUpdate, ViewRequest, ViewUpdate
+from ochreway_core.peer import Peer
+from ochreway_core.rows import (
+    GroupRow,
+    LeaseRow,
+    RollRow,
+    approval_key,
+    group_key,
+    head_key,
+    lease_key,
+)
+from ochreway_core.signoff import Approval
+from ochreway_core.table import ReadReply, Row
+from ochreway_core.timing import Timing
+from ochreway_core.view import Snapshot
+from ochreway_nodes.outbox import Outbox
+from ochreway_nodes.viewspread import ViewSpread
+
+T = TypeVar("T")
+
+BACKOFF_BASE_S = 0.5
+FOLLOW_S = 0.5
+FOLLOW_FOR_S = 4.0
+READERS_PER_HALL = 2
+
+
+@dataclass(slots=True)
+class DomainGroups:
+    """Hold a domain's groups as of its epoch counter."""
+
+    counter: Epoch
+    groups: tuple[GroupRow, ...]
+
+
+@dataclass(slots=True)
+class _Follower:
+    peer: Peer
+    until_s: float
+    told: dict[DomainId, Epoch]
+
+
+class ViewKeeper:
+    """Poll the table when this entry is one of its hall's readers, else follow a reader."""
+
+    def __init__(
+        self,
+        scope: ScopeId,
+        timing: Timing,
+        spread: ViewSpread,
+        outbox: Outbox,
+        rng: random.Random,
+        next_call: Callable[[], int],
+    ) -> None:
+        self.domains: dict[DomainId, DomainGroups] = {}
+        self.leases: dict[DomainId, LeaseRow] = {}
+        self.readers: list[Peer] = []
+        self.reads_table = True
+        self._scope = scope
+        self._timing = timing
+        self._spread = spread
+        self._outbox = outbox
+        self._backoff = Backoff(BACKOFF_BASE_S, timing.backoff_max_s, rng)
+        self._next_call = next_call
+        self._call: int | None = None
+        self._sent_s = -1.0e9
+        self._not_before_s = -1.0e9
+        self._polled_s = -1.0e9
+        self._followed_s = -1.0e9
+        self._wanted: RollRow | None = None
+        self._body: bytes | None = None
+        self._approvals: tuple[Approval, ...] = ()
+        self._failing = False
+        self._followers: dict[NodeId, _Follower] = {}
+        self._changed = False
+        self._asked: frozenset[DomainId] = frozenset()
+
+    def take_changed(self) -> bool:
+        """Return whether the groups or the version changed since last asked."""
+        changed, self._changed = self._changed, False
+        return changed
+
+    def groups(self) -> list[GroupRow]:
+        """Return every known group."""
+        return [row for each in self.domains.values() for row in each.groups]
+
+    # Reading the table
+
+    def tick(self, now_s: float) -> None:
+        """Poll or follow when due."""
+        if self._call is not None and now_s - self._sent_s > self._timing.table_timeout_s:
+            self._failed(now_s)
+        if self._may_poll(now_s):
+            self._polled_s = now_s
+            self._read((head_key(self._scope), "controller/"), now_s)
+        if now_s - self._followed_s >= FOLLOW_S and (self._failing or not self.reads_table):
+            self._followed_s = now_s
+            for reader in self.readers:
+                self._outbox.send(reader, FollowView(self._digest()))
+        self._tell_followers(now_s)
+
+    def _may_poll(self, now_s: float) -> bool:
+        may_read = self.reads_table and self._call is None and now_s >= self._not_before_s
+        return may_read and now_s - self._polled_s >= self._timing.view_poll_s
+
+    def _read(self, prefixes: tuple[str, ...], now_s: float) -> None:
+        self._call = self._next_call()
+        self._sent_s = now_s
+        self._outbox.add(TableRead(TableUse.VIEW, self._call, prefixes))
+
+    def _failed(self, now_s: float) -> None:
+        self._call = None
+        self._failing = True
+        self._outbox.count("view.table_failed")
+        self._not_before_s = now_s + self._backoff.failed()
+
+    def poke(self) -> None:
+        """Read at once: someone says that there is something new."""
+        self._polled_s = -1.0e9
+
+    def on_read(self, call: int, reply: ReadReply, now_s: float) -> None:
+        """Take in an answer of the table."""
+        if call != self._call:
+            return
+        if reply.rows is None:
+            self._failed(now_s)
+            return
+        self._call = None
+        self._failing = False
+        self._backoff.succeeded()
+        self._take_head(reply.rows, now_s)
+        self._take_domains(reply.rows, now_s)
+        self._take_approvals(reply.rows, now_s)
+
+    def _take_head(self, rows: Mapping[str, Row], now_s: float) -> None:
+        head = rows.get(head_key(self._scope))
+        if head is None:
+            return
+        roll = decode(RollRow, head.content)
+        if roll.version <= self._spread.view.version:
+            return
+        if self._wanted is None or roll.version > self._wanted.version:
+            self._wanted, self._body, self._approvals = roll, None, ()
+        if self._body is None:
+            self._outbox.add(FetchBody(self._wanted.bundle))
+
+    def _take_domains(self, rows: Mapping[str, Row], now_s: float) -> None:
+        leases = {
+            DomainId(key.removeprefix("controller/")): decode(LeaseRow, row.content)
+            for key, row in rows.items()
+            if key.startswith("controller/")
+        }
+        self.leases.update(leases)
+        for domain in self._asked & leases.keys():
+            prefix = group_key(domain, "")
+            groups = _decoded(GroupRow, rows, prefix)
+            self.set_groups(domain, leases[domain].counter, groups)
+        self._asked = frozenset(
+            domain
+            for domain, lease in leases.items()
+            if domain not in self.domains or self.domains[domain].counter < lease.counter
+        )
+        wanted = [key for each in self._asked for key in (lease_key(each), group_key(each, ""))]
+        if self._wanted is not None and not self._approvals:
+            wanted.append(approval_key(self._wanted.bundle))
+        if wanted:
+            self._read(tuple(wanted), now_s)
+
+    def set_groups(self, domain: DomainId, counter: Epoch, groups: tuple[GroupRow, ...]) -> None:
+        """Take a domain's groups unless newer ones are known."""
+        known = self.domains.get(domain)
+        if known is None or known.counter < counter or known.groups != groups:
+            if known is not None and known.counter > counter:
+                return
+            self.domains[domain] = DomainGroups(counter, groups)
+            self._changed = True
+
+    def _take_approvals(self, rows: Mapping[str, Row], now_s: float) -> None:
+        if self._wanted is None:
+            return
+        prefix = approval_key(self._wanted.bundle)
+        self._approvals = _decoded(Approval, rows, prefix) or self._approvals
+        self._try_apply(now_s)
+
+    def on_body(self, bundle: BundleHash, body: bytes | None, now_s: float) -> None:
+        """Take in a bundle's body from the object store."""
+        if self._wanted is None or bundle != self._wanted.bundle or body is None:
+            return
+        self._body = body
+        self._try_apply(now_s)
+
+    def _try_apply(self, now_s: float) -> None:
+        if self._wanted is None or self._body is None or not self._approvals:
+            return
+        snapshot = Snapshot(self._wanted, self._body, self._approvals)
+        self._wanted, self._body, self._approvals = None, None, ()
+        self.apply(snapshot, now_s)
+
+    def apply(self, snapshot: Snapshot, now_s: float) -> bool:
+        """Put a version in force if it is newer and signed off."""
+        applied = self._spread.apply(snapshot, now_s)
+        self._changed = self._changed or applied
+        if applied:
+            for follower in self._followers.values():
+                self._spread.push(follower.peer, now_s)
+        return applied
+
+    # Other entries
+
+    def on_view_request(self, sender: Peer, request: ViewRequest, now_s: float) -> None:
+        """Send the version in force."""
+        self._spread.push(sender, now_s)
+
+    def on_view_update(self, sender: Peer, update: ViewUpdate, now_s: float) -> None:
+        """Take in a version from another process."""
+        self.apply(update.snapshot, now_s)
+
+    def on_follow_view(self, sender: Peer, message: FollowView, now_s: float) -> None:
+        """Count an entry among the followers for a while."""
+        follower = self._followers.get(sender.node)
+        if follower is None or follower.until_s < now_s:
+            follower = _Follower(sender, 0.0, {})
+            self._followers[sender.node] = follower
+        follower.until_s = now_s + FOLLOW_FOR_S
+        if message.digest == 0:
+            follower.told = {}
+        if message.digest != self._digest():
+            self._tell(follower)
+
+    def on_groups_update(self, sender: Peer, update: GroupsUpdate, now_s: float) -> None:
+        """Take in a domain's groups from another entry."""
+        self.set_groups(update.domain, update.counter, update.groups)
+
+    def _tell_followers(self, now_s: float) -> None:
+        for node, follower in list(self._followers.items()):
+            if follower.until_s < now_s:
+                del self._followers[node]
+            else:
+                self._tell(follower)
+
+    def _tell(self, follower: _Follower) -> None:
+        for domain, known in self.domains.items():
+            if follower.told.get(domain, -1) < known.counter:
+                follower.told[domain] = known.counter
+                update = GroupsUpdate(domain, known.counter, known.groups)
+                self._outbox.send(follower.peer, update)
+
+    def _digest(self) -> int:
+        if not self.domains:
+            return 0
+        counters = sorted((domain, known.counter) for domain, known in self.domains.items())
+        return xxhash.xxh32_intdigest(repr(counters).encode()) or 1
+
+
+def _decoded(kind: type[T], rows: Mapping[str, Row], prefix: str) -> tuple[T, ...]:
+    return tuple(decode(kind, row.content) for key, row in rows.items() if key.startswith(prefix))
+
+
+__all__ = ["READERS_PER_HALL", "DomainGroups", "ViewKeeper"]
--- /dev/null
+++ b/packages/ochreway-platform/src/ochreway_platform/calls.py
@@ -0,0 +1,28 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One call over HTTP with CBOR bodies, with a bound on its time."""
+
+import aiohttp
+
+from ochreway_platform.errors import PlatformError
+
+CONTENT_TYPE = "application/cbor"
+
+
+async def post(session: aiohttp.ClientSession, url: str, body: bytes, timeout_s: float) -> bytes:
+    """Post a body and return the answer's.
+
+    Raises:
+        PlatformError: when no good answer comes in time.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    headers = {"Content-Type": CONTENT_TYPE}
+    try:
+        async with session.post(url, data=body, headers=headers, timeout=timeout) as response:
+            if response.status != 200:
+                raise PlatformError(f"status {response.status}")
+            return await response.read()
+    except (TimeoutError, aiohttp.ClientError, OSError) as fault:
+        raise PlatformError(str(fault) or type(fault).__name__) from fault
+
+
+__all__ = ["CONTENT_TYPE", "post"]
--- /dev/null
+++ b/packages/ochreway-platform/src/ochreway_platform/errors.py
@@ -0,0 +1,48 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Errors of the platform layer."""
+
+from ochreway_core.errors import OchrewayError
+
+
+class PlatformError(OchrewayError):
+    """The platform or a target did not do what it was asked."""
+
+
+class TableUnavailable(PlatformError):
+    """The table did not answer a read."""
+
+
+class ObjectMissing(PlatformError):
+    """The object store has no such object."""
+
+
+class ObjectStoreUnavailable(PlatformError):
+    """The object store did not answer."""
+
+
+class ListUnavailable(PlatformError):
+    """The list of instances could not be read."""
+
+
+class TargetUnreachable(PlatformError):
+    """The target could not be reached, so it cannot have begun anything."""
+
+
+class HandOverRefused(PlatformError):
+    """The hand-over was not allowed any more, so the target was not given the work."""
+
+
+class TargetBroke(PlatformError):
+    """The target broke off after it was reached."""
+
+
+__all__ = [
+    "HandOverRefused",
+    "ListUnavailable",
+    "ObjectMissing",
+    "ObjectStoreUnavailable",
+    "PlatformError",
+    "TableUnavailable",
+    "TargetBroke",
+    "TargetUnreachable",
+]
--- /dev/null
+++ b/packages/ochreway-platform/src/ochreway_platform/httptarget.py
@@ -0,0 +1,124 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A target over HTTP."""
+
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+
+from ochreway_core.chunk import Chunk
+from ochreway_core.ids import Epoch
+from ochreway_core.messages.requests import Submit
+from ochreway_core.rows import GroupRow
+from ochreway_core.targetkind import TargetKind
+from ochreway_platform.errors import HandOverRefused, TargetBroke, TargetUnreachable
+from ochreway_platform.target import Target, TargetReport
+
+STATE_TIMEOUT_S = 1.0
+EVENT_STREAM = "text/event-stream"
+STREAM_END = b"data: [DONE]\n\n"
+EVENT_END = b"\n\n"
+
+
+class HttpTarget(Target):
+    """Speak to the engine or the service at a base address."""
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str, kind: TargetKind) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._kind = kind
+        self._timeout = aiohttp.ClientTimeout(total=STATE_TIMEOUT_S)
+
+    async def state(self) -> TargetReport:
+        """Return what the target has loaded."""
+        path = "/state" if self._kind is TargetKind.MODEL else "/health"
+        try:
+            async with self._session.get(self._base_url + path, timeout=self._timeout) as response:
+                response.raise_for_status()
+                if self._kind is TargetKind.SERVICE:
+                    return TargetReport(Epoch(0), "", True)
+                state = await response.json()
+                return TargetReport(
+                    Epoch(state["epoch"]),
+                    state["artifact"],
+                    state["loaded"],
+                    tuple(state.get("cached", ())),
+                    tuple(state.get("evicted", ())),
+                )
+        except (TimeoutError, aiohttp.ClientError, OSError, KeyError) as fault:
+            raise TargetUnreachable(str(fault)) from fault
+
+    async def order(self, row: GroupRow) -> None:
+        """Make the target load what the row says."""
+        content = {
+            "epoch": row.epoch,
+            "artifact": row.artifact,
+            "group": row.group,
+            "members": [peer.node for peer in row.members],
+        }
+        url = f"{self._base_url}/order"
+        try:
+            async with self._session.post(url, json=content, timeout=self._timeout) as response:
+                response.raise_for_status()
+        except (TimeoutError, aiohttp.ClientError, OSError) as fault:
+            raise TargetUnreachable(str(fault)) from fault
+
+    async def run(self, submit: Submit, allowed: Callable[[], bool]) -> AsyncIterator[Chunk]:
+        """Yield the answer's pieces."""
+        body = _GuardedBody(submit.body, allowed)
+        timeout = aiohttp.ClientTimeout(total=submit.expires_in_s, connect=STATE_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                submit.method,
+                self._base_url + submit.path,
+                data=body.pieces(),
+                headers=_headers(submit),
+                timeout=timeout,
+            ) as response:
+                async for chunk in _chunks(response):
+                    yield chunk
+        except aiohttp.ClientConnectorError as fault:
+            raise TargetUnreachable(str(fault)) from fault
+        except (TimeoutError, aiohttp.ClientError, OSError, HandOverRefused) as fault:
+            if body.refused:
+                raise HandOverRefused("the gate closed before the hand-over") from fault
+            raise TargetBroke(str(fault) or type(fault).__name__) from fault
+
+
+def _headers(submit: Submit) -> dict[str, str]:
+    return {
+        "Content-Type": "application/json",
+        "Content-Length": str(len(submit.body)),
+        "X-Request-Id": submit.request,
+    }
+
+
+class _GuardedBody:
+    """Give out the body only if that is still allowed when the socket takes it."""
+
+    def __init__(self, body: bytes, allowed: Callable[[], bool]) -> None:
+        self._body = body
+        self._allowed = allowed
+        self.refused = False
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body, or break the connection off."""
+        if not self._allowed():
+            self.refused = True
+            raise HandOverRefused("the gate closed before the hand-over")
+        yield self._body
+
+
+async def _chunks(response: aiohttp.ClientResponse) -> AsyncIterator[Chunk]:
+    status, content_type = response.status, response.content_type
+    streamed = content_type == EVENT_STREAM
+    tail = b""
+    async for piece in response.content.iter_any():
+        tail = (tail + piece)[-len(STREAM_END) :]
+        tokens = piece.count(EVENT_END) if streamed else 0
+        yield Chunk(piece, tokens, status, content_type, last=False)
+    if streamed and tail != STREAM_END:
+        raise TargetBroke("the stream ended without its end marker")
+    yield Chunk(b"", 0, status, content_type, last=True)
+
+
+__all__ = ["EVENT_STREAM", "STREAM_END", "HttpTarget"]
--- /dev/null
+++ b/packages/ochreway-platform/src/ochreway_platform/instancelist.py
@@ -0,0 +1,81 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The platform's list of live and leaving instances."""
+
+from abc import ABC, abstractmethod
+from typing import Any
+
+import aiohttp
+
+from ochreway_core.ids import DomainId, HallId, NodeId
+from ochreway_core.listing import InstanceKind, ListedInstance
+from ochreway_platform.errors import ListUnavailable
+
+
+class InstanceList(ABC):
+    """Read the list, which lags behind reality."""
+
+    @abstractmethod
+    async def read(self) -> list[ListedInstance]:
+        """Return the instances listed.
+
+        Raises:
+            ListUnavailable: when the list cannot be read.
+        """
+
+
+class MemoryInstanceList(InstanceList):
+    """Keep the list in memory."""
+
+    def __init__(self) -> None:
+        self.instances: dict[NodeId, ListedInstance] = {}
+
+    async def read(self) -> list[ListedInstance]:
+        """Return the instances listed."""
+        return list(self.instances.values())
+
+
+class HttpInstanceList(InstanceList):
+    """Read the list over HTTP, as JSON."""
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str, timeout_s: float) -> None:
+        self._session = session
+        self._url = f"{base_url.rstrip('/')}/instances"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def read(self) -> list[ListedInstance]:
+        """Return the instances listed."""
+        try:
+            async with self._session.get(self._url, timeout=self._timeout) as response:
+                response.raise_for_status()
+                return [from_json(item) for item in await response.json()]
+        except (TimeoutError, aiohttp.ClientError, OSError) as fault:
+            raise ListUnavailable(str(fault)) from fault
+        except (KeyError, TypeError, ValueError) as fault:
+            raise ListUnavailable(f"unexpected content: {fault}") from fault
+
+
+def from_json(item: dict[str, Any]) -> ListedInstance:
+    """Read one instance from the list's JSON."""
+    return ListedInstance(
+        node=NodeId(item["name"]),
+        address=item["address"],
+        kind=InstanceKind(item["kind"]),
+        hall=HallId(item["hall"]),
+        domain=DomainId(item["domain"]),
+        leaving=item["state"] == "leaving",
+    )
+
+
+def to_json(instance: ListedInstance) -> dict[str, str]:
+    """Write one instance as the list's JSON."""
+    return {
+        "name": instance.node,
+        "address": instance.address,
+        "kind": instance.kind.value,
+        "hall": instance.hall,
+        "domain": instance.domain,
+        "state": "leaving" if instance.leaving else "live",
+    }
+
+
+__all__ = ["HttpInstanceList", "InstanceList", "MemoryInstanceList", "from_json", "to_json"]
--- /dev/null
+++ b/packages/ochreway-platform/src/ochreway_platform/target.py
@@ -0,0 +1,59 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A target: a model engine or a plain service, beside its agent."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+from ochreway_core.chunk import Chunk
+from ochreway_core.ids import Epoch
+from ochreway_core.messages.requests import Submit
+from ochreway_core.rows import GroupRow
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """Hold what a target says of itself."""
+
+    epoch: Epoch
+    artifact: str
+    loaded: bool
+    cached: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+
+
+class Target(ABC):
+    """Ask a target for its state, order it, and have it run requests."""
+
+    @abstractmethod
+    async def state(self) -> TargetReport:
+        """Return what the target has loaded.
+
+        Raises:
+            TargetUnreachable: when it does not answer.
+        """
+
+    @abstractmethod
+    async def order(self, row: GroupRow) -> None:
+        """Make the target load what the row says, for the row's group and epoch.
+
+        Raises:
+            TargetUnreachable: when it does not answer.
+        """
+
+    @abstractmethod
+    def run(self, submit: Submit, allowed: Callable[[], bool]) -> AsyncIterator[Chunk]:
+        """Yield the answer's pieces; closing the iterator cancels the work.
+
+        Args:
+            submit: what to run.
+            allowed: asked at the last moment before the body is written.
+
+        Raises:
+            HandOverRefused: when it was not allowed any more, and nothing was run.
+            TargetUnreachable: when the target cannot have begun.
+            TargetBroke: when it broke off, or its answer was not whole.
+        """
+
+
+__all__ = ["Target", "TargetReport"]
--- /dev/null
+++ b/packages/ochreway-routing/src/ochreway_routing/ejection.py
@@ -0,0 +1,38 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Taking a failing replica out for a while."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Ejection:
+    """Eject after failures in a row, for twice as long each time; one success resets."""
+
+    failures: int = 0
+    ejections: int = 0
+    until_s: float = -1.0e9
+    returned_s: float = -1.0e9
+
+    def failed(self, now_s: float, failures_allowed: int, base_s: float, max_s: float) -> bool:
+        """Note a failure; return whether the replica is ejected by it."""
+        self.failures += 1
+        if self.failures < failures_allowed or self.ejected(now_s):
+            return False
+        self.until_s = now_s + min(max_s, base_s * 2.0 ** min(self.ejections, 8))
+        self.returned_s = self.until_s
+        self.ejections += 1
+        # One more failure after its return ejects it again at once.
+        self.failures = failures_allowed - 1
+        return True
+
+    def succeeded(self) -> None:
+        """Note a success."""
+        self.failures = 0
+        self.ejections = 0
+
+    def ejected(self, now_s: float) -> bool:
+        """Tell whether the replica is out."""
+        return now_s < self.until_s
+
+
+__all__ = ["Ejection"]
--- /dev/null
+++ b/packages/ochreway-routing/src/ochreway_routing/prefixindex.py
@@ -0,0 +1,53 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What one entry believes a replica's prefix cache holds."""
+
+import math
+from collections import OrderedDict
+
+HALF_LIFE_S = 120.0
+ENTRIES_AT_MOST = 8192
+
+
+class PrefixIndex:
+    """Remember blocks by when they were last known to be cached, least recent first."""
+
+    def __init__(self, at_most: int = ENTRIES_AT_MOST) -> None:
+        self._at_most = at_most
+        self._seen_s: OrderedDict[int, float] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._seen_s)
+
+    def add(self, blocks: tuple[int, ...], now_s: float) -> None:
+        """Note that the blocks are cached."""
+        for block in blocks:
+            self._seen_s[block] = now_s
+            self._seen_s.move_to_end(block)
+        while len(self._seen_s) > self._at_most:
+            self._seen_s.popitem(last=False)
+
+    def remove(self, blocks: tuple[int, ...]) -> None:
+        """Note that the blocks were evicted."""
+        for block in blocks:
+            self._seen_s.pop(block, None)
+
+    def clear(self) -> None:
+        """Forget everything: the engine started anew."""
+        self._seen_s.clear()
+
+    def expected_blocks(self, blocks: tuple[int, ...], now_s: float) -> float:
+        """Return how many leading blocks are expected to be cached, discounted by age."""
+        matched = 0
+        oldest_s = now_s
+        for block in blocks:
+            seen_s = self._seen_s.get(block)
+            if seen_s is None:
+                break
+            matched += 1
+            oldest_s = min(oldest_s, seen_s)
+        if not matched:
+            return 0.0
+        return matched * math.exp2((oldest_s - now_s) / HALF_LIFE_S)
+
+
+__all__ = ["ENTRIES_AT_MOST", "HALF_LIFE_S", "PrefixIndex"]
--- /dev/null
+++ b/packages/ochreway-routing/src/ochreway_routing/replica.py
@@ -0,0 +1,79 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One entry's view of one replica."""
+
+from dataclasses import dataclass, field
+
+from ochreway_core.ids import NO_EPOCH, Epoch, GroupId, HallId, Incarnation
+from ochreway_core.messages.membership import LoadReport
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+from ochreway_routing.ejection import Ejection
+from ochreway_routing.prefixindex import PrefixIndex
+
+NEVER_S = -1.0e9
+
+
+@dataclass(slots=True)
+class Sent:
+    """Hold what an attempt adds to a replica's load until a report includes it."""
+
+    sent_s: float
+    prefill_tokens: float
+
+
+@dataclass(slots=True)
+class ReplicaView:
+    """Combine a replica's lagged reports with what this entry sent it since."""
+
+    group: GroupId
+    target: str
+    leader: Peer
+    hall: HallId = HallId("")
+    epoch: Epoch = NO_EPOCH
+    incarnation: Incarnation = Incarnation(0)
+    slots: int = 1
+    gate: Reason = Reason.NO_GROUP
+    leaving: bool = False
+    adapters: frozenset[str] = frozenset()
+    legacy_percent: int = 0
+    in_flight: int = 0
+    queued: int = 0
+    queued_tokens: int = 0
+    reported_s: float = NEVER_S
+    opened_s: float = NEVER_S
+    slowness: float = 1.0
+    own: dict[str, Sent] = field(default_factory=dict)
+    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    ejection: Ejection = field(default_factory=Ejection)
+
+    def reported(self, report: LoadReport, now_s: float) -> None:
+        """Take in a load report."""
+        if report.incarnation != self.incarnation:
+            self.prefixes.clear()
+        if report.gate is Reason.NONE and self.gate is not Reason.NONE:
+            self.opened_s = now_s
+        self.epoch = report.epoch
+        self.incarnation = report.incarnation
+        self.gate = report.gate
+        self.in_flight = report.in_flight
+        self.queued = report.queued
+        self.queued_tokens = report.queued_tokens
+        self.slots = report.slots
+        self.reported_s = now_s
+        self.prefixes.add(report.cached, now_s)
+        self.prefixes.remove(report.evicted)
+
+    def unreported(self, lag_s: float) -> list[Sent]:
+        """Return what this entry sent too late for the last report to include."""
+        since_s = self.reported_s - lag_s
+        return [sent for sent in self.own.values() if sent.sent_s > since_s]
+
+    def takes_work(self, now_s: float, fresh_s: float) -> bool:
+        """Tell whether the replica is known to take work."""
+        if self.legacy_percent:
+            return True
+        fresh = now_s - self.reported_s <= fresh_s
+        return fresh and self.gate is Reason.NONE and not self.leaving
+
+
+__all__ = ["NEVER_S", "ReplicaView", "Sent"]
--- /dev/null
+++ b/packages/ochreway-routing/src/ochreway_routing/retry.py
@@ -0,0 +1,52 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What follows the end of an attempt."""
+
+from enum import Enum
+
+from ochreway_core.outcome import Outcome
+from ochreway_core.reason import Reason
+
+
+class Action(Enum):
+    """Say what is done with a request whose attempt ended."""
+
+    ANSWER = "answer"
+    RETRY = "retry"
+
+
+_ACTIONS: dict[tuple[Outcome, bool, bool], Action] = {
+    # (outcome, repeatable, streamed yet)
+    (Outcome.ANSWERED, False, False): Action.ANSWER,
+    (Outcome.ANSWERED, False, True): Action.ANSWER,
+    (Outcome.ANSWERED, True, False): Action.ANSWER,
+    (Outcome.ANSWERED, True, True): Action.ANSWER,
+    (Outcome.NOT_RUN, False, False): Action.RETRY,
+    (Outcome.NOT_RUN, False, True): Action.ANSWER,
+    (Outcome.NOT_RUN, True, False): Action.RETRY,
+    (Outcome.NOT_RUN, True, True): Action.ANSWER,
+    (Outcome.UNKNOWN, False, False): Action.ANSWER,
+    (Outcome.UNKNOWN, False, True): Action.ANSWER,
+    (Outcome.UNKNOWN, True, False): Action.RETRY,
+    (Outcome.UNKNOWN, True, True): Action.ANSWER,
+}
+
+_FINAL_REASONS = frozenset(
+    {
+        Reason.OVER_SHARE,
+        Reason.DEADLINE_TOO_SHORT,
+        Reason.DEADLINE_PASSED,
+        Reason.CALLER_GONE,
+        Reason.STOPPING,
+        Reason.INVARIANT,
+    }
+)
+
+
+def after(outcome: Outcome, reason: Reason, repeatable: bool, streamed: bool) -> Action:
+    """Return what follows an attempt's end."""
+    if reason in _FINAL_REASONS:
+        return Action.ANSWER
+    return _ACTIONS[outcome, repeatable, streamed]
+
+
+__all__ = ["Action", "after"]
--- /dev/null
+++ b/packages/ochreway-routing/src/ochreway_routing/router.py
@@ -0,0 +1,145 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Where each request goes, as one entry decides it."""
+
+import random
+from collections.abc import Iterable
+
+from result import Err, Ok, Result
+
+import ochreway_routing.policies  # noqa: F401  fills the registry
+from ochreway_core.ids import GroupId
+from ochreway_core.messages.membership import LoadReport
+from ochreway_core.reason import Reason
+from ochreway_core.rendezvous import weight
+from ochreway_routing.estimate import (
+    expected_first_token_s,
+    expected_prefill_tokens,
+    honest_retry_after_s,
+)
+from ochreway_routing.policy import POLICIES
+from ochreway_routing.query import RouteQuery
+from ochreway_routing.refused import Refused
+from ochreway_routing.replica import ReplicaView, Sent
+from ochreway_routing.tuning import Tuning
+
+DEFAULT_POLICY = "cost"
+CLOSED_RETRY_S = 2.0
+
+
+class Router:
+    """Hold this entry's view of the replicas and choose among them."""
+
+    def __init__(
+        self,
+        hall: str,
+        rng: random.Random,
+        tuning: Tuning | None = None,
+        policy: str = DEFAULT_POLICY,
+    ) -> None:
+        self.tuning = tuning or Tuning()
+        self.hall = hall
+        self.replicas: dict[GroupId, ReplicaView] = {}
+        self._by_target: dict[str, list[ReplicaView]] = {}
+        self._policy = POLICIES[policy](self.tuning, hall, rng)
+
+    def set_replicas(self, replicas: Iterable[ReplicaView]) -> None:
+        """Take the groups that exist now, keeping what is known of those that stay."""
+        fresh = {each.group: each for each in replicas}
+        for group, replica in fresh.items():
+            known = self.replicas.get(group)
+            if known is not None and known.leader == replica.leader:
+                known.target, known.hall = replica.target, replica.hall
+                known.leaving, known.adapters = replica.leaving, replica.adapters
+                known.legacy_percent = replica.legacy_percent
+                fresh[group] = known
+        self.replicas = fresh
+        self._by_target = {}
+        for replica in fresh.values():
+            self._by_target.setdefault(replica.target, []).append(replica)
+
+    def reported(self, report: LoadReport, now_s: float) -> None:
+        """Take in a load report."""
+        replica = self.replicas.get(report.group)
+        if replica is not None:
+            replica.reported(report, now_s)
+
+    def choose(
+        self, query: RouteQuery, tried: frozenset[GroupId], now_s: float
+    ) -> Result[ReplicaView, Refused]:
+        """Choose a replica that was not tried, or say why there is none."""
+        known = self._by_target.get(query.target, [])
+        if not known:
+            return Err(Refused(Reason.NO_GROUP, CLOSED_RETRY_S))
+        taking = [each for each in known if each.takes_work(now_s, self.tuning.report_fresh_s)]
+        untried = [each for each in taking if each.group not in tried]
+        untried = self._legacy_or_own(query, untried)
+        if not untried:
+            return Err(Refused(_why_closed(known), CLOSED_RETRY_S))
+        chosen = self._policy.choose(query, self._not_ejected(untried, known, now_s), now_s)
+        wait_s = expected_first_token_s(query, chosen, self.tuning, self.hall, now_s)
+        left_s = query.deadline_s - now_s
+        if wait_s > left_s:
+            return Err(Refused(Reason.DEADLINE_TOO_SHORT, honest_retry_after_s(wait_s - left_s)))
+        return Ok(chosen)
+
+    def _legacy_or_own(self, query: RouteQuery, replicas: list[ReplicaView]) -> list[ReplicaView]:
+        """Keep the targets of the operators' old tools for their share, the groups else."""
+        percent = max((each.legacy_percent for each in replicas), default=0)
+        to_legacy = percent > 0 and weight("legacy", query.share_key) % 100 < percent
+        return [each for each in replicas if bool(each.legacy_percent) == to_legacy]
+
+    def _not_ejected(
+        self, untried: list[ReplicaView], known: list[ReplicaView], now_s: float
+    ) -> list[ReplicaView]:
+        kept = [each for each in untried if not each.ejection.ejected(now_s)]
+        ejected = sum(each.ejection.ejected(now_s) for each in known)
+        if kept and ejected <= len(known) * self.tuning.ejection_share_at_most:
+            return kept
+        return untried
+
+    def sent(self, replica: ReplicaView, attempt: str, query: RouteQuery, now_s: float) -> None:
+        """Note that an attempt was sent to a replica."""
+        tokens = expected_prefill_tokens(query, replica, now_s)
+        replica.own[attempt] = Sent(now_s, tokens)
+        replica.prefixes.add(query.blocks, now_s)
+
+    def first_token(self, replica: ReplicaView, expected_s: float, took_s: float) -> None:
+        """Learn how slow the replica is from one first token."""
+        ratio = min(max(took_s / max(expected_s, 0.02), 0.5), 20.0)
+        weight = self.tuning.slowness_weight
+        replica.slowness = max(1.0, (1.0 - weight) * replica.slowness + weight * ratio)
+
+    def answered(self, group: GroupId, attempt: str) -> None:
+        """Note that an attempt ended well."""
+        replica = self.replicas.get(group)
+        if replica is not None:
+            replica.own.pop(attempt, None)
+            replica.ejection.succeeded()
+
+    def failed(self, group: GroupId, attempt: str, fault: bool, now_s: float) -> bool:
+        """Note that an attempt ended badly; return whether its replica is ejected by it.
+
+        Args:
+            group: the replica's group.
+            attempt: what ended.
+            fault: whether the replica is to blame, not its load or a planned stop.
+            now_s: the time.
+        """
+        replica = self.replicas.get(group)
+        if replica is None:
+            return False
+        replica.own.pop(attempt, None)
+        if not fault:
+            return False
+        tuning = self.tuning
+        return replica.ejection.failed(
+            now_s, tuning.ejection_failures, tuning.ejection_s, tuning.ejection_max_s
+        )
+
+
+def _why_closed(known: list[ReplicaView]) -> Reason:
+    reasons = [each.gate for each in known if each.gate is not Reason.NONE]
+    return reasons[0] if reasons else Reason.GROUP_INCOMPLETE
+
+
+__all__ = ["DEFAULT_POLICY", "Router"]
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Small stand-ins, benches and the demo, for development only."""
--- /dev/null
+++ b/packages/ochreway-wire/src/ochreway_wire/link.py
@@ -0,0 +1,87 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One link: a websocket that carries batches both ways."""
+
+import asyncio
+from collections.abc import Callable
+
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed
+
+from ochreway_core.ids import Version
+from ochreway_core.peer import Peer
+from ochreway_wire.batch import Batch, decode_batch, encode_batch
+from ochreway_wire.errors import BatchInvalid
+
+WAITING_AT_MOST = 100_000
+MESSAGES_PER_BATCH = 4096
+
+
+class Link:
+    """Own a websocket; flush at once when idle, else once a tick."""
+
+    def __init__(
+        self, socket: Connection, peer: Peer, version: Callable[[], Version], tick_s: float
+    ) -> None:
+        self.peer = peer
+        self._socket = socket
+        self._version = version
+        self._tick_s = tick_s
+        self._waiting: list[object] = []
+        self._wake = asyncio.Event()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def send(self, message: object) -> bool:
+        """Queue a message; False when too many wait and the link is given up."""
+        if len(self._waiting) >= WAITING_AT_MOST:
+            self._socket.transport.abort()
+            return False
+        self._waiting.append(message)
+        self._wake.set()
+        return True
+
+    async def write(self) -> None:
+        """Send what is queued until the link ends."""
+        loop = asyncio.get_running_loop()
+        flushed_s = 0.0
+        try:
+            while True:
+                await self._wake.wait()
+                early_s = flushed_s + self._tick_s - loop.time()
+                if early_s > 0:
+                    await asyncio.sleep(early_s)
+                self._wake.clear()
+                flushed_s = loop.time()
+                await self._flush()
+        except ConnectionClosed:
+            return
+
+    async def _flush(self) -> None:
+        while self._waiting:
+            batch = self._waiting[:MESSAGES_PER_BATCH]
+            del self._waiting[:MESSAGES_PER_BATCH]
+            content = encode_batch(self._version(), batch)
+            self.sent_bytes += len(content)
+            await self._socket.send(content)
+
+    async def read(self, received: Callable[[Peer, Batch], None]) -> None:
+        """Pass on what comes until the link ends or breaks the protocol."""
+        try:
+            async for content in self._socket:
+                if not isinstance(content, bytes):
+                    raise BatchInvalid("text")
+                self.received_bytes += len(content)
+                received(self.peer, decode_batch(content))
+        except (ConnectionClosed, BatchInvalid):
+            return
+
+    async def close(self) -> None:
+        """Send what is queued and close."""
+        try:
+            await self._flush()
+            await self._socket.close()
+        except ConnectionClosed:
+            return
+
+
+__all__ = ["Link"]
