Soak the nodes under virtual time; mend the five faults that it found

The soak runs the daemons' own nodes against small fakes: kills, pauses, cuts one way and both, disorder, a table that is down, slow or loses answers, list lag, racing rolls, stops.

Ruled out: the network fake, by reading each trace.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,6 @@
 format: setup
 	$(BIN)/ruff format packages tests
 	$(BIN)/ruff check --fix packages tests
+
+soak: setup
+	$(BIN)/python -m ochreway_standins.soak --seed $(SEED) --runs $(RUNS) --jobs $(JOBS)
--- a/packages/ochreway-core/src/ochreway_core/gate.py
+++ b/packages/ochreway-core/src/ochreway_core/gate.py
@@ -65,6 +65,10 @@
         if member is not None:
             member.granted_once = False
 
+    def is_leaving(self, node: NodeId) -> bool:
+        """Tell whether the member said that it is leaving."""
+        return self._members[node].leaving
+
     def missing(self, now_s: float) -> tuple[NodeId, ...]:
         """Return the members whose grants are not fresh."""
         return tuple(node for node, each in self._members.items() if now_s >= each.until_s)
--- a/packages/ochreway-core/src/ochreway_core/messages/membership.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/membership.py
@@ -31,12 +31,16 @@
 @message(2)
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Ask a member for a grant; the row rides along until the member has granted once."""
+    """Ask a member for a grant; the row rides along until the member has granted once.
+
+    ``released`` tells a member that is leaving that nothing is in flight any more.
+    """
 
     group: GroupId
     epoch: Epoch
     step: int
     sequence: int
+    released: bool
     row: GroupRow | None
 
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -40,6 +40,7 @@
         timing: Timing,
         outbox: Outbox,
         epoch_changed: Callable[[float], None],
+        drained: Callable[[], bool],
         now_s: float,
     ) -> None:
         self.me = me
@@ -50,8 +51,11 @@
         self.grant = MemberGrant(timing.grant_ttl_s, now_s)
         self.target = TargetState()
         self.leaving = False
+        self.released = False
+        self._heard_leader_s = now_s
         self._outbox = outbox
         self._epoch_changed = epoch_changed
+        self._drained = drained
         self._heartbeat_s = -1.0e9
         self._ordered_s = -1.0e9
 
@@ -79,6 +83,8 @@
             if row.leader.node == self.me.node:
                 self.gate = LeaderGate(row, self.timing.leader_grant_ttl_s)
         self.row = row
+        self.released = False
+        self._heard_leader_s = now_s
         self.grant.learn(row.epoch)
         self._heartbeat_s = -1.0e9
         self._outbox.log(
@@ -114,6 +120,13 @@
             reason = Reason.STALE_EPOCH if stale else Reason.NO_GROUP
             self._refuse(sender, beat, reason, 0.0)
             return
+        self._heard_leader_s = now_s
+        if self.leaving and beat.released:
+            self.released = True
+            self.grant.returned(beat.epoch)
+            self._refuse(sender, beat, Reason.LEAVING, 0.0)
+            return
+        self.released = False
         held = self.grant.request(beat.epoch, now_s)
         if held.is_err():
             self._refuse(sender, beat, held.unwrap_err().reason, held.unwrap_err().wait_s)
@@ -166,6 +179,11 @@
             return Reason.LEAVING
         return self.gate.closed_because(now_s)
 
+    def may_go(self, now_s: float) -> bool:
+        """Tell whether this member's end would cut nothing that its group has in flight."""
+        silent_s = now_s - self._heard_leader_s
+        return self.row is None or self.released or silent_s > self.timing.leader_silent_s
+
     def ready(self, now_s: float) -> bool:
         """Tell whether the target has loaded what the row says, as of late."""
         row, target = self.row, self.target
@@ -197,7 +215,9 @@
             gate.granted(self.me.node, sequence, self.ready(now_s), self.leaving)
         for peer in self._others(row):
             riding = None if gate.knows_row(peer.node) else row
-            beat = Heartbeat(row.group, row.epoch, row.step, sequence, riding)
+            # The gate stays closed by a leaving member's last grant, so once drained it may go.
+            released = gate.is_leaving(peer.node) and self._drained()
+            beat = Heartbeat(row.group, row.epoch, row.step, sequence, released, riding)
             self._outbox.send(peer, beat)
 
     def _others(self, row: GroupRow) -> list[Peer]:
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
@@ -44,6 +44,8 @@
 from ochreway_nodes.viewspread import ViewSpread
 
 CLOCK_SKEW_S = 1.0
+LINGER_S = 1.0
+"""How long a stopping agent still refuses what entries sent before they knew."""
 
 Handler = Callable[[Peer, Any, float], None]
 
@@ -63,10 +65,20 @@
         self.me = me
         self.incarnation = incarnation
         self._started_wall_s = wall_s
+        self._left_s = now_s
+        self._stopping = False
+        self._noticed_until_s = now_s
+        self._timing = timing
         self._outbox = Outbox()
         self.spread = ViewSpread(View(operator_keys, timing.key_memory_s), self._outbox)
         self.membership = Membership(
-            me, incarnation, timing, self._outbox, self._on_epoch_changed, now_s
+            me,
+            incarnation,
+            timing,
+            self._outbox,
+            self._on_epoch_changed,
+            lambda: self.serving.drained,
+            now_s,
         )
         self.serving = Serving(self.membership, lambda: self.version, self._outbox)
         self.loads = LoadReports(self.membership, self.serving, self._outbox)
@@ -111,6 +123,9 @@
 
     def on_tick(self, now_s: float) -> None:
         """Do what is due."""
+        # The list lags, so a notice may be meant for a process before this one: it lapses.
+        if not self._stopping and now_s > self._noticed_until_s:
+            self._set_leaving(False, now_s)
         self.membership.tick(now_s)
         self.serving.tick(now_s)
         self.loads.tick(now_s)
@@ -142,18 +157,25 @@
 
     def leave(self, now_s: float) -> None:
         """Begin a planned stop: take no new work, finish what runs."""
-        if not self.membership.leaving:
-            self.membership.leaving = True
-            self._outbox.log("leaving", node=self.me.node)
-            self.serving.tick(now_s)
-            self.loads.tick(now_s)
+        self._stopping = True
+        self._set_leaving(True, now_s)
+
+    def _set_leaving(self, leaving: bool, now_s: float) -> None:
+        if self.membership.leaving is leaving:
+            return
+        self.membership.leaving = leaving
+        self._left_s = now_s
+        self._outbox.log("leaving" if leaving else "staying", node=self.me.node)
+        self.serving.tick(now_s)
+        self.loads.tick(now_s)
 
     def may_stop(self, now_s: float) -> bool:
         """Tell whether a planned stop would cut nothing."""
+        if now_s - self._left_s < LINGER_S:
+            return False
         if self.membership.leads:
             return self.serving.drained
-        row = self.membership.row
-        return row is None or not self.membership.grant.fresh(row.epoch, now_s)
+        return self.membership.may_go(now_s)
 
     def _on_epoch_changed(self, now_s: float) -> None:
         self.serving.on_epoch_changed(now_s)
@@ -163,7 +185,8 @@
 
     def _on_leave_notice(self, sender: Peer, notice: LeaveNotice, now_s: float) -> None:
         if notice.node == self.me.node:
-            self.leave(now_s)
+            self._noticed_until_s = now_s + self._timing.leave_notice_s
+            self._set_leaving(True, now_s)
 
     def _on_view_request(self, sender: Peer, request: ViewRequest, now_s: float) -> None:
         self.spread.push(sender, now_s)
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
@@ -103,7 +103,7 @@
 
     def on_listing(self, instances: dict[NodeId, ListedInstance]) -> None:
         """Take in the platform's list."""
-        for node in self._named() | self.health.keys():
+        for node in sorted(self._named() | self.health.keys()):
             health = self.health.setdefault(node, Health())
             listed = instances.get(node)
             health.listed = listed is not None
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
@@ -223,6 +223,8 @@
         staying = [peer for peer in row.members if not situation.is_leaving(peer.node)]
         if len(staying) == len(row.members) or situation.lost_members(row):
             continue
+        if row.group not in specs:
+            continue
         if not row.draining:
             return DrainGroup(row.group, "a member is leaving")
         if not situation.drained(row):
@@ -247,7 +249,8 @@
 
 def _outdated(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
     specs = situation.specs()
-    rows = list(situation.rows.groups.values())
+    # An unwanted group may still be draining; it is not a matter of versions.
+    rows = [row for row in situation.rows.groups.values() if row.group in specs]
     down = {row.group for row in rows if row.draining or not situation.serves(row)}
     for row in rows:
         spec = specs[row.group]
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/call.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/call.py
@@ -46,6 +46,7 @@
     attempt: Attempt | None = None
     tried: frozenset[GroupId] = frozenset()
     attempts: int = 0
+    may_have_run: bool = False
 
     @property
     def streamed(self) -> bool:
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -296,6 +296,7 @@
         call = self._by_attempt.get(attempt)
         if call is None or call.attempt is None or call.attempt.attempt != attempt:
             return
+        call.may_have_run = call.may_have_run or outcome is Outcome.UNKNOWN
         fault = reason not in _NO_FAULT
         if self._router.failed(call.attempt.group, str(attempt), fault, now_s):
             self._outbox.count("ejection")
@@ -391,6 +392,9 @@
     # End
 
     def _end(self, call: Call, outcome: Outcome, reason: Reason, retry_after_s: float) -> None:
+        if outcome is Outcome.NOT_RUN and call.may_have_run:
+            # The last attempt did not run, but an earlier one may have.
+            outcome = Outcome.UNKNOWN
         self._free_key(call, outcome)
         self._finish(call, outcome, reason, retry_after_s)
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -255,7 +255,7 @@
         bundle = self.spread.view.bundle
         assert bundle is not None
         entries = [each for each in self.listing.values() if each.kind is InstanceKind.ENTRY]
-        for domain in domains:
+        for domain in sorted(domains):
             controller = self.controllers.get(domain)
             if controller is None:
                 controller = Controller(
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -164,7 +164,7 @@
             if key.startswith("controller/")
         }
         self.leases.update(leases)
-        for domain in self._asked & leases.keys():
+        for domain in sorted(self._asked & leases.keys()):
             prefix = group_key(domain, "")
             groups = _decoded(GroupRow, rows, prefix)
             self.set_groups(domain, leases[domain].counter, groups)
@@ -173,7 +173,9 @@
             for domain, lease in leases.items()
             if domain not in self.domains or self.domains[domain].counter < lease.counter
         )
-        wanted = [key for each in self._asked for key in (lease_key(each), group_key(each, ""))]
+        wanted = [
+            key for each in sorted(self._asked) for key in (lease_key(each), group_key(each, ""))
+        ]
         if self._wanted is not None and not self._approvals:
             wanted.append(approval_key(self._wanted.bundle))
         if wanted:
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/clock.py
@@ -0,0 +1,32 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Virtual time: a heap of what happens when."""
+
+import heapq
+from collections.abc import Callable
+
+Happening = Callable[[], None]
+
+
+class Clock:
+    """Run happenings in the order of their time."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self._heap: list[tuple[float, int, Happening]] = []
+        self._sequence = 0
+
+    def at(self, when_s: float, happening: Happening) -> None:
+        """Have something happen at a time, or now if that has passed."""
+        self._sequence += 1
+        heapq.heappush(self._heap, (max(when_s, self.now_s), self._sequence, happening))
+
+    def after(self, delay_s: float, happening: Happening) -> None:
+        """Have something happen after a while."""
+        self.at(self.now_s + delay_s, happening)
+
+    def run_until(self, end_s: float) -> None:
+        """Run everything that happens up to a time."""
+        while self._heap and self._heap[0][0] <= end_s:
+            self.now_s, _, happening = heapq.heappop(self._heap)
+            happening()
+        self.now_s = end_s
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/run.py
@@ -0,0 +1,156 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One run: set up, faults, healing, and the checks of safety and progress."""
+
+import hashlib
+from dataclasses import dataclass
+from functools import partial
+
+from ochreway_core.outcome import Outcome
+from ochreway_core.reason import Reason
+from ochreway_nodes.agent import AgentNode
+from ochreway_standins.soak.callers import Callers
+from ochreway_standins.soak.faults import FAULTS, Faults
+from ochreway_standins.soak.operator import Operator, bundle_body
+from ochreway_standins.soak.simplatform import Mode
+from ochreway_standins.soak.truth import Truth
+from ochreway_standins.soak.world import DOMAIN, Shape, World
+
+ROLL_AT_S = 3.0
+FAULTS_FROM_S = 12.0
+FAULTS_UNTIL_S = 36.0
+HEAL_AT_S = 50.0
+ASK_UNTIL_S = 55.0
+PROGRESS_WITHIN_S = 25.0
+TABLE_CHECK_S = 0.5
+ASK_EVERY_S = 0.12
+PAIRS = (1, 4)
+ANSWERED_SHARE_AT_LEAST = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class RunResult:
+    """Hold what a run showed."""
+
+    seed: int
+    faults: int
+    requests: int
+    answered: int
+    violations: tuple[str, ...]
+    trace_digest: str
+
+
+class Run:
+    """Build a world from a seed, let it run, and judge it."""
+
+    def __init__(
+        self,
+        seed: int,
+        kinds: list[str] | None = None,
+        pairs: int | None = None,
+        shape: Shape | None = None,
+    ) -> None:
+        self.seed = seed
+        self.world = World(seed, shape or Shape())
+        self.callers = Callers(self.world)
+        self.truth = Truth(self.world, self.callers)
+        self.faults = Faults(self.world, self.callers, self.truth)
+        self._kinds = kinds or list(FAULTS)
+        self._pairs = pairs if pairs is not None else self.world.random.randint(*PAIRS)
+
+    def go(self) -> RunResult:
+        """Run to the end and return what it showed."""
+        world, clock = self.world, self.world.clock
+        self.truth.watch()
+        clock.at(ROLL_AT_S, self._first_roll)
+        clock.at(FAULTS_FROM_S, partial(self.callers.ask_until, ASK_UNTIL_S, ASK_EVERY_S))
+        self.faults.draw(self._kinds, self._pairs, FAULTS_FROM_S, FAULTS_UNTIL_S)
+        clock.at(TABLE_CHECK_S, self._check_table)
+        clock.at(HEAL_AT_S, self._heal)
+        clock.run_until(HEAL_AT_S + PROGRESS_WITHIN_S)
+        self.truth.check_answers()
+        self._check_progress()
+        return self._result(world)
+
+    def _result(self, world: World) -> RunResult:
+        finishes = [each.finish for each in self.callers.asked.values() if each.finish]
+        answered = sum(each.outcome is Outcome.ANSWERED for each in finishes)
+        return RunResult(
+            seed=self.seed,
+            faults=self.faults.count,
+            requests=len(self.callers.asked),
+            answered=answered,
+            violations=tuple(self.truth.violations),
+            trace_digest=hashlib.sha256("\n".join(world.trace).encode()).hexdigest(),
+        )
+
+    def _first_roll(self) -> None:
+        body = bundle_body(self.world, 0, self.world.shape.services)
+        Operator(self.world, "ann").roll(body, lambda version: None)
+
+    def _check_table(self) -> None:
+        self.truth.check_table()
+        self.world.clock.after(TABLE_CHECK_S, self._check_table)
+
+    def _heal(self) -> None:
+        self.world.platform.mode = Mode.UP
+        self.world.network.heal_all()
+        self.world.hand_over_pause = lambda: 0.0
+        for process in self.world.processes.values():
+            if process.paused:
+                self.world.wake(process.peer.node)
+        for target in self.world.targets.values():
+            target.broken = False
+
+    def _check_progress(self) -> None:
+        rows = [row for row in self.world.platform.table.rows if row.startswith(f"group/{DOMAIN}/")]
+        leaders = {
+            agent.membership.row.group: agent
+            for agent in (each.node for each in self.world.agents() if each.running)
+            if isinstance(agent, AgentNode) and agent.membership.leads and agent.membership.row
+        }
+        for key in rows:
+            group = key.rpartition("/")[2]
+            agent = leaders.get(group)  # type: ignore[call-overload]
+            closed = self._closed(agent)
+            if closed is not Reason.NONE:
+                self._no_progress(f"{group} does not serve: {closed.value}")
+        wanted = 2 + 1
+        if len(rows) < wanted:
+            self._no_progress(f"{len(rows)} groups, fewer than {wanted}")
+        self._check_requests_ended()
+        self._check_versions()
+
+    def _closed(self, agent: AgentNode | None) -> Reason:
+        if agent is None:
+            return Reason.NO_GROUP
+        process = self.world.processes[agent.me.node]
+        return agent.membership.closed_because(process.local_s(self.world.clock.now_s))
+
+    def _check_requests_ended(self) -> None:
+        for asked in self.callers.unanswered():
+            self._no_progress(f"{asked.request.request} has not ended")
+        asked_count = len(self.callers.asked)
+        answered = sum(
+            each.finish is not None and each.finish.outcome is Outcome.ANSWERED
+            for each in self.callers.asked.values()
+        )
+        if answered < asked_count * ANSWERED_SHARE_AT_LEAST:
+            self._no_progress(f"only {answered} of {asked_count} answered")
+
+    def _check_versions(self) -> None:
+        alive = [each for each in self.world.processes.values() if each.running]
+        named = [each for each in alive if self._is_named(each.peer.node)]
+        versions = {each.node.version for each in named}
+        if len(versions) != 1:
+            shown = ", ".join(f"{each.peer.node}={each.node.version}" for each in named)
+            self._no_progress(f"versions differ: {shown}")
+
+    def _is_named(self, node: str) -> bool:
+        """Leave out instances of services that the last bundle may not name."""
+        return not node.startswith("service-") or node == "service-0"
+
+    def _no_progress(self, detail: str) -> None:
+        self.truth.violations.append(f"progress: {detail}")
+
+
+__all__ = ["Run", "RunResult"]
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/simtarget.py
@@ -0,0 +1,105 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A target under virtual time, which remembers the truth about what it ran."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ochreway_core.attemptid import AttemptId
+from ochreway_core.chunk import Chunk
+from ochreway_core.messages import Submit
+from ochreway_core.rows import GroupRow
+from ochreway_core.targetkind import TargetKind
+from ochreway_standins.soak.clock import Clock
+
+PIECES = (1, 12)
+PIECE_S = (0.01, 0.3)
+
+OnChunk = Callable[[AttemptId, Chunk], None]
+OnFailed = Callable[[AttemptId, bool], None]
+
+
+def expected_answer(request: str, pieces: int) -> bytes:
+    """Return the answer that a request must get: nobody else's looks like it."""
+    return b"".join(f"{request}/{index};".encode() for index in range(pieces))
+
+
+@dataclass(slots=True)
+class Execution:
+    """Record that a target began to run an attempt."""
+
+    request: str
+    attempt: AttemptId
+    began_s: float
+
+
+@dataclass(slots=True)
+class SimTarget:
+    """Load what it is ordered to and answer in pieces."""
+
+    clock: Clock
+    random: random.Random
+    load_s: float
+    kind: TargetKind
+    checks_orders: bool
+    executions: list[Execution]
+    epoch: int = 0
+    artifact: str = ""
+    loaded_s: float = 1.0e9
+    life: int = 0
+    broken: bool = False
+    running: dict[AttemptId, int] = field(default_factory=dict)
+
+    @property
+    def loaded(self) -> bool:
+        """Tell whether the target can run what it was ordered to."""
+        return self.kind is TargetKind.SERVICE or self.clock.now_s >= self.loaded_s
+
+    def order(self, row: GroupRow) -> None:
+        """Load what the row says; a target that checks orders refuses an older epoch."""
+        if self.checks_orders and row.epoch < self.epoch:
+            return
+        if (row.epoch, row.artifact) != (self.epoch, self.artifact):
+            self.epoch, self.artifact = row.epoch, row.artifact
+            self.loaded_s = self.clock.now_s + self.load_s
+
+    def crash(self) -> None:
+        """Lose everything."""
+        self.life += 1
+        self.epoch, self.artifact, self.loaded_s = 0, "", 1.0e9
+        self.running.clear()
+
+    def run(self, submit: Submit, on_chunk: OnChunk, on_failed: OnFailed) -> None:
+        """Begin an attempt."""
+        attempt = submit.attempt
+        self.executions.append(Execution(submit.request, attempt, self.clock.now_s))
+        if self.broken and self.random.random() < 0.5:
+            self.clock.after(0.01, lambda: on_failed(attempt, True))
+            return
+        self.running[attempt] = self.life
+        self._piece(submit, 0, on_chunk, on_failed)
+
+    def _piece(self, submit: Submit, index: int, on_chunk: OnChunk, on_failed: OnFailed) -> None:
+        attempt, life = submit.attempt, self.life
+        pieces = submit.max_tokens
+
+        def give() -> None:
+            if self.running.get(attempt) != life or self.life != life:
+                on_failed(attempt, True)
+                return
+            payload = f"{submit.request}/{index};".encode()
+            last = index + 1 >= pieces
+            on_chunk(attempt, Chunk(payload, 1, 200, "text/plain", last))
+            if last:
+                del self.running[attempt]
+            else:
+                self._piece(submit, index + 1, on_chunk, on_failed)
+
+        self.clock.after(self.random.uniform(*PIECE_S), give)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Stop an attempt."""
+        self.running.pop(attempt, None)
+
+
+__all__ = ["PIECES", "Execution", "SimTarget", "expected_answer"]
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
@@ -0,0 +1,141 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The invariants, checked against what really happened in the world."""
+
+from dataclasses import dataclass, field
+
+from ochreway_core import invariants
+from ochreway_core.codec import decode
+from ochreway_core.effects import HandOver
+from ochreway_core.ids import NodeId
+from ochreway_core.invariants import Invariant
+from ochreway_core.outcome import Outcome
+from ochreway_core.rows import GroupRow, InstanceRow
+from ochreway_nodes.agent import AgentNode
+from ochreway_standins.soak.callers import Callers
+from ochreway_standins.soak.process import Process
+from ochreway_standins.soak.simtarget import expected_answer
+from ochreway_standins.soak.world import World
+
+AGENT_LEAVE_S = 2.0
+LIST_LEAVE_S = 5.0
+
+
+@dataclass(slots=True)
+class Truth:
+    """Collect violations of one run."""
+
+    world: World
+    callers: Callers
+    violations: list[str] = field(default_factory=list)
+    quiet_from_s: dict[NodeId, float] = field(default_factory=dict)
+    _versions: dict[tuple[NodeId, float], int] = field(default_factory=dict)
+
+    def watch(self) -> None:
+        """Look on from now on."""
+        self.world.on_hand_over = self._on_hand_over
+        self.world.on_applied = self._on_applied
+        invariants.set_reporter(self._reported)
+
+    def _reported(self, invariant: Invariant, detail: str) -> None:
+        self.violate(invariant, f"asserted inside: {detail}")
+
+    def violate(self, invariant: Invariant, detail: str) -> None:
+        """Note a violation."""
+        self.violations.append(f"{self.world.clock.now_s:.3f} {invariant.value}: {detail}")
+
+    def _on_hand_over(self, process: Process, order: HandOver) -> None:
+        node = process.node
+        assert isinstance(node, AgentNode)
+        row = node.membership.row
+        if row is None:
+            self.violate(Invariant.GROUP_COMPLETE, f"{process.peer.node} has no group")
+            return
+        for peer in row.members:
+            self._check_member(process, row, peer.node)
+            self._check_quiet(row, peer.node)
+
+    def _check_member(self, leader: Process, row: GroupRow, node: NodeId) -> None:
+        member = self.world.processes[node]
+        now_s, ttl_s = self.world.clock.now_s, self.world.shape.timing.grant_ttl_s
+        if not member.running:
+            silent_s = now_s - (member.silent_since_s or now_s)
+            if silent_s > ttl_s:
+                detail = f"{row.group}: {node} silent for {silent_s:.2f} s"
+                self.violate(Invariant.GROUP_COMPLETE, detail)
+            return
+        agent = member.node
+        assert isinstance(agent, AgentNode)
+        if member.born_s > leader.born_s and now_s - member.born_s < ttl_s:
+            return
+        if not agent.membership.grant.fresh(row.epoch, member.local_s(now_s)):
+            held = agent.membership.grant.epoch
+            detail = f"{row.group}@{row.epoch}: {node} grants epoch {held}"
+            other = held != row.epoch
+            self.violate(Invariant.ONE_GROUP if other else Invariant.GROUP_COMPLETE, detail)
+
+    def _check_quiet(self, row: GroupRow, node: NodeId) -> None:
+        quiet_s = self.quiet_from_s.get(node)
+        if quiet_s is not None and self.world.clock.now_s > quiet_s:
+            self.violate(Invariant.LEAVING_QUIET, f"{row.group}: {node} is leaving")
+
+    def _on_applied(self, process: Process) -> None:
+        key = (process.peer.node, process.born_s)
+        version = process.node.version
+        if version < self._versions.get(key, 0):
+            self.violate(Invariant.VERSION_FORWARD, f"{process.peer.node} fell to {version}")
+        self._versions[key] = version
+
+    def check_table(self) -> None:
+        """Check that the table puts each instance into one group at most."""
+        groups: dict[str, str] = {}
+        rows = self.world.platform.table.rows
+        for key, row in rows.items():
+            if key.startswith("group/"):
+                group = decode(GroupRow, row.content)
+                for peer in group.members:
+                    if peer.node in groups:
+                        other = groups[peer.node]
+                        detail = f"{peer.node} in {other} and {group.group}"
+                        self.violate(Invariant.ONE_GROUP, detail)
+                    groups[peer.node] = group.group
+        for key, row in rows.items():
+            if key.startswith("instance/"):
+                instance = decode(InstanceRow, row.content)
+                if groups.get(instance.node) != instance.group:
+                    self.violate(Invariant.ONE_GROUP, f"{instance.node}: rows disagree")
+
+    def check_answers(self) -> None:
+        """Check every request's outcome against what the targets ran."""
+        runs: dict[str, int] = {}
+        for execution in self.world.executions:
+            runs[execution.request] = runs.get(execution.request, 0) + 1
+        by_key: dict[str, int] = {}
+        for asked in self.callers.asked.values():
+            request = asked.request
+            ran = runs.get(request.request, 0)
+            if asked.finishes > 1:
+                self.violate(Invariant.WHOLE_ANSWER, f"{request.request} ended twice")
+            if asked.finish is not None:
+                self._check_outcome(
+                    asked.finish.outcome, asked.answer, request.request, ran, request.max_tokens
+                )
+            if not request.repeatable:
+                name = str(request.key or request.request)
+                by_key[name] = by_key.get(name, 0) + ran
+        for name, ran in by_key.items():
+            if ran > 1:
+                self.violate(Invariant.AT_MOST_ONCE, f"{name} ran {ran} times")
+
+    def _check_outcome(
+        self, outcome: Outcome, answer: bytearray, request: str, ran: int, pieces: int
+    ) -> None:
+        expected = expected_answer(request, pieces)
+        if outcome is Outcome.ANSWERED and bytes(answer) != expected:
+            self.violate(Invariant.WHOLE_ANSWER, f"{request} was given {bytes(answer)[:60]!r}")
+        if not expected.startswith(bytes(answer)):
+            self.violate(Invariant.WHOLE_ANSWER, f"{request} was given a stray piece")
+        if outcome is Outcome.NOT_RUN and ran:
+            self.violate(Invariant.NOT_RUN_TRUE, f"{request} ran {ran} times")
+
+
+__all__ = ["AGENT_LEAVE_S", "LIST_LEAVE_S", "Truth"]
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/world.py
@@ -0,0 +1,344 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The world of one run: processes, network, platform, targets, truth."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from ochreway_core.effects import (
+    CancelWork,
+    Count,
+    Deliver,
+    FetchBody,
+    Finish,
+    HandOver,
+    Log,
+    OrderTarget,
+    Send,
+    TableCommit,
+    TableRead,
+)
+from ochreway_core.ids import DomainId, HallId, Incarnation, NodeId, ScopeId
+from ochreway_core.listing import InstanceKind, ListedInstance
+from ochreway_core.peer import Peer
+from ochreway_core.targetkind import TargetKind
+from ochreway_core.timing import Timing
+from ochreway_nodes.agent import AgentNode
+from ochreway_nodes.controller.repair import RepairTuning
+from ochreway_nodes.entry import EntryNode
+from ochreway_nodes.targetstate import TargetState
+from ochreway_standins.soak.clock import Clock
+from ochreway_standins.soak.network import RESET_AFTER_S, Network
+from ochreway_standins.soak.process import Event, Process
+from ochreway_standins.soak.simplatform import SimPlatform
+from ochreway_standins.soak.simtarget import Execution, SimTarget
+
+KEY = Ed25519PrivateKey.from_private_bytes(bytes(range(32)))
+KEYS = {"bo": KEY.public_key()}
+HALL = HallId("h1")
+DOMAIN = DomainId("d1")
+SCOPE = ScopeId("main")
+CLOCK_DRIFT = 0.002
+STATE_POLL_S = 0.5
+WALL_S = 1.0e9
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Size a world."""
+
+    entries: int = 3
+    engines: int = 8
+    services: int = 2
+    load_s: float = 1.0
+    timing: Timing = field(default_factory=lambda: Timing(tick_s=0.2, key_memory_s=20.0))
+    repair_policy: str = "expected_cost"
+    repair: RepairTuning = field(default_factory=lambda: RepairTuning(load_s=1.0, replace_s=10.0))
+
+
+class World:
+    """Run real nodes against small fakes, and remember what really happened."""
+
+    def __init__(self, seed: int, shape: Shape) -> None:
+        self.random = random.Random(seed)
+        self.shape = shape
+        self.clock = Clock()
+        self.network = Network(self.clock, self.random, self._link_reset)
+        self.platform = SimPlatform(self.clock, self.random)
+        self.processes: dict[NodeId, Process] = {}
+        self.targets: dict[NodeId, SimTarget] = {}
+        self.executions: list[Execution] = []
+        self.counters: dict[str, int] = {}
+        self.trace: list[str] = []
+        self.hand_over_pause: Callable[[], float] = lambda: 0.0
+        self.on_hand_over: Callable[[Process, HandOver], None] = lambda process, order: None
+        self.on_deliver: Callable[[Process, Deliver], None] = lambda process, effect: None
+        self.on_finish: Callable[[Process, Finish], None] = lambda process, effect: None
+        self.on_applied: Callable[[Process], None] = lambda process: None
+        self._runners: dict[type, Callable[[Process, Any], None]] = {
+            Send: self._send,
+            HandOver: self._hand_over,
+            CancelWork: self._cancel_work,
+            OrderTarget: self._order_target,
+            TableRead: self._table_read,
+            TableCommit: self._table_commit,
+            FetchBody: self._fetch_body,
+            Deliver: lambda process, effect: self.on_deliver(process, effect),
+            Finish: lambda process, effect: self.on_finish(process, effect),
+            Count: self._count,
+            Log: self._log,
+        }
+        for index in range(shape.entries):
+            self.boot(NodeId(f"entry-{index}"))
+        for index in range(shape.engines):
+            self.boot(NodeId(f"engine-{index}"))
+        for index in range(shape.services):
+            self.boot(NodeId(f"service-{index}"))
+
+    # Processes
+
+    def boot(self, node: NodeId) -> None:
+        """Start a process, anew if it was there before, and list it."""
+        rng = self.random
+        entry = node.startswith("entry")
+        peer = Peer(node, f"{node}:1")
+        drift = 1.0 + rng.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
+        offset_s = rng.uniform(0.0, 1.0e6)
+        local_s = offset_s + self.clock.now_s * drift
+        incarnation = Incarnation(rng.getrandbits(32))
+        made: AgentNode | EntryNode
+        if entry:
+            made = self._entry(peer, incarnation, local_s)
+        else:
+            wall_s = WALL_S + self.clock.now_s
+            made = AgentNode(peer, incarnation, self.shape.timing, KEYS, local_s, wall_s)
+            self._boot_target(node)
+        process = Process(peer, made, self.clock.now_s, offset_s, drift)
+        self.processes[node] = process
+        kind = InstanceKind.ENTRY if entry else InstanceKind.TARGET
+        self.platform.listed[node] = ListedInstance(node, peer.address, kind, HALL, DOMAIN)
+        self.clock.after(rng.random() * self.shape.timing.tick_s, partial(self._tick, process))
+        if entry:
+            self._poll_list(process)
+        else:
+            self._poll_target(process)
+
+    def _entry(self, peer: Peer, incarnation: Incarnation, local_s: float) -> EntryNode:
+        return EntryNode(
+            peer,
+            incarnation,
+            HALL,
+            SCOPE,
+            self.shape.timing,
+            KEYS,
+            random.Random(self.random.getrandbits(32)),
+            local_s,
+            repair_policy=self.shape.repair_policy,
+            repair_tuning=self.shape.repair,
+        )
+
+    def _boot_target(self, node: NodeId) -> None:
+        if node in self.targets:
+            self.targets[node].crash()
+            return
+        kind = TargetKind.SERVICE if node.startswith("service") else TargetKind.MODEL
+        checks = int(node.rpartition("-")[2]) % 2 == 0
+        self.targets[node] = SimTarget(
+            self.clock, self.random, self.shape.load_s, kind, checks, self.executions
+        )
+
+    def kill(self, node: NodeId, whole_instance: bool) -> None:
+        """End a process at once, with its target when the whole instance goes."""
+        process = self.processes[node]
+        process.alive = False
+        process.waiting.clear()
+        process.silent_since_s = self.clock.now_s
+        if whole_instance and node in self.targets:
+            self.targets[node].crash()
+        delay_s = RESET_AFTER_S if whole_instance else 0.01
+        self.clock.after(delay_s, partial(self._all_links_down, node))
+
+    def _all_links_down(self, node: NodeId) -> None:
+        for process in self.processes.values():
+            if process.peer.node != node:
+                self.post(process, partial(_link_down, process, node))
+
+    def pause(self, node: NodeId) -> None:
+        """Freeze a process; its links break when that lasts."""
+        process = self.processes[node]
+        if not process.running:
+            return
+        process.paused = True
+        process.silent_since_s = self.clock.now_s
+        self.clock.after(RESET_AFTER_S, partial(self._break_links_if_paused, process))
+
+    def _break_links_if_paused(self, process: Process) -> None:
+        if process.paused and process.alive:
+            self._all_links_down(process.peer.node)
+
+    def wake(self, node: NodeId) -> None:
+        """Let a frozen process go on as if nothing had happened."""
+        process = self.processes[node]
+        process.paused = False
+        process.silent_since_s = None
+        waiting, process.waiting = process.waiting, []
+        for event in waiting:
+            self.post(process, event)
+
+    def post(self, process: Process, event: Event) -> None:
+        """Give a process an event, now or when it wakes."""
+        if process.paused and process.alive:
+            process.waiting.append(event)
+            return
+        if not process.alive:
+            return
+        before = process.node.version
+        event(process.local_s(self.clock.now_s))
+        if process.node.version != before:
+            self.on_applied(process)
+        for effect in process.node.take():
+            self._runners[type(effect)](process, effect)
+
+    def _tick(self, process: Process) -> None:
+        if not process.alive:
+            return
+        if not process.paused:
+            self.post(process, process.node.on_tick)
+        self.clock.after(self.shape.timing.tick_s, partial(self._tick, process))
+
+    def _poll_list(self, process: Process) -> None:
+        if not process.alive:
+            return
+        node = process.node
+        assert isinstance(node, EntryNode)
+        self.platform.list_now(
+            lambda found: self.post(process, lambda now_s: node.on_listing(found, now_s))
+        )
+        self.clock.after(self.shape.timing.list_poll_s, partial(self._poll_list, process))
+
+    def _poll_target(self, process: Process) -> None:
+        if not process.alive:
+            return
+        node, target = process.node, self.targets[process.peer.node]
+        assert isinstance(node, AgentNode)
+        if not process.paused:
+            seen_s = process.local_s(self.clock.now_s)
+            state = TargetState(target.epoch, target.artifact, target.loaded, seen_s)  # type: ignore[arg-type]
+            self.post(process, lambda _: node.on_target_state(state))
+        self.clock.after(STATE_POLL_S, partial(self._poll_target, process))
+
+    def _link_reset(self, one: NodeId, other: NodeId) -> None:
+        for here, there in ((one, other), (other, one)):
+            process = self.processes[here]
+            self.post(process, partial(_link_down, process, there))
+
+    # Effects
+
+    def _send(self, process: Process, effect: Send) -> None:
+        sender, version = process.peer, process.node.version
+        target, message = effect.peer.node, effect.message
+
+        def deliver() -> None:
+            receiver = self.processes.get(target)
+            if receiver is not None:
+                self.post(
+                    receiver,
+                    lambda now_s: receiver.node.on_message(sender, version, message, now_s),
+                )
+
+        self.network.send(sender.node, target, deliver)
+
+    def _hand_over(self, process: Process, effect: HandOver) -> None:
+        pause_s = self.hand_over_pause()
+        if pause_s:
+            self.pause(process.peer.node)
+            self.clock.after(pause_s, partial(self.wake, process.peer.node))
+        self.post(process, partial(self._hand_over_now, process, effect))
+
+    def _hand_over_now(self, process: Process, order: HandOver, now_s: float) -> None:
+        node = process.node
+        assert isinstance(node, AgentNode)
+        attempt = order.submit.attempt
+        if not node.may_hand_over(order, now_s):
+            node.on_hand_over_missed(attempt, now_s)
+            return
+        self.on_hand_over(process, order)
+        self.targets[process.peer.node].run(
+            order.submit,
+            lambda attempt, chunk: self.post(
+                process, lambda now_s: node.on_chunk(attempt, chunk, now_s)
+            ),
+            lambda attempt, started: self.post(
+                process, lambda now_s: node.on_target_failed(attempt, started, now_s)
+            ),
+        )
+
+    def _cancel_work(self, process: Process, effect: CancelWork) -> None:
+        self.targets[process.peer.node].cancel(effect.attempt)
+
+    def _order_target(self, process: Process, effect: OrderTarget) -> None:
+        node = process.node
+        assert isinstance(node, AgentNode)
+
+        def order(now_s: float) -> None:
+            if node.may_order(effect, now_s):
+                self.targets[process.peer.node].order(effect.row)
+
+        self.post(process, order)
+
+    def _table_read(self, process: Process, effect: TableRead) -> None:
+        node = process.node
+        assert isinstance(node, EntryNode)
+        self.platform.read(
+            effect.prefixes,
+            lambda reply: self.post(
+                process, lambda now_s: node.on_read(effect.use, effect.call, reply, now_s)
+            ),
+        )
+
+    def _table_commit(self, process: Process, effect: TableCommit) -> None:
+        node = process.node
+        assert isinstance(node, EntryNode)
+        self.platform.commit(
+            effect.transaction,
+            lambda reply: self.post(
+                process, lambda now_s: node.on_commit(effect.call, reply, now_s)
+            ),
+        )
+
+    def _fetch_body(self, process: Process, effect: FetchBody) -> None:
+        node = process.node
+        assert isinstance(node, EntryNode)
+        self.platform.body(
+            effect.bundle,
+            lambda body: self.post(process, lambda now_s: node.on_body(effect.bundle, body, now_s)),
+        )
+
+    def _count(self, process: Process, effect: Count) -> None:
+        self.counters[effect.name] = self.counters.get(effect.name, 0) + effect.amount
+
+    def _log(self, process: Process, effect: Log) -> None:
+        fields = " ".join(f"{key}={value}" for key, value in effect.fields.items())
+        self.trace.append(f"{self.clock.now_s:.4f} {process.peer.node} {effect.event} {fields}")
+
+    # Views of the whole
+
+    def agents(self) -> list[Process]:
+        """Return every agent's process."""
+        return [each for each in self.processes.values() if isinstance(each.node, AgentNode)]
+
+    def entries(self) -> list[Process]:
+        """Return every entry's process."""
+        return [each for each in self.processes.values() if isinstance(each.node, EntryNode)]
+
+
+def _link_down(process: Process, node: NodeId, now_s: float) -> None:
+    if isinstance(process.node, EntryNode):
+        process.node.on_link_down(node, now_s)
+
+
+__all__ = ["DOMAIN", "HALL", "KEY", "SCOPE", "WALL_S", "Shape", "World"]
