Measure routing policies and mend what the measurement showed

A report now carries the last attempt received from the entry it is for; what is not in it counts as unreported and tells the report's age without a shared clock; old reports are trusted less, the replicas' average more. The leader now meters its own prefill and decode, hands over 0.25 s of prefill ahead, keeps the rest in order of deadline, and refuses at once what would be late.

--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,6 @@
 
 bench: setup
 	$(BIN)/python -m ochreway_standins.bench
+
+bench-policy: setup
+	$(BIN)/python -m ochreway_standins.policybench --seed $(SEED) --jobs $(JOBS) --out docs/policy
--- a/packages/ochreway-core/src/ochreway_core/messages/membership.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/membership.py
@@ -121,6 +121,10 @@
 class LoadReport:
     """Tell entries whether a group takes work and how much it has.
 
+    ``backlog_s`` is how long the prefill ahead is expected to take, handed over or queued.
+    ``next_s`` is when the queue's first would begin its prefill.
+    ``received`` is the sequence number of the last attempt that came from the entry that the
+    report is for, so the entry knows which of its own are not in the report yet.
     ``cached`` and ``evicted`` are block hashes of the engine's prefix cache, late and with gaps.
     """
 
@@ -130,7 +134,9 @@
     gate: Reason
     in_flight: int
     queued: int
-    queued_tokens: int
+    backlog_s: float
+    next_s: float
+    received: int
     slots: int
     cached: tuple[int, ...]
     evicted: tuple[int, ...]
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/loadreports.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/loadreports.py
@@ -40,7 +40,7 @@
         self._followers[sender.node] = _Follower(sender, now_s + FOLLOW_FOR_S)
         row = self._membership.row
         if fresh and row is not None and self._membership.leads:
-            self._outbox.send(sender, self._report(now_s))
+            self._outbox.send(sender, self._report(sender.node, now_s))
 
     def on_cache_events(self, cached: list[int], evicted: list[int]) -> None:
         """Keep the engine's cache events for the next report."""
@@ -57,15 +57,14 @@
             return
         self._reported_s = now_s
         self._reported_gate = gate
-        report = self._report(now_s)
-        self._cached, self._evicted = [], []
         for node, follower in list(self._followers.items()):
             if follower.until_s < now_s:
                 del self._followers[node]
             else:
-                self._outbox.send(follower.peer, report)
+                self._outbox.send(follower.peer, self._report(node, now_s))
+        self._cached, self._evicted = [], []
 
-    def _report(self, now_s: float) -> LoadReport:
+    def _report(self, follower: NodeId, now_s: float) -> LoadReport:
         row = self._membership.row
         assert row is not None
         return LoadReport(
@@ -75,7 +74,9 @@
             gate=self._membership.closed_because(now_s),
             in_flight=self._serving.running,
             queued=len(self._serving.queue),
-            queued_tokens=int(self._serving.queue.tokens),
+            backlog_s=self._serving.backlog_s,
+            next_s=self._serving.next_s,
+            received=self._serving.last_received(follower),
             slots=row.slots,
             cached=tuple(self._cached),
             evicted=tuple(self._evicted),
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
@@ -8,6 +8,7 @@
 from ochreway_core.attemptledger import AttemptLedger, AttemptRecord, AttemptState
 from ochreway_core.chunk import Chunk
 from ochreway_core.effects import CancelWork, HandOver
+from ochreway_core.ids import NodeId
 from ochreway_core.messages import Cancel, Credit, Frame, Refusal, Settled, Submit, Withdraw
 from ochreway_core.outcome import Outcome
 from ochreway_core.peer import Peer
@@ -16,13 +17,15 @@
 from ochreway_nodes.outbox import Outbox
 from ochreway_routing.estimate import honest_retry_after_s
 from ochreway_routing.fairqueue import FairQueue
+from ochreway_routing.servicemeter import ServiceMeter
 from ochreway_routing.work import Work
 
 FORGET_AFTER_S = 60.0
 QUEUE_PER_SLOT = 2
 CLOSED_RETRY_S = 2.0
 WINDOW_BYTES = 64 * 1024
-PREFILL_S_PER_TOKEN = 0.00012
+PREFILL_AHEAD_S = 0.25
+"""How much prefill is handed over ahead; the rest waits where it can be put in order."""
 ANSWER_TURN_S = 2.0
 
 Check = tuple[Outcome, Reason]
@@ -35,6 +38,8 @@
         self.ledger = AttemptLedger()
         self.queue: FairQueue[AttemptRecord] = FairQueue(at_most=QUEUE_PER_SLOT, slots=1)
         self.running = 0
+        self._received: dict[NodeId, int] = {}
+        self.meter: ServiceMeter[AttemptId] = ServiceMeter()
         self._membership = membership
         self._version = version
         self._outbox = outbox
@@ -43,6 +48,8 @@
 
     def on_submit(self, sender: Peer, submit: Submit, now_s: float) -> None:
         """Queue an attempt, or refuse it."""
+        received = self._received.get(sender.node, 0)
+        self._received[sender.node] = max(received, submit.attempt.sequence)
         known = self.ledger.get(submit.attempt)
         if known is not None:
             self._answer_again(sender, submit.attempt, known)
@@ -84,14 +91,22 @@
         assert row is not None
         self.queue.slots = row.slots
         self.queue.at_most = row.slots * QUEUE_PER_SLOT
+        prefill_tokens = self.meter.prefill_tokens(submit.blocks, submit.prompt_tokens, now_s)
         work = Work(
             item=record,
             organisation=submit.organisation,
             priority=submit.priority,
             cost_tokens=float(submit.prompt_tokens + submit.max_tokens),
+            prefill_tokens=prefill_tokens,
             deadline_s=now_s + submit.expires_in_s,
+            needed_s=self.meter.needed_s(prefill_tokens, submit.max_tokens),
             queued_s=now_s,
         )
+        late_s = self._late_s(work, now_s)
+        if late_s > 0:
+            retry_after_s = honest_retry_after_s(late_s)
+            self._end(record, Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT, retry_after_s)
+            return
         offered = self.queue.offer(work)
         if offered.is_err():
             self._end(record, Outcome.NOT_RUN, offered.unwrap_err(), self.retry_after_s())
@@ -100,6 +115,26 @@
         if displaced is not None:
             self._end(displaced.item, Outcome.NOT_RUN, Reason.OVER_SHARE, self.retry_after_s())
 
+    def _late_s(self, work: Work[AttemptRecord], now_s: float) -> float:
+        """Return by how much the work is expected to miss its deadline."""
+        wait_s = self.meter.wait_s(*self.queue.ahead_of(work), self.queue.slots)
+        return now_s + wait_s + work.needed_s - work.deadline_s
+
+    @property
+    def next_s(self) -> float:
+        """Return when the queue's first is expected to begin its prefill."""
+        return self.meter.next_s(self.queue.slots)
+
+    @property
+    def backlog_s(self) -> float:
+        """Return how long the prefill ahead is expected to take, handed over or queued."""
+        queued = sum(work.prefill_tokens for work in self.queue.waiting())
+        return self.meter.backlog_s + queued * self.meter.prefill_s_per_token
+
+    def last_received(self, entry: NodeId) -> int:
+        """Return the sequence number of the entry's last attempt."""
+        return self._received.get(entry, 0)
+
     def retry_after_s(self) -> float:
         """Return when the queue is expected to have room."""
         turns = (len(self.queue) + 1) / max(self.queue.slots, 1)
@@ -116,9 +151,10 @@
             for work in self.queue.take_all():
                 self._end(work.item, Outcome.NOT_RUN, closed, CLOSED_RETRY_S)
             return
-        for work in self.queue.take_hopeless(now_s, 0.0):
-            self._end(work.item, Outcome.NOT_RUN, Reason.DEADLINE_PASSED, 1.0)
-        while self.running < self.queue.slots:
+        for work in self.queue.take_hopeless(now_s, self.meter.backlog_s):
+            retry_after_s = self.retry_after_s()
+            self._end(work.item, Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT, retry_after_s)
+        while self.running < self.queue.slots and self.meter.backlog_s < PREFILL_AHEAD_S:
             following = self.queue.next()
             if following is None:
                 return
@@ -132,8 +168,10 @@
         # In doubt it counts as handed over, so this goes before the effect.
         record.state = AttemptState.HANDED
         self.running += 1
+        submit = record.submit
+        self.meter.started(submit.attempt, submit.blocks, work.prefill_tokens, now_s)
         valid_until_s = min(gate.valid_until_s(), work.deadline_s)
-        self._outbox.add(HandOver(record.submit, valid_until_s))
+        self._outbox.add(HandOver(submit, valid_until_s))
 
     def may_hand_over(self, order: HandOver, now_s: float) -> bool:
         """Tell, at the moment of the hand-over, whether it may still happen."""
@@ -149,7 +187,7 @@
         """End an attempt whose hand-over did not happen."""
         record = self.ledger.get(attempt)
         if record is not None and record.state is AttemptState.HANDED:
-            self._slot_free(record)
+            self._slot_free(record, now_s)
             self._end(record, Outcome.NOT_RUN, Reason.HAND_OVER_LATE, CLOSED_RETRY_S)
 
     # Answers
@@ -161,6 +199,7 @@
             return
         answer = record.answer
         offset = answer.length
+        self.meter.first_token(attempt, now_s)
         answer.add(chunk.payload)
         answer.tokens += chunk.tokens
         answer.status = chunk.status
@@ -179,9 +218,10 @@
             )
             self._outbox.send(record.entry, frame)
         if chunk.last:
-            self._slot_free(record)
+            self._slot_free(record, now_s)
             record.state = AttemptState.DONE
             record.outcome = Outcome.ANSWERED
+        if chunk.last or not offset:
             self.dispatch(now_s)
 
     def on_target_failed(self, attempt: AttemptId, started: bool, now_s: float) -> None:
@@ -195,7 +235,7 @@
         record = self.ledger.get(attempt)
         if record is None or record.state is not AttemptState.HANDED:
             return
-        self._slot_free(record)
+        self._slot_free(record, now_s)
         outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
         self._end(record, outcome, Reason.TARGET_FAILED, 1.0)
         self.dispatch(now_s)
@@ -275,7 +315,7 @@
             )
         elif record.state is AttemptState.HANDED:
             self._outbox.add(CancelWork(message.attempt))
-            self._slot_free(record)
+            self._slot_free(record, now_s)
             self._end(record, Outcome.UNKNOWN, Reason.CALLER_GONE, 0.0)
         self.dispatch(now_s)
 
@@ -288,7 +328,7 @@
         for record in self.ledger.in_state(AttemptState.HANDED):
             assert record.submit is not None
             self._outbox.add(CancelWork(record.submit.attempt))
-            self._slot_free(record)
+            self._slot_free(record, now_s)
             self._end(record, Outcome.UNKNOWN, Reason.GROUP_INCOMPLETE, CLOSED_RETRY_S)
 
     @property
@@ -301,10 +341,12 @@
         self.dispatch(now_s)
         self.ledger.forget(now_s)
 
-    def _slot_free(self, record: AttemptRecord) -> None:
-        assert record.submit is not None
+    def _slot_free(self, record: AttemptRecord, now_s: float) -> None:
+        submit = record.submit
+        assert submit is not None
+        self.meter.ended(submit.attempt, record.answer.tokens, submit.max_tokens, now_s)
         self.running -= 1
-        self.queue.ended(record.submit.organisation)
+        self.queue.ended(submit.organisation)
 
     def _end(
         self, record: AttemptRecord, outcome: Outcome, reason: Reason, retry_after_s: float
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -29,7 +29,6 @@
 from ochreway_nodes.entry.call import Attempt, Call, CallState
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
-from ochreway_routing.estimate import expected_first_token_s
 from ochreway_routing.limits import Limits
 from ochreway_routing.query import RouteQuery
 from ochreway_routing.replica import ReplicaView
@@ -192,9 +191,7 @@
     def _submit(self, call: Call, replica: ReplicaView, query: RouteQuery, now_s: float) -> None:
         self._sequence += 1
         attempt = AttemptId(self._me.node, self._incarnation, self._sequence)
-        expected_s = expected_first_token_s(
-            query, replica, self._router.tuning, self._router.hall, now_s
-        )
+        expected_s = self._router.expected_first_token_s(query, replica, now_s)
         call.state = CallState.RUNNING
         call.attempts += 1
         call.tried |= {replica.group}
@@ -202,7 +199,7 @@
             attempt, replica.group, replica.leader, replica.incarnation, now_s, expected_s
         )
         self._by_attempt[attempt] = call
-        self._router.sent(replica, str(attempt), query, now_s)
+        self._router.sent(replica, str(attempt), self._sequence, query, now_s)
         self._outbox.count("attempt")
         request = call.request
         submit = Submit(
--- a/packages/ochreway-routing/src/ochreway_routing/estimate.py
+++ b/packages/ochreway-routing/src/ochreway_routing/estimate.py
@@ -2,13 +2,48 @@
 """How long a replica is expected to take for a first token."""
 
 import math
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from ochreway_routing.prefix import BLOCK_TOKENS
 from ochreway_routing.query import RouteQuery
 from ochreway_routing.replica import ReplicaView
 from ochreway_routing.tuning import Tuning
 
-REPORT_LAG_S = 0.05
+TRUST_HALVES_S = 1.5
+"""After how long a report is trusted half, and the average of the replicas for the rest."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Hold what is ahead of a request at a replica."""
+
+    backlog_s: float
+    busy: float
+
+
+def average_load(replicas: Sequence[ReplicaView]) -> Load:
+    """Return the average of what the replicas reported."""
+    count = max(len(replicas), 1)
+    backlog_s = sum(replica.backlog_s for replica in replicas) / count
+    busy = sum(replica.in_flight + replica.queued for replica in replicas) / count
+    return Load(backlog_s, busy)
+
+
+def expected_load(replica: ReplicaView, average: Load, tuning: Tuning, now_s: float) -> Load:
+    """Return a replica's load: as reported, less trusted with age, and what was sent since.
+
+    With old reports every replica looks alike but for this entry's own work, so that
+    entries do not all run to the one that was idle a while ago.
+    """
+    trust = math.exp2(-replica.staleness_s(now_s) / TRUST_HALVES_S)
+    own = replica.unreported()
+    own_s = sum(sent.prefill_tokens for sent in own) * tuning.prefill_s_per_token
+    reported = replica.in_flight + replica.queued
+    return Load(
+        trust * replica.backlog_s + (1.0 - trust) * average.backlog_s + own_s,
+        trust * reported + (1.0 - trust) * average.busy + len(own),
+    )
 
 
 def expected_prefill_tokens(query: RouteQuery, replica: ReplicaView, now_s: float) -> float:
@@ -17,17 +52,10 @@
     return max(query.prompt_tokens - cached, 1.0)
 
 
-def expected_queue_s(replica: ReplicaView, tuning: Tuning) -> float:
-    """Return how long what is ahead is expected to take.
-
-    The lagged report is corrected by what this entry has sent since.
-    """
-    unreported = replica.unreported(REPORT_LAG_S)
-    tokens_ahead = replica.queued_tokens + sum(sent.prefill_tokens for sent in unreported)
-    busy = replica.in_flight + replica.queued + len(unreported)
-    over = max(0.0, busy + 1 - replica.slots)
-    slot_wait_s = over * slot_turn_s(replica, tuning)
-    return tokens_ahead * tuning.prefill_s_per_token + slot_wait_s
+def expected_queue_s(replica: ReplicaView, load: Load, tuning: Tuning) -> float:
+    """Return how long what is ahead is expected to take."""
+    over = max(0.0, load.busy + 1 - replica.slots)
+    return load.backlog_s + over * slot_turn_s(replica, tuning)
 
 
 def slot_turn_s(replica: ReplicaView, tuning: Tuning) -> float:
@@ -44,11 +72,19 @@
 
 
 def expected_first_token_s(
-    query: RouteQuery, replica: ReplicaView, tuning: Tuning, hall: str, now_s: float
+    query: RouteQuery,
+    replica: ReplicaView,
+    average: Load,
+    tuning: Tuning,
+    hall: str,
+    now_s: float,
+    prefill_weight: float = 1.0,
 ) -> float:
     """Return the time to first token expected at the replica, for this request."""
     prefill_s = expected_prefill_tokens(query, replica, now_s) * tuning.prefill_s_per_token
-    load_s = (prefill_s + expected_queue_s(replica, tuning)) * replica.slowness
+    load = expected_load(replica, average, tuning, now_s)
+    queue_s = expected_queue_s(replica, load, tuning)
+    load_s = prefill_s * replica.slowness * prefill_weight + queue_s
     distance_s = 0.0 if replica.hall == hall else tuning.other_hall_s
     lacks_adapter = bool(query.adapter) and query.adapter not in replica.adapters
     adapter_s = tuning.missing_adapter_s if lacks_adapter else 0.0
@@ -61,7 +97,10 @@
 
 
 __all__ = [
+    "Load",
+    "average_load",
     "expected_first_token_s",
+    "expected_load",
     "expected_prefill_tokens",
     "expected_queue_s",
     "honest_retry_after_s",
--- a/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
+++ b/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
@@ -1,13 +1,14 @@
 # SPDX-License-Identifier: Apache-2.0
 """A bounded queue that shares a replica's slots between organisations.
 
-Within a priority class the organisation with the least weighted service goes first. Every
+Within a priority class the organisation with the least weighted service goes first, and
+within an organisation the earliest deadline. Every
 few dispatches the oldest work of a lower class goes first, so that nothing starves. When
 the queue is full, work of an organisation that is over its share makes room for work of one
 that is under; an unused share is thereby lent and taken back.
 """
 
-from collections import deque
+from bisect import insort
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
@@ -30,8 +31,8 @@
     served: float = 0.0
     running: int = 0
     queued: int = 0
-    classes: dict[Priority, deque[Work[T]]] = field(
-        default_factory=lambda: {each: deque() for each in Priority}
+    classes: dict[Priority, list[Work[T]]] = field(
+        default_factory=lambda: {each: [] for each in Priority}
     )
 
 
@@ -67,12 +68,31 @@
                 return Err(Reason.QUEUE_FULL if self._one_organisation() else Reason.OVER_SHARE)
         if not share.queued and not share.running:
             share.served = max(share.served, self._virtual)
-        share.classes[work.priority].append(work)
+        insort(share.classes[work.priority], work, key=_deadline)
         share.queued += 1
         self._length += 1
         self.tokens += work.cost_tokens
         return Ok(displaced)
 
+    def ahead_of(self, work: Work[T]) -> tuple[int, float]:
+        """Return about how much would go before the work: how many, and their prefill tokens.
+
+        Of other organisations only as much counts as their weights let go first.
+        """
+        own = self._share(work.organisation)
+        before = self._before(own, work)
+        turns = (len(before) + 1) / own.weight
+        for name, share in self._shares.items():
+            if name != work.organisation and share.queued:
+                before += self._before(share, work)[: int(turns * share.weight + 1)]
+        return len(before), sum(each.prefill_tokens for each in before)
+
+    def _before(self, share: _Share[T], work: Work[T]) -> list[Work[T]]:
+        higher = [each for each in Priority if each < work.priority]
+        before = [each for priority in higher for each in share.classes[priority]]
+        same = share.classes[work.priority]
+        return before + [each for each in same if each.deadline_s <= work.deadline_s]
+
     def next(self) -> Work[T] | None:
         """Take out the work that goes next; its organisation has one more running."""
         if not self._length:
@@ -106,9 +126,10 @@
         self.remove_if({id(work) for work in everything})
         return everything
 
-    def take_hopeless(self, now_s: float, first_token_s: float) -> list[Work[T]]:
+    def take_hopeless(self, now_s: float, backlog_s: float) -> list[Work[T]]:
         """Take out what could not be answered in time even if it were dispatched now."""
-        hopeless = [work for work in self.waiting() if now_s + first_token_s > work.deadline_s]
+        begin_s = now_s + backlog_s
+        hopeless = [work for work in self.waiting() if begin_s + work.needed_s > work.deadline_s]
         self.remove_if({id(work) for work in hopeless})
         return hopeless
 
@@ -151,13 +172,13 @@
             return self._displace_lower_class(work, share)
         if (share.queued + 1) / share.weight >= over.queued / over.weight:
             return None
-        return self._drop_newest(over)
+        return self._drop_last(over)
 
     def _displace_lower_class(self, work: Work[T], share: _Share[T]) -> Work[T] | None:
         lowest = max(each for each in Priority if share.classes[each])
-        return self._drop_newest(share) if lowest > work.priority else None
+        return self._drop_last(share) if lowest > work.priority else None
 
-    def _drop_newest(self, share: _Share[T]) -> Work[T]:
+    def _drop_last(self, share: _Share[T]) -> Work[T]:
         lowest = max(each for each in Priority if share.classes[each])
         work = share.classes[lowest].pop()
         self._taken_out(work, share)
@@ -167,6 +188,10 @@
         return len(self._waiting_shares()) <= 1
 
 
+def _deadline(work: Work[T]) -> float:
+    return work.deadline_s
+
+
 def _first(shares: list[_Share[T]]) -> Work[T]:
     highest = min(each for share in shares for each in Priority if share.classes[each])
     holding = [share for share in shares if share.classes[highest]]
--- a/packages/ochreway-routing/src/ochreway_routing/policies/cost.py
+++ b/packages/ochreway-routing/src/ochreway_routing/policies/cost.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from ochreway_core.rendezvous import weight
-from ochreway_routing.estimate import expected_first_token_s
+from ochreway_routing.estimate import average_load, expected_first_token_s
 from ochreway_routing.policy import Policy, policy
 from ochreway_routing.query import RouteQuery
 from ochreway_routing.replica import ReplicaView
@@ -16,20 +16,26 @@
 class CostPolicy(Policy):
     """Take the replica with the least expected time to first token.
 
-    Replicas within a few milliseconds of the least are tied; the prompt's rendezvous order
-    breaks the tie, so that entries which know nothing of each other agree.
+    Replicas within a few milliseconds of the least are tied; the caller's rendezvous order
+    breaks the tie, so that entries which know nothing of each other agree and a caller's next
+    turn finds its conversation cached.
     """
 
     def choose(
         self, query: RouteQuery, replicas: Sequence[ReplicaView], now_s: float
     ) -> ReplicaView:
         """Return the replica of least expected cost."""
+        tuning = self.tuning
+        average = average_load(replicas)
         costs = [
-            expected_first_token_s(query, each, self.tuning, self.hall, now_s) for each in replicas
+            expected_first_token_s(
+                query, each, average, tuning, self.hall, now_s, tuning.prefill_weight
+            )
+            for each in replicas
         ]
         bound_s = min(costs) + TIE_S
         tied = [each for each, cost in zip(replicas, costs, strict=True) if cost <= bound_s]
         if len(tied) == 1:
             return tied[0]
-        key = str(query.blocks[0]) if query.blocks else query.caller
+        key = query.caller
         return max(tied, key=lambda each: weight(key, each.group))
--- a/packages/ochreway-routing/src/ochreway_routing/prefixindex.py
+++ b/packages/ochreway-routing/src/ochreway_routing/prefixindex.py
@@ -36,18 +36,16 @@
         self._seen_s.clear()
 
     def expected_blocks(self, blocks: tuple[int, ...], now_s: float) -> float:
-        """Return how many leading blocks are expected to be cached, discounted by age."""
-        matched = 0
-        oldest_s = now_s
-        for block in blocks:
-            seen_s = self._seen_s.get(block)
-            if seen_s is None:
-                break
-            matched += 1
-            oldest_s = min(oldest_s, seen_s)
-        if not matched:
-            return 0.0
-        return matched * math.exp2((oldest_s - now_s) / HALF_LIFE_S)
+        """Return how many leading blocks are expected to be cached, discounted by age.
+
+        A block is cached only behind those before it, so the deepest known one counts for
+        all of them: events of some may have been lost.
+        """
+        for index in range(len(blocks) - 1, -1, -1):
+            seen_s = self._seen_s.get(blocks[index])
+            if seen_s is not None:
+                return (index + 1) * math.exp2((seen_s - now_s) / HALF_LIFE_S)
+        return 0.0
 
 
 __all__ = ["ENTRIES_AT_MOST", "HALF_LIFE_S", "PrefixIndex"]
--- a/packages/ochreway-routing/src/ochreway_routing/replica.py
+++ b/packages/ochreway-routing/src/ochreway_routing/replica.py
@@ -17,6 +17,7 @@
 class Sent:
     """Hold what an attempt adds to a replica's load until a report includes it."""
 
+    sequence: int
     sent_s: float
     prefill_tokens: float
 
@@ -38,7 +39,9 @@
     legacy_percent: int = 0
     in_flight: int = 0
     queued: int = 0
-    queued_tokens: int = 0
+    backlog_s: float = 0.0
+    next_s: float = 0.0
+    received: int = 0
     reported_s: float = NEVER_S
     opened_s: float = NEVER_S
     slowness: float = 1.0
@@ -57,16 +60,26 @@
         self.gate = report.gate
         self.in_flight = report.in_flight
         self.queued = report.queued
-        self.queued_tokens = report.queued_tokens
+        self.backlog_s = report.backlog_s
+        self.next_s = report.next_s
+        self.received = report.received
         self.slots = report.slots
         self.reported_s = now_s
         self.prefixes.add(report.cached, now_s)
         self.prefixes.remove(report.evicted)
 
-    def unreported(self, lag_s: float) -> list[Sent]:
+    def unreported(self) -> list[Sent]:
         """Return what this entry sent too late for the last report to include."""
-        since_s = self.reported_s - lag_s
-        return [sent for sent in self.own.values() if sent.sent_s > since_s]
+        return [sent for sent in self.own.values() if sent.sequence > self.received]
+
+    def staleness_s(self, now_s: float) -> float:
+        """Return how old the last report's content is at least.
+
+        The oldest of this entry's attempts that it does not include tells, without a clock
+        that both ends share.
+        """
+        since_s = min((sent.sent_s for sent in self.unreported()), default=self.reported_s)
+        return now_s - min(since_s, self.reported_s)
 
     def takes_work(self, now_s: float, fresh_s: float) -> bool:
         """Tell whether the replica is known to take work."""
--- a/packages/ochreway-routing/src/ochreway_routing/router.py
+++ b/packages/ochreway-routing/src/ochreway_routing/router.py
@@ -12,6 +12,7 @@
 from ochreway_core.reason import Reason
 from ochreway_core.rendezvous import weight
 from ochreway_routing.estimate import (
+    average_load,
     expected_first_token_s,
     expected_prefill_tokens,
     honest_retry_after_s,
@@ -76,12 +77,25 @@
         if not untried:
             return Err(Refused(_why_closed(known), CLOSED_RETRY_S))
         chosen = self._policy.choose(query, self._not_ejected(untried, known, now_s), now_s)
-        wait_s = expected_first_token_s(query, chosen, self.tuning, self.hall, now_s)
+        # The queue's order is the leader's to know; here only the hopeless is refused.
+        prefill_s = expected_prefill_tokens(query, chosen, now_s) * self.tuning.prefill_s_per_token
+        wait_s = chosen.next_s + prefill_s + self._decode_s(query)
         left_s = query.deadline_s - now_s
         if wait_s > left_s:
             return Err(Refused(Reason.DEADLINE_TOO_SHORT, honest_retry_after_s(wait_s - left_s)))
         return Ok(chosen)
 
+    def expected_first_token_s(
+        self, query: RouteQuery, replica: ReplicaView, now_s: float
+    ) -> float:
+        """Return the time to first token expected at a replica."""
+        average = average_load(self._by_target.get(query.target, []))
+        return expected_first_token_s(query, replica, average, self.tuning, self.hall, now_s)
+
+    def _decode_s(self, query: RouteQuery) -> float:
+        tuning = self.tuning
+        return query.max_tokens * tuning.answer_share * tuning.decode_s_per_token
+
     def _legacy_or_own(self, query: RouteQuery, replicas: list[ReplicaView]) -> list[ReplicaView]:
         """Keep the targets of the operators' old tools for their share, the groups else."""
         percent = max((each.legacy_percent for each in replicas), default=0)
@@ -97,10 +111,12 @@
             return kept
         return untried
 
-    def sent(self, replica: ReplicaView, attempt: str, query: RouteQuery, now_s: float) -> None:
+    def sent(
+        self, replica: ReplicaView, attempt: str, sequence: int, query: RouteQuery, now_s: float
+    ) -> None:
         """Note that an attempt was sent to a replica."""
         tokens = expected_prefill_tokens(query, replica, now_s)
-        replica.own[attempt] = Sent(now_s, tokens)
+        replica.own[attempt] = Sent(sequence, now_s, tokens)
         replica.prefixes.add(query.blocks, now_s)
 
     def first_token(self, replica: ReplicaView, expected_s: float, took_s: float) -> None:
--- a/packages/ochreway-routing/src/ochreway_routing/tuning.py
+++ b/packages/ochreway-routing/src/ochreway_routing/tuning.py
@@ -6,10 +6,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Tuning:
-    """Hold the costs and bounds of routing decisions."""
+    """Hold the costs and bounds of routing decisions.
+
+    ``prefill_weight`` charges prefill more than its own time: it also delays what comes after,
+    and makes a conversation's cache stand in two places.
+    """
 
     prefill_s_per_token: float = 0.00012
     decode_s_per_token: float = 0.02
+    answer_share: float = 0.5
+    prefill_weight: float = 3.0
     other_hall_s: float = 0.002
     report_fresh_s: float = 2.0
     missing_adapter_s: float = 1.0
--- a/packages/ochreway-routing/src/ochreway_routing/work.py
+++ b/packages/ochreway-routing/src/ochreway_routing/work.py
@@ -11,13 +11,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Work(Generic[T]):
-    """Describe one piece of work to the fair queue."""
+    """Describe one piece of work to the fair queue.
+
+    ``needed_s`` is how long it is expected to run at the least.
+    """
 
     item: T
     organisation: str
     priority: Priority
     cost_tokens: float
+    prefill_tokens: float
     deadline_s: float
+    needed_s: float
     queued_s: float
 
 
