Fit the control traffic to the size to design for

Cause: arithmetic for 1,100 entries, 525 groups of 8 and 70 domains, before any slope was measured: probing 64 instances twice a second is 34 KB/s at a controller, load reports to 50 followers 24 KB/s at a leader, pings on 35 links 4.6 KB/s, a version pushed unasked by every entry 6 KB/s at a leader; the limit is 3 KB/s.

Changed: a leader's report vouches for its members, so only leaders and those in doubt are probed; idle followers hear every 2 s; links carry no pings, the kernel gives up on unacknowledged data and silence is noticed above; versions are only pulled, compressed, along a tree of fan-out 8 within the hall; three entries watch a domain's lease by rendezvous; an entry follows 12 groups a target; heartbeats every 0.8 s, grants last 2.5 s.

Found on the way: a leader that stopped with its members did not release them, and they waited for it; it now says so with a heartbeat before it ends. The demo's free ports could be given to an outgoing connection; they are now drawn below that range.

--- a/packages/ochreway-core/src/ochreway_core/timing.py
+++ b/packages/ochreway-core/src/ochreway_core/timing.py
@@ -13,16 +13,19 @@
     """
 
     tick_s: float = 0.1
-    heartbeat_s: float = 0.4
-    grant_ttl_s: float = 1.5
+    heartbeat_s: float = 0.8
+    grant_ttl_s: float = 2.5
     clock_margin: float = 0.05
-    view_poll_s: float = 0.5
+    view_poll_s: float = 1.0
+    lease_poll_s: float = 2.0
     lease_renew_s: float = 2.0
     lease_s: float = 6.0
-    probe_s: float = 0.5
-    member_lost_s: float = 3.0
-    load_report_s: float = 0.25
-    load_fresh_s: float = 2.0
+    probe_s: float = 1.0
+    member_lost_s: float = 4.0
+    load_report_s: float = 0.5
+    idle_report_s: float = 2.0
+    load_fresh_s: float = 5.0
+    peer_silent_s: float = 5.0
     settle_resend_s: float = 0.4
     settle_give_up_s: float = 4.0
     claim_timeout_s: float = 1.0
--- a/packages/ochreway-core/src/ochreway_core/view.py
+++ b/packages/ochreway-core/src/ochreway_core/view.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """The configuration that a process has applied."""
 
+import zlib
 from dataclasses import dataclass
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
@@ -16,6 +17,7 @@
 
 KEEPERS_AT_MOST = 64
 HOMES_PER_KEY = 3
+BODY_BYTES_AT_MOST = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,9 +25,19 @@
     """Carry everything that a process needs to apply one accepted version."""
 
     roll: RollRow
-    body: bytes
+    packed: bytes
     approvals: tuple[Approval, ...]
 
+    @property
+    def body(self) -> bytes:
+        """Return the bundle's TOML, or as much of it as a bundle may have."""
+        return zlib.decompressobj().decompress(self.packed, BODY_BYTES_AT_MOST)
+
+
+def snapshot_of(roll: RollRow, body: bytes, approvals: tuple[Approval, ...]) -> Snapshot:
+    """Return a snapshot that carries the body compressed."""
+    return Snapshot(roll, zlib.compress(body, 9), approvals)
+
 
 @dataclass(slots=True)
 class _Former:
@@ -67,7 +79,11 @@
         return Ok(True)
 
     def _check(self, snapshot: Snapshot) -> Result[Bundle, str]:
-        digest = bundle_hash(snapshot.body)
+        try:
+            body = snapshot.body
+        except zlib.error as fault:
+            return Err(f"the body does not unpack: {fault}")
+        digest = bundle_hash(body)
         if digest != snapshot.roll.bundle:
             return Err("the body is not the one that was rolled")
         faults: list[str] = []
@@ -78,7 +94,7 @@
                 faults.append(str(fault))
                 continue
             if approval.author == snapshot.roll.author:
-                return parse_bundle(snapshot.body).map_err("; ".join)
+                return parse_bundle(body).map_err("; ".join)
             faults.append("the approval names another author")
         return Err("no valid approval: " + ("; ".join(faults) or "none given"))
 
@@ -108,4 +124,4 @@
     return tuple(rank("keepers", names)[:KEEPERS_AT_MOST])
 
 
-__all__ = ["HOMES_PER_KEY", "KEEPERS_AT_MOST", "Snapshot", "View", "key_keepers"]
+__all__ = ["HOMES_PER_KEY", "KEEPERS_AT_MOST", "Snapshot", "View", "key_keepers", "snapshot_of"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/loadreports.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/loadreports.py
@@ -11,7 +11,7 @@
 from ochreway_nodes.agent.serving import Serving
 from ochreway_nodes.outbox import Outbox
 
-FOLLOW_FOR_S = 4.0
+FOLLOW_FOR_S = 7.0
 CACHE_EVENTS_AT_MOST = 64
 
 
@@ -19,28 +19,33 @@
 class _Follower:
     peer: Peer
     until_s: float
+    reported_s: float = -1.0e9
+    received: int = 0
 
 
 class LoadReports:
-    """Tell followers at a steady pace, and at once when the gate opens or closes."""
+    """Tell followers at a steady pace, and at once when the gate opens or closes.
+
+    A follower that sent work since its last report hears sooner than an idle one: its report
+    rides in a batch with its answers.
+    """
 
     def __init__(self, membership: Membership, serving: Serving, outbox: Outbox) -> None:
         self._membership = membership
         self._serving = serving
         self._outbox = outbox
         self._followers: dict[NodeId, _Follower] = {}
-        self._reported_s = -1.0e9
         self._reported_gate = Reason.NO_GROUP
         self._cached: list[int] = []
         self._evicted: list[int] = []
 
     def on_follow(self, sender: Peer, follow: Follow, now_s: float) -> None:
         """Count an entry among the followers for a while."""
-        fresh = sender.node not in self._followers
-        self._followers[sender.node] = _Follower(sender, now_s + FOLLOW_FOR_S)
-        row = self._membership.row
-        if fresh and row is not None and self._membership.leads:
-            self._outbox.send(sender, self._report(sender.node, now_s))
+        follower = self._followers.get(sender.node)
+        if follower is None:
+            follower = self._followers[sender.node] = _Follower(sender, now_s)
+        follower.peer = sender
+        follower.until_s = now_s + FOLLOW_FOR_S
 
     def on_cache_events(self, cached: list[int], evicted: list[int]) -> None:
         """Keep the engine's cache events for the next report."""
@@ -52,17 +57,29 @@
         if not self._membership.leads:
             return
         gate = self._membership.closed_because(now_s)
-        due = now_s - self._reported_s >= self._membership.timing.load_report_s
-        if not due and gate is self._reported_gate:
-            return
-        self._reported_s = now_s
+        changed = gate is not self._reported_gate
         self._reported_gate = gate
+        told = False
         for node, follower in list(self._followers.items()):
             if follower.until_s < now_s:
                 del self._followers[node]
-            else:
-                self._outbox.send(follower.peer, self._report(node, now_s))
-        self._cached, self._evicted = [], []
+            elif changed or self._due(follower, now_s):
+                told = True
+                self._tell(follower, now_s)
+        if told:
+            self._cached, self._evicted = [], []
+
+    def _due(self, follower: _Follower, now_s: float) -> bool:
+        timing = self._membership.timing
+        received = self._serving.last_received(follower.peer.node)
+        busy = received != follower.received
+        period_s = timing.load_report_s if busy else timing.idle_report_s
+        return now_s - follower.reported_s >= period_s
+
+    def _tell(self, follower: _Follower, now_s: float) -> None:
+        follower.reported_s = now_s
+        follower.received = self._serving.last_received(follower.peer.node)
+        self._outbox.send(follower.peer, self._report(follower.peer.node, now_s))
 
     def _report(self, follower: NodeId, now_s: float) -> LoadReport:
         row = self._membership.row
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -52,6 +52,7 @@
         self.target = TargetState()
         self.leaving = False
         self.released = False
+        self.said_released = False
         self._heard_leader_s = now_s
         self._outbox = outbox
         self._epoch_changed = epoch_changed
@@ -208,15 +209,22 @@
             self._beat(self.gate, now_s)
         self._order_target(now_s)
 
+    def beat_soon(self) -> None:
+        """Send heartbeats at the next tick, so that members hear of a new version."""
+        self._heartbeat_s = -1.0e9
+
     def _beat(self, gate: LeaderGate, now_s: float) -> None:
         sequence = gate.next_heartbeat(now_s)
         row = gate.row
         if self.grant.request(row.epoch, now_s).is_ok():
             gate.granted(self.me.node, sequence, self.ready(now_s), self.leaving)
+        # The gate stays closed by a leaving member's last grant, or by this agent's own end, so
+        # once drained the member may go.
+        drained = self._drained()
+        self.said_released = drained and self.leaving
         for peer in self._others(row):
             riding = None if gate.knows_row(peer.node) else row
-            # The gate stays closed by a leaving member's last grant, so once drained it may go.
-            released = gate.is_leaving(peer.node) and self._drained()
+            released = drained and (self.leaving or gate.is_leaving(peer.node))
             beat = Heartbeat(row.group, row.epoch, row.step, sequence, released, riding)
             self._outbox.send(peer, beat)
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
@@ -164,6 +164,7 @@
             return
         self.membership.leaving = leaving
         self._left_s = now_s
+        self.membership.beat_soon()
         self._outbox.log("leaving" if leaving else "staying", node=self.me.node)
         self.serving.tick(now_s)
         self.loads.tick(now_s)
@@ -173,7 +174,7 @@
         if now_s - self._left_s < LINGER_S:
             return False
         if self.membership.leads:
-            return self.serving.drained
+            return self.serving.drained and self.membership.said_released
         return self.membership.may_go(now_s)
 
     def _on_epoch_changed(self, now_s: float) -> None:
@@ -196,6 +197,7 @@
         first_wall_s = update.snapshot.roll.first_accepted_wall_s
         if first_wall_s > self._started_wall_s + CLOCK_SKEW_S:
             self.keys.stood_before_first_version()
+        self.membership.beat_soon()
         bundle = self.spread.view.bundle
         if bundle is not None:
             self.serving.queue.set_shares(
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
@@ -25,6 +25,8 @@
 from ochreway_nodes.controller.tally import Tally
 from ochreway_nodes.outbox import Outbox
 
+CANDIDATES = 3
+"""How many entries watch a domain's lease, by rendezvous."""
 TAKE_OVER_STAGGER = 0.5
 BACKOFF_BASE_S = 0.5
 
@@ -97,7 +99,8 @@
     # What others say
 
     def configure(self, bundle: Bundle, version: Version) -> None:
-        """Take the bundle in force."""
+        """Take the bundle in force, and let the domain's agents hear of it at once."""
+        self._probed_s = -1.0e9
         self._bundle = bundle
         self._version = version
 
@@ -126,6 +129,17 @@
         health.report = report
         if self.rows is not None and self.rows.lease is not None:
             self._bring_up_to_date(health, report, self.rows)
+            self._hear_members(report, self.rows, now_s)
+
+    def _hear_members(self, report: Report, rows: DomainRows, now_s: float) -> None:
+        """Take a leader's word for the members whose grants it has."""
+        row = rows.groups.get(report.group)
+        if row is None or row.leader.node != report.node or row.epoch != report.epoch:
+            return
+        for peer in row.members:
+            health = self.health.get(peer.node)
+            if health is not None and peer.node not in report.missing:
+                health.heard_s = now_s
 
     def _bring_up_to_date(self, health: Health, report: Report, rows: DomainRows) -> None:
         group = rows.group_of(report.node)
@@ -160,7 +174,8 @@
         if self._phase is not Phase.IDLE or now_s < self._not_before_s:
             return
         if not self.holding:
-            self._consider_taking(now_s)
+            if self.rank < CANDIDATES:
+                self._consider_taking(now_s)
         elif not self._fresh:
             self._read(now_s)
         else:
@@ -350,10 +365,22 @@
         for node, health in self.health.items():
             if health.peer is None:
                 continue
-            self._outbox.send(health.peer, Probe(self.domain, rows.lease.term))
+            if self._needs_probe(node, health, rows, now_s):
+                self._outbox.send(health.peer, Probe(self.domain, rows.lease.term))
             if health.leaving:
                 self._outbox.send(health.peer, LeaveNotice(node))
 
+    def _needs_probe(self, node: NodeId, health: Health, rows: DomainRows, now_s: float) -> bool:
+        """Leave out members whose leader has just vouched for them."""
+        group = rows.group_of(node)
+        row = rows.groups.get(group) if group else None
+        report = health.report
+        if row is None or report is None or row.leader.node == node or health.leaving:
+            return True
+        behind = (report.epoch, report.step) < (row.epoch, row.step)
+        unheard = health.lost_for_s(now_s) > 2 * self._timing.probe_s
+        return behind or unheard or report.leaving or not report.ready
+
     def release(self, now_s: float) -> None:
         """Give the lease up, as at a planned stop."""
         if self.holding and self._fresh and self.rows is not None and self.rows.lease is not None:
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/call.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/call.py
@@ -31,6 +31,7 @@
     sent_s: float
     expected_s: float
     answer: Reassembly = field(default_factory=Reassembly)
+    heard_s: float = 0.0
     lost_s: float = 0.0
     asked_s: float = 0.0
     credited: int = 0
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -118,7 +118,7 @@
         for node in sorted(call.claim.homes):
             peer = self._address_of(node)
             if peer is not None:
-                self._send_fresh(peer, message, now_s)
+                self._outbox.send(peer, message)
         self._follow_claim(call, now_s)
 
     def on_claim_reply(self, sender: Peer, reply: ClaimReply, now_s: float) -> None:
@@ -220,13 +220,7 @@
             path=request.path,
             body=request.body,
         )
-        self._send_fresh(replica.leader, submit, now_s)
-
-    def _send_fresh(self, peer: Peer, message: object, now_s: float) -> None:
-        """Send a message behind the version that it was decided under."""
-        if self._spread.shown_by(peer.node) < self._spread.view.version:
-            self._spread.push(peer, now_s)
-        self._outbox.send(peer, message)
+        self._outbox.send(replica.leader, submit)
 
     # Answers
 
@@ -238,6 +232,7 @@
             return
         attempt = call.attempt
         call.state = CallState.RUNNING
+        attempt.heard_s = now_s
         for fresh in attempt.answer.add(frame):
             self._deliver(call, attempt, fresh, now_s)
         if attempt.answer.whole:
@@ -375,7 +370,14 @@
             self._claim_failed(call, state, call.claim)
 
     def _tick_running(self, call: Call, now_s: float) -> None:
-        """Wait: the link's end or the deadline will tell."""
+        """Take a leader that has fallen silent for one whose link is gone."""
+        attempt = call.attempt
+        replica = self._router.replicas.get(attempt.group) if attempt else None
+        if attempt is None or replica is None or replica.legacy_percent:
+            return
+        heard_s = max(attempt.heard_s, attempt.sent_s, replica.reported_s)
+        if now_s - heard_s > self._timing.peer_silent_s:
+            self._lose(call, attempt, now_s)
 
     def _tick_settling(self, call: Call, now_s: float) -> None:
         attempt = call.attempt
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -18,7 +18,7 @@
     ScopeId,
     Version,
 )
-from ochreway_core.listing import InstanceKind, ListedInstance
+from ochreway_core.listing import ListedInstance
 from ochreway_core.messages import (
     ClaimReply,
     Follow,
@@ -39,19 +39,20 @@
 from ochreway_core.table import CommitReply, ReadReply
 from ochreway_core.timing import Timing
 from ochreway_core.view import Snapshot, View
-from ochreway_nodes.controller.controller import Controller
+from ochreway_nodes.controller.controller import CANDIDATES, Controller
 from ochreway_nodes.controller.repair import REPAIR_POLICIES, RepairTuning
 from ochreway_nodes.entry.calls import Calls
 from ochreway_nodes.entry.legacy import legacy_replicas
-from ochreway_nodes.entry.subset import followed_groups
-from ochreway_nodes.entry.viewkeeper import READERS_PER_HALL, ViewKeeper
+from ochreway_nodes.entry.spreadtree import PARENTS, parents_of, reads_table
+from ochreway_nodes.entry.subset import entries_of, followed_groups
+from ochreway_nodes.entry.viewkeeper import ViewKeeper
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
 from ochreway_routing.limits import Limits
 from ochreway_routing.replica import ReplicaView
 from ochreway_routing.router import DEFAULT_POLICY, Router
 
-FOLLOW_S = 1.0
+FOLLOW_S = 2.0
 
 Handler = Callable[[Peer, Any, float], None]
 
@@ -185,24 +186,26 @@
 
     def on_listing(self, instances: Iterable[ListedInstance], now_s: float) -> None:
         """Take in the platform's list."""
-        self.listing = {each.node: each for each in instances}
-        entries = [each for each in self.listing.values() if each.kind is InstanceKind.ENTRY]
-        self._choose_readers(entries)
-        for controller in self.controllers.values():
-            controller.on_listing(self.listing)
-            controller.rank = self._rank(controller.domain, entries)
+        listing = {each.node: each for each in instances}
+        if listing == self.listing:
+            return
+        self.listing = listing
+        entries = entries_of(self.listing)
+        self._choose_parents(entries)
+        self._set_controllers(now_s)
         self._configure_limits()
         self._set_replicas()
 
-    def _choose_readers(self, entries: list[ListedInstance]) -> None:
+    def _choose_parents(self, entries: list[ListedInstance]) -> None:
         here = [each.node for each in entries if each.hall == self.hall and not each.leaving]
-        chosen = rank(f"readers/{self.hall}", here)[:READERS_PER_HALL]
-        self.keeper.reads_table = self.me.node in chosen or not chosen
-        others = [each.node for each in entries if each.node != self.me.node]
-        sources = [node for node in chosen if node != self.me.node]
-        sources = sources or rank(self.me.node, others)[:READERS_PER_HALL]
-        peers = [self._address_of(node) for node in sources]
-        self.keeper.readers = [peer for peer in peers if peer is not None]
+        order = rank(f"readers/{self.hall}", here)
+        self.keeper.reads_table = reads_table(self.me.node, order)
+        chosen = parents_of(self.me.node, order)
+        if not chosen:
+            others = [each.node for each in entries if each.node != self.me.node]
+            chosen = rank(f"parents/{self.me.node}", others)[:PARENTS]
+        peers = [self._address_of(node) for node in chosen]
+        self.keeper.follow([peer for peer in peers if peer is not None])
 
     def _rank(self, domain: DomainId, entries: list[ListedInstance]) -> int:
         staying = [each.node for each in entries if not each.leaving]
@@ -243,20 +246,27 @@
     def _follow_changes(self, now_s: float) -> None:
         if not self.keeper.take_changed():
             return
+        # Leaders hear of the version from these messages at once.
+        self._follow_s = -1.0e9
         bundle = self.spread.view.bundle
         if bundle is not None:
-            domains = {DomainId(name) for name in bundle.domains()} | self.keeper.leases.keys()
-            self._set_controllers(domains, now_s)
+            self._set_controllers(now_s)
             self.calls.on_view_changed(now_s)
         self._configure_limits()
         self._set_replicas()
 
-    def _set_controllers(self, domains: set[DomainId], now_s: float) -> None:
+    def _set_controllers(self, now_s: float) -> None:
+        """Watch the leases of those domains that this entry is a candidate for."""
         bundle = self.spread.view.bundle
-        assert bundle is not None
-        entries = [each for each in self.listing.values() if each.kind is InstanceKind.ENTRY]
+        if bundle is None:
+            return
+        entries = entries_of(self.listing)
+        domains = {DomainId(name) for name in bundle.domains()} | self.keeper.leases.keys()
         for domain in sorted(domains):
             controller = self.controllers.get(domain)
+            place = self._rank(domain, entries)
+            if controller is None and place >= CANDIDATES:
+                continue
             if controller is None:
                 controller = Controller(
                     domain,
@@ -268,8 +278,8 @@
                     self._next_call,
                     now_s,
                 )
-                controller.rank = self._rank(domain, entries)
                 self.controllers[domain] = controller
+            controller.rank = place
             controller.configure(bundle, self.version)
             controller.on_listing(self.listing)
 
@@ -282,9 +292,7 @@
 
     def _configure_limits(self) -> None:
         bundle = self.spread.view.bundle
-        entries = sum(
-            each.kind is InstanceKind.ENTRY and not each.leaving for each in self.listing.values()
-        )
+        entries = sum(not each.leaving for each in entries_of(self.listing))
         if bundle is not None:
             self.limits.configure(bundle.organisation, entries)
 
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/spreadtree.py
@@ -0,0 +1,30 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Who reads the table in a hall, and from whom the others hear.
+
+The hall's entries stand in rendezvous order. The first two read; each of the others follows
+two of those before it, so that nobody has more than a few followers and news passes in few
+hops.
+"""
+
+from ochreway_core.ids import NodeId
+
+READERS = 2
+PARENTS = 2
+FAN_OUT = 8
+
+
+def reads_table(node: NodeId, order: list[NodeId]) -> bool:
+    """Tell whether the node is one of the hall's readers, as it is when it knows of none."""
+    return not order or node in order[:READERS]
+
+
+def parents_of(node: NodeId, order: list[NodeId]) -> list[NodeId]:
+    """Return those that the node follows: none within the hall for a reader."""
+    if node not in order or reads_table(node, order):
+        return [other for other in order[:READERS] if other != node]
+    place = order.index(node) - READERS
+    first = place * PARENTS // FAN_OUT
+    return order[first : first + PARENTS]
+
+
+__all__ = ["FAN_OUT", "PARENTS", "READERS", "parents_of", "reads_table"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/subset.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/subset.py
@@ -8,8 +8,8 @@
 from ochreway_core.rendezvous import rank
 from ochreway_core.rows import GroupRow
 
-GROUPS_PER_TARGET = 24
-OTHER_HALL_GROUPS = 4
+GROUPS_PER_TARGET = 12
+OTHER_HALL_GROUPS = 2
 
 
 def followed_groups(
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -26,16 +26,15 @@
 from ochreway_core.signoff import Approval
 from ochreway_core.table import ReadReply, Row
 from ochreway_core.timing import Timing
-from ochreway_core.view import Snapshot
+from ochreway_core.view import Snapshot, snapshot_of
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
 
 T = TypeVar("T")
 
 BACKOFF_BASE_S = 0.5
-FOLLOW_S = 0.5
-FOLLOW_FOR_S = 4.0
-READERS_PER_HALL = 2
+FOLLOW_S = 2.0
+FOLLOW_FOR_S = 7.0
 
 
 @dataclass(slots=True)
@@ -67,7 +66,7 @@
     ) -> None:
         self.domains: dict[DomainId, DomainGroups] = {}
         self.leases: dict[DomainId, LeaseRow] = {}
-        self.readers: list[Peer] = []
+        self.parents: list[Peer] = []
         self.reads_table = True
         self._scope = scope
         self._timing = timing
@@ -79,6 +78,7 @@
         self._sent_s = -1.0e9
         self._not_before_s = -1.0e9
         self._polled_s = -1.0e9
+        self._leases_s = -1.0e9
         self._followed_s = -1.0e9
         self._wanted: RollRow | None = None
         self._body: bytes | None = None
@@ -104,14 +104,28 @@
         if self._call is not None and now_s - self._sent_s > self._timing.table_timeout_s:
             self._failed(now_s)
         if self._may_poll(now_s):
-            self._polled_s = now_s
-            self._read((head_key(self._scope), "controller/"), now_s)
+            self._poll(now_s)
         if now_s - self._followed_s >= FOLLOW_S and (self._failing or not self.reads_table):
             self._followed_s = now_s
-            for reader in self.readers:
-                self._outbox.send(reader, FollowView(self._digest()))
+            for parent in self.parents:
+                self._outbox.send(parent, FollowView(self._digest()))
         self._tell_followers(now_s)
 
+    def _poll(self, now_s: float) -> None:
+        """Read the head, and now and then the leases, whose counters tell of changed groups."""
+        prefixes = [head_key(self._scope)]
+        self._polled_s = now_s
+        if now_s - self._leases_s >= self._timing.lease_poll_s:
+            self._leases_s = now_s
+            prefixes.append("controller/")
+        self._read(tuple(prefixes), now_s)
+
+    def follow(self, parents: list[Peer]) -> None:
+        """Follow these entries from now on."""
+        if parents != self.parents:
+            self.parents = parents
+            self._followed_s = -1.0e9
+
     def _may_poll(self, now_s: float) -> bool:
         may_read = self.reads_table and self._call is None and now_s >= self._not_before_s
         return may_read and now_s - self._polled_s >= self._timing.view_poll_s
@@ -130,6 +144,7 @@
     def poke(self) -> None:
         """Read at once: someone says that there is something new."""
         self._polled_s = -1.0e9
+        self._leases_s = -1.0e9
 
     def on_read(self, call: int, reply: ReadReply, now_s: float) -> None:
         """Take in an answer of the table."""
@@ -207,7 +222,7 @@
     def _try_apply(self, now_s: float) -> None:
         if self._wanted is None or self._body is None or not self._approvals:
             return
-        snapshot = Snapshot(self._wanted, self._body, self._approvals)
+        snapshot = snapshot_of(self._wanted, self._body, self._approvals)
         self._wanted, self._body, self._approvals = None, None, ()
         self.apply(snapshot, now_s)
 
@@ -271,4 +286,4 @@
     return tuple(decode(kind, row.content) for key, row in rows.items() if key.startswith(prefix))
 
 
-__all__ = ["READERS_PER_HALL", "DomainGroups", "ViewKeeper"]
+__all__ = ["DomainGroups", "ViewKeeper"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/viewspread.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/viewspread.py
@@ -11,7 +11,11 @@
 
 
 class ViewSpread:
-    """Ask whoever shows a newer version; push to whoever shows an older one."""
+    """Ask whoever shows a newer version, one at a time, and answer those who ask.
+
+    Nobody is sent a version unasked: a process hears of it from many at once, and the body
+    is what costs.
+    """
 
     def __init__(self, view: View, outbox: Outbox) -> None:
         self.view = view
@@ -25,8 +29,6 @@
         self._shown[sender.node] = version
         if version > self.view.version:
             self._ask(sender, now_s)
-        elif version < self.view.version:
-            self.push(sender, now_s)
 
     def shown_by(self, node: NodeId) -> Version:
         """Return the version that the node's last message carried."""
--- a/packages/ochreway-routing/src/ochreway_routing/tuning.py
+++ b/packages/ochreway-routing/src/ochreway_routing/tuning.py
@@ -17,7 +17,7 @@
     answer_share: float = 0.5
     prefill_weight: float = 3.0
     other_hall_s: float = 0.002
-    report_fresh_s: float = 2.0
+    report_fresh_s: float = 5.0
     missing_adapter_s: float = 1.0
     ejection_failures: int = 4
     ejection_s: float = 5.0
--- a/packages/ochreway-standins/src/ochreway_standins/site.py
+++ b/packages/ochreway-standins/src/ochreway_standins/site.py
@@ -5,6 +5,7 @@
 import contextlib
 import hashlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,14 +26,21 @@
 CALLER_TOKEN = "caller-token"
 DOMAIN = "domain-1"
 BOUND_S = 40.0
+PORTS_FROM, PORTS_BELOW = 15_000, 32_000
+
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a port that is free now, below those that outgoing connections are given."""
+    while True:
+        port = random.randrange(PORTS_FROM, PORTS_BELOW)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            _given_ports.add(port)
+            return port
 
 
 @dataclass(slots=True)
--- a/packages/ochreway-standins/src/ochreway_standins/soak/world.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/world.py
@@ -55,7 +55,9 @@
     engines: int = 8
     services: int = 2
     load_s: float = 1.0
-    timing: Timing = field(default_factory=lambda: Timing(tick_s=0.2, key_memory_s=20.0))
+    timing: Timing = field(
+        default_factory=lambda: Timing(tick_s=0.2, key_memory_s=20.0, leader_silent_s=30.0)
+    )
     repair_policy: str = "expected_cost"
     repair: RepairTuning = field(default_factory=lambda: RepairTuning(load_s=1.0, replace_s=10.0))
 
--- a/packages/ochreway-wire/src/ochreway_wire/links.py
+++ b/packages/ochreway-wire/src/ochreway_wire/links.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import socket as socketlib
 import ssl
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -20,8 +21,12 @@
 from ochreway_wire.link import Link
 
 HANDSHAKE_TIMEOUT_S = 2.0
-KEEPALIVE_S = 1.0
-KEEPALIVE_TIMEOUT_S = 2.0
+UNANSWERED_MS = 4000
+"""After how long without an acknowledgement the kernel gives a connection up.
+
+It costs nothing while a link is idle, which pings would; that a process is stopped though
+its kernel answers is noticed by the heartbeats and reports above.
+"""
 QUEUED_WHILE_DIALLING = 1024
 
 Received = Callable[[Peer, Batch], None]
@@ -71,8 +76,7 @@
             ssl=self._settings.server_tls,
             max_size=BATCH_BYTES_AT_MOST,
             compression=None,
-            ping_interval=KEEPALIVE_S,
-            ping_timeout=KEEPALIVE_TIMEOUT_S,
+            ping_interval=None,
         )
         bound: int = next(iter(self._server.sockets)).getsockname()[1]
         return bound
@@ -104,8 +108,7 @@
                 max_size=BATCH_BYTES_AT_MOST,
                 compression=None,
                 open_timeout=HANDSHAKE_TIMEOUT_S,
-                ping_interval=KEEPALIVE_S,
-                ping_timeout=KEEPALIVE_TIMEOUT_S,
+                ping_interval=None,
                 proxy=None,
             ) as socket:
                 met = await self._shake(socket, dialled=True)
@@ -138,6 +141,7 @@
             return hello.peer
 
     async def _run(self, socket: Connection, peer: Peer) -> None:
+        _give_up_when_unanswered(socket)
         link = Link(socket, peer, self._version, self._settings.tick_s)
         self._links[peer.node] = link
         for message in self._dialling.pop(peer.node, ()):
@@ -161,6 +165,12 @@
             task.cancel()
 
 
+def _give_up_when_unanswered(socket: Connection) -> None:
+    plain: socketlib.socket = socket.transport.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        plain.setsockopt(socketlib.IPPROTO_TCP, socketlib.TCP_USER_TIMEOUT, UNANSWERED_MS)
+
+
 async def _bytes_from(socket: Connection) -> bytes:
     content = await socket.recv()
     if not isinstance(content, bytes):
