Let two readers a hall read the platform's list, and the others follow

Cause: every entry polled the whole list each second: 5,300 instances at 120 bytes are 636 KB/s an entry at the size to design for. Readers now ask with the tag of what they have; changes pass down the hall's tree as differences. Ruled out: a filter by hall in the request, as the platform's protocol is not known.

--- a/packages/ochreway-core/src/ochreway_core/messages/__init__.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/__init__.py
@@ -6,6 +6,7 @@
     FollowView,
     GroupsUpdate,
     LeaveNotice,
+    ListingUpdate,
     ViewRequest,
     ViewUpdate,
 )
@@ -46,6 +47,7 @@
     "GroupsUpdate",
     "Heartbeat",
     "LeaveNotice",
+    "ListingUpdate",
     "LoadReport",
     "Order",
     "Probe",
--- a/packages/ochreway-core/src/ochreway_core/messages/configuration.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/configuration.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ochreway_core.ids import DomainId, Epoch, NodeId
+from ochreway_core.listing import ListedInstance
 from ochreway_core.message import message
 from ochreway_core.rows import GroupRow
 from ochreway_core.view import Snapshot
@@ -28,10 +29,12 @@
 class FollowView:
     """Ask an entry for its version and groups, and for changes for a while.
 
-    ``digest`` is that of the domains' epoch counters that the asker has.
+    ``digest`` is that of the domains' epoch counters that the asker has, ``listing`` that of
+    its list of instances; 0 says that it has nothing.
     """
 
     digest: int
+    listing: int
 
 
 @message(63)
@@ -44,6 +47,16 @@
     groups: tuple[GroupRow, ...]
 
 
+@message(65)
+@dataclass(frozen=True, slots=True)
+class ListingUpdate:
+    """Carry what changed in the platform's list; ``whole`` replaces what was known."""
+
+    whole: bool
+    instances: tuple[ListedInstance, ...]
+    gone: tuple[NodeId, ...]
+
+
 @message(64)
 @dataclass(frozen=True, slots=True)
 class LeaveNotice:
@@ -52,4 +65,11 @@
     node: NodeId
 
 
-__all__ = ["FollowView", "GroupsUpdate", "LeaveNotice", "ViewRequest", "ViewUpdate"]
+__all__ = [
+    "FollowView",
+    "GroupsUpdate",
+    "LeaveNotice",
+    "ListingUpdate",
+    "ViewRequest",
+    "ViewUpdate",
+]
--- a/packages/ochreway-daemon/src/ochreway_daemon/entryshell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/entryshell.py
@@ -101,7 +101,7 @@
         self.post(lambda now_s: self.node.on_body(bundle, body, now_s))
 
     def _poll_list(self) -> None:
-        if not self._listing:
+        if self.node.keeper.reads_list and not self._listing:
             self._listing = True
             self.spawn(self._read_list())
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
@@ -2,7 +2,7 @@
 """A fabric domain's controller: lease, plan, commit, push."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -104,7 +104,7 @@
         self._bundle = bundle
         self._version = version
 
-    def on_listing(self, instances: dict[NodeId, ListedInstance]) -> None:
+    def on_listing(self, instances: Mapping[NodeId, ListedInstance]) -> None:
         """Take in the platform's list."""
         for node in sorted(self._named() | self.health.keys()):
             health = self.health.setdefault(node, Health())
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -25,6 +25,7 @@
     FollowView,
     Frame,
     GroupsUpdate,
+    ListingUpdate,
     LoadReport,
     Refusal,
     Report,
@@ -43,6 +44,7 @@
 from ochreway_nodes.controller.repair import REPAIR_POLICIES, RepairTuning
 from ochreway_nodes.entry.calls import Calls
 from ochreway_nodes.entry.legacy import legacy_replicas
+from ochreway_nodes.entry.listing import Listing, listing_of
 from ochreway_nodes.entry.spreadtree import PARENTS, parents_of, reads_table
 from ochreway_nodes.entry.subset import entries_of, followed_groups
 from ochreway_nodes.entry.viewkeeper import ViewKeeper
@@ -77,7 +79,6 @@
         self.me = me
         self.hall = hall
         self.controllers: dict[DomainId, Controller] = {}
-        self.listing: dict[NodeId, ListedInstance] = {}
         self.stopping = False
         self._incarnation = incarnation
         self._timing = timing
@@ -111,8 +112,14 @@
             ViewUpdate: self.keeper.on_view_update,
             FollowView: self.keeper.on_follow_view,
             GroupsUpdate: self.keeper.on_groups_update,
+            ListingUpdate: self._on_listing_update,
         }
 
+    @property
+    def listing(self) -> Listing:
+        """Return the platform's list as it is known here."""
+        return self.keeper.listing
+
     @property
     def version(self) -> Version:
         """Return the configuration version in force here."""
@@ -186,10 +193,14 @@
 
     def on_listing(self, instances: Iterable[ListedInstance], now_s: float) -> None:
         """Take in the platform's list."""
-        listing = {each.node: each for each in instances}
-        if listing == self.listing:
-            return
-        self.listing = listing
+        if self.keeper.set_listing(listing_of(instances)):
+            self._follow_listing(now_s)
+
+    def _on_listing_update(self, sender: Peer, update: ListingUpdate, now_s: float) -> None:
+        if self.keeper.on_listing_update(update):
+            self._follow_listing(now_s)
+
+    def _follow_listing(self, now_s: float) -> None:
         entries = entries_of(self.listing)
         self._choose_parents(entries)
         self._set_controllers(now_s)
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -12,7 +12,13 @@
 from ochreway_core.codec import decode
 from ochreway_core.effects import FetchBody, TableRead, TableUse
 from ochreway_core.ids import BundleHash, DomainId, Epoch, NodeId, ScopeId
-from ochreway_core.messages import FollowView, GroupsUpdate, ViewRequest, ViewUpdate
+from ochreway_core.messages import (
+    FollowView,
+    GroupsUpdate,
+    ListingUpdate,
+    ViewRequest,
+    ViewUpdate,
+)
 from ochreway_core.peer import Peer
 from ochreway_core.rows import (
     GroupRow,
@@ -27,6 +33,7 @@
 from ochreway_core.table import ReadReply, Row
 from ochreway_core.timing import Timing
 from ochreway_core.view import Snapshot, snapshot_of
+from ochreway_nodes.entry.listing import Listing, applied, difference, digest_of
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
 
@@ -50,6 +57,7 @@
     peer: Peer
     until_s: float
     told: dict[DomainId, Epoch]
+    listing: Listing
 
 
 class ViewKeeper:
@@ -87,6 +95,25 @@
         self._followers: dict[NodeId, _Follower] = {}
         self._changed = False
         self._asked: frozenset[DomainId] = frozenset()
+        self.listing: Listing = {}
+        self._listing_digest = 0
+
+    @property
+    def reads_list(self) -> bool:
+        """Tell whether this entry reads the platform's list itself."""
+        return self.reads_table or not self.listing
+
+    def set_listing(self, listing: Listing) -> bool:
+        """Take the platform's list; return whether it differs from the known one."""
+        if listing == self.listing:
+            return False
+        self.listing = listing
+        self._listing_digest = digest_of(listing)
+        return True
+
+    def on_listing_update(self, update: ListingUpdate) -> bool:
+        """Take a change of the list from another entry."""
+        return not self.reads_table and self.set_listing(applied(self.listing, update))
 
     def take_changed(self) -> bool:
         """Return whether the groups or the version changed since last asked."""
@@ -108,7 +135,7 @@
         if now_s - self._followed_s >= FOLLOW_S and (self._failing or not self.reads_table):
             self._followed_s = now_s
             for parent in self.parents:
-                self._outbox.send(parent, FollowView(self._digest()))
+                self._outbox.send(parent, FollowView(self._digest(), self._listing_digest))
         self._tell_followers(now_s)
 
     def _poll(self, now_s: float) -> None:
@@ -249,13 +276,14 @@
         """Count an entry among the followers for a while."""
         follower = self._followers.get(sender.node)
         if follower is None or follower.until_s < now_s:
-            follower = _Follower(sender, 0.0, {})
+            follower = _Follower(sender, 0.0, {}, {})
             self._followers[sender.node] = follower
         follower.until_s = now_s + FOLLOW_FOR_S
         if message.digest == 0:
             follower.told = {}
-        if message.digest != self._digest():
-            self._tell(follower)
+        if message.listing != digest_of(follower.listing):
+            follower.listing = {}
+        self._tell(follower)
 
     def on_groups_update(self, sender: Peer, update: GroupsUpdate, now_s: float) -> None:
         """Take in a domain's groups from another entry."""
@@ -269,11 +297,15 @@
                 self._tell(follower)
 
     def _tell(self, follower: _Follower) -> None:
+        if follower.listing is not self.listing:
+            update = difference(follower.listing, self.listing)
+            follower.listing = self.listing
+            self._outbox.send(follower.peer, update)
         for domain, known in self.domains.items():
             if follower.told.get(domain, -1) < known.counter:
                 follower.told[domain] = known.counter
-                update = GroupsUpdate(domain, known.counter, known.groups)
-                self._outbox.send(follower.peer, update)
+                groups = GroupsUpdate(domain, known.counter, known.groups)
+                self._outbox.send(follower.peer, groups)
 
     def _digest(self) -> int:
         if not self.domains:
--- a/packages/ochreway-platform/src/ochreway_platform/instancelist.py
+++ b/packages/ochreway-platform/src/ochreway_platform/instancelist.py
@@ -41,13 +41,22 @@
         self._session = session
         self._url = f"{base_url.rstrip('/')}/instances"
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._tag = ""
+        self._last: list[ListedInstance] = []
 
     async def read(self) -> list[ListedInstance]:
-        """Return the instances listed."""
+        """Return the instances listed; an unchanged list is not sent again."""
+        headers = {"If-None-Match": self._tag} if self._tag else {}
         try:
-            async with self._session.get(self._url, timeout=self._timeout) as response:
+            async with self._session.get(
+                self._url, headers=headers, timeout=self._timeout
+            ) as response:
+                if response.status == 304:
+                    return self._last
                 response.raise_for_status()
-                return [from_json(item) for item in await response.json()]
+                self._last = [from_json(item) for item in await response.json()]
+                self._tag = response.headers.get("ETag", "")
+                return self._last
         except (TimeoutError, aiohttp.ClientError, OSError) as fault:
             raise ListUnavailable(str(fault)) from fault
         except (KeyError, TypeError, ValueError) as fault:
--- a/packages/ochreway-standins/src/ochreway_standins/platformserver.py
+++ b/packages/ochreway-standins/src/ochreway_standins/platformserver.py
@@ -26,6 +26,7 @@
         self.objects = MemoryObjectStore()
         self.instances = MemoryInstanceList()
         self.mode = "up"
+        self.list_version = 0
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -75,10 +76,15 @@
 
     async def _list(self, request: web.Request) -> web.Response:
         self._fail_if_down()
-        return web.json_response([to_json(each) for each in await self.instances.read()])
+        tag = f'"{self.list_version}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304)
+        listed = [to_json(each) for each in await self.instances.read()]
+        return web.json_response(listed, headers={"ETag": tag})
 
     async def _set_list(self, request: web.Request) -> web.Response:
         listed = [from_json(item) for item in await request.json()]
+        self.list_version += 1
         self.instances.instances = {NodeId(each.node): each for each in listed}
         return web.Response()
 
--- a/packages/ochreway-standins/src/ochreway_standins/soak/world.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/world.py
@@ -217,9 +217,10 @@
             return
         node = process.node
         assert isinstance(node, EntryNode)
-        self.platform.list_now(
-            lambda found: self.post(process, lambda now_s: node.on_listing(found, now_s))
-        )
+        if node.keeper.reads_list:
+            self.platform.list_now(
+                lambda found: self.post(process, lambda now_s: node.on_listing(found, now_s))
+            )
         self.clock.after(self.shape.timing.list_poll_s, partial(self._poll_list, process))
 
     def _poll_target(self, process: Process) -> None:
