Prove the main faults with real processes; mend what they showed

Found, each with its cause: - a member replaced under its name at another address never came back: its row kept the old address, and the controller, who reads the list, heard it well. Such a group is formed anew. - a request that allowed 10,000 tokens was refused as too long for the default deadline: the bound was taken for the answer's length. No more than 512 tokens are held against it.

--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,6 @@
 
 repairs: setup
 	$(BIN)/python -m ochreway_standins.repairs --seed $(SEED) --jobs $(JOBS)
+
+faults: setup
+	$(BIN)/python -m pytest -n 2 tests/processes
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
@@ -60,6 +60,11 @@
         """Tell whether the instance may join a group."""
         return not self.is_lost(node) and not self.is_leaving(node)
 
+    def peer_now(self, peer: Peer) -> Peer:
+        """Return the instance at the address that the platform lists now."""
+        health = self.health.get(peer.node)
+        return health.peer if health is not None and health.peer is not None else peer
+
     def lost_members(self, row: GroupRow) -> list[Peer]:
         """Return the members that are lost, unless the leader still hears all of them."""
         lost = [peer for peer in row.members if self.is_lost(peer.node)]
@@ -130,7 +135,7 @@
 
 def plan(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
     """Return the most pressing change, or nothing when all is as the bundle wants it."""
-    steps = (_unwanted, _broken, _leaving, _missing, _outdated)
+    steps = (_unwanted, _readdressed, _broken, _leaving, _missing, _outdated)
     for step in steps:
         change = step(situation, policy)
         if change is not None:
@@ -158,6 +163,17 @@
     return row.target == spec.target and len(row.members) == spec.instances_per_replica and taken_in
 
 
+def _readdressed(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    """Form a group anew when a member was replaced under its name at another address."""
+    specs = situation.specs()
+    for row in situation.rows.groups.values():
+        members = tuple(situation.peer_now(peer) for peer in row.members)
+        back = all(situation.usable(peer.node) for peer in members)
+        if row.group in specs and members != row.members and back:
+            return FormGroup(row.group, members, "a member has a new address")
+    return None
+
+
 def _broken(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
     specs = situation.specs()
     broken = [row for row in situation.rows.groups.values() if situation.lost_members(row)]
--- a/packages/ochreway-routing/src/ochreway_routing/router.py
+++ b/packages/ochreway-routing/src/ochreway_routing/router.py
@@ -21,6 +21,7 @@
 from ochreway_routing.query import RouteQuery
 from ochreway_routing.refused import Refused
 from ochreway_routing.replica import ReplicaView, Sent
+from ochreway_routing.servicemeter import EXPECTED_TOKENS_AT_MOST
 from ochreway_routing.tuning import Tuning
 
 DEFAULT_POLICY = "cost"
@@ -94,7 +95,8 @@
 
     def _decode_s(self, query: RouteQuery) -> float:
         tuning = self.tuning
-        return query.max_tokens * tuning.answer_share * tuning.decode_s_per_token
+        tokens = min(query.max_tokens * tuning.answer_share, EXPECTED_TOKENS_AT_MOST)
+        return tokens * tuning.decode_s_per_token
 
     def _legacy_or_own(self, query: RouteQuery, replicas: list[ReplicaView]) -> list[ReplicaView]:
         """Keep the targets of the operators' old tools for their share, the groups else."""
--- a/packages/ochreway-routing/src/ochreway_routing/servicemeter.py
+++ b/packages/ochreway-routing/src/ochreway_routing/servicemeter.py
@@ -12,6 +12,8 @@
 LEARN_WEIGHT = 0.1
 LEARN_TOKENS_AT_LEAST = 32
 ANSWER_TOKENS_AT_LEAST = 2
+EXPECTED_TOKENS_AT_MOST = 512
+"""Callers often allow far more tokens than they get; no more than this is held against them."""
 
 
 @dataclass(slots=True)
@@ -45,7 +47,8 @@
 
     def needed_s(self, prefill_tokens: float, max_tokens: int) -> float:
         """Return how long a request is expected to run once its prefill begins."""
-        decode_s = max_tokens * self.answer_share * self.decode_s_per_token
+        tokens = min(max_tokens * self.answer_share, EXPECTED_TOKENS_AT_MOST)
+        decode_s = tokens * self.decode_s_per_token
         return prefill_tokens * self.prefill_s_per_token + decode_s
 
     def next_s(self, slots: int) -> float:
@@ -98,4 +101,4 @@
             self.answer_share += LEARN_WEIGHT * (share - self.answer_share)
 
 
-__all__ = ["ServiceMeter"]
+__all__ = ["EXPECTED_TOKENS_AT_MOST", "ServiceMeter"]
--- a/packages/ochreway-standins/src/ochreway_standins/site.py
+++ b/packages/ochreway-standins/src/ochreway_standins/site.py
@@ -61,6 +61,7 @@
     load_s: float = 0.3
     token_interval_s: float = 0.02
     tokens_per_event: int = 1
+    service_work_s: float = 0.0
     link_tick_s: float = 0.001
     daemons: dict[str, Daemon] = field(default_factory=dict)
     listed: list[dict[str, str]] = field(default_factory=list)
@@ -145,7 +146,8 @@
 
     def start_service(self, name: str, *more: str) -> Daemon:
         """Start a plain service and the agent beside it."""
-        target = self.start_module(f"{name}.service", "service", *more)
+        work = ("--work-s", str(self.service_work_s))
+        target = self.start_module(f"{name}.service", "service", *work)
         return self.start_agent(name, "service", target.http)
 
     async def publish_list(self, session: aiohttp.ClientSession) -> None:
