Send versions and groups as differences

Changed: whoever asks says what it has and gets what stands between the common beginning and end; followers get a notice and ask; groups go as the rows that changed; fan-out is 4. Ruled out: zlib with the old body as its dictionary, whose window of 32 KB is shorter than the body of 108 KB.

--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,6 @@
 
 faults: setup
 	$(BIN)/python -m pytest -n 2 tests/processes
+
+timings: setup
+	$(BIN)/python -m ochreway_standins.timings --seed $(SEED)
--- a/packages/ochreway-core/src/ochreway_core/messages/__init__.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/__init__.py
@@ -7,6 +7,8 @@
     GroupsUpdate,
     LeaveNotice,
     ListingUpdate,
+    ViewDelta,
+    ViewNotice,
     ViewRequest,
     ViewUpdate,
 )
@@ -57,6 +59,8 @@
     "Report",
     "Settled",
     "Submit",
+    "ViewDelta",
+    "ViewNotice",
     "ViewRequest",
     "ViewUpdate",
     "Vote",
--- a/packages/ochreway-core/src/ochreway_core/messages/configuration.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/configuration.py
@@ -3,17 +3,24 @@
 
 from dataclasses import dataclass
 
-from ochreway_core.ids import DomainId, Epoch, NodeId
+from ochreway_core.bodydelta import BodyDelta
+from ochreway_core.ids import BundleHash, DomainId, Epoch, GroupId, NodeId
 from ochreway_core.listing import ListedInstance
 from ochreway_core.message import message
-from ochreway_core.rows import GroupRow
+from ochreway_core.rows import GroupRow, RollRow
+from ochreway_core.signoff import Approval
 from ochreway_core.view import Snapshot
 
 
 @message(60)
 @dataclass(frozen=True, slots=True)
 class ViewRequest:
-    """Ask for the version in force; sent to whoever showed a newer one."""
+    """Ask for the version in force; sent to whoever showed a newer one.
+
+    ``have`` is the bundle in force at the asker, empty for none.
+    """
+
+    have: BundleHash
 
 
 @message(61)
@@ -24,6 +31,23 @@
     snapshot: Snapshot
 
 
+@message(66)
+@dataclass(frozen=True, slots=True)
+class ViewNotice:
+    """Show a version, in the batch that carries this, to those who follow."""
+
+
+@message(67)
+@dataclass(frozen=True, slots=True)
+class ViewDelta:
+    """Carry an accepted version as what differs from a bundle that the asker has."""
+
+    base: BundleHash
+    roll: RollRow
+    approvals: tuple[Approval, ...]
+    delta: BodyDelta
+
+
 @message(62)
 @dataclass(frozen=True, slots=True)
 class FollowView:
@@ -40,10 +64,16 @@
 @message(63)
 @dataclass(frozen=True, slots=True)
 class GroupsUpdate:
-    """Carry a domain's groups as of its epoch counter."""
+    """Carry a domain's groups as of its epoch counter.
+
+    With a ``base`` they are those that changed since that counter, and ``gone`` those that
+    ended; without one, 0, they are all.
+    """
 
     domain: DomainId
+    base: Epoch
     counter: Epoch
+    gone: tuple[GroupId, ...]
     groups: tuple[GroupRow, ...]
 
 
@@ -70,6 +100,8 @@
     "GroupsUpdate",
     "LeaveNotice",
     "ListingUpdate",
+    "ViewDelta",
+    "ViewNotice",
     "ViewRequest",
     "ViewUpdate",
 ]
--- a/packages/ochreway-core/src/ochreway_core/view.py
+++ b/packages/ochreway-core/src/ochreway_core/view.py
@@ -2,6 +2,7 @@
 """The configuration that a process has applied."""
 
 import zlib
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
@@ -10,13 +11,14 @@
 from ochreway_core import invariants
 from ochreway_core.bundle import Bundle, bundle_hash, parse_bundle
 from ochreway_core.errors import SignatureInvalid
-from ochreway_core.ids import NO_VERSION, NodeId, Version
+from ochreway_core.ids import NO_VERSION, BundleHash, NodeId, Version
 from ochreway_core.rendezvous import rank
 from ochreway_core.rows import RollRow
 from ochreway_core.signoff import Approval, verify
 
 KEEPERS_AT_MOST = 64
 HOMES_PER_KEY = 3
+BODIES_KEPT = 3
 BODY_BYTES_AT_MOST = 16 * 1024 * 1024
 
 
@@ -52,6 +54,7 @@
         self._operator_keys = operator_keys
         self._key_memory_s = key_memory_s
         self._former: list[_Former] = []
+        self._bodies: OrderedDict[BundleHash, bytes] = OrderedDict()
         self.snapshot: Snapshot | None = None
         self.bundle: Bundle | None = None
         self.keepers: tuple[NodeId, ...] = ()
@@ -74,10 +77,21 @@
         invariants.version_moves_forward(self.version, snapshot.roll.version)
         self._remember_former(snapshot.roll.former, now_s)
         self.snapshot = snapshot
+        self._keep_body(snapshot)
         self.bundle = checked.unwrap()
         self.keepers = key_keepers(self.bundle)
         return Ok(True)
 
+    def _keep_body(self, snapshot: Snapshot) -> None:
+        self._bodies[snapshot.roll.bundle] = snapshot.body
+        self._bodies.move_to_end(snapshot.roll.bundle)
+        while len(self._bodies) > BODIES_KEPT:
+            self._bodies.popitem(last=False)
+
+    def body_of(self, bundle: BundleHash) -> bytes | None:
+        """Return the body of a bundle that was in force here not long ago."""
+        return self._bodies.get(bundle)
+
     def _check(self, snapshot: Snapshot) -> Result[Bundle, str]:
         try:
             body = snapshot.body
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
@@ -27,6 +27,7 @@
     Probe,
     Release,
     Submit,
+    ViewDelta,
     ViewRequest,
     ViewUpdate,
     Vote,
@@ -36,7 +37,7 @@
 from ochreway_core.outcome import Outcome
 from ochreway_core.peer import Peer
 from ochreway_core.timing import Timing
-from ochreway_core.view import View
+from ochreway_core.view import Snapshot, View
 from ochreway_nodes.agent.loadreports import LoadReports
 from ochreway_nodes.agent.membership import Membership
 from ochreway_nodes.agent.serving import Serving
@@ -99,8 +100,9 @@
             Credit: self.serving.on_credit,
             Claim: self._on_claim,
             ClaimEnd: self._on_claim_end,
-            ViewRequest: self._on_view_request,
+            ViewRequest: self.spread.on_request,
             ViewUpdate: self._on_view_update,
+            ViewDelta: self._on_view_delta,
             LeaveNotice: self._on_leave_notice,
         }
 
@@ -190,13 +192,18 @@
             self._noticed_until_s = now_s + self._timing.leave_notice_s
             self._set_leaving(True, now_s)
 
-    def _on_view_request(self, sender: Peer, request: ViewRequest, now_s: float) -> None:
-        self.spread.push(sender, now_s)
-
     def _on_view_update(self, sender: Peer, update: ViewUpdate, now_s: float) -> None:
-        if not self.spread.apply(update.snapshot, now_s):
+        self._apply(update.snapshot, now_s)
+
+    def _on_view_delta(self, sender: Peer, message: ViewDelta, now_s: float) -> None:
+        snapshot = self.spread.snapshot_from(message)
+        if snapshot is not None:
+            self._apply(snapshot, now_s)
+
+    def _apply(self, snapshot: Snapshot, now_s: float) -> None:
+        if not self.spread.apply(snapshot, now_s):
             return
-        first_wall_s = update.snapshot.roll.first_accepted_wall_s
+        first_wall_s = snapshot.roll.first_accepted_wall_s
         if first_wall_s > self._started_wall_s + CLOCK_SKEW_S:
             self.keys.stood_before_first_version()
         self.membership.beat_soon()
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/domaingroups.py
@@ -0,0 +1,48 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A domain's groups as an entry knows them, and what of them to tell others."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import xxhash
+
+from ochreway_core.ids import NO_EPOCH, DomainId, Epoch
+from ochreway_core.messages import GroupsUpdate
+from ochreway_core.rows import GroupRow
+
+
+@dataclass(frozen=True, slots=True)
+class DomainGroups:
+    """Hold a domain's groups as of its epoch counter."""
+
+    counter: Epoch
+    groups: tuple[GroupRow, ...]
+
+
+def groups_update(domain: DomainId, before: DomainGroups | None, now: DomainGroups) -> GroupsUpdate:
+    """Return what turns what was told before into what is known now."""
+    if before is None or before.counter == NO_EPOCH:
+        return GroupsUpdate(domain, NO_EPOCH, now.counter, (), now.groups)
+    old = {row.group: row for row in before.groups}
+    kept = {row.group for row in now.groups}
+    changed = tuple(row for row in now.groups if old.get(row.group) != row)
+    gone = tuple(group for group in old if group not in kept)
+    return GroupsUpdate(domain, before.counter, now.counter, gone, changed)
+
+
+def changed_groups(known: tuple[GroupRow, ...], update: GroupsUpdate) -> tuple[GroupRow, ...]:
+    """Return the groups after an update that says what changed."""
+    rows = {row.group: row for row in known}
+    rows.update({row.group: row for row in update.groups})
+    return tuple(row for group, row in rows.items() if group not in update.gone)
+
+
+def counters_digest(domains: Mapping[DomainId, DomainGroups]) -> int:
+    """Return a number that two equal sets of counters share, 0 for none."""
+    if not domains:
+        return 0
+    counters = sorted((domain, known.counter) for domain, known in domains.items())
+    return xxhash.xxh32_intdigest(repr(counters).encode()) or 1
+
+
+__all__ = ["DomainGroups", "changed_groups", "counters_digest", "groups_update"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/spreadtree.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/spreadtree.py
@@ -10,7 +10,7 @@
 
 READERS = 2
 PARENTS = 2
-FAN_OUT = 8
+FAN_OUT = 4
 
 
 def reads_table(node: NodeId, order: list[NodeId]) -> bool:
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/subset.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/subset.py
@@ -41,7 +41,7 @@
     ranked = [by_group[group] for group in rank(f"subset/{me}", by_group)]
     here = [row for row in ranked if _hall_of(row, listing) == hall]
     away = [row for row in ranked if _hall_of(row, listing) != hall]
-    near = here[: GROUPS_PER_TARGET - OTHER_HALL_GROUPS]
+    near = here[: GROUPS_PER_TARGET - min(OTHER_HALL_GROUPS, len(away))]
     return near + away[: GROUPS_PER_TARGET - len(near)]
 
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-import xxhash
-
 from ochreway_core.backoff import Backoff
 from ochreway_core.codec import decode
 from ochreway_core.effects import FetchBody, TableRead, TableUse
@@ -16,7 +14,8 @@
     FollowView,
     GroupsUpdate,
     ListingUpdate,
-    ViewRequest,
+    ViewDelta,
+    ViewNotice,
     ViewUpdate,
 )
 from ochreway_core.peer import Peer
@@ -33,6 +32,12 @@
 from ochreway_core.table import ReadReply, Row
 from ochreway_core.timing import Timing
 from ochreway_core.view import Snapshot, snapshot_of
+from ochreway_nodes.entry.domaingroups import (
+    DomainGroups,
+    changed_groups,
+    counters_digest,
+    groups_update,
+)
 from ochreway_nodes.entry.listing import Listing, applied, difference, digest_of
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
@@ -44,19 +49,11 @@
 FOLLOW_FOR_S = 7.0
 
 
-@dataclass(slots=True)
-class DomainGroups:
-    """Hold a domain's groups as of its epoch counter."""
-
-    counter: Epoch
-    groups: tuple[GroupRow, ...]
-
-
 @dataclass(slots=True)
 class _Follower:
     peer: Peer
     until_s: float
-    told: dict[DomainId, Epoch]
+    told: dict[DomainId, DomainGroups]
     listing: Listing
 
 
@@ -259,14 +256,19 @@
         self._changed = self._changed or applied
         if applied:
             for follower in self._followers.values():
-                self._spread.push(follower.peer, now_s)
+                self._outbox.send(follower.peer, ViewNotice())
         return applied
 
     # Other entries
 
-    def on_view_request(self, sender: Peer, request: ViewRequest, now_s: float) -> None:
-        """Send the version in force."""
-        self._spread.push(sender, now_s)
+    def on_view_delta(self, sender: Peer, message: ViewDelta, now_s: float) -> None:
+        """Take in a version as a difference from one that is known here."""
+        snapshot = self._spread.snapshot_from(message)
+        if snapshot is not None:
+            self.apply(snapshot, now_s)
+
+    def on_view_notice(self, sender: Peer, message: ViewNotice, now_s: float) -> None:
+        """Do nothing more: the version that came with it has been looked at."""
 
     def on_view_update(self, sender: Peer, update: ViewUpdate, now_s: float) -> None:
         """Take in a version from another process."""
@@ -279,7 +281,7 @@
             follower = _Follower(sender, 0.0, {}, {})
             self._followers[sender.node] = follower
         follower.until_s = now_s + FOLLOW_FOR_S
-        if message.digest == 0:
+        if message.digest != counters_digest(follower.told):
             follower.told = {}
         if message.listing != digest_of(follower.listing):
             follower.listing = {}
@@ -287,7 +289,11 @@
 
     def on_groups_update(self, sender: Peer, update: GroupsUpdate, now_s: float) -> None:
         """Take in a domain's groups from another entry."""
-        self.set_groups(update.domain, update.counter, update.groups)
+        known = self.domains.get(update.domain)
+        if not update.base:
+            self.set_groups(update.domain, update.counter, update.groups)
+        elif known is not None and known.counter == update.base:
+            self.set_groups(update.domain, update.counter, changed_groups(known.groups, update))
 
     def _tell_followers(self, now_s: float) -> None:
         for node, follower in list(self._followers.items()):
@@ -302,20 +308,17 @@
             follower.listing = self.listing
             self._outbox.send(follower.peer, update)
         for domain, known in self.domains.items():
-            if follower.told.get(domain, -1) < known.counter:
-                follower.told[domain] = known.counter
-                groups = GroupsUpdate(domain, known.counter, known.groups)
-                self._outbox.send(follower.peer, groups)
+            if follower.told.get(domain) is not known:
+                before = follower.told.get(domain)
+                follower.told[domain] = known
+                self._outbox.send(follower.peer, groups_update(domain, before, known))
 
     def _digest(self) -> int:
-        if not self.domains:
-            return 0
-        counters = sorted((domain, known.counter) for domain, known in self.domains.items())
-        return xxhash.xxh32_intdigest(repr(counters).encode()) or 1
+        return counters_digest(self.domains)
 
 
 def _decoded(kind: type[T], rows: Mapping[str, Row], prefix: str) -> tuple[T, ...]:
     return tuple(decode(kind, row.content) for key, row in rows.items() if key.startswith(prefix))
 
 
-__all__ = ["DomainGroups", "ViewKeeper"]
+__all__ = ["ViewKeeper"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/viewspread.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/viewspread.py
@@ -1,10 +1,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """How a node keeps up with the version that others show, and shows its own."""
 
-from ochreway_core.ids import NodeId, Version
-from ochreway_core.messages import ViewRequest, ViewUpdate
+import zlib
+
+from ochreway_core.bodydelta import apply_delta, delta_between
+from ochreway_core.ids import BundleHash, NodeId, Version
+from ochreway_core.messages import ViewDelta, ViewRequest, ViewUpdate
 from ochreway_core.peer import Peer
-from ochreway_core.view import Snapshot, View
+from ochreway_core.view import BODY_BYTES_AT_MOST, Snapshot, View, snapshot_of
 from ochreway_nodes.outbox import Outbox
 
 ASK_AGAIN_S = 0.3
@@ -21,7 +24,6 @@
         self.view = view
         self._outbox = outbox
         self._shown: dict[NodeId, Version] = {}
-        self._pushed: dict[NodeId, tuple[Version, float]] = {}
         self._asked_s = -1.0e9
 
     def seen(self, sender: Peer, version: Version, now_s: float) -> None:
@@ -34,16 +36,31 @@
         """Return the version that the node's last message carried."""
         return self._shown.get(node, Version(0))
 
-    def push(self, peer: Peer, now_s: float) -> None:
-        """Send the version in force, not again before a while."""
+    def on_request(self, sender: Peer, request: ViewRequest, now_s: float) -> None:
+        """Send the version in force, as a difference where the asker has what it is from."""
         snapshot = self.view.snapshot
         if snapshot is None:
             return
-        version, pushed_s = self._pushed.get(peer.node, (Version(0), -1.0e9))
-        if version == self.view.version and now_s - pushed_s < ASK_AGAIN_S:
+        base = self.view.body_of(request.have)
+        if base is None:
+            self._outbox.send(sender, ViewUpdate(snapshot))
             return
-        self._pushed[peer.node] = (self.view.version, now_s)
-        self._outbox.send(peer, ViewUpdate(snapshot))
+        delta = delta_between(base, snapshot.body)
+        message = ViewDelta(request.have, snapshot.roll, snapshot.approvals, delta)
+        self._outbox.send(sender, message)
+
+    def snapshot_from(self, message: ViewDelta) -> Snapshot | None:
+        """Put a version together from a difference, or note that its base is not here."""
+        base = self.view.body_of(message.base)
+        if base is None:
+            self._outbox.count("configuration.no_base")
+            return None
+        try:
+            body = apply_delta(base, message.delta, BODY_BYTES_AT_MOST)
+        except zlib.error:
+            self._outbox.count("configuration.rejected")
+            return None
+        return snapshot_of(message.roll, body, message.approvals)
 
     def apply(self, snapshot: Snapshot, now_s: float) -> bool:
         """Put a version in force if it is newer and signed off."""
@@ -64,7 +81,9 @@
     def _ask(self, sender: Peer, now_s: float) -> None:
         if now_s - self._asked_s >= ASK_AGAIN_S:
             self._asked_s = now_s
-            self._outbox.send(sender, ViewRequest())
+            snapshot = self.view.snapshot
+            have = snapshot.roll.bundle if snapshot else BundleHash("")
+            self._outbox.send(sender, ViewRequest(have))
 
 
 __all__ = ["ViewSpread"]
--- a/packages/ochreway-standins/src/ochreway_standins/slopes/__main__.py
+++ b/packages/ochreway-standins/src/ochreway_standins/slopes/__main__.py
@@ -11,6 +11,7 @@
 
 from ochreway_core.attemptid import AttemptId
 from ochreway_core.attemptledger import AttemptLedger, AttemptRecord, AttemptState
+from ochreway_core.bodydelta import delta_between
 from ochreway_core.codec import encode
 from ochreway_core.ids import (
     Epoch,
@@ -23,12 +24,12 @@
     Version,
 )
 from ochreway_core.keyhome import KeyHome
-from ochreway_core.messages import Claim, ClaimReply, Frame, GroupsUpdate, Vote
+from ochreway_core.messages import Claim, ClaimReply, Frame, GroupsUpdate, ViewDelta, Vote
 from ochreway_core.outcome import Outcome
 from ochreway_core.peer import Peer
 from ochreway_core.priority import Priority
 from ochreway_core.rows import LeaseRow
-from ochreway_core.view import View
+from ochreway_core.view import Snapshot, View
 from ochreway_routing.prefixindex import ENTRIES_AT_MOST, PrefixIndex
 from ochreway_routing.query import RouteQuery
 from ochreway_routing.replica import ReplicaView
@@ -88,12 +89,21 @@
             "configuration_change",
             n=groups,
             bytes=len(content),
+            delta_bytes=len(encode(_delta(snapshot))),
             unpacked_bytes=len(snapshot.body),
             apply_ms=cpu_us(apply, 3) / 1000,
             view_kb=memory_kb(lambda s=snapshot: _applied(s)),  # type: ignore[misc]
         )
 
 
+def _delta(snapshot: Snapshot) -> ViewDelta:
+    body = snapshot.body
+    middle = len(body) // 2
+    changed = body[:middle] + b"# a comment of one line\n" + body[middle:]
+    delta = delta_between(body, changed)
+    return ViewDelta(snapshot.roll.bundle, snapshot.roll, snapshot.approvals, delta)
+
+
 def _applied(snapshot: object) -> View:
     view = View(setups.KEYS, 120.0)
     view.apply(snapshot, 0.0).unwrap()  # type: ignore[arg-type]
@@ -157,7 +167,7 @@
         line("prefix_index", n=count, memory_kb=memory_kb(lambda n=count: _prefixes(n)))  # type: ignore[misc]
     for count in (10, 100, 525):
         rows = tuple(setups.row_of(index, 8) for index in range(count))
-        content = encode(GroupsUpdate(setups.DOMAIN, Epoch(1), rows))
+        content = encode(GroupsUpdate(setups.DOMAIN, Epoch(0), Epoch(1), (), rows))
         kept = memory_kb(lambda n=count: [setups.row_of(index, 8) for index in range(n)])  # type: ignore[misc]
         line("group_row", n=count, bytes=len(content), memory_kb=kept)
     lease = LeaseRow(NodeId("entry-00001#7fffffffffff"), Epoch(1), 100, Epoch(5))  # type: ignore[arg-type]
