--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -55,6 +55,7 @@
     until_s: float
     told: dict[DomainId, DomainGroups]
     listing: Listing
+    listing_digest: int = 0
 
 
 class ViewKeeper:
@@ -283,7 +284,7 @@
         follower.until_s = now_s + FOLLOW_FOR_S
         if message.digest != counters_digest(follower.told):
             follower.told = {}
-        if message.listing != digest_of(follower.listing):
+        if message.listing != follower.listing_digest:
             follower.listing = {}
         self._tell(follower)
 
@@ -306,6 +307,7 @@
         if follower.listing is not self.listing:
             update = difference(follower.listing, self.listing)
             follower.listing = self.listing
+            follower.listing_digest = self._listing_digest
             self._outbox.send(follower.peer, update)
         for domain, known in self.domains.items():
             if follower.told.get(domain) is not known:
