--- a/packages/ochreway-core/src/ochreway_core/reassembly.py
+++ b/packages/ochreway-core/src/ochreway_core/reassembly.py
@@ -21,8 +21,7 @@
         if frame.total is not None:
             self.total = frame.total
         if frame.offset > self.received:
-            if len(self._held) < HELD_FRAMES:
-                self._held.setdefault(frame.offset, frame)
+            self._hold(frame)
             return []
         ready = []
         following: Frame | None = frame
@@ -34,6 +33,14 @@
             following = self._next_held()
         return ready
 
+    def _hold(self, frame: Frame) -> None:
+        """Keep a frame that came early, the longest of those that begin alike."""
+        known = self._held.get(frame.offset)
+        if known is None and len(self._held) >= HELD_FRAMES:
+            return
+        if known is None or len(known.payload) < len(frame.payload):
+            self._held[frame.offset] = frame
+
     def _next_held(self) -> Frame | None:
         offset = min(self._held, default=self.received + 1)
         return self._held.pop(offset) if offset <= self.received else None
--- /dev/null
+++ b/tests/wire/test_links.py
@@ -0,0 +1,133 @@
+# SPDX-License-Identifier: Apache-2.0
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ochreway_core.ids import GroupId, NodeId, Version
+from ochreway_core.messages import Follow
+from ochreway_core.peer import Peer
+from ochreway_standins.site import free_port
+from ochreway_wire.batch import Batch, decode_batch, encode_batch
+from ochreway_wire.errors import BatchInvalid, HandshakeRefused
+from ochreway_wire.handshake import check_proof, proof, read_hello
+from ochreway_wire.links import Links, LinkSettings
+
+KEY = b"k" * 32
+
+
+class End:
+    def __init__(self, name: str, key: bytes = KEY) -> None:
+        self.peer = Peer(NodeId(name), f"127.0.0.1:{free_port()}")
+        self.received: list[tuple[str, int, object]] = []
+        self.down: list[str] = []
+        self.links = Links(
+            self.peer, LinkSettings(key), lambda: Version(7), self._take, self.down.append
+        )
+
+    def _take(self, sender: Peer, batch: Batch) -> None:
+        self.received += [(sender.node, batch.version, each) for each in batch.messages]
+
+    async def listen(self) -> None:
+        await self.links.listen("127.0.0.1", int(self.peer.address.rpartition(":")[2]))
+
+
+async def until(check: Callable[[], bool]) -> None:
+    async with asyncio.timeout(10.0):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+def run(work: Callable[[End, End], Awaitable[None]], key: bytes = KEY) -> None:
+    async def both() -> None:
+        one, other = End("one"), End("other", key)
+        await one.listen()
+        await other.listen()
+        try:
+            await work(one, other)
+        finally:
+            await one.links.close()
+            await other.links.close()
+
+    asyncio.run(both())
+
+
+class LinksTests(testtools.TestCase):
+    def test_one_link_carries_both_ways_with_the_version(self) -> None:
+        async def work(one: End, other: End) -> None:
+            for number in range(100):
+                one.links.send(other.peer, Follow(GroupId(str(number))))
+            await until(lambda: len(other.received) == 100)
+            self.assertEqual(("one", 7, Follow(GroupId("0"))), other.received[0])
+            other.links.send(one.peer, Follow(GroupId("back")))
+            await until(lambda: bool(one.received))
+            self.assertEqual((1, 1), (len(one.links), len(other.links)))
+
+        run(work)
+
+    def test_order_is_kept(self) -> None:
+        async def work(one: End, other: End) -> None:
+            for number in range(5000):
+                one.links.send(other.peer, Follow(GroupId(str(number))))
+                if number % 500 == 0:
+                    await asyncio.sleep(0.002)
+            await until(lambda: len(other.received) >= 1024)
+            await asyncio.sleep(0.3)
+            numbers = [int(message.group) for _, _, message in other.received]  # type: ignore[attr-defined]
+            self.assertEqual(sorted(numbers), numbers)
+
+        run(work)
+
+    def test_another_key_is_refused(self) -> None:
+        async def work(one: End, other: End) -> None:
+            one.links.send(other.peer, Follow(GroupId("x")))
+            await until(lambda: one.down == ["other"])
+            self.assertEqual([], other.received)
+
+        run(work, key=b"z" * 32)
+
+    def test_nobody_there(self) -> None:
+        async def work(one: End, other: End) -> None:
+            one.links.send(Peer(NodeId("ghost"), "127.0.0.1:1"), Follow(GroupId("x")))
+            await until(lambda: one.down == ["ghost"])
+
+        run(work)
+
+    def test_end_of_the_other_is_told(self) -> None:
+        async def work(one: End, other: End) -> None:
+            one.links.send(other.peer, Follow(GroupId("x")))
+            await until(lambda: bool(other.received))
+            await other.links.close()
+            await until(lambda: one.down == ["other"])
+
+        run(work)
+
+
+class BatchTests(testtools.TestCase):
+    def test_unknown_message_is_refused(self) -> None:
+        content = encode_batch(Version(1), [Follow(GroupId("g"))])
+        broken = content.replace(b"\x82\x08", b"\x82\x18\xfa")
+        self.assertNotEqual(content, broken)
+        self.assertRaises(BatchInvalid, decode_batch, broken)
+
+    @given(st.binary(max_size=100))
+    def test_any_bytes_are_read_or_refused(self, content: bytes) -> None:
+        try:
+            decode_batch(content)
+        except BatchInvalid:
+            return
+
+
+class HandshakeTests(testtools.TestCase):
+    def test_own_proof_fed_back_is_refused(self) -> None:
+        mine = proof(KEY, b"mine", b"theirs")
+        self.assertRaises(HandshakeRefused, check_proof, KEY, b"theirs", b"mine", mine)
+
+    @given(st.binary(max_size=60))
+    def test_any_hello_is_read_or_refused(self, content: bytes) -> None:
+        try:
+            read_hello(content)
+        except HandshakeRefused:
+            return
