--- a/packages/ochreway-daemon/src/ochreway_daemon/main.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -34,6 +34,7 @@
     CommonSettings,
     EntrySettings,
     check,
+    first_peers,
     operator_keys,
     shown,
 )
@@ -105,6 +106,9 @@
 
 @main.command()
 @common
+@setting(
+    "--peer", (), "NAME=HOST:PORT of another entry, asked while the list is away.", multiple=True
+)
 @setting("--operator-token", "", "Token that the ochreway command shows (secret).")
 @setting("--routing-policy", "cost", "One of: " + ", ".join(sorted(POLICIES)) + ".")
 @setting("--repair-policy", "expected_cost", "One of: " + ", ".join(sorted(REPAIR_POLICIES)) + ".")
@@ -164,6 +168,7 @@
             settings.routing_policy,
             settings.repair_policy,
             RepairTuning(load_s=settings.load_s),
+            first_peers(settings.peer),
         )
         shell = EntryShell(
             settings,
--- a/packages/ochreway-daemon/src/ochreway_daemon/settings.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/settings.py
@@ -11,6 +11,8 @@
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 
+from ochreway_core.ids import NodeId
+from ochreway_core.peer import Peer
 from ochreway_core.targetkind import TargetKind
 from ochreway_daemon.errors import SettingsInvalid
 
@@ -48,6 +50,7 @@
 class EntrySettings(CommonSettings):
     """Hold what an entry needs."""
 
+    peer: tuple[str, ...]
     operator_token: str = field(metadata={"secret": True})
     routing_policy: str
     repair_policy: str
@@ -103,6 +106,21 @@
         return "NAME=BASE64 of 32 bytes, as `ochreway keys new` prints it"
 
 
+def _peers(values: tuple[str, ...]) -> str | None:
+    shaped = all(name and _address(address) is None for name, address in map(_pair, values))
+    return None if shaped else "NAME=HOST:PORT of another entry's links"
+
+
+def _pair(value: str) -> tuple[str, str]:
+    name, _, rest = value.partition("=")
+    return name, rest
+
+
+def first_peers(values: tuple[str, ...]) -> list[Peer]:
+    """Return the entries to ask while the platform's list cannot be read."""
+    return [Peer(NodeId(name), address) for name, address in map(_pair, values)]
+
+
 def _file(value: str) -> str | None:
     return None if not value or Path(value).is_file() else "a file that can be read"
 
@@ -117,6 +135,7 @@
     "platform_url": _url,
     "link_key": _link_key,
     "operator_key": _operator_keys,
+    "peer": _peers,
     "statsd": _optional_address,
     "log_level": _one_of(*LEVELS),
     "drain_timeout_s": _positive,
@@ -178,4 +197,12 @@
     return keys
 
 
-__all__ = ["AgentSettings", "CommonSettings", "EntrySettings", "check", "operator_keys", "shown"]
+__all__ = [
+    "AgentSettings",
+    "CommonSettings",
+    "EntrySettings",
+    "check",
+    "first_peers",
+    "operator_keys",
+    "shown",
+]
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -77,6 +77,7 @@
         routing_policy: str = DEFAULT_POLICY,
         repair_policy: str = "expected_cost",
         repair_tuning: RepairTuning | None = None,
+        first_peers: Iterable[Peer] = (),
     ) -> None:
         self.me = me
         self.hall = hall
@@ -91,6 +92,7 @@
         self._follow_s = -1.0e9
         self.spread = ViewSpread(View(operator_keys, timing.key_memory_s), self._outbox)
         self.keeper = ViewKeeper(scope, timing, self.spread, self._outbox, rng, self._next_call)
+        self.keeper.follow(list(first_peers))
         self.router = Router(hall, rng, policy=routing_policy)
         self.limits = Limits()
         self.calls = Calls(
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -118,10 +118,10 @@
             await asyncio.sleep(8.0)
             self.assertTrue((await running.stream(3)).endswith(b"data: [DONE]\n\n"))
             self.assertEqual(200, (await running.confirm("v3", "entry-2", "key-3"))[0])
-            running.site.start_entry("entry-3")
-            await running.site.publish_list(running.session)
-            await running.site.set_mode(running.session, "up")
+            peer = running.site.daemons["entry-1"].link
+            running.site.start_entry("entry-3", "--peer", f"entry-1={peer}")
             await running.until_gate("care-0", "none", "entry-3")
+            self.assertTrue((await running.stream(3, "entry-3")).endswith(b"data: [DONE]\n\n"))
 
         on_a_site(scenario)
 
