Let a leader put a standby in a lost member's place without the table

A section may reserve standbys: they stand in the group's row, grant its leader and keep the weights. After a member's grant has been gone for a second the leader makes another formation of the same epoch; its number is part of the fence of target orders, and numbers of heartbeats go on so that no late grant answers for a newer one. The controller writes the formation down. Ruled out: swapping below the table's epoch without a fence for targets: one that checks nothing could be told the older formation last.

--- a/packages/ochreway-core/src/ochreway_core/bundle.py
+++ b/packages/ochreway-core/src/ochreway_core/bundle.py
@@ -90,6 +90,7 @@
     priority: int = Field(default=1, ge=0, le=9)
     role: str = "serve"
     warm_spares: bool = True
+    standbys: int = Field(default=0, ge=0, le=8)
 
     @model_validator(mode="after")
     def _shape_is_possible(self) -> Group:
@@ -99,8 +100,10 @@
             raise ValueError("instances_per_replica must be 1 for a service")
         if len(set(self.instances)) != len(self.instances):
             raise ValueError("instances repeats a name; name each once")
-        if self.replicas * self.instances_per_replica > len(self.instances):
-            raise ValueError("instances are too few for replicas * instances_per_replica")
+        if self.replicas * (self.instances_per_replica + self.standbys) > len(self.instances):
+            raise ValueError(
+                "instances are too few for replicas * (instances_per_replica + standbys)"
+            )
         return self
 
     @property
--- a/packages/ochreway-core/src/ochreway_core/gate.py
+++ b/packages/ochreway-core/src/ochreway_core/gate.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ochreway_core.ids import NodeId
+from ochreway_core.peer import Peer
 from ochreway_core.reason import Reason
 from ochreway_core.rows import GroupRow
 
@@ -24,12 +25,16 @@
 
     row: GroupRow
     ttl_s: float
+    began_s: float = 0.0
     sequence: int = 0
     _sent_s: dict[int, float] = field(default_factory=dict)
     _members: dict[NodeId, _MemberState] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self._members = {peer.node: _MemberState() for peer in self.row.members}
+        self._members = {peer.node: _MemberState() for peer in self.row.everyone}
+
+    def _active(self) -> list[_MemberState]:
+        return [self._members[peer.node] for peer in self.row.members]
 
     def advance(self, row: GroupRow) -> None:
         """Take a later step of the same epoch; the grants stay."""
@@ -71,15 +76,35 @@
 
     def missing(self, now_s: float) -> tuple[NodeId, ...]:
         """Return the members whose grants are not fresh."""
-        return tuple(node for node, each in self._members.items() if now_s >= each.until_s)
+        members = (peer.node for peer in self.row.members)
+        return tuple(node for node in members if now_s >= self._members[node].until_s)
+
+    def lost(self, now_s: float, after_s: float) -> list[Peer]:
+        """Return the members whose grants lapsed that long ago, or never came."""
+        since_s = self.began_s + self.ttl_s
+        return [
+            peer
+            for peer in self.row.members
+            if now_s - max(self._members[peer.node].until_s, since_s) > after_s
+        ]
+
+    def able_standbys(self, now_s: float) -> list[Peer]:
+        """Return the standbys that could take a member's place."""
+        return [
+            peer
+            for peer in self.row.standbys
+            if now_s < self._members[peer.node].until_s
+            and self._members[peer.node].ready
+            and not self._members[peer.node].leaving
+        ]
 
     def valid_until_s(self) -> float:
         """Return when the first grant lapses."""
-        return min(each.until_s for each in self._members.values())
+        return min(each.until_s for each in self._active())
 
     def closed_because(self, now_s: float) -> Reason:
         """Return why the gate is closed, or ``NONE`` when it is open."""
-        members = self._members.values()
+        members = self._active()
         checks = (
             (Reason.GROUP_INCOMPLETE, any(now_s >= each.until_s for each in members)),
             (Reason.GROUP_LOADING, any(not each.ready for each in members)),
--- a/packages/ochreway-core/src/ochreway_core/messages/membership.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/membership.py
@@ -48,7 +48,7 @@
 
     group: GroupId
     epoch: Epoch
-    step: int
+    formation: int
     sequence: int
     released: bool
     row: GroupRow | None
@@ -103,7 +103,8 @@
 
     ``artifact`` is what the target has loaded, empty while it loads.
     ``granting`` says that the agent's grant to its leader is fresh; ``missing`` names the
-    members whose grants a leader lacks.
+    members whose grants a leader lacks. ``reformed`` is the row of a formation that the
+    leader made without the table.
     """
 
     node: NodeId
@@ -118,6 +119,7 @@
     gate: Reason
     drained: bool
     missing: tuple[NodeId, ...]
+    reformed: GroupRow | None = None
 
 
 @message(8)
--- a/packages/ochreway-core/src/ochreway_core/rows.py
+++ b/packages/ochreway-core/src/ochreway_core/rows.py
@@ -18,6 +18,14 @@
 from ochreway_core.peer import Peer
 from ochreway_core.targetkind import TargetKind
 
+FORMATIONS_AT_MOST = 1000
+"""How many formations an epoch may have, as their number is part of the fence."""
+
+
+def fence_of(epoch: Epoch) -> Epoch:
+    """Return the fence of an epoch's first formation."""
+    return Epoch(epoch * FORMATIONS_AT_MOST)
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseRow:
@@ -31,7 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupRow:
-    """Hold one serving group; its first member leads."""
+    """Hold one serving group; its first member leads.
+
+    Standbys belong to the group too. Its leader may put one in a lost member's place without
+    the table, which makes another formation of the same epoch.
+    """
 
     group: GroupId
     domain: DomainId
@@ -45,6 +57,27 @@
     version: Version
     draining: bool
     members: tuple[Peer, ...]
+    standbys: tuple[Peer, ...] = ()
+    formation: int = 0
+
+    @property
+    def age(self) -> tuple[int, int, int]:
+        """Return what orders the rows of a group."""
+        return self.epoch, self.formation, self.step
+
+    @property
+    def fence(self) -> Epoch:
+        """Return what fences orders to the group's targets."""
+        return Epoch(fence_of(self.epoch) + self.formation)
+
+    @property
+    def everyone(self) -> tuple[Peer, ...]:
+        """Return the members and the standbys."""
+        return self.members + self.standbys
+
+    def serves_on(self, node: NodeId) -> bool:
+        """Tell whether the node is a member, not a standby."""
+        return any(peer.node == node for peer in self.members)
 
     @property
     def leader(self) -> Peer:
@@ -52,8 +85,8 @@
         return self.members[0]
 
     def names(self, node: NodeId) -> bool:
-        """Tell whether the node is a member."""
-        return any(peer.node == node for peer in self.members)
+        """Tell whether the node is a member or a standby."""
+        return any(peer.node == node for peer in self.everyone)
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +168,7 @@
     "LeaseRow",
     "RollRow",
     "approval_key",
+    "fence_of",
     "bundle_key",
     "group_key",
     "head_key",
--- a/packages/ochreway-core/src/ochreway_core/targetorder.py
+++ b/packages/ochreway-core/src/ochreway_core/targetorder.py
@@ -22,7 +22,7 @@
 def order_for(row: GroupRow) -> TargetOrder:
     """Return the order that a group's row means for each of its targets."""
     members = tuple(peer.node for peer in row.members)
-    return TargetOrder(row.epoch, row.artifact, row.group, members)
+    return TargetOrder(row.fence, row.artifact, row.group, members)
 
 
 __all__ = ["NO_GROUP", "TargetOrder", "order_for"]
--- a/packages/ochreway-core/src/ochreway_core/timing.py
+++ b/packages/ochreway-core/src/ochreway_core/timing.py
@@ -33,6 +33,7 @@
     table_timeout_s: float = 3.0
     backoff_max_s: float = 5.0
     list_poll_s: float = 1.0
+    standby_after_s: float = 1.0
     leave_notice_s: float = 3.0
     leader_silent_s: float = 60.0
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -2,11 +2,12 @@
 """An agent's part in a group: its grant, and its gate when it leads."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from ochreway_core.effects import OrderTarget
 from ochreway_core.gate import LeaderGate
 from ochreway_core.grant import MemberGrant
-from ochreway_core.ids import GroupId, Incarnation
+from ochreway_core.ids import NO_EPOCH, Epoch, GroupId, Incarnation
 from ochreway_core.messages import (
     Dismiss,
     Grant,
@@ -19,7 +20,7 @@
 )
 from ochreway_core.peer import Peer
 from ochreway_core.reason import Reason
-from ochreway_core.rows import GroupRow
+from ochreway_core.rows import GroupRow, fence_of
 from ochreway_core.targetkind import TargetKind
 from ochreway_core.targetorder import TargetOrder, order_for
 from ochreway_core.timing import Timing
@@ -53,6 +54,7 @@
         self.grant = MemberGrant(timing.grant_ttl_s, now_s)
         self.target = TargetState()
         self._warm: TargetOrder | None = None
+        self._warm_epoch = NO_EPOCH
         self.leaving = False
         self.released = False
         self.said_released = False
@@ -71,7 +73,7 @@
         """Leave a group that the table no longer names this instance in."""
         self.grant.learn(message.counter)
         if self.row is not None and self.row.epoch <= message.counter:
-            self._leave_group(now_s)
+            self._leave_group(now_s, Epoch(message.counter + 1))
 
     def adopt(self, row: GroupRow, now_s: float) -> None:
         """Take a newer row of this instance's group, or of the group it joins."""
@@ -79,13 +81,16 @@
             return
         if not row.names(self.me.node):
             return
-        same_epoch = self.row is not None and self.row.epoch == row.epoch
-        if same_epoch and self.gate is not None:
+        same = self.row is not None and self.row.fence == row.fence
+        if same and self.gate is not None:
             self.gate.advance(row)
-        if not same_epoch:
-            self._leave_group(now_s)
+        if not same:
+            # Numbers of heartbeats go on, so that no late grant answers for a newer one.
+            sequence = self.gate.sequence if self.gate is not None else 0
+            self._leave_group(now_s, row.epoch)
             if row.leader.node == self.me.node:
-                self.gate = LeaderGate(row, self.timing.leader_grant_ttl_s)
+                ttl_s = self.timing.leader_grant_ttl_s
+                self.gate = LeaderGate(row, ttl_s, now_s, sequence)
         self.row = row
         self._warm = None
         self.released = False
@@ -99,13 +104,13 @@
     def _is_newer(self, row: GroupRow) -> bool:
         if self.row is None:
             return True
-        return (row.epoch, row.step) > (self.row.epoch, self.row.step)
+        return row.age > self.row.age
 
-    def _leave_group(self, now_s: float) -> None:
+    def _leave_group(self, now_s: float, next_epoch: Epoch) -> None:
         former, self.row, gate, self.gate = self.row, None, self.gate, None
         if former is None:
             return
-        if gate is not None:
+        if gate is not None and former.epoch != next_epoch:
             for peer in self._others(former):
                 self._outbox.send(peer, Release(former.group, former.epoch))
             self.grant.returned(former.epoch)
@@ -120,7 +125,7 @@
         """Grant or refuse a leader."""
         if beat.row is not None:
             self.adopt(beat.row, now_s)
-        if self.row is None or (self.row.group, self.row.epoch) != (beat.group, beat.epoch):
+        if not self._is_of_row(beat):
             stale = beat.epoch < self.grant.highest
             reason = Reason.STALE_EPOCH if stale else Reason.NO_GROUP
             self._refuse(sender, beat, reason, 0.0)
@@ -139,6 +144,13 @@
         grant = Grant(beat.group, beat.epoch, beat.sequence, self.ready(now_s), self.leaving)
         self._outbox.send(sender, grant)
 
+    def _is_of_row(self, beat: Heartbeat) -> bool:
+        row = self.row
+        if row is None:
+            return False
+        known = (row.group, row.epoch, row.formation)
+        return known == (beat.group, beat.epoch, beat.formation)
+
     def _refuse(self, sender: Peer, beat: Heartbeat, reason: Reason, wait_s: float) -> None:
         self._outbox.count(f"grant.refused.{reason.value}")
         refusal = GrantRefusal(beat.group, beat.epoch, beat.sequence, reason, wait_s)
@@ -175,6 +187,7 @@
             gate=self.closed_because(now_s),
             drained=drained,
             missing=self.gate.missing(now_s) if self.gate else (),
+            reformed=row if row is not None and self.gate is not None and row.formation else None,
         )
 
     def closed_because(self, now_s: float) -> Reason:
@@ -197,23 +210,31 @@
             return False
         if row.kind is TargetKind.SERVICE:
             return target.loaded
-        return target.loaded and target.epoch == row.epoch and target.artifact == row.artifact
+        if not target.loaded or target.artifact != row.artifact:
+            return False
+        return target.epoch == row.fence or not row.serves_on(self.me.node)
 
     def _wanted(self) -> TargetOrder | None:
         """Return what the target is to have loaded, if this agent has a say in it."""
         if self.row is None:
             return self._warm
-        return None if self.row.kind is TargetKind.SERVICE else order_for(self.row)
+        if self.row.kind is TargetKind.SERVICE:
+            return None
+        if not self.row.serves_on(self.me.node):
+            return TargetOrder(self.row.fence, self.row.artifact)
+        return order_for(self.row)
 
     def order_stands(self, order: TargetOrder, now_s: float) -> bool:
         """Tell, right before the target is ordered, whether the order still stands."""
-        return self._wanted() == order and self.grant.may_move(order.epoch, now_s)
+        epoch = self.row.epoch if self.row is not None else self._warm_epoch
+        return self._wanted() == order and self.grant.may_move(epoch, now_s)
 
     def on_warm(self, sender: Peer, message: Warm, now_s: float) -> None:
         """Load an artifact while in no group."""
         if message.counter >= self.grant.highest:
             self.grant.learn(message.counter)
-            self._warm = TargetOrder(message.counter, message.artifact)
+            self._warm_epoch = message.counter
+            self._warm = TargetOrder(fence_of(message.counter), message.artifact)
 
     def tick(self, now_s: float) -> None:
         """Send heartbeats and order the target when due."""
@@ -221,6 +242,25 @@
             self._heartbeat_s = now_s
             self._beat(self.gate, now_s)
         self._order_target(now_s)
+        if self.gate is not None:
+            self._put_standby_in(self.gate, now_s)
+
+    def _put_standby_in(self, gate: LeaderGate, now_s: float) -> None:
+        """Let standbys take the places of lost members, for which the table is not needed."""
+        row = gate.row
+        lost = gate.lost(now_s, self.timing.standby_after_s)
+        able = gate.able_standbys(now_s)
+        if not lost or len(able) < len(lost) or row.draining:
+            return
+        places = dict(zip(lost, able, strict=False))
+        members = tuple(places.get(peer, peer) for peer in row.members)
+        left = tuple(peer for peer in row.standbys if peer not in members)
+        self._outbox.count("standby.taken", len(lost))
+        formation = row.formation + 1
+        reformed = replace(
+            row, members=members, standbys=left + tuple(lost), formation=formation, step=0
+        )
+        self.adopt(reformed, now_s)
 
     def beat_soon(self) -> None:
         """Send heartbeats at the next tick, so that members hear of a new version."""
@@ -238,11 +278,11 @@
         for peer in self._others(row):
             riding = None if gate.knows_row(peer.node) else row
             released = drained and (self.leaving or gate.is_leaving(peer.node))
-            beat = Heartbeat(row.group, row.epoch, row.step, sequence, released, riding)
+            beat = Heartbeat(row.group, row.epoch, row.formation, sequence, released, riding)
             self._outbox.send(peer, beat)
 
     def _others(self, row: GroupRow) -> list[Peer]:
-        return [peer for peer in row.members if peer.node != self.me.node]
+        return [peer for peer in row.everyone if peer.node != self.me.node]
 
     def _order_target(self, now_s: float) -> None:
         order = self._wanted()
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
@@ -13,7 +13,7 @@
 from ochreway_core.listing import ListedInstance
 from ochreway_core.messages import Dismiss, LeaveNotice, Order, Probe, Report, Warm
 from ochreway_core.peer import Peer
-from ochreway_core.rows import LeaseRow, group_key, instance_key, lease_key
+from ochreway_core.rows import GroupRow, LeaseRow, group_key, instance_key, lease_key
 from ochreway_core.table import CommitReply, CommitStatus, ReadReply
 from ochreway_core.timing import Timing
 from ochreway_nodes.controller.domainrows import DomainRows
@@ -150,7 +150,7 @@
             return
         row = rows.groups.get(group) if group else None
         if row is not None:
-            if (report.epoch, report.step) < (row.epoch, row.step):
+            if _is_behind(report, row):
                 self._outbox.send(health.peer, Order(self.domain, rows.lease.term, row))
         elif report.group:
             self._outbox.send(health.peer, Dismiss(self.domain, rows.lease.counter))
@@ -393,7 +393,7 @@
         report = health.report
         if row is None or report is None or row.leader.node == node or health.leaving:
             return True
-        behind = (report.epoch, report.step) < (row.epoch, row.step)
+        behind = _is_behind(report, row)
         unheard = health.lost_for_s(now_s) > 2 * self._timing.probe_s
         return behind or unheard or report.leaving or not report.ready
 
@@ -405,6 +405,14 @@
         self._not_before_s = float("inf")
 
 
+def _is_behind(report: Report, row: GroupRow) -> bool:
+    formation = report.reformed.formation if report.reformed else 0
+    if report.node != row.leader.node:
+        # Only leaders make formations; the others hear of them from their leader.
+        formation = row.formation
+    return (report.epoch, formation, report.step) < row.age
+
+
 def _age(lease: LeaseRow | None) -> tuple[int, int]:
     return (lease.term, lease.beat) if lease else (0, -1)
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/groupchange.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/groupchange.py
@@ -5,6 +5,7 @@
 
 from ochreway_core.ids import GroupId
 from ochreway_core.peer import Peer
+from ochreway_core.rows import GroupRow
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,6 +16,7 @@
     members: tuple[Peer, ...]
     why: str
     dissolve: tuple[GroupId, ...] = ()
+    standbys: tuple[Peer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,33 @@
     why: str
 
 
-GroupChange = FormGroup | DrainGroup | RefreshGroup | DissolveGroup
+@dataclass(frozen=True, slots=True)
+class RecordFormation:
+    """Write down a formation that a group's leader made without the table."""
+
+    group: GroupId
+    row: GroupRow
+    why: str = "a standby took a lost member's place"
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseStandbys:
+    """Free a group's standbys while the group goes on."""
+
+    group: GroupId
+    why: str
+
+
+GroupChange = (
+    ReleaseStandbys | RecordFormation | FormGroup | DrainGroup | RefreshGroup | DissolveGroup
+)
 
-__all__ = ["DissolveGroup", "DrainGroup", "FormGroup", "GroupChange", "RefreshGroup"]
+__all__ = [
+    "DissolveGroup",
+    "DrainGroup",
+    "FormGroup",
+    "GroupChange",
+    "RecordFormation",
+    "RefreshGroup",
+    "ReleaseStandbys",
+]
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
@@ -15,7 +15,9 @@
     DrainGroup,
     FormGroup,
     GroupChange,
+    RecordFormation,
     RefreshGroup,
+    ReleaseStandbys,
 )
 from ochreway_nodes.controller.health import Health
 from ochreway_nodes.controller.repair import Damage, Repair, RepairPolicy
@@ -135,7 +137,7 @@
 
 def plan(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
     """Return the most pressing change, or nothing when all is as the bundle wants it."""
-    steps = (_unwanted, _readdressed, _broken, _leaving, _missing, _outdated)
+    steps = (_reformed, _unwanted, _readdressed, _broken, _leaving, _missing, _standbys, _outdated)
     for step in steps:
         change = step(situation, policy)
         if change is not None:
@@ -143,6 +145,19 @@
     return None
 
 
+def _reformed(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    for row in situation.rows.groups.values():
+        health = situation.health.get(row.leader.node)
+        reformed = health.report.reformed if health and health.report else None
+        if reformed is None or (reformed.group, reformed.epoch) != (row.group, row.epoch):
+            continue
+        # A standby that was released in the meantime may be in another group.
+        kept = all(situation.rows.group_of(peer.node) == row.group for peer in reformed.everyone)
+        if kept and reformed.formation > row.formation:
+            return RecordFormation(row.group, reformed)
+    return None
+
+
 def _unwanted(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
     specs = situation.specs()
     for row in situation.rows.groups.values():
@@ -159,7 +174,7 @@
 
 def _fits(row: GroupRow, spec: Group) -> bool:
     allowed = set(spec.instances)
-    taken_in = all(peer.node in allowed for peer in row.members)
+    taken_in = all(peer.node in allowed for peer in row.everyone)
     return row.target == spec.target and len(row.members) == spec.instances_per_replica and taken_in
 
 
@@ -170,7 +185,8 @@
         members = tuple(situation.peer_now(peer) for peer in row.members)
         back = all(situation.usable(peer.node) for peer in members)
         if row.group in specs and members != row.members and back:
-            return FormGroup(row.group, members, "a member has a new address")
+            standbys = tuple(situation.peer_now(peer) for peer in row.standbys)
+            return FormGroup(row.group, members, "a member has a new address", (), standbys)
     return None
 
 
@@ -193,6 +209,7 @@
     healthy = [peer for peer in healthy if situation.usable(peer.node)]
     needed = spec.instances_per_replica - len(healthy)
     spares = situation.free(spec)
+    spares += [peer for peer in row.standbys if situation.usable(peer.node)]
     donor = _remnant(situation, row, spec)
     victim = _victim(situation, row, spec)
     damage = Damage(
@@ -214,7 +231,9 @@
     source = sources.get(repair)
     fresh = (spares + _healthy(situation, source))[:needed]
     dissolved = (source.group,) if source is not None and len(spares) < needed else ()
-    return FormGroup(row.group, tuple(healthy + fresh), repair.value, dissolved)
+    left = spares[needed:] if not dissolved else []
+    standbys = tuple(left[: spec.standbys])
+    return FormGroup(row.group, tuple(healthy + fresh), repair.value, dissolved, standbys)
 
 
 def _remnant(situation: Situation, row: GroupRow, spec: Group) -> GroupRow | None:
@@ -268,10 +287,14 @@
             return DrainGroup(row.group, "a member is leaving")
         if not situation.drained(row):
             continue
-        spares = situation.free(specs[row.group])
+        spec = specs[row.group]
+        spares = situation.free(spec)
+        spares += [peer for peer in row.standbys if situation.usable(peer.node)]
         missing = len(row.members) - len(staying)
         if len(spares) >= missing:
-            return FormGroup(row.group, tuple(staying + spares[:missing]), "a member left")
+            members = tuple(staying + spares[:missing])
+            standbys = tuple(spares[missing:][: spec.standbys])
+            return FormGroup(row.group, members, "a member left", (), standbys)
         return DissolveGroup(row.group, "a member left and there is no spare")
     return None
 
@@ -284,8 +307,23 @@
     wanted = [item for item in specs.items() if item[0] not in situation.rows.groups]
     for replica, spec in sorted(wanted, key=lambda item: (item[1].priority, item[0])):
         free = situation.free(spec)
-        if len(free) >= spec.instances_per_replica:
-            return FormGroup(replica, tuple(free[: spec.instances_per_replica]), "wanted")
+        size = spec.instances_per_replica
+        if len(free) >= size:
+            standbys = tuple(free[size : size + spec.standbys])
+            return FormGroup(replica, tuple(free[:size]), "wanted", (), standbys)
+    return None
+
+
+def _standbys(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+    """Release standbys that are not wanted, or without which a group cannot form."""
+    specs = situation.specs()
+    for row in situation.rows.groups.values():
+        spec = specs.get(row.group)
+        if spec is None or not row.standbys:
+            continue
+        missing = any(each not in situation.rows.groups for each in spec.replica_ids())
+        if len(row.standbys) > spec.standbys or missing:
+            return ReleaseStandbys(row.group, "not wanted, or wanted more elsewhere")
     return None
 
 
@@ -327,11 +365,13 @@
 
 
 def _form_anew(situation: Situation, row: GroupRow, spec: Group) -> GroupChange:
-    staying = [peer for peer in row.members if peer.node in spec.instances]
-    members = (staying + situation.free(spec))[: spec.instances_per_replica]
-    if len(members) < spec.instances_per_replica:
+    size = spec.instances_per_replica
+    staying = [peer for peer in row.everyone if peer.node in spec.instances]
+    able = staying + situation.free(spec)
+    if len(able) < size:
         return DissolveGroup(row.group, "new version, and too few instances")
-    return FormGroup(row.group, tuple(members), "new version")
+    standbys = tuple(able[size : size + spec.standbys])
+    return FormGroup(row.group, tuple(able[:size]), "new version", (), standbys)
 
 
 __all__ = ["DRAIN_AT_MOST_S", "Situation", "plan"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/rowwrites.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/rowwrites.py
@@ -16,7 +16,9 @@
     DrainGroup,
     FormGroup,
     GroupChange,
+    RecordFormation,
     RefreshGroup,
+    ReleaseStandbys,
 )
 
 
@@ -106,11 +108,25 @@
         version=source.version,
         draining=False,
         members=change.members,
+        standbys=change.standbys,
     )
-    for peer in change.members:
+    for peer in (*change.members, *change.standbys):
         writes.instances[peer.node] = InstanceRow(peer.node, change.group, writes.lease.counter)
 
 
+def _record(writes: RowWrites, change: RecordFormation, source: SpecSource) -> None:
+    known = writes.before.groups[change.group]
+    step = max(known.step, change.row.step) + 1
+    writes.groups[change.group] = replace(change.row, step=step, draining=known.draining)
+
+
+def _release(writes: RowWrites, change: ReleaseStandbys, source: SpecSource) -> None:
+    row = writes.before.groups[change.group]
+    writes.groups[change.group] = replace(row, step=row.step + 1, standbys=())
+    for peer in row.standbys:
+        writes.instances[peer.node] = None
+
+
 def _free_group(writes: RowWrites, group: GroupId) -> None:
     writes.groups[group] = None
     for node, instance in writes.before.instances.items():
@@ -146,6 +162,8 @@
 
 _WRITERS: dict[type, Callable[[RowWrites, Any, SpecSource], None]] = {
     FormGroup: _form,
+    RecordFormation: _record,
+    ReleaseStandbys: _release,
     DrainGroup: _drain,
     RefreshGroup: _refresh,
     DissolveGroup: _dissolve,
--- a/packages/ochreway-standins/src/ochreway_standins/repairs.py
+++ b/packages/ochreway-standins/src/ochreway_standins/repairs.py
@@ -30,6 +30,7 @@
     "baseline": ("wait_then_spare", False),
     "expected_cost_cold": ("expected_cost", False),
     "expected_cost_warm": ("expected_cost", True),
+    "expected_cost_standby": ("expected_cost", True),
 }
 
 Fault = Callable[["Site"], None]
@@ -159,7 +160,8 @@
     site = Site(world)
     downtime, stranded = WEIGHTS[weights]
     section = f"[weights]\ndowntime = {downtime}\nstranded = {stranded}\n"
-    body = bundle_body(0, shape.engines, shape.services, section, warm)
+    standbys = 1 if policy.endswith("standby") else 0
+    body = bundle_body(0, shape.engines, shape.services, section, warm, standbys)
     roll = partial(Operator(world, "ann").roll, body, lambda version: None)
     world.clock.at(3.0, roll)
     world.clock.at(FAULT_AT_S, lambda: FAULTS[fault_name](site))
--- a/packages/ochreway-standins/src/ochreway_standins/soak/operator.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/operator.py
@@ -17,7 +17,12 @@
 
 
 def bundle_body(
-    artifact: int, engines: int, services: int, weights: str = "", warm_spares: bool = True
+    artifact: int,
+    engines: int,
+    services: int,
+    weights: str = "",
+    warm_spares: bool = True,
+    standbys: int = 0,
 ) -> bytes:
     """Return the bundle of a run: two replicas of three, plain services, two organisations."""
     engine_names = ", ".join(f'"engine-{index}"' for index in range(engines))
@@ -48,6 +53,7 @@
 replicas = 2
 instances_per_replica = 3
 warm_spares = {str(warm_spares).lower()}
+standbys = {standbys}
 instances = [{engine_names}]
 
 [[group]]
--- a/packages/ochreway-standins/src/ochreway_standins/soak/run.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/run.py
@@ -85,7 +85,9 @@
         )
 
     def _first_roll(self) -> None:
-        body = bundle_body(0, self.world.shape.engines, self.world.shape.services)
+        shape = self.world.shape
+        standbys = self.seed % 2
+        body = bundle_body(0, shape.engines, shape.services, standbys=standbys)
         Operator(self.world, "ann").roll(body, lambda version: None)
 
     def _check_table(self) -> None:
--- a/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
@@ -106,7 +106,7 @@
         for key, row in rows.items():
             if key.startswith("group/"):
                 group = decode(GroupRow, row.content)
-                for peer in group.members:
+                for peer in group.everyone:
                     if peer.node in groups:
                         other = groups[peer.node]
                         detail = f"{peer.node} in {other} and {group.group}"
