--- /dev/null
+++ b/tests/nodes/test_membership.py
@@ -0,0 +1,155 @@
+# SPDX-License-Identifier: Apache-2.0
+import testtools
+
+from ochreway_core.effects import OrderTarget, Send
+from ochreway_core.ids import DomainId, Epoch, GroupId, Incarnation, NodeId, TargetName, Version
+from ochreway_core.messages import Dismiss, Grant, GrantRefusal, Heartbeat, Order, Release
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+from ochreway_core.rows import GroupRow
+from ochreway_core.targetkind import TargetKind
+from ochreway_core.timing import Timing
+from ochreway_nodes.agent import AgentNode
+from ochreway_nodes.targetstate import TargetState
+
+DOMAIN = DomainId("d1")
+TTL_S = Timing().grant_ttl_s
+
+
+def peer(name: str) -> Peer:
+    return Peer(NodeId(name), f"{name}:1")
+
+
+def row(members: str, epoch: int = 5, group: str = "g", **more: object) -> GroupRow:
+    return GroupRow(
+        GroupId(group),
+        DOMAIN,
+        TargetKind.MODEL,
+        TargetName("m"),
+        "art",
+        4,
+        1,
+        Epoch(epoch),
+        0,
+        Version(1),
+        False,
+        tuple(map(peer, members)),
+        tuple(map(peer, str(more.get("standbys", "")))),
+    )
+
+
+class MembershipTests(testtools.TestCase):
+    def agent(self, name: str) -> AgentNode:
+        return AgentNode(peer(name), Incarnation(1), Timing(), {}, 0.0, 0.0)
+
+    def tell(
+        self, agent: AgentNode, message: object, now_s: float, sender: str = "x"
+    ) -> list[object]:
+        agent.on_message(peer(sender), Version(0), message, now_s)
+        return [each.message for each in agent.take() if isinstance(each, Send)]
+
+    def order(self, agent: AgentNode, given: GroupRow, now_s: float = 10.0) -> None:
+        self.tell(agent, Order(DOMAIN, Epoch(1), given), now_s)  # type: ignore[arg-type]
+
+    def beat(self, given: GroupRow, sequence: int = 1, riding: bool = False) -> Heartbeat:
+        rides = given if riding else None
+        return Heartbeat(given.group, given.epoch, given.formation, sequence, False, rides)
+
+    def leader(self, now_s: float = 10.0, standbys: str = "") -> tuple[AgentNode, GroupRow]:
+        agent, given = self.agent("a"), row("abc", standbys=standbys)
+        self.order(agent, given, now_s)
+        self.serve(agent, given, now_s, "bc" + standbys)
+        return agent, given
+
+    def serve(self, agent: AgentNode, given: GroupRow, now_s: float, grants: str) -> None:
+        agent.on_target_state(TargetState(given.fence, "art", True, now_s))
+        agent.on_tick(now_s)
+        agent.take()
+        assert agent.membership.gate is not None
+        sequence = agent.membership.gate.sequence
+        for name in grants:
+            grant = Grant(given.group, given.epoch, sequence, True, False)
+            self.tell(agent, grant, now_s, name)
+
+    def test_gate_opens_with_every_grant_and_closes_when_one_lapses(self) -> None:
+        agent, _ = self.leader()
+        self.assertEqual(Reason.NONE, agent.membership.closed_because(10.1))
+        self.assertEqual(Reason.GROUP_INCOMPLETE, agent.membership.closed_because(10.0 + TTL_S))
+
+    def test_grant_counts_from_when_the_heartbeat_was_sent(self) -> None:
+        agent, given = self.agent("a"), row("abc")
+        self.order(agent, given)
+        agent.on_target_state(TargetState(given.fence, "art", True, 10.0))
+        agent.on_tick(10.0)
+        for name in "bc":
+            self.tell(agent, Grant(given.group, given.epoch, 1, True, False), 11.5, name)
+        self.assertEqual(Reason.GROUP_INCOMPLETE, agent.membership.closed_because(12.5))
+
+    def test_member_that_is_loading_keeps_the_gate_closed(self) -> None:
+        agent, given = self.leader()
+        self.tell(agent, Grant(given.group, given.epoch, 1, False, False), 10.1, "b")
+        self.assertEqual(Reason.GROUP_LOADING, agent.membership.closed_because(10.2))
+
+    def test_member_grants_and_a_stranger_does_not(self) -> None:
+        agent, given = self.agent("b"), row("abc")
+        answers = self.tell(agent, self.beat(given, riding=True), 10.0, "a")
+        self.assertIsInstance(answers[-1], Grant)
+        stranger = self.tell(self.agent("z"), self.beat(given, riding=True), 10.0, "a")
+        self.assertIsInstance(stranger[-1], GrantRefusal)
+
+    def test_older_epoch_is_refused_once_a_newer_is_known(self) -> None:
+        agent, given = self.agent("b"), row("abc", 5)
+        self.tell(agent, self.beat(given, riding=True), 10.0, "a")
+        self.order(agent, row("dbe", 6, "h"), 10.1)
+        refusal = self.tell(agent, self.beat(given, 2), 10.2, "a")[-1]
+        assert isinstance(refusal, GrantRefusal)
+        self.assertEqual(Reason.STALE_EPOCH, refusal.reason)
+
+    def test_target_is_ordered_only_after_the_former_grant_has_lapsed(self) -> None:
+        agent, given = self.agent("b"), row("abc", 5)
+        self.tell(agent, self.beat(given, riding=True), 10.0, "a")
+        self.order(agent, row("dbe", 6, "h"), 10.1)
+        agent.on_tick(11.0)
+        self.assertFalse([each for each in agent.take() if isinstance(each, OrderTarget)])
+        agent.on_tick(10.0 + TTL_S + 0.1)
+        self.assertTrue([each for each in agent.take() if isinstance(each, OrderTarget)])
+
+    def test_leader_of_a_former_epoch_returns_the_grants(self) -> None:
+        agent, _ = self.leader()
+        agent.on_message(peer("x"), Version(0), Order(DOMAIN, Epoch(1), row("xab", 9, "h")), 10.5)  # type: ignore[arg-type]
+        sent = [each for each in agent.take() if isinstance(each, Send)]
+        released = {each.peer.node for each in sent if isinstance(each.message, Release)}
+        self.assertEqual({"b", "c"}, released)
+
+    def test_dismissed_agent_is_in_no_group(self) -> None:
+        agent, _ = self.leader()
+        self.tell(agent, Dismiss(DOMAIN, Epoch(4)), 10.1)
+        self.assertTrue(agent.membership.leads)
+        self.tell(agent, Dismiss(DOMAIN, Epoch(5)), 10.1)
+        self.assertFalse(agent.membership.leads)
+
+    def test_standby_takes_a_lost_members_place_without_the_table(self) -> None:
+        agent, given = self.leader(standbys="s")
+        for tick in range(8):
+            self.serve(agent, given, 10.5 + tick * 0.9, "cs")
+            if agent.membership.row is not given:
+                break
+        formed = agent.membership.row
+        assert formed is not None
+        self.assertEqual(["a", "s", "c"], [each.node for each in formed.members])
+        self.assertEqual((given.epoch, 1), (formed.epoch, formed.formation))
+        self.assertGreater(formed.fence, given.fence)
+        self.assertEqual(Reason.GROUP_INCOMPLETE, agent.membership.closed_because(18.0))
+
+    def test_late_grant_does_not_answer_for_a_newer_formation(self) -> None:
+        agent, given = self.leader(standbys="s")
+        old = agent.membership.gate
+        assert old is not None
+        late = Grant(given.group, given.epoch, old.sequence, True, False)
+        for tick in range(8):
+            self.serve(agent, given, 10.5 + tick * 0.9, "cs")
+        fresh = agent.membership.gate
+        assert fresh is not None
+        self.assertIsNot(old, fresh)
+        self.tell(agent, late, 18.0, "s")
+        self.assertIn("s", fresh.missing(18.0 + TTL_S))
