--- a/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
@@ -320,6 +320,20 @@
     world.hand_over_pause = pause_s
 
 
+@fault("kill_in_hand_over")
+def _kill_in_hand_over(faults: Faults) -> None:
+    world = faults.world
+    left = [3]
+
+    def around(node: NodeId, moment: str) -> None:
+        if left[0] <= 0 or world.random.random() < 0.5:
+            return
+        left[0] -= 1
+        faults.kill(node, whole_instance=world.random.random() < 0.3, replaced_in_s=(0.1, 2.0))
+
+    world.around_hand_over = around
+
+
 @fault("cut")
 def _cut(faults: Faults) -> None:
     processes = list(faults.world.processes.values())
--- a/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
@@ -48,15 +48,21 @@
     faults: tuple[str, ...]
     patch: Patch
     pairs: int = 5
+    rounds: int = 1
+    """How many times as many seeds, for harm that takes a rare meeting of faults."""
 
 
 def guard(
-    name: str, invariants: tuple[str, ...], faults: tuple[str, ...], pairs: int = 5
+    name: str,
+    invariants: tuple[str, ...],
+    faults: tuple[str, ...],
+    pairs: int = 5,
+    rounds: int = 1,
 ) -> Callable[[Patch], Patch]:
     """Register a guard's removal."""
 
     def register(patch: Patch) -> Patch:
-        GUARDS[name] = Guard(name, invariants, faults, patch, pairs)
+        GUARDS[name] = Guard(name, invariants, faults, patch, pairs, rounds)
         return patch
 
     return register
@@ -120,7 +126,7 @@
 
 
 @guard(
-    "withdraw_handed", ("not_run_true", "at_most_once"), ("cut_entry_leader", "pause_leader"), 10
+    "withdraw_handed", ("not_run_true", "at_most_once"), ("cut_entry_leader",), pairs=12, rounds=4
 )
 def _withdraw_handed() -> contextlib.AbstractContextManager[Any]:
     def not_run(agent: Serving, sender: Peer, message: Withdraw, record: AttemptRecord) -> None:
@@ -129,7 +135,11 @@
     return mock.patch.dict(serving._WITHDRAWALS, {AttemptState.HANDED: not_run})
 
 
-@guard("agent_incarnation", ("not_run_true", "at_most_once"), ("kill_agent_process", "kill_leader"))
+@guard(
+    "agent_incarnation",
+    ("not_run_true", "at_most_once"),
+    ("kill_agent_process", "kill_in_hand_over"),
+)
 def _agent_incarnation() -> contextlib.AbstractContextManager[Any]:
     original = Serving._forbid
 
@@ -163,7 +173,7 @@
     return mock.patch.object(KeyHome, "__init__", init)
 
 
-@guard("key_homes_move", ("at_most_once",), ("roll", "kill_entry", "kill_leader"), 12)
+@guard("key_homes_move", ("at_most_once",), ("roll", "kill_entry", "kill_leader"), 12, 4)
 def _key_homes_move() -> contextlib.AbstractContextManager[Any]:
     original = View.homes
 
@@ -229,10 +239,10 @@
 def main(seed: int, runs: int, jobs: int, only: str) -> None:
     """Fail unless every proof fails without its guard and passes with it."""
     names = [only] if only else list(GUARDS)
-    seeds = range(seed, seed + runs)
     toothless = []
     with multiprocessing.get_context("fork").Pool(jobs) as pool:
         for name in names:
+            seeds = range(seed, seed + runs * GUARDS[name].rounds)
             without = sum(pool.map(violations_of, [(name, each, True) for each in seeds]))
             with_it = sum(pool.map(violations_of, [(name, each, False) for each in seeds]))
             print(
--- a/packages/ochreway-standins/src/ochreway_standins/soak/run.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/run.py
@@ -98,6 +98,7 @@
         self.world.platform.mode = Mode.UP
         self.world.network.heal_all()
         self.world.hand_over_pause = lambda: 0.0
+        self.world.around_hand_over = lambda node, moment: None
         for process in self.world.processes.values():
             if process.paused:
                 self.world.wake(process.peer.node)
--- a/packages/ochreway-standins/src/ochreway_standins/soak/simtarget.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/simtarget.py
@@ -95,7 +95,7 @@
             last = index + 1 >= pieces
             on_chunk(attempt, Chunk(payload, 1, 200, "text/plain", last))
             if last:
-                del self.running[attempt]
+                self.running.pop(attempt, None)
             else:
                 self._piece(submit, index + 1, on_chunk, on_failed)
 
--- a/packages/ochreway-standins/src/ochreway_standins/soak/world.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/world.py
@@ -77,6 +77,7 @@
         self.counters: dict[str, int] = {}
         self.trace: list[str] = []
         self.hand_over_pause: Callable[[], float] = lambda: 0.0
+        self.around_hand_over: Callable[[NodeId, str], None] = lambda node, moment: None
         self.on_hand_over: Callable[[Process, HandOver], None] = lambda process, order: None
         self.on_deliver: Callable[[Process, Deliver], None] = lambda process, effect: None
         self.on_finish: Callable[[Process, Finish], None] = lambda process, effect: None
@@ -260,7 +261,9 @@
         if pause_s:
             self.pause(process.peer.node)
             self.clock.after(pause_s, partial(self.wake, process.peer.node))
+        self.around_hand_over(process.peer.node, "before")
         self.post(process, partial(self._hand_over_now, process, effect))
+        self.around_hand_over(process.peer.node, "after")
 
     def _hand_over_now(self, process: Process, order: HandOver, now_s: float) -> None:
         node = process.node
