Give claims on keys their own module; one way to regroup in the soak

Cause: read as a newcomer, calls.py mixed the vote on keys with routing and settling, and two faults held the same walk over the controllers.

--- a/packages/ochreway-core/src/ochreway_core/claimround.py
+++ b/packages/ochreway-core/src/ochreway_core/claimround.py
@@ -46,6 +46,10 @@
             return ClaimState.WON
         if all(self._possible(each) >= _majority(each) for each in self.sets):
             return ClaimState.OPEN
+        return self.state_at_last()
+
+    def state_at_last(self) -> ClaimState:
+        """Return what a claim that can no longer be won came to."""
         taken = Vote.TAKEN in self.votes.values()
         return ClaimState.TAKEN if taken else ClaimState.LOST
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -5,13 +5,11 @@
 
 from ochreway_core import invariants
 from ochreway_core.attemptid import AttemptId
-from ochreway_core.claimround import ClaimRound, ClaimState
+from ochreway_core.claimround import ClaimState
 from ochreway_core.effects import Deliver, Finish
 from ochreway_core.ids import Incarnation, NodeId, RequestId
 from ochreway_core.messages import (
     Cancel,
-    Claim,
-    ClaimEnd,
     ClaimReply,
     Credit,
     Frame,
@@ -27,6 +25,7 @@
 from ochreway_core.request import Request
 from ochreway_core.timing import Timing
 from ochreway_nodes.entry.call import Attempt, Call, CallState
+from ochreway_nodes.entry.keyclaims import KeyClaims, why_failed
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
 from ochreway_routing.limits import Limits
@@ -72,7 +71,7 @@
         self._spread = spread
         self._router = router
         self._limits = limits
-        self._address_of = address_of
+        self._keys = KeyClaims(spread, timing, address_of, outbox)
         self._outbox = outbox
         self._sequence = 0
         self._calls: dict[RequestId, Call] = {}
@@ -105,20 +104,7 @@
     # Keys
 
     def _claim(self, call: Call, now_s: float) -> None:
-        assert call.request.key is not None
-        sets = self._spread.view.homes(call.request.key, now_s)
-        call.claim = ClaimRound(sets, now_s + self._timing.claim_timeout_s)
-        message = Claim(
-            self._spread.view.version,
-            call.request.key,
-            call.request.request,
-            call.request.deadline_s - now_s + self._timing.settle_give_up_s,
-            call.request.key_issued_wall_s,
-        )
-        for node in sorted(call.claim.homes):
-            peer = self._address_of(node)
-            if peer is not None:
-                self._outbox.send(peer, message)
+        self._keys.begin(call, now_s)
         self._follow_claim(call, now_s)
 
     def on_claim_reply(self, sender: Peer, reply: ClaimReply, now_s: float) -> None:
@@ -126,39 +112,23 @@
         call = self._calls.get(reply.request)
         if call is None or call.claim is None or call.state is not CallState.CLAIMING:
             return
-        if reply.vote is Vote.STALE:
-            return
-        call.claim.voted(sender.node, reply.vote, reply.outcome)
-        self._follow_claim(call, now_s)
+        if reply.vote is not Vote.STALE:
+            call.claim.voted(sender.node, reply.vote, reply.outcome)
+            self._follow_claim(call, now_s)
 
     def _follow_claim(self, call: Call, now_s: float) -> None:
         assert call.claim is not None
         state = call.claim.state()
-        if state is ClaimState.OPEN:
-            return
         if state is ClaimState.WON:
             self._route(call, now_s)
-            return
-        self._claim_failed(call, state, call.claim)
-
-    def _claim_failed(self, call: Call, state: ClaimState, claim: ClaimRound) -> None:
-        reasons = {
-            (ClaimState.TAKEN, Outcome.ANSWERED): Reason.KEY_ANSWERED,
-            (ClaimState.TAKEN, Outcome.UNKNOWN): Reason.KEY_TAKEN,
-        }
-        reason = reasons.get((state, claim.holder_outcome), Reason.KEY_HOMES_UNREACHABLE)
-        self._free_key(call, Outcome.NOT_RUN)
+        elif state is not ClaimState.OPEN:
+            self._claim_failed(call, why_failed(call.claim, state))
+
+    def _claim_failed(self, call: Call, reason: Reason) -> None:
+        self._keys.end(call, Outcome.NOT_RUN)
         # Another request under the key may have run, so this is not "not run".
         self._finish(call, Outcome.UNKNOWN, reason, RETRY_SOON_S)
 
-    def _free_key(self, call: Call, outcome: Outcome) -> None:
-        if call.claim is None or call.request.key is None:
-            return
-        for node in sorted(call.claim.homes):
-            peer = self._address_of(node)
-            if peer is not None:
-                self._outbox.send(peer, ClaimEnd(call.request.key, call.request.request, outcome))
-
     def on_view_changed(self, now_s: float) -> None:
         """Claim anew under the version that has come into force."""
         for call in [each for each in self._calls.values() if each.state is CallState.CLAIMING]:
@@ -365,9 +335,7 @@
 
     def _tick_claiming(self, call: Call, now_s: float) -> None:
         if call.claim is not None and now_s >= call.claim.give_up_s:
-            taken = Vote.TAKEN in call.claim.votes.values()
-            state = ClaimState.TAKEN if taken else ClaimState.LOST
-            self._claim_failed(call, state, call.claim)
+            self._claim_failed(call, why_failed(call.claim, call.claim.state_at_last()))
 
     def _tick_running(self, call: Call, now_s: float) -> None:
         """Take a leader that has fallen silent for one whose link is gone."""
@@ -395,7 +363,7 @@
         if outcome is Outcome.NOT_RUN and call.may_have_run:
             # The last attempt did not run, but an earlier one may have.
             outcome = Outcome.UNKNOWN
-        self._free_key(call, outcome)
+        self._keys.end(call, outcome)
         self._finish(call, outcome, reason, retry_after_s)
 
     def _finish(self, call: Call, outcome: Outcome, reason: Reason, retry_after_s: float) -> None:
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/keyclaims.py
@@ -0,0 +1,69 @@
+# SPDX-License-Identifier: Apache-2.0
+"""An entry's claims on callers' keys at their homes."""
+
+from collections.abc import Callable
+
+from ochreway_core.claimround import ClaimRound, ClaimState
+from ochreway_core.ids import NodeId
+from ochreway_core.messages import Claim, ClaimEnd
+from ochreway_core.outcome import Outcome
+from ochreway_core.peer import Peer
+from ochreway_core.reason import Reason
+from ochreway_core.timing import Timing
+from ochreway_nodes.entry.call import Call
+from ochreway_nodes.outbox import Outbox
+from ochreway_nodes.viewspread import ViewSpread
+
+_REASONS = {
+    (ClaimState.TAKEN, Outcome.ANSWERED): Reason.KEY_ANSWERED,
+    (ClaimState.TAKEN, Outcome.UNKNOWN): Reason.KEY_TAKEN,
+}
+
+
+def why_failed(claim: ClaimRound, state: ClaimState) -> Reason:
+    """Return why a claim was not won."""
+    return _REASONS.get((state, claim.holder_outcome), Reason.KEY_HOMES_UNREACHABLE)
+
+
+class KeyClaims:
+    """Ask the homes of a call's key, and tell them how the call ended."""
+
+    def __init__(
+        self,
+        spread: ViewSpread,
+        timing: Timing,
+        address_of: Callable[[NodeId], Peer | None],
+        outbox: Outbox,
+    ) -> None:
+        self._spread = spread
+        self._timing = timing
+        self._address_of = address_of
+        self._outbox = outbox
+
+    def begin(self, call: Call, now_s: float) -> None:
+        """Claim the call's key under the version in force."""
+        request = call.request
+        assert request.key is not None
+        sets = self._spread.view.homes(request.key, now_s)
+        call.claim = ClaimRound(sets, now_s + self._timing.claim_timeout_s)
+        expires_in_s = request.deadline_s - now_s + self._timing.settle_give_up_s
+        version = self._spread.view.version
+        self._tell_homes(
+            call.claim,
+            Claim(version, request.key, request.request, expires_in_s, request.key_issued_wall_s),
+        )
+
+    def end(self, call: Call, outcome: Outcome) -> None:
+        """Tell the homes, if any were asked, how the call ended."""
+        request = call.request
+        if call.claim is not None and request.key is not None:
+            self._tell_homes(call.claim, ClaimEnd(request.key, request.request, outcome))
+
+    def _tell_homes(self, claim: ClaimRound, message: object) -> None:
+        for node in sorted(claim.homes):
+            peer = self._address_of(node)
+            if peer is not None:
+                self._outbox.send(peer, message)
+
+
+__all__ = ["KeyClaims", "why_failed"]
--- a/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
@@ -7,8 +7,8 @@
 
 from ochreway_core.ids import NodeId
 from ochreway_core.invariants import Invariant
+from ochreway_core.rows import GroupRow
 from ochreway_nodes.agent import AgentNode
-from ochreway_nodes.controller import Controller
 from ochreway_nodes.controller.groupchange import FormGroup
 from ochreway_nodes.entry import EntryNode
 from ochreway_standins.soak.callers import Callers
@@ -222,51 +222,47 @@
         faults.kill(process.peer.node, whole_instance=False, replaced_in_s=(0.2, 0.6))
 
 
+Regroup = Callable[["Faults", Process, GroupRow, GroupRow], FormGroup]
+
+
+def _regroup_at_holder(faults: Faults, regroup: Regroup) -> None:
+    """Have the lease's holder make a change to two of its groups that no plan would."""
+    for process in faults.world.entries():
+        node = process.node
+        if not process.running or not isinstance(node, EntryNode):
+            continue
+        for controller in node.controllers.values():
+            rows = controller.rows
+            groups = list(rows.groups.values()) if rows and controller.at_rest else []
+            groups = [row for row in groups if len(row.members) > 1]
+            if len(groups) > 1:
+                change = regroup(faults, process, *faults.world.random.sample(groups, 2))
+                faults.world.post(process, partial(controller.change, change))
+
+
 @fault("regroup")
 def _regroup(faults: Faults) -> None:
-    """Have the controller move members between groups that serve, as no plan would."""
-    for process in faults.world.entries():
-        if process.running and isinstance(process.node, EntryNode):
-            for controller in process.node.controllers.values():
-                _take_from_another(faults, process, controller)
-
-
-def _take_from_another(faults: Faults, process: Process, controller: Controller) -> None:
-    rows = controller.rows
-    if not controller.holding or rows is None or not controller.at_rest:
-        return
-    groups = [row for row in rows.groups.values() if len(row.members) > 1]
-    if len(groups) < 2:
-        return
-    taker, giver = faults.world.random.sample(groups, 2)
+    """Have the controller move members between groups that serve."""
+    _regroup_at_holder(faults, _mix_members)
+
+
+def _mix_members(faults: Faults, process: Process, taker: GroupRow, giver: GroupRow) -> FormGroup:
     pool = [*giver.members, *taker.members]
     members = tuple(faults.world.random.sample(pool, len(taker.members)))
-    change = FormGroup(taker.group, members, "regroup", (giver.group,))
-    faults.world.post(process, lambda now_s: controller.change(change, now_s))
+    return FormGroup(taker.group, members, "regroup", (giver.group,))
 
 
 @fault("take_restarted")
 def _take_restarted(faults: Faults) -> None:
     """Restart a member and give it to another group, while its old leader is out of reach."""
-    for process in faults.world.entries():
-        if process.running and isinstance(process.node, EntryNode):
-            for controller in process.node.controllers.values():
-                _take_member(faults, process, controller)
-
-
-def _take_member(faults: Faults, process: Process, controller: Controller) -> None:
-    rows = controller.rows
-    if not controller.holding or rows is None or not controller.at_rest:
-        return
-    groups = [row for row in rows.groups.values() if len(row.members) > 1]
-    if len(groups) < 2:
-        return
-    taker, giver = faults.world.random.sample(groups, 2)
+    _regroup_at_holder(faults, _take_member)
+
+
+def _take_member(faults: Faults, process: Process, taker: GroupRow, giver: GroupRow) -> FormGroup:
     taken = giver.members[1]
     faults.cut(process.peer.node, giver.leader.node, both_ways=True)
     faults.kill(taken.node, whole_instance=False, replaced_in_s=(0.1, 0.3))
-    change = FormGroup(taker.group, (*taker.members[:-1], taken), "taken", (giver.group,))
-    faults.world.post(process, lambda now_s: controller.change(change, now_s))
+    return FormGroup(taker.group, (*taker.members[:-1], taken), "taken", (giver.group,))
 
 
 @fault("pause_holder")
