--- a/packages/ochreway-core/src/ochreway_core/attemptledger.py
+++ b/packages/ochreway-core/src/ochreway_core/attemptledger.py
@@ -69,6 +69,7 @@
     forget_s: float
     submit: Submit | None = None
     entry: Peer | None = None
+    deadline_s: float = 0.0
     outcome: Outcome = Outcome.NOT_RUN
     reason: Reason = Reason.NONE
     answer: Answer = field(default_factory=Answer)
@@ -93,10 +94,6 @@
         """Remember a new attempt."""
         self._records[attempt] = record
 
-    def in_state(self, state: AttemptState) -> list[AttemptRecord]:
-        """Return the attempts in a state, oldest first."""
-        return [record for record in self._records.values() if record.state is state]
-
     def forget(self, now_s: float) -> None:
         """Drop the answers of attempts that ended a while ago, and later the attempts."""
         while self._resumable and self._resumable[0][0] < now_s:
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
@@ -21,6 +21,7 @@
 from ochreway_routing.work import Work
 
 FORGET_AFTER_S = 60.0
+OVERTIME_S = 1.0
 QUEUE_PER_SLOT = 2
 CLOSED_RETRY_S = 2.0
 WINDOW_BYTES = 64 * 1024
@@ -37,13 +38,18 @@
     def __init__(self, membership: Membership, version: Callable[[], int], outbox: Outbox) -> None:
         self.ledger = AttemptLedger()
         self.queue: FairQueue[AttemptRecord] = FairQueue(at_most=QUEUE_PER_SLOT, slots=1)
-        self.running = 0
+        self._handed: dict[AttemptId, AttemptRecord] = {}
         self._received: dict[NodeId, int] = {}
         self.meter: ServiceMeter[AttemptId] = ServiceMeter()
         self._membership = membership
         self._version = version
         self._outbox = outbox
 
+    @property
+    def running(self) -> int:
+        """Return how many attempts the target has."""
+        return len(self._handed)
+
     # Arrival
 
     def on_submit(self, sender: Peer, submit: Submit, now_s: float) -> None:
@@ -54,8 +60,9 @@
         if known is not None:
             self._answer_again(sender, submit.attempt, known)
             return
-        forget_s = now_s + submit.expires_in_s + FORGET_AFTER_S
-        record = AttemptRecord(AttemptState.QUEUED, forget_s, submit, sender)
+        deadline_s = now_s + submit.expires_in_s
+        forget_s = deadline_s + FORGET_AFTER_S
+        record = AttemptRecord(AttemptState.QUEUED, forget_s, submit, sender, deadline_s)
         self.ledger.add(submit.attempt, record)
         fault = self._unfit(submit, now_s)
         if fault is not None:
@@ -167,8 +174,8 @@
         assert record.submit is not None
         # In doubt it counts as handed over, so this goes before the effect.
         record.state = AttemptState.HANDED
-        self.running += 1
         submit = record.submit
+        self._handed[submit.attempt] = record
         self.meter.started(submit.attempt, submit.blocks, work.prefill_tokens, now_s)
         valid_until_s = min(gate.valid_until_s(), work.deadline_s)
         self._outbox.add(HandOver(submit, valid_until_s))
@@ -315,9 +322,7 @@
                 sender, Withdraw(message.attempt, self._membership.incarnation, 0), record
             )
         elif record.state is AttemptState.HANDED:
-            self._outbox.add(CancelWork(message.attempt))
-            self._slot_free(record, now_s)
-            self._end(record, Outcome.UNKNOWN, Reason.CALLER_GONE, 0.0)
+            self._cut(message.attempt, record, Reason.CALLER_GONE, now_s)
         self.dispatch(now_s)
 
     # Group changes
@@ -326,11 +331,13 @@
         """End what belongs to the group that this agent has left."""
         for work in self.queue.take_all():
             self._end(work.item, Outcome.NOT_RUN, Reason.STALE_EPOCH, CLOSED_RETRY_S)
-        for record in self.ledger.in_state(AttemptState.HANDED):
-            assert record.submit is not None
-            self._outbox.add(CancelWork(record.submit.attempt))
-            self._slot_free(record, now_s)
-            self._end(record, Outcome.UNKNOWN, Reason.GROUP_INCOMPLETE, CLOSED_RETRY_S)
+        for attempt, record in list(self._handed.items()):
+            self._cut(attempt, record, Reason.GROUP_INCOMPLETE, now_s)
+
+    def _cut(self, attempt: AttemptId, record: AttemptRecord, reason: Reason, now_s: float) -> None:
+        self._outbox.add(CancelWork(attempt))
+        self._slot_free(record, now_s)
+        self._end(record, Outcome.UNKNOWN, reason, CLOSED_RETRY_S)
 
     @property
     def drained(self) -> bool:
@@ -338,7 +345,12 @@
         return not self.running and not len(self.queue)
 
     def tick(self, now_s: float) -> None:
-        """Dispatch what can go and forget what is old."""
+        """Dispatch what can go, end what has run out of time, forget what is old."""
+        late_s = now_s - OVERTIME_S
+        for attempt, record in list(self._handed.items()):
+            if record.deadline_s < late_s:
+                # Its entry would have cancelled it; it is gone.
+                self._cut(attempt, record, Reason.DEADLINE_PASSED, now_s)
         self.dispatch(now_s)
         self.ledger.forget(now_s)
 
@@ -346,7 +358,7 @@
         submit = record.submit
         assert submit is not None
         self.meter.ended(submit.attempt, record.answer.tokens, submit.max_tokens, now_s)
-        self.running -= 1
+        self._handed.pop(submit.attempt, None)
         self.queue.ended(submit.organisation)
 
     def _end(
