--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/subset.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/subset.py
@@ -5,11 +5,11 @@
 
 from ochreway_core.ids import HallId, NodeId
 from ochreway_core.listing import InstanceKind, ListedInstance
-from ochreway_core.rendezvous import rank
 from ochreway_core.rows import GroupRow
 
 GROUPS_PER_TARGET = 12
 OTHER_HALL_GROUPS = 2
+FOLLOWERS_AT_LEAST = 8
 
 
 def followed_groups(
@@ -18,31 +18,47 @@
     groups: list[GroupRow],
     listing: Mapping[NodeId, ListedInstance],
 ) -> list[GroupRow]:
-    """Return a bounded subset of each target's groups, the own hall's first.
+    """Return a bounded subset of each target's groups, most of them of the own hall.
 
-    The rendezvous order of the groups for each entry spreads the entries evenly over the
-    groups, so that every group is followed by about as many.
+    Every group is followed by as many of its hall's entries as any other, so none is left
+    out when there are few entries.
     """
     by_target: dict[str, list[GroupRow]] = {}
-    for row in groups:
+    for row in sorted(groups, key=lambda row: row.group):
         by_target.setdefault(row.target, []).append(row)
+    here = [each.node for each in entries_of(listing) if each.hall == hall and not each.leaving]
+    order = sorted({*here, me})
     chosen: list[GroupRow] = []
     for rows in by_target.values():
-        chosen += _subset(me, hall, rows, listing)
+        chosen += _subset(order.index(me), len(order), hall, rows, listing)
     return chosen
 
 
 def _subset(
-    me: NodeId, hall: HallId, rows: list[GroupRow], listing: Mapping[NodeId, ListedInstance]
+    place: int,
+    entries: int,
+    hall: HallId,
+    rows: list[GroupRow],
+    listing: Mapping[NodeId, ListedInstance],
 ) -> list[GroupRow]:
     if len(rows) <= GROUPS_PER_TARGET:
         return rows
-    by_group = {row.group: row for row in rows}
-    ranked = [by_group[group] for group in rank(f"subset/{me}", by_group)]
-    here = [row for row in ranked if _hall_of(row, listing) == hall]
-    away = [row for row in ranked if _hall_of(row, listing) != hall]
-    near = here[: GROUPS_PER_TARGET - min(OTHER_HALL_GROUPS, len(away))]
-    return near + away[: GROUPS_PER_TARGET - len(near)]
+    here = [row for row in rows if _hall_of(row, listing) == hall]
+    away = [row for row in rows if _hall_of(row, listing) != hall]
+    near = [row for index, row in enumerate(here) if follows(place, entries, index, len(here))]
+    wanted = OTHER_HALL_GROUPS if near else GROUPS_PER_TARGET
+    start = place * wanted % max(len(away), 1)
+    return near + (away[start:] + away[:start])[:wanted]
+
+
+def follows(place: int, entries: int, index: int, groups: int) -> bool:
+    """Tell whether the entry at a place follows the group at an index.
+
+    A group's followers stand one after another in the order of entries, and the groups'
+    first followers are spread evenly over it.
+    """
+    followers = max(FOLLOWERS_AT_LEAST, -(-GROUPS_PER_TARGET * entries // groups))
+    return (place - index * entries // groups) % entries < followers
 
 
 def _hall_of(row: GroupRow, listing: Mapping[NodeId, ListedInstance]) -> str:
@@ -55,4 +71,4 @@
     return [each for each in listing.values() if each.kind is InstanceKind.ENTRY]
 
 
-__all__ = ["GROUPS_PER_TARGET", "entries_of", "followed_groups"]
+__all__ = ["GROUPS_PER_TARGET", "entries_of", "followed_groups", "follows"]
