--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/subset.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/subset.py
@@ -7,7 +7,7 @@
 from ochreway_core.listing import InstanceKind, ListedInstance
 from ochreway_core.rows import GroupRow
 
-GROUPS_PER_TARGET = 12
+GROUPS_PER_TARGET = 10
 OTHER_HALL_GROUPS = 2
 FOLLOWERS_AT_LEAST = 8
 
