--- a/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
@@ -23,6 +23,8 @@
 FAULTS: dict[str, Fault] = {}
 STOP_POLL_S = 0.2
 STOP_GIVE_UP_S = 14.0
+REPLACED_AFTER_STOP_S = (0.2, 3.0)
+"""Short enough that every fault has ended when progress is judged."""
 
 
 def fault(name: str) -> Callable[[Fault], Fault]:
@@ -148,9 +150,9 @@
         assert isinstance(agent, AgentNode)
         if process.running and agent.may_stop(process.local_s(now_s)):
             self._check_stop(process)
-            self.kill(node, whole_instance=True)
+            self.kill(node, True, REPLACED_AFTER_STOP_S)
         elif now_s > give_up_s:
-            self.kill(node, whole_instance=True)
+            self.kill(node, True, REPLACED_AFTER_STOP_S)
         else:
             again = partial(self._follow_stop, process, give_up_s)
             self.world.clock.after(STOP_POLL_S, again)
@@ -202,7 +204,7 @@
 
     def _replace(self, process: Process) -> None:
         if process.alive and self.world.processes[process.peer.node] is process:
-            self.kill(process.peer.node, whole_instance=True)
+            self.kill(process.peer.node, True, REPLACED_AFTER_STOP_S)
 
 
 @fault("kill_agent")
