--- a/packages/ochreway-core/src/ochreway_core/messages/membership.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/membership.py
@@ -69,13 +69,14 @@
 @message(4)
 @dataclass(frozen=True, slots=True)
 class GrantRefusal:
-    """Refuse a leader a grant."""
+    """Refuse a leader a grant; ``formation`` is the one that the member knows of the epoch."""
 
     group: GroupId
     epoch: Epoch
     sequence: int
     reason: Reason
     wait_s: float
+    formation: int = 0
 
 
 @message(5)
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -153,7 +153,10 @@
 
     def _refuse(self, sender: Peer, beat: Heartbeat, reason: Reason, wait_s: float) -> None:
         self._outbox.count(f"grant.refused.{reason.value}")
-        refusal = GrantRefusal(beat.group, beat.epoch, beat.sequence, reason, wait_s)
+        row = self.row
+        same = row is not None and (row.group, row.epoch) == (beat.group, beat.epoch)
+        formation = row.formation if row is not None and same else 0
+        refusal = GrantRefusal(beat.group, beat.epoch, beat.sequence, reason, wait_s, formation)
         self._outbox.send(sender, refusal)
 
     def on_grant(self, sender: Peer, grant: Grant, now_s: float) -> None:
@@ -163,8 +166,13 @@
 
     def on_grant_refusal(self, sender: Peer, refusal: GrantRefusal, now_s: float) -> None:
         """Send the row again to a member that does not know it."""
-        if self.gate is not None and refusal.epoch == self.gate.row.epoch:
-            self.gate.forgot_row(sender.node)
+        if self.gate is None or refusal.epoch != self.gate.row.epoch:
+            return
+        self.gate.forgot_row(sender.node)
+        if refusal.formation > self.gate.row.formation:
+            # This leader restarted and forgot a formation that its members still know.
+            formation = refusal.formation + 1
+            self.adopt(replace(self.gate.row, formation=formation, step=0), now_s)
 
     def on_release(self, sender: Peer, release: Release, now_s: float) -> None:
         """Take back the grant that a leader returns."""
@@ -201,7 +209,9 @@
     def may_go(self, now_s: float) -> bool:
         """Tell whether this member's end would cut nothing that its group has in flight."""
         silent_s = now_s - self._heard_leader_s
-        return self.row is None or self.released or silent_s > self.timing.leader_silent_s
+        if self.row is None or not self.row.serves_on(self.me.node):
+            return True
+        return self.released or silent_s > self.timing.leader_silent_s
 
     def ready(self, now_s: float) -> bool:
         """Tell whether the target has loaded what the row says, as of late."""
--- a/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
@@ -169,7 +169,8 @@
         leader = self.world.processes[row.leader.node]
         assert isinstance(leader.node, AgentNode)
         led = leader.node.membership.row
-        same = leader.alive and led is not None and led.epoch == row.epoch
+        # A standby serves nothing, so its end cuts nothing.
+        same = leader.alive and led is not None and led.epoch == row.epoch and led.serves_on(node)
         if same and self.world.targets[row.leader.node].running:
             self.truth.violate(Invariant.STOP_CUTS_NOTHING, f"{node} left {row.group} early")
 
--- a/tests/nodes/test_membership.py
+++ b/tests/nodes/test_membership.py
@@ -93,3 +93,10 @@
         self.assertIsNot(old, fresh)
         self.tell(agent, late, 18.0, "s")
         self.assertIn("s", fresh.missing(18.0 + TTL_S))
+
+    def test_leader_that_forgot_a_formation_makes_one_above_it(self) -> None:
+        agent, given = self.leader()
+        refusal = GrantRefusal(given.group, given.epoch, 1, Reason.NO_GROUP, 0.0, 3)
+        self.tell(agent, refusal, 10.2, "b")
+        assert agent.membership.row is not None
+        self.assertEqual(4, agent.membership.row.formation)
