--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -0,0 +1,121 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Carrying out what the coordinator decides: probes and orders to engines."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+
+from ochreway_core.ids import Epoch, GroupId
+from ochreway_daemon.logs import EventLog
+from ochreway_daemon.metrics import Metrics
+from ochreway_direct.coordinator import Assignment, Coordinator
+from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.grouprecord import GroupPhase
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.order import OrderOutcome
+from ochreway_direct.ports import EngineControl
+from ochreway_direct.timing import DirectTiming
+from ochreway_platform.errors import PlatformError, TargetUnreachable
+
+Spawn = Callable[[Coroutine[None, None, None]], object]
+LOST_TOLD_S = 3.0
+"""For how long a lost group is named in updates."""
+
+
+class Coordination:
+    """Step the coordinator and run its probes and orders as tasks."""
+
+    def __init__(
+        self,
+        engines: EngineControl,
+        timing: DirectTiming,
+        spawn: Spawn,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self.coordinator = Coordinator()
+        self._engines = engines
+        self._timing = timing
+        self._spawn = spawn
+        self._log = log
+        self._metrics = metrics
+        self._phases: dict[GroupId, GroupPhase] = {}
+        self._lost_s: dict[GroupId, float] = {}
+
+    def begin(self, epoch: Epoch, targets: Iterable[ListedTarget], now_s: float) -> None:
+        """Start with epochs above the one given and the targets known so far."""
+        self.coordinator.begin(epoch, now_s)
+        self.coordinator.on_listing(targets, now_s)
+        self._phases.clear()
+
+    def listed(self, targets: Iterable[ListedTarget], now_s: float) -> None:
+        """Take the platform's list."""
+        self.coordinator.on_listing(targets, now_s)
+
+    def step(self, now_s: float) -> bool:
+        """Give the orders that are due; return whether a group's phase changed."""
+        for assignment in self.coordinator.tick(now_s):
+            self._metrics.count(f"order.{type(assignment.order).__name__.lower()}")
+            self._spawn(self._order(assignment))
+        for record in self.coordinator.due_probes(now_s):
+            self._spawn(self._probe(record))
+        return self._note_phases(now_s)
+
+    def lost(self, now_s: float) -> tuple[GroupId, ...]:
+        """Return the groups whose requests have to be abandoned."""
+        self._lost_s = {g: at_s for g, at_s in self._lost_s.items() if now_s - at_s < LOST_TOLD_S}
+        return tuple(self._lost_s)
+
+    def _note_phases(self, now_s: float) -> bool:
+        phases = {name: group.phase for name, group in self.coordinator.groups.items()}
+        if phases == self._phases:
+            return False
+        for name, phase in phases.items():
+            before = self._phases.get(name)
+            if phase is before:
+                continue
+            group = self.coordinator.groups[name]
+            self._log.event(
+                "group",
+                group=name,
+                epoch=group.epoch,
+                phase=phase.value,
+                members=",".join(group.members),
+                domain=group.domain,
+            )
+            if phase is GroupPhase.DISSOLVING:
+                self._lost_s[name] = now_s
+        self._phases = phases
+        return True
+
+    async def _order(self, assignment: Assignment) -> None:
+        outcome = OrderOutcome.UNKNOWN
+        try:
+            outcome = await self._engines.order(
+                assignment.address,
+                assignment.instance,
+                assignment.order,
+                self._timing.order_timeout_s,
+            )
+        finally:
+            self.coordinator.on_outcome(assignment.instance, assignment.order, outcome)
+        self._metrics.count(f"order_outcome.{outcome.value}")
+        self._log.detail(
+            "order", instance=assignment.instance, order=assignment.order, outcome=outcome.value
+        )
+
+    async def _probe(self, record: EngineRecord) -> None:
+        instance = record.instance
+        timeout_s = self._timing.probe_timeout_s
+        loop = asyncio.get_running_loop()
+        asked_s = loop.time()
+        try:
+            state = await self._engines.state(record.listed.address, timeout_s)
+        except PlatformError as fault:
+            refused = isinstance(fault, TargetUnreachable)
+            self.coordinator.on_silence(instance, refused, loop.time())
+            self._log.detail("engine_silent", instance=instance, cause=fault)
+            return
+        self.coordinator.on_state(instance, state, asked_s)
+
+
+__all__ = ["Coordination"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
@@ -0,0 +1,60 @@
+# SPDX-License-Identifier: Apache-2.0
+"""How much work is offered for each model, and what one more group is worth."""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ochreway_direct.configuration import EngineSpec
+from ochreway_direct.ids import ModelName
+
+LEAST_WORK = 0.05
+"""The least work, in groups kept busy, that a configured model is planned for."""
+TYPICAL_SEQUENCES = 8
+UNKNOWN_USE = 0.5
+"""The share of all engines that is taken to be busy before any request was seen."""
+
+
+def work_s(
+    spec: EngineSpec, model: ModelName | None, prompt_tokens: int, answer_tokens: int
+) -> float:
+    """Return how long a request keeps a group busy that runs a typical number of them."""
+    found = spec.model(model) if model is not None else None
+    pace = found.pace if found is not None else 1.0
+    step_s = spec.step_s + TYPICAL_SEQUENCES * spec.per_sequence_s
+    reading_s = prompt_tokens / spec.read_tokens_per_s
+    return pace * (reading_s + answer_tokens * step_s / TYPICAL_SEQUENCES)
+
+
+@dataclass(slots=True)
+class Demand:
+    """Hold the work offered for each model, in groups kept busy."""
+
+    offered: dict[ModelName, float] = field(default_factory=dict)
+
+    def update(self, offered: Mapping[ModelName, float]) -> None:
+        """Replace what is offered; an empty measurement changes nothing."""
+        if offered:
+            self.offered = dict(offered)
+
+    def needs(self, spec: EngineSpec, engines: int) -> dict[ModelName, float]:
+        """Return the work of each model, from its configured share until any was measured."""
+        measured = {m.name: self.offered.get(m.name, 0.0) for m in spec.models}
+        if sum(measured.values()) > 0:
+            return {name: max(LEAST_WORK, work) for name, work in measured.items()}
+        size = sum(m.share * m.size for m in spec.models) or 1.0
+        busy = UNKNOWN_USE * engines / size
+        return {m.name: max(LEAST_WORK, m.share * busy) for m in spec.models}
+
+
+def worth(need: float, groups: int, crowding: float) -> float:
+    """Return what a number of groups is worth against the work that is offered."""
+    return need * (1.0 - math.exp(-crowding * groups / need))
+
+
+def gain(need: float, groups: int, crowding: float) -> float:
+    """Return what one more group adds."""
+    return worth(need, groups + 1, crowding) - worth(need, groups, crowding)
+
+
+__all__ = ["Demand", "gain", "work_s", "worth"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -0,0 +1,73 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What the coordinator knows of one engine."""
+
+from dataclasses import dataclass, field
+
+from ochreway_core.ids import DomainId, Epoch, GroupId, InstanceId
+from ochreway_direct.enginestate import EngineState, Membership
+from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.order import Order
+
+NEVER_S = -1.0e9
+
+
+@dataclass(slots=True)
+class EngineRecord:
+    """Hold an engine's last state, how it answers, and the order it was last given."""
+
+    listed: ListedTarget
+    state: EngineState
+    observed_s: float = NEVER_S
+    probed_s: float = NEVER_S
+    misses: int = 0
+    dead: bool = False
+    missing_s: float | None = None
+    pending: Order | None = None
+    ordered_s: float = NEVER_S
+    last_model: ModelName | None = None
+    staging: ModelName | None = None
+    staging_until_s: float = NEVER_S
+    probing: bool = field(default=False)
+
+    @property
+    def instance(self) -> InstanceId:
+        """Return the engine's instance."""
+        return self.listed.instance
+
+    @property
+    def service(self) -> ServiceName:
+        """Return the service that the engine belongs to."""
+        return self.listed.service
+
+    @property
+    def domain(self) -> DomainId:
+        """Return the fabric domain of the engine."""
+        return self.state.domain
+
+    @property
+    def membership(self) -> Membership | None:
+        """Return the membership that was last seen."""
+        return self.state.membership
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the engine has announced that it leaves, or has left the list."""
+        return self.listed.leaving or self.missing_s is not None
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the engine may become a member."""
+        return not self.dead and not self.leaving and self.observed_s > NEVER_S
+
+    def belongs_to(self, group: GroupId, epoch: Epoch) -> bool:
+        """Tell whether the engine was last seen in this group at this epoch."""
+        found = self.membership
+        return found is not None and found.group == group and found.epoch == epoch
+
+    def quick(self, model: ModelName) -> bool:
+        """Tell whether the engine can join a group of a model without loading weights."""
+        return self.last_model == model or model in self.state.staged
+
+
+__all__ = ["NEVER_S", "EngineRecord"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -0,0 +1,33 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The durations and weights that forming groups depends on."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CoordinatorTuning:
+    """Hold every duration of the coordinator, and what an idle replica is worth.
+
+    ``crowding`` says how steeply the worth of one more group of a model falls with the groups
+    it has for the work that is offered.
+    """
+
+    settle_s: float = 1.0
+    probe_changing_s: float = 0.15
+    probe_serving_s: float = 0.4
+    probe_free_s: float = 0.8
+    misses_until_dead: int = 2
+    dead_probe_s: float = 1.0
+    order_retry_s: float = 0.3
+    form_slack_s: float = 5.0
+    close_at_most_s: float = 1.5
+    silent_share_at_most: float = 0.6
+    listing_settled_s: float = 3.0
+    listing_return_s: float = 2.5
+    crowding: float = 1.2
+    keep_bonus: float = 1.3
+    trade_gain: float = 1.5
+    loads_window_s: float = 5.0
+
+
+__all__ = ["CoordinatorTuning"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/enginestate.py
@@ -0,0 +1,46 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What an engine says of itself."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ochreway_core.ids import DomainId, Epoch, GroupId
+from ochreway_direct.ids import ModelName
+
+
+class MemberPhase(Enum):
+    """Say how far an engine is with the group that it joined."""
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """Name the group an engine is in, its rank there (0 leads) and its phase."""
+
+    group: GroupId
+    epoch: Epoch
+    rank: int
+    phase: MemberPhase
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """Hold an engine's models, membership and load."""
+
+    domain: DomainId
+    model: ModelName | None = None
+    staged: tuple[ModelName, ...] = ()
+    membership: Membership | None = None
+    orders_taken: int = 0
+    busy: bool = False
+    queued: int = 0
+    running: int = 0
+    pace: float = 1.0
+
+
+__all__ = ["EngineState", "MemberPhase", "Membership"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -0,0 +1,341 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The process: the parts of a direct entry, and what passes between them."""
+
+import asyncio
+import random
+import secrets
+from collections import Counter
+from collections.abc import Coroutine
+
+from ochreway_core.backoff import Backoff
+from ochreway_core.ids import Epoch, GroupId, HallId, NodeId
+from ochreway_core.peer import Peer
+from ochreway_daemon.logs import EventLog
+from ochreway_daemon.metrics import Metrics
+from ochreway_daemon.timer import TimerService
+from ochreway_direct.configuration import Configuration
+from ochreway_direct.coordination import Coordination
+from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.fleetview import FleetView
+from ochreway_direct.freshness import Freshness
+from ochreway_direct.lease import Lease
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.messages import (
+    ConfigurationRequest,
+    ConfigurationUpdate,
+    FleetUpdate,
+    Heartbeat,
+    Suspicion,
+)
+from ochreway_direct.peers import Peers
+from ochreway_direct.ports import PlatformServices
+from ochreway_direct.serving import Serving
+from ochreway_direct.settings import DirectSettings
+from ochreway_direct.timing import DirectTiming
+from ochreway_platform.errors import PlatformError
+from ochreway_wire.batch import Batch
+from ochreway_wire.links import Links, LinkSettings
+
+EPOCHS_PER_LEASE = 100_000
+"""How many groups one holder of the lease may form before epochs would meet the next one's."""
+
+
+class DirectEntry:
+    """Own what is known, and the tasks that learn and pass it on."""
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        services: PlatformServices,
+        timing: DirectTiming,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.metrics = metrics
+        self._services = services
+        self._timing = timing
+        self._loop = asyncio.get_running_loop()
+        self._random = random.Random()
+        self.me = Peer(NodeId(settings.name), settings.link_listen)
+        fleet = Fleet(HallId(settings.hall), self._random)
+        self.serving = Serving(fleet, Freshness(settings.key_trust_s))
+        self.meter = DemandMeter()
+        self.peers = Peers(self.me, timing.peer_silent_s)
+        self.timer = TimerService(timing.tick_s)
+        self.links = Links(
+            self.me,
+            LinkSettings(settings.link_key.encode()),
+            lambda: self.serving.version,
+            self._received,
+            lambda _: None,
+            lambda peer: self.peers.learn((peer,), self._loop.time()),
+        )
+        identity = f"{settings.name}/{secrets.token_hex(6)}"
+        self.lease = Lease(services.table, identity, timing.lease_renew_s, self._backoff(timing))
+        self.coordination = Coordination(services.engines, timing, self.spawn, log, metrics)
+        self.view = FleetView(timing.fleet_stale_s)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sequence = 0
+        self._ticked_s = 0.0
+        self._began_s = self._loop.time()
+        self._list_changed = asyncio.Event()
+
+    def _backoff(self, timing: DirectTiming) -> Backoff:
+        return Backoff(timing.backoff_base_s, timing.backoff_max_s, self._random)
+
+    def spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        """Run a task of this process until it ends or the process stops."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def start(self) -> None:
+        """Listen for other entries and begin to learn."""
+        host, _, port = self.settings.link_listen.rpartition(":")
+        await self.links.listen(host, int(port))
+        timing = self._timing
+        self.timer.every(timing.tick_s, self._tick)
+        self.timer.every(timing.heartbeat_s, self._send_heartbeats)
+        self.timer.every(timing.fleet_update_s, lambda _: self._publish())
+        self.spawn(self.timer.run())
+        self.spawn(self._follow_configuration())
+        self.spawn(self._follow_list())
+        self.spawn(self._keep_lease())
+
+    async def stop(self) -> None:
+        """Give the lease back and end every task."""
+        await self.lease.release(self._loop.time())
+        await self.links.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    # Configuration.
+
+    async def _follow_configuration(self) -> None:
+        backoff = self._backoff(self._timing)
+        while True:
+            try:
+                reading = await self._services.configurations.poll(
+                    self._timing.configuration_wait_s
+                )
+            except PlatformError as fault:
+                self.metrics.count("configuration.unavailable")
+                self.log.detail("configuration_unavailable", cause=fault)
+                await asyncio.sleep(backoff.failed())
+                continue
+            backoff.succeeded()
+            if reading.configuration is not None:
+                self._apply(reading.configuration)
+                if reading.configuration.version == self.serving.version:
+                    self.serving.freshness.prove(reading.asked_s)
+            await asyncio.sleep(self._timing.configuration_gap_s)
+
+    def _apply(self, configuration: Configuration) -> None:
+        if not self.serving.apply(configuration):
+            return
+        self.coordination.coordinator.configure(configuration)
+        self.log.event(
+            "configuration_applied",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            organisations=len(configuration.organisations),
+        )
+
+    # The list of targets.
+
+    async def _follow_list(self) -> None:
+        backoff = self._backoff(self._timing)
+        while True:
+            if not self._reads_list():
+                await asyncio.sleep(self._timing.list_gap_s)
+                continue
+            try:
+                reading = await self._services.targets.poll(self._timing.list_wait_s)
+            except PlatformError as fault:
+                self.metrics.count("list.unavailable")
+                self.log.detail("list_unavailable", cause=fault)
+                await asyncio.sleep(backoff.failed())
+                continue
+            backoff.succeeded()
+            self._listed(reading.targets, reading.asked_s)
+            await asyncio.sleep(self._timing.list_gap_s)
+
+    def _reads_list(self) -> bool:
+        """Tell whether this entry reads the list itself: as holder, or with none to hear."""
+        return self.lease.held or self.view.stale(self._loop.time())
+
+    def _listed(self, targets: tuple[ListedTarget, ...], asked_s: float) -> None:
+        self.coordination.listed(targets, self._loop.time())
+        self.view.list(targets, asked_s)
+        self._show()
+
+    # Groups.
+
+    def _tick(self, now_s: float) -> None:
+        if now_s - self._ticked_s > self._timing.pause_noticed_s:
+            self.coordination.coordinator.on_pause()
+        self._ticked_s = now_s
+        if not self.lease.held:
+            return
+        self._take_demand(now_s)
+        if self.coordination.step(now_s):
+            self._publish()
+
+    def _take_demand(self, now_s: float) -> None:
+        offered = Counter(self.meter.offered(now_s))
+        for record in self.peers.alive(now_s):
+            if record.last is not None:
+                offered.update(record.last.offered)
+        self.coordination.coordinator.demand.update(offered)
+
+    def _publish(self) -> None:
+        """Tell the other entries which groups serve."""
+        if not self.lease.held:
+            return
+        self._sequence += 1
+        now_s = self._loop.time()
+        update = FleetUpdate(
+            lease_revision=self.lease.taken_at,
+            sequence=self._sequence,
+            groups=self.coordination.coordinator.views(),
+            lost=self.coordination.lost(now_s),
+            targets=self.view.plain_targets(),
+            listed_age_s=self.view.listed_age_s(now_s),
+        )
+        for peer in self.peers.all():
+            self.links.send(peer, update)
+        self._take_update(update)
+
+    def _take_update(self, update: FleetUpdate) -> None:
+        if self.view.take(update, self._loop.time()):
+            self._show()
+            for group in update.lost:
+                self.serving.fleet.abandon(group)
+
+    def _show(self) -> None:
+        now_s = self._loop.time()
+        self.serving.fleet.set_groups(self.view.groups(now_s))
+        self.serving.fleet.set_targets(self.view.plain_targets())
+
+    def suspect(self, group: GroupId) -> None:
+        """Have the members of a group asked at once, as its leader fell silent."""
+        holder = self.peers.holder(self._loop.time())
+        if self.lease.held:
+            self.coordination.coordinator.suspect(group)
+        elif holder is not None:
+            self.links.send(holder.peer, Suspicion(group))
+
+    # The lease.
+
+    async def _keep_lease(self) -> None:
+        while True:
+            await asyncio.sleep(self._timing.tick_s)
+            now_s = self._loop.time()
+            if self.serving.stopping or not self.lease.allowed(now_s):
+                continue
+            if self.lease.held:
+                await self._renew(now_s)
+            elif self._may_take(now_s):
+                await self._take(now_s)
+
+    async def _renew(self, now_s: float) -> None:
+        if not self.lease.due(now_s):
+            return
+        await self.lease.renew(now_s)
+        if not self.lease.held:
+            self.log.event("lease_lost", revision=self.lease.revision)
+
+    def _may_take(self, now_s: float) -> bool:
+        """Tell whether the lease looks free: no holder is heard, and others go first by name."""
+        if self.serving.routes is None or self.peers.holder(now_s) is not None:
+            self._began_s = now_s
+            return False
+        wait_s = self._timing.lease_stagger_s * self.peers.rank(now_s)
+        if self.peers.isolated(now_s):
+            wait_s = self._timing.lease_isolated_s
+        return now_s - self._began_s >= wait_s
+
+    async def _take(self, now_s: float) -> None:
+        await self.lease.observe(now_s)
+        if not self.lease.allowed(now_s) or not await self.lease.take(now_s):
+            self._began_s = self._loop.time()
+            return
+        self.log.event("lease_taken", revision=self.lease.taken_at)
+        self.metrics.count("lease.taken")
+        epoch = Epoch(self.lease.taken_at * EPOCHS_PER_LEASE)
+        self.coordination.begin(epoch, self.view.targets(), self._loop.time())
+
+    # Other entries.
+
+    def _send_heartbeats(self, now_s: float) -> None:
+        for node in self.peers.forget_silent(now_s):
+            self.serving.fleet.forget_entry(node)
+        known = self.peers.all()
+        self._meet_seeds(known)
+        for peer in known:
+            self.links.send(peer, self._heartbeat(peer, known, now_s))
+
+    def _meet_seeds(self, known: list[Peer]) -> None:
+        met = {peer.address for peer in known}
+        for address in self.settings.peer:
+            if address and address != self.me.address and address not in met:
+                self.links.meet(address)
+
+    def _heartbeat(self, peer: Peer, known: list[Peer], now_s: float) -> Heartbeat:
+        return Heartbeat(
+            sent_s=now_s,
+            echo_s=self.peers.echo_s(peer.node),
+            version=self.serving.version,
+            proof_age_s=self.serving.freshness.age_s(now_s),
+            lease_revision=self.lease.taken_at if self.lease.held else 0,
+            holds_lease=self.lease.held,
+            stopping=self.serving.stopping,
+            under_way=dict(self.serving.fleet.under_way()),
+            offered=dict(self.meter.offered(now_s)),
+            peers=(self.me, *known),
+        )
+
+    def _received(self, sender: Peer, batch: Batch) -> None:
+        for message in batch.messages:
+            handler = self._HANDLERS.get(type(message))
+            if handler is not None:
+                handler(self, sender, message)
+
+    def _on_heartbeat(self, sender: Peer, heartbeat: Heartbeat) -> None:
+        now_s = self._loop.time()
+        self.peers.hear(sender, heartbeat, now_s)
+        self.serving.fleet.set_elsewhere(sender.node, Counter(heartbeat.under_way))
+        if heartbeat.version > self.serving.version:
+            self.links.send(sender, ConfigurationRequest(self.serving.version))
+        elif heartbeat.version == self.serving.version and heartbeat.echo_s is not None:
+            self.serving.freshness.prove(heartbeat.echo_s - heartbeat.proof_age_s)
+
+    def _on_configuration_request(self, sender: Peer, request: ConfigurationRequest) -> None:
+        routes = self.serving.routes
+        if routes is not None and routes.version > request.than:
+            self.links.send(sender, ConfigurationUpdate(routes.configuration))
+
+    def _on_configuration_update(self, _: Peer, update: ConfigurationUpdate) -> None:
+        self._apply(update.configuration)
+
+    def _on_fleet_update(self, _: Peer, update: FleetUpdate) -> None:
+        self._take_update(update)
+
+    def _on_suspicion(self, _: Peer, suspicion: Suspicion) -> None:
+        if self.lease.held:
+            self.coordination.coordinator.suspect(suspicion.group)
+
+    _HANDLERS = {
+        Heartbeat: _on_heartbeat,
+        ConfigurationRequest: _on_configuration_request,
+        ConfigurationUpdate: _on_configuration_update,
+        FleetUpdate: _on_fleet_update,
+        Suspicion: _on_suspicion,
+    }
+
+
+__all__ = ["DirectEntry"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -0,0 +1,127 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The groups and targets that an entry may send to, and what is under way at each."""
+
+import random
+from collections import Counter, defaultdict
+from collections.abc import Collection, Iterable
+
+from ochreway_core.ids import GroupId, HallId, InstanceId, NodeId
+from ochreway_direct.groupview import GroupView
+from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.relay.attempt import Attempt
+from ochreway_direct.targethealth import TargetHealth
+
+OTHER_HALL_LOAD = 0.5
+"""How many requests more a target of the own hall may have before another is preferred."""
+JITTER_LOAD = 0.9
+
+
+class Fleet:
+    """Choose the least loaded place for a call."""
+
+    def __init__(self, hall: HallId, chance: random.Random) -> None:
+        self._hall = hall
+        self._chance = chance
+        self._groups: dict[GroupId, GroupView] = {}
+        self._targets: dict[InstanceId, ListedTarget] = {}
+        self._under_way: dict[str, set[Attempt]] = defaultdict(set)
+        self._elsewhere: dict[NodeId, Counter[str]] = {}
+        self._health: dict[InstanceId, TargetHealth] = defaultdict(TargetHealth)
+
+    # What is learned.
+
+    def set_groups(self, groups: Iterable[GroupView]) -> None:
+        """Replace the groups that serve, and abandon what runs at those that do no more."""
+        self._groups = {each.group: each for each in groups}
+
+    def abandon(self, group: GroupId) -> None:
+        """End what runs at a group that has lost a member."""
+        for attempt in list(self._under_way.get(group, ())):
+            attempt.abandon()
+
+    def set_targets(self, targets: Iterable[ListedTarget]) -> None:
+        """Replace the plain targets."""
+        self._targets = {each.instance: each for each in targets}
+
+    def set_elsewhere(self, node: NodeId, counts: Counter[str]) -> None:
+        """Take what another entry has under way."""
+        self._elsewhere[node] = counts
+
+    def forget_entry(self, node: NodeId) -> None:
+        """Drop what another entry had under way."""
+        self._elsewhere.pop(node, None)
+
+    # What is asked.
+
+    def group(self, group: GroupId) -> GroupView | None:
+        """Return a group that serves."""
+        return self._groups.get(group)
+
+    def under_way(self) -> Counter[str]:
+        """Return how many attempts run at each place."""
+        return Counter({place: len(each) for place, each in self._under_way.items() if each})
+
+    def has_engines(self, service: ServiceName) -> bool:
+        """Tell whether any group of a service serves."""
+        return any(each.service == service for each in self._groups.values())
+
+    def pick_group(
+        self, service: ServiceName, model: ModelName | None, avoid: Collection[InstanceId]
+    ) -> GroupView | None:
+        """Return the group with the least work per pace, or None."""
+        found = [
+            each
+            for each in self._groups.values()
+            if each.service == service
+            and (model is None or each.model == model)
+            and each.leader not in avoid
+        ]
+        if not found:
+            return None
+        return min(found, key=lambda each: each.pace * (1 + self._load(each.group, each.hall)))
+
+    def pick_target(
+        self, service: ServiceName, avoid: Collection[InstanceId]
+    ) -> ListedTarget | None:
+        """Return the plain target with the least work, failing ones last, or None."""
+        found = [
+            each
+            for each in self._targets.values()
+            if each.service == service and not each.leaving and each.instance not in avoid
+        ]
+        if not found:
+            return None
+        return min(found, key=self._target_cost)
+
+    def _target_cost(self, target: ListedTarget) -> float:
+        load = self._load(target.instance, target.hall)
+        return (1 + load) * self._health[target.instance].penalty()
+
+    def _load(self, place: str, hall: HallId) -> float:
+        own = len(self._under_way.get(place, ()))
+        others = sum(counts[place] for counts in self._elsewhere.values())
+        away = 0.0 if hall == self._hall else OTHER_HALL_LOAD
+        return own + others + away + self._chance.random() * JITTER_LOAD
+
+    def load(self, place: str) -> int:
+        """Return how many attempts all entries have at a place."""
+        others = sum(counts[place] for counts in self._elsewhere.values())
+        return len(self._under_way.get(place, ())) + others
+
+    # What is under way.
+
+    def begin(self, attempt: Attempt) -> None:
+        """Count an attempt at its place."""
+        self._under_way[attempt.place].add(attempt)
+
+    def end(self, attempt: Attempt, failed: bool) -> None:
+        """Stop counting an attempt, and note how it went."""
+        running = self._under_way[attempt.place]
+        running.discard(attempt)
+        if not running:
+            del self._under_way[attempt.place]
+        self._health[attempt.instance].note(failed)
+
+
+__all__ = ["Fleet"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetview.py
@@ -0,0 +1,89 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What an entry believes the fleet to be, from the holder of the lease or from the list."""
+
+from ochreway_core.ids import InstanceId
+from ochreway_direct.enginestate import MemberPhase
+from ochreway_direct.groupview import GroupView
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.messages import FleetUpdate
+
+NEVER_S = -1.0e9
+
+
+class FleetView:
+    """Keep the newest update and list; go by the list while no update is recent."""
+
+    def __init__(self, stale_s: float) -> None:
+        self._stale_s = stale_s
+        self._update: FleetUpdate | None = None
+        self._updated_s = NEVER_S
+        self._targets: dict[InstanceId, ListedTarget] = {}
+        self._listed_s = NEVER_S
+
+    def take(self, update: FleetUpdate, now_s: float) -> bool:
+        """Take an update unless a newer one is known; return whether it was taken."""
+        if self._update is not None and _order(update) < _order(self._update):
+            return False
+        self._update = update
+        self._updated_s = now_s
+        if update.listed_age_s is not None and now_s - update.listed_age_s > self._listed_s:
+            self._listed_s = now_s - update.listed_age_s
+            engines = {i: t for i, t in self._targets.items() if t.engine is not None}
+            self._targets = engines | {each.instance: each for each in update.targets}
+        return True
+
+    def list(self, targets: tuple[ListedTarget, ...], asked_s: float) -> None:
+        """Take the platform's list as it was read by this entry."""
+        self._targets = {each.instance: each for each in targets}
+        self._listed_s = max(self._listed_s, asked_s)
+
+    def stale(self, now_s: float) -> bool:
+        """Tell whether the list has to be read by this entry itself."""
+        return min(now_s - self._updated_s, now_s - self._listed_s) > self._stale_s or (
+            now_s - self._listed_s > self._stale_s
+        )
+
+    def listed_age_s(self, now_s: float) -> float | None:
+        """Return the age of the list, or None before it was read."""
+        return now_s - self._listed_s if self._listed_s > NEVER_S else None
+
+    def targets(self) -> tuple[ListedTarget, ...]:
+        """Return every target of the list."""
+        return tuple(self._targets.values())
+
+    def plain_targets(self) -> tuple[ListedTarget, ...]:
+        """Return the targets that are not engines."""
+        return tuple(each for each in self._targets.values() if each.engine is None)
+
+    def groups(self, now_s: float) -> tuple[GroupView, ...]:
+        """Return the groups that serve."""
+        if self._update is not None and now_s - self._updated_s < 2 * self._stale_s:
+            return self._update.groups
+        listed = tuple(filter(None, map(_listed_group, self._targets.values())))
+        return listed or (self._update.groups if self._update is not None else ())
+
+
+def _order(update: FleetUpdate) -> tuple[int, int]:
+    return update.lease_revision, update.sequence
+
+
+def _listed_group(target: ListedTarget) -> GroupView | None:
+    """Return the group that a listed engine leads and has open, if any."""
+    state = target.engine
+    if state is None or state.membership is None or state.model is None or target.leaving:
+        return None
+    membership = state.membership
+    if membership.rank != 0 or membership.phase is not MemberPhase.OPEN:
+        return None
+    return GroupView(
+        membership.group,
+        membership.epoch,
+        target.service,
+        state.model,
+        target.instance,
+        target.address,
+        target.hall,
+    )
+
+
+__all__ = ["FleetView"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/groupview.py
@@ -0,0 +1,24 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A group as entries route to it."""
+
+from dataclasses import dataclass
+
+from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
+from ochreway_direct.ids import ModelName, ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class GroupView:
+    """Hold what an entry needs to send requests to a group that serves."""
+
+    group: GroupId
+    epoch: Epoch
+    service: ServiceName
+    model: ModelName
+    leader: InstanceId
+    address: str
+    hall: HallId
+    pace: float = 1.0
+
+
+__all__ = ["GroupView"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/ids.py
@@ -0,0 +1,9 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Identifiers that only direct entries use."""
+
+from typing import NewType
+
+ServiceName = NewType("ServiceName", str)
+ModelName = NewType("ModelName", str)
+
+__all__ = ["ModelName", "ServiceName"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/lease.py
@@ -0,0 +1,156 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The lease of the one entry that forms groups: a row in the platform's table."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ochreway_core.backoff import Backoff
+from ochreway_core.codec import decode, encode
+from ochreway_core.errors import CodecError
+from ochreway_core.ids import ChangeId
+from ochreway_core.table import ABSENT, CommitStatus, Condition, Row, Transaction
+from ochreway_platform.errors import TableUnavailable
+from ochreway_platform.table import Table
+
+LEASE_KEY = "lease/coordinator"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRow:
+    """Hold who has the lease, as of which change; a released one may be taken at once."""
+
+    holder: str
+    change: str
+    released: bool = False
+
+
+class LeaseState(Enum):
+    """Say whether this process has the lease."""
+
+    ABSENT = "absent"
+    HELD = "held"
+
+
+class Lease:
+    """Take, renew and release the lease; every write requires the row as it was last seen.
+
+    A write without an answer is settled by reading the change back, never by guessing.
+    """
+
+    def __init__(self, table: Table, holder: str, renew_s: float, backoff: Backoff) -> None:
+        self._table = table
+        self._holder = holder
+        self._renew_s = renew_s
+        self._backoff = backoff
+        self._changes = 0
+        self._retry_s = 0.0
+        self.state = LeaseState.ABSENT
+        self.revision = ABSENT
+        self.row: LeaseRow | None = None
+        self.taken_at = ABSENT
+        self.renewed_s = 0.0
+        self.seen_s = 0.0
+
+    @property
+    def held(self) -> bool:
+        """Tell whether this process took the lease and has not seen it lost."""
+        return self.state is LeaseState.HELD
+
+    def due(self, now_s: float) -> bool:
+        """Tell whether the lease has to be renewed now."""
+        return self.held and now_s >= max(self._retry_s, self.renewed_s + self._renew_s)
+
+    def allowed(self, now_s: float) -> bool:
+        """Tell whether the table may be asked again after its last failure."""
+        return now_s >= self._retry_s
+
+    async def observe(self, now_s: float) -> None:
+        """Read the row."""
+        try:
+            rows = await self._table.read((LEASE_KEY,))
+        except TableUnavailable:
+            self._retry_s = now_s + self._backoff.failed()
+            return
+        self._backoff.succeeded()
+        self._see(rows.get(LEASE_KEY), now_s)
+
+    def _see(self, row: Row | None, now_s: float) -> None:
+        revision = row.revision if row is not None else ABSENT
+        if revision != self.revision or self.seen_s == 0.0:
+            self.revision = revision
+            self.seen_s = now_s
+        self.row = _read(row)
+
+    async def take(self, now_s: float) -> bool:
+        """Take the lease from the state last seen; return whether that was done."""
+        if not await self._write(released=False, now_s=now_s):
+            return False
+        self.state = LeaseState.HELD
+        self.taken_at = self.revision
+        return True
+
+    async def renew(self, now_s: float) -> None:
+        """Renew the lease, or find that it was lost."""
+        await self._write(released=False, now_s=now_s)
+
+    async def release(self, now_s: float) -> None:
+        """Give the lease back, so that another may take it at once."""
+        if self.held:
+            await self._write(released=True, now_s=now_s)
+            self.state = LeaseState.ABSENT
+
+    async def _write(self, released: bool, now_s: float) -> bool:
+        self._changes += 1
+        change = ChangeId(f"{self._holder}/{self._changes}")
+        content = encode(LeaseRow(self._holder, change, released))
+        conditions = (Condition(LEASE_KEY, self.revision),)
+        reply = await self._table.commit(Transaction(change, conditions, {LEASE_KEY: content}))
+        if reply.status is CommitStatus.COMMITTED:
+            self._written(reply.revision, now_s)
+            return True
+        if reply.status is CommitStatus.CONFLICT:
+            self.state = LeaseState.ABSENT
+            await self.observe(now_s)
+            return self._settled(change, now_s)
+        return await self._settle(change, now_s)
+
+    async def _settle(self, change: ChangeId, now_s: float) -> bool:
+        """Find out what became of a write whose answer did not come."""
+        self._retry_s = now_s + self._backoff.failed()
+        try:
+            rows = await self._table.read((LEASE_KEY,))
+        except TableUnavailable:
+            return False
+        row = rows.get(LEASE_KEY)
+        found = _read(row)
+        if row is not None and row.revision != self.revision and found is not None:
+            mine = found.holder == self._holder
+            if not mine:
+                self.state = LeaseState.ABSENT
+            self._see(row, now_s)
+        return self._settled(change, now_s)
+
+    def _settled(self, change: ChangeId, now_s: float) -> bool:
+        if self.row is None or self.row.change != change:
+            return False
+        self._written(self.revision, now_s)
+        return True
+
+    def _written(self, revision: int, now_s: float) -> None:
+        self._backoff.succeeded()
+        self._retry_s = 0.0
+        self.revision = revision
+        self.renewed_s = now_s
+        self.seen_s = now_s
+
+
+def _read(row: Row | None) -> LeaseRow | None:
+    if row is None:
+        return None
+    try:
+        return decode(LeaseRow, row.content)
+    except CodecError:
+        return None
+
+
+__all__ = ["LEASE_KEY", "Lease", "LeaseRow", "LeaseState"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -0,0 +1,144 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The command that runs a direct entry."""
+
+import asyncio
+import importlib
+import os
+import signal
+import sys
+from typing import Any
+
+import aiohttp
+import click
+from aiohttp import web
+
+from ochreway_daemon.logs import EventLog
+from ochreway_daemon.metrics import Metrics
+from ochreway_direct.entry import DirectEntry
+from ochreway_direct.ports.platformservices import ADAPTERS
+from ochreway_direct.relay.relay import Relay
+from ochreway_direct.relay.targetprotocol import TargetConnector
+from ochreway_direct.relay.tuning import RelayTuning
+from ochreway_direct.settings import DirectSettings
+from ochreway_direct.timing import DirectTiming
+
+KEPT_S = 3.0
+"""For how long an idle connection to a target is kept."""
+STOP_POLL_S = 0.1
+GRACE_SHARE = 0.8
+LINGER_S = 2.5
+"""For how long a stopping entry serves on at the least, as new connections still come."""
+
+
+def setting(flag: str, default: Any, text: str, **more: Any) -> Any:
+    """Declare a setting as a flag and an environment variable."""
+    variable = "OCHREWAY_" + flag.removeprefix("--").replace("-", "_").upper()
+    return click.option(flag, default=default, envvar=variable, help=text, **more)
+
+
+@click.command()
+@setting("--name", "", "Name of this instance.")
+@setting("--hall", "hall-1", "Data hall of this instance.")
+@setting("--adapter", "", "Module that adapts to the platform, and registers its name.")
+@setting("--caller-listen", "127.0.0.1:7480", "host:port for callers.")
+@setting("--ready-listen", "127.0.0.1:7481", "host:port for the question whether it is ready.")
+@setting("--link-listen", "127.0.0.1:7400", "host:port for links of other entries.")
+@setting("--platform-url", "http://127.0.0.1:7000", "Base URL of the platform's services.")
+@setting("--peer", "", "host:port of other entries' links, with commas between.")
+@setting("--link-key", "", "Key that every process of the system shares (secret).")
+@setting("--statsd", "", "host:port of a statsd server; empty for none.")
+@setting("--log-level", "info", "debug, info, warning or error.")
+@setting("--key-trust-s", 4.5, "For how long keys are trusted without proof of freshness.")
+@setting("--grace-s", 8.0, "How long a planned stop may take.")
+def main(**given: Any) -> None:
+    """Take callers' requests and send them straight to targets."""
+    given["peer"] = tuple(each for each in given["peer"].split(",") if each)
+    sys.exit(asyncio.run(run(DirectSettings(**given))))
+
+
+async def run(settings: DirectSettings) -> int:
+    """Run until a signal asks to stop."""
+    log = EventLog("entry", settings.name, settings.log_level)
+    metrics = Metrics(settings.statsd, "entry")
+    importlib.import_module(settings.adapter)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.event("hang_up"))
+    jar = aiohttp.DummyCookieJar()
+    options: dict[str, Any] = {
+        "cookie_jar": jar,
+        "auto_decompress": False,
+        "timeout": aiohttp.ClientTimeout(total=None, sock_connect=0.6),
+        "max_line_size": settings.header_bytes_at_most,
+        "max_field_size": settings.header_bytes_at_most,
+    }
+    async with (
+        aiohttp.ClientSession(connector=TargetConnector(KEPT_S), **options) as kept,
+        aiohttp.ClientSession(connector=TargetConnector(0.0), **options) as single,
+        aiohttp.ClientSession(connector=TargetConnector(KEPT_S), cookie_jar=jar) as platform,
+    ):
+        services = ADAPTERS[settings.adapter](platform, settings.platform_url)
+        entry = DirectEntry(settings, services, DirectTiming(), log, metrics)
+        relay = Relay(
+            *(entry.serving, services.dialect, kept, single, entry.meter, RelayTuning()),
+            *(log, metrics),
+        )
+        await entry.start()
+        callers = await _serve_callers(settings, relay)
+        ready = await _serve_ready(settings, entry)
+        log.event("started", pid=os.getpid(), callers=settings.caller_listen)
+        await stop.wait()
+        await _drain(entry, relay)
+        await callers.cleanup()
+        await ready.cleanup()
+        await entry.stop()
+        log.event("stopped", open_calls=relay.open_calls)
+    return 0
+
+
+async def _drain(entry: DirectEntry, relay: Relay) -> None:
+    """Serve on until nothing is under way, within the grace that a stop has."""
+    loop = asyncio.get_running_loop()
+    begun_s = loop.time()
+    entry.serving.stopping = True
+    entry.log.event("stopping", open_calls=relay.open_calls)
+    await entry.lease.release(loop.time())
+    end_s = begun_s + entry.settings.grace_s * GRACE_SHARE
+    while loop.time() < end_s:
+        await asyncio.sleep(STOP_POLL_S)
+        if relay.open_calls == 0 and loop.time() - begun_s > LINGER_S:
+            return
+
+
+async def _serve_callers(settings: DirectSettings, relay: Relay) -> web.ServerRunner:
+    server = web.Server(
+        relay.handle,
+        handler_cancellation=True,
+        access_log=None,
+        keepalive_timeout=settings.idle_caller_s,
+        max_line_size=settings.header_bytes_at_most,
+        max_field_size=settings.header_bytes_at_most,
+        auto_decompress=False,
+    )
+    return await _listen(web.ServerRunner(server, shutdown_timeout=0.5), settings.caller_listen)
+
+
+async def _serve_ready(settings: DirectSettings, entry: DirectEntry) -> web.ServerRunner:
+    async def ready(_: web.BaseRequest) -> web.Response:
+        now_s = asyncio.get_running_loop().time()
+        return web.Response(status=200 if entry.serving.ready(now_s) else 503)
+
+    server = web.Server(ready, access_log=None)
+    return await _listen(web.ServerRunner(server, shutdown_timeout=0.1), settings.ready_listen)
+
+
+async def _listen(runner: web.ServerRunner, address: str) -> web.ServerRunner:
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    return runner
+
+
+__all__ = ["main", "run"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/configurationsource.py
@@ -0,0 +1,36 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Where the accepted configuration comes from."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from ochreway_direct.configuration import Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationReading:
+    """Hold the newest configuration as of a moment not before it was asked for.
+
+    It is ``None`` while the operators have accepted none.
+    """
+
+    configuration: Configuration | None
+    asked_s: float
+
+
+class ConfigurationSource(ABC):
+    """Read the accepted configuration."""
+
+    @abstractmethod
+    async def poll(self, wait_s: float) -> ConfigurationReading:
+        """Return the newest configuration, at once if it changed since the last call.
+
+        Args:
+            wait_s: how long to wait for a change, in seconds.
+
+        Raises:
+            ConfigurationUnavailable: when the source does not answer.
+        """
+
+
+__all__ = ["ConfigurationReading", "ConfigurationSource"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/platformservices.py
@@ -0,0 +1,43 @@
+# SPDX-License-Identifier: Apache-2.0
+"""All that an adapter gives a direct entry, and the registry of adapters."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import aiohttp
+
+from ochreway_direct.ports.configurationsource import ConfigurationSource
+from ochreway_direct.ports.dialect import CallerDialect
+from ochreway_direct.ports.enginecontrol import EngineControl
+from ochreway_direct.ports.targetlist import TargetList
+from ochreway_platform.table import Table
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformServices:
+    """Bundle the ports that an adapter implements."""
+
+    configurations: ConfigurationSource
+    targets: TargetList
+    engines: EngineControl
+    table: Table
+    dialect: CallerDialect
+
+
+AdapterFactory = Callable[[aiohttp.ClientSession, str], PlatformServices]
+"""Build the ports from a session and the platform's base URL."""
+
+ADAPTERS: dict[str, AdapterFactory] = {}
+
+
+def adapter(name: str) -> Callable[[AdapterFactory], AdapterFactory]:
+    """Register what builds the ports of a platform."""
+
+    def register(factory: AdapterFactory) -> AdapterFactory:
+        ADAPTERS[name] = factory
+        return factory
+
+    return register
+
+
+__all__ = ["ADAPTERS", "AdapterFactory", "PlatformServices", "adapter"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
@@ -0,0 +1,33 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Where the list of targets comes from."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from ochreway_direct.listedtarget import ListedTarget
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReading:
+    """Hold every listed target as of a moment not before it was asked for."""
+
+    targets: tuple[ListedTarget, ...]
+    asked_s: float
+
+
+class TargetList(ABC):
+    """Read the platform's list of targets, which lags behind reality."""
+
+    @abstractmethod
+    async def poll(self, wait_s: float) -> TargetReading:
+        """Return the targets listed, at once if the list changed since the last call.
+
+        Args:
+            wait_s: how long to wait for a change, in seconds.
+
+        Raises:
+            ListUnavailable: when the list cannot be read.
+        """
+
+
+__all__ = ["TargetList", "TargetReading"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -0,0 +1,42 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One sending of a call to one target."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from ochreway_core.ids import HallId, InstanceId
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """Hold where a call was sent; ``abandon`` ends it when its target is lost."""
+
+    instance: InstanceId
+    address: str
+    hall: HallId
+    place: str
+    lost: bool = False
+    _bound: asyncio.Timeout | None = field(default=None)
+
+    def bind(self, bound: asyncio.Timeout) -> None:
+        """Take the time bound that the attempt runs under."""
+        self._bound = bound
+        if self.lost:
+            self._expire()
+
+    def abandon(self) -> None:
+        """End the attempt, as its target is known to be lost."""
+        self.lost = True
+        self._expire()
+
+    def extend(self, until_s: float) -> None:
+        """Move the time bound."""
+        if self._bound is not None and not self.lost and not self._bound.expired():
+            self._bound.reschedule(until_s)
+
+    def _expire(self) -> None:
+        if self._bound is not None and not self._bound.expired():
+            self._bound.reschedule(asyncio.get_running_loop().time())
+
+
+__all__ = ["Attempt"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -0,0 +1,42 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One caller's request on its way."""
+
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from ochreway_core.ids import InstanceId, OrganisationId
+from ochreway_direct.configuration import Route
+from ochreway_direct.ids import ServiceName
+from ochreway_direct.ports.dialect import CallerTerms
+
+
+@dataclass(slots=True)
+class Call:
+    """Hold what was asked, under which route, and what became of it so far.
+
+    ``runs`` counts the targets that may have begun, less those that were lost meanwhile.
+    """
+
+    request: web.BaseRequest
+    terms: CallerTerms
+    route: Route
+    service: ServiceName
+    organisation: OrganisationId | None
+    priority: int
+    body: bytes
+    started_s: float
+    end_s: float
+    work_s: float
+    runs: int = 0
+    sends: int = 0
+    tried: set[InstanceId] = field(default_factory=set)
+    resume_after: str | None = None
+    answer: web.StreamResponse | None = None
+
+    def left_s(self, now_s: float) -> float:
+        """Return the time that is left."""
+        return self.end_s - now_s
+
+
+__all__ = ["Call"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/ending.py
@@ -0,0 +1,31 @@
+# SPDX-License-Identifier: Apache-2.0
+"""How one attempt ended."""
+
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from ochreway_core.outcome import Outcome
+from ochreway_core.reason import Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """Hold an attempt's outcome, its reason, and the response when it was answered.
+
+    ``lost`` says that the target was lost under the attempt.
+    """
+
+    outcome: Outcome
+    reason: Reason
+    response: web.StreamResponse | None = None
+    lost: bool = False
+    failed: bool = True
+
+    @classmethod
+    def answered(cls, response: web.StreamResponse, failed: bool = False) -> "Ending":
+        """Return the ending of an attempt that was answered."""
+        return cls(Outcome.ANSWERED, Reason.NONE, response, failed=failed)
+
+
+__all__ = ["Ending"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/errors.py
@@ -0,0 +1,26 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Errors of the relay."""
+
+from ochreway_core.errors import OchrewayError
+from ochreway_core.reason import Reason
+
+
+class Refused(OchrewayError):
+    """The entry answers a request itself; it has not run unless the status says otherwise."""
+
+    def __init__(self, status: int, reason: Reason, retry_after_s: float | None = None) -> None:
+        super().__init__(f"{status} {reason.value}")
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class AnswerBroken(OchrewayError):
+    """An answer broke off after a part of it was passed on, so the connection has to end."""
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
+__all__ = ["AnswerBroken", "Refused"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -0,0 +1,30 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The bounds that the relay works under."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RelayTuning:
+    """Hold durations, shares of an objective and the retry budget.
+
+    A call waits for a place for ``patience_share`` of its objective and is then refused with
+    the time after which a group is expected to serve again.
+    """
+
+    retry_share: float = 0.15
+    retries_at_most: float = 30.0
+    sends_more: int = 2
+    least_left_s: float = 0.05
+    place_poll_s: float = 0.02
+    patience_share: float = 0.22
+    resume_patience_s: float = 1.0
+    retry_after_s: float = 0.3
+    regroup_after_s: float = 1.0
+    first_answer_objectives: float = 3.0
+    first_answer_least_s: float = 0.8
+    stall_pauses: float = 3.0
+    stall_least_s: float = 0.7
+
+
+__all__ = ["RelayTuning"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/routetable.py
@@ -0,0 +1,57 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Finding the route and the organisation of a request in an accepted configuration."""
+
+from collections import defaultdict
+
+from ochreway_core.ids import Version
+from ochreway_direct.configuration import Configuration, Organisation, Route, Service
+from ochreway_direct.ids import ServiceName
+
+
+class RouteTable:
+    """Index one configuration by host and prefix, key and service."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._routes: dict[str, dict[str, Route]] = defaultdict(dict)
+        for route in configuration.routes:
+            self._routes[route.host.lower()][route.prefix] = route
+        self._services = {service.name: service for service in configuration.services}
+        self._keys = {
+            key: organisation
+            for organisation in configuration.organisations
+            for key in organisation.keys
+        }
+
+    @property
+    def version(self) -> Version:
+        """Return the version that is indexed."""
+        return self.configuration.version
+
+    @property
+    def asks_for_keys(self) -> bool:
+        """Tell whether callers have to present a key."""
+        return bool(self.configuration.organisations)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix, which ends in a slash, that begins the path."""
+        prefixes = self._routes.get(host.lower())
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            found = prefixes.get(path[: end + 1])
+            if found is not None:
+                return found
+        return None
+
+    def organisation(self, key: str) -> Organisation | None:
+        """Return the organisation that holds a key."""
+        return self._keys.get(key)
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service by its name."""
+        return self._services.get(name)
+
+
+__all__ = ["RouteTable"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -0,0 +1,39 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What an entry serves by: the configuration in force, its freshness, and the fleet."""
+
+from dataclasses import dataclass, field
+
+from ochreway_core.ids import NO_VERSION, Version
+from ochreway_direct.configuration import Configuration
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.freshness import Freshness
+from ochreway_direct.routetable import RouteTable
+
+
+@dataclass(slots=True)
+class Serving:
+    """Hold the newest configuration that was learned; it never goes back."""
+
+    fleet: Fleet
+    freshness: Freshness
+    stopping: bool = False
+    routes: RouteTable | None = field(default=None)
+
+    @property
+    def version(self) -> Version:
+        """Return the version in force."""
+        return self.routes.version if self.routes is not None else NO_VERSION
+
+    def apply(self, configuration: Configuration) -> bool:
+        """Put a configuration in force if it is newer; return whether it was."""
+        if configuration.version <= self.version:
+            return False
+        self.routes = RouteTable(configuration)
+        return True
+
+    def ready(self, now_s: float) -> bool:
+        """Tell whether new connections are wanted."""
+        return not self.stopping and self.routes is not None and self.freshness.holds(now_s)
+
+
+__all__ = ["Serving"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/timing.py
@@ -0,0 +1,35 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The durations that direct entries work by."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class DirectTiming:
+    """Hold every duration of the parts that run beside the relay.
+
+    ``configuration_wait_s`` is how long one question for a newer configuration stays open; two of
+    them have to fit into the time for which keys are trusted.
+    """
+
+    tick_s: float = 0.05
+    heartbeat_s: float = 0.4
+    peer_silent_s: float = 1.3
+    configuration_wait_s: float = 1.2
+    configuration_gap_s: float = 0.05
+    list_wait_s: float = 1.0
+    list_gap_s: float = 0.6
+    fleet_update_s: float = 0.8
+    fleet_stale_s: float = 2.5
+    lease_renew_s: float = 1.0
+    lease_stagger_s: float = 0.25
+    lease_isolated_s: float = 4.0
+    probe_timeout_s: float = 0.3
+    order_timeout_s: float = 0.8
+    call_timeout_s: float = 1.5
+    backoff_base_s: float = 0.1
+    backoff_max_s: float = 1.0
+    pause_noticed_s: float = 0.4
+
+
+__all__ = ["DirectTiming"]
--- a/packages/ochreway-platform/src/ochreway_platform/errors.py
+++ b/packages/ochreway-platform/src/ochreway_platform/errors.py
@@ -20,6 +20,10 @@
     """The object store did not answer."""
 
 
+class ConfigurationUnavailable(PlatformError):
+    """The source of the configuration did not answer."""
+
+
 class ListUnavailable(PlatformError):
     """The list of instances could not be read."""
 
@@ -37,6 +41,7 @@
 
 
 __all__ = [
+    "ConfigurationUnavailable",
     "HandOverRefused",
     "ListUnavailable",
     "ObjectMissing",
--- a/packages/ochreway-wire/src/ochreway_wire/links.py
+++ b/packages/ochreway-wire/src/ochreway_wire/links.py
@@ -28,9 +28,12 @@
 its kernel answers is noticed by the heartbeats and reports above.
 """
 QUEUED_WHILE_DIALLING = 1024
+UNNAMED = NodeId("")
+"""Stands for a process whose name is learned from its hello."""
 
 Received = Callable[[Peer, Batch], None]
 Down = Callable[[NodeId], None]
+Up = Callable[[Peer], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,14 +56,17 @@
         version: Callable[[], Version],
         received: Received,
         down: Down,
+        up: Up | None = None,
     ) -> None:
         self._me = me
         self._settings = settings
         self._version = version
         self._received = received
         self._down = down
+        self._up = up
         self._links: dict[NodeId, Link] = {}
         self._dialling: dict[NodeId, list[object]] = {}
+        self._meeting: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: Server | None = None
 
@@ -94,6 +100,18 @@
         elif len(queued) < QUEUED_WHILE_DIALLING:
             queued.append(message)
 
+    def meet(self, address: str) -> None:
+        """Dial a process whose name is not known, unless that is under way already."""
+        if address not in self._meeting:
+            self._meeting.add(address)
+            self._spawn(self._meet(address))
+
+    async def _meet(self, address: str) -> None:
+        try:
+            await self._dial(Peer(UNNAMED, address))
+        finally:
+            self._meeting.discard(address)
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -112,9 +130,9 @@
                 proxy=None,
             ) as socket:
                 met = await self._shake(socket, dialled=True)
-                if met.node != peer.node:
+                if peer.node not in (met.node, UNNAMED):
                     raise HandshakeRefused(f"{peer.address} is {met.node}, not {peer.node}")
-                await self._run(socket, peer)
+                await self._run(socket, met)
         except (TimeoutError, OSError, HandshakeRefused, ConnectionClosed):
             self._undialled(peer.node)
         except (InvalidHandshake, InvalidMessage):
@@ -146,6 +164,8 @@
         self._links[peer.node] = link
         for message in self._dialling.pop(peer.node, ()):
             link.send(message)
+        if self._up is not None:
+            self._up(peer)
         writer = asyncio.create_task(link.write())
         try:
             await link.read(self._received)
