Decide what a call given up on is told by what may have run; stage weights by need

A call given up on now ends by what became of it: broken off, 502, or 503. Every entry now reads the list itself once it is 1.4 s old, and hands it to a holder that cannot. Three entries took the lease in turn at the start: it is now free only when it was released or not renewed for a while.

Ruled out: events spoiled by the server (the log showed reason=stale_version).

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
@@ -11,6 +11,8 @@
 LEAST_WORK = 0.05
 """The least work, in groups kept busy, that a configured model is planned for."""
 TYPICAL_SEQUENCES = 8
+METERS_FILLED_S = 8.0
+"""How long work is measured before a plan goes by it."""
 UNKNOWN_USE = 0.5
 """The share of all engines that is taken to be busy before any request was seen."""
 
@@ -31,10 +33,15 @@
     """Hold the work offered for each model, in groups kept busy."""
 
     offered: dict[ModelName, float] = field(default_factory=dict)
-
-    def update(self, offered: Mapping[ModelName, float]) -> None:
-        """Replace what is offered; an empty measurement changes nothing."""
-        if offered:
+    measured_since_s: float | None = None
+
+    def update(self, offered: Mapping[ModelName, float], now_s: float) -> None:
+        """Take what is offered; it counts once the meters have filled."""
+        if sum(offered.values()) <= 0:
+            return
+        if self.measured_since_s is None:
+            self.measured_since_s = now_s
+        if now_s - self.measured_since_s >= METERS_FILLED_S:
             self.offered = dict(offered)
 
     def needs(self, spec: EngineSpec, engines: int) -> dict[ModelName, float]:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -7,7 +7,7 @@
 from ochreway_direct.enginestate import EngineState, Membership
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.listedtarget import ListedTarget
-from ochreway_direct.order import Order
+from ochreway_direct.order import Order, Stage
 
 NEVER_S = -1.0e9
 
@@ -60,14 +60,23 @@
         """Tell whether the engine may become a member."""
         return not self.dead and not self.leaving and self.observed_s > NEVER_S
 
+    @property
+    def ordered_group(self) -> bool:
+        """Tell whether an order that changes its group is under way."""
+        return self.pending is not None and not isinstance(self.pending, Stage)
+
     def belongs_to(self, group: GroupId, epoch: Epoch) -> bool:
         """Tell whether the engine was last seen in this group at this epoch."""
         found = self.membership
         return found is not None and found.group == group and found.epoch == epoch
 
     def quick(self, model: ModelName) -> bool:
-        """Tell whether the engine can join a group of a model without loading weights."""
-        return self.last_model == model or model in self.state.staged
+        """Tell whether the engine can join a group of a model without loading weights.
+
+        One that is loading other weights has to finish that first, unless its last group was
+        one of this model.
+        """
+        return self.last_model == model or (model in self.state.staged and not self.staging)
 
 
 __all__ = ["NEVER_S", "EngineRecord"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -0,0 +1,151 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What is done with a group in each of its phases."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from ochreway_core.ids import Epoch, GroupId
+from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
+from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.enginestate import MemberPhase
+from ochreway_direct.order import Close, Join, Leave, Open
+
+READY_PHASES = frozenset({MemberPhase.READY, MemberPhase.OPEN, MemberPhase.CLOSING})
+
+
+class GroupLifecycle:
+    """Bring groups from forming to serving, and release the members of lost ones."""
+
+    def __init__(self, state: CoordinatorState) -> None:
+        self._state = state
+
+    def step(self, now_s: float) -> None:
+        """Take over groups that are reported, then see to each."""
+        self._adopt(now_s)
+        for group in list(self._state.groups.values()):
+            self._STEPS[group.phase](self, group, now_s)
+
+    def _adopt(self, now_s: float) -> None:
+        """Take over whole groups that engines report; dissolve what is left of others."""
+        found: dict[tuple[GroupId, Epoch], dict[int, EngineRecord]] = defaultdict(dict)
+        for record in self._state.engines.values():
+            membership = record.membership
+            if membership is None or record.dead:
+                continue
+            known = self._state.groups.get(membership.group)
+            if known is None or known.epoch != membership.epoch:
+                found[membership.group, membership.epoch][membership.rank] = record
+        for (group, epoch), ranks in found.items():
+            self._adopt_group(group, epoch, ranks, now_s)
+
+    def _adopt_group(
+        self, group: GroupId, epoch: Epoch, ranks: dict[int, EngineRecord], now_s: float
+    ) -> None:
+        any_member = next(iter(ranks.values()))
+        spec = self._state.specs.get(any_member.service)
+        model = any_member.state.model
+        model_spec = spec.model(model) if spec is not None and model is not None else None
+        busy = {i for each in self._state.groups.values() for i in each.members}
+        whole = model_spec is not None and set(ranks) == set(range(model_spec.size))
+        if (
+            whole
+            and group not in self._state.groups
+            and not busy & {r.instance for r in ranks.values()}
+        ):
+            assert model_spec is not None
+            members = tuple(ranks[rank].instance for rank in range(model_spec.size))
+            self._state.groups[group] = GroupRecord(
+                *(group, epoch, any_member.service, any_member.domain, model_spec.name, members),
+                phase=GroupPhase.FORMING,
+                since_s=now_s,
+                expected_s=model_spec.load_s,
+            )
+            return
+        for record in ranks.values():
+            self._state.order(record, Leave(group, epoch), now_s)
+
+    def _unfit(self, group: GroupRecord) -> bool:
+        """Tell whether a member is lost to the group."""
+        for instance in group.members:
+            record = self._state.engines.get(instance)
+            if record is None or record.dead:
+                return True
+            if instance in group.ready and not record.belongs_to(group.group, group.epoch):
+                return True
+            broken = record.membership is not None and record.membership.phase
+            if broken is MemberPhase.BROKEN and record.belongs_to(group.group, group.epoch):
+                return True
+        return False
+
+    def _leaving(self, group: GroupRecord) -> bool:
+        return any(self._state.engines[each].leaving for each in group.members)
+
+    def _step_forming(self, group: GroupRecord, now_s: float) -> None:
+        late = now_s - group.since_s > group.expected_s + self._state.tuning.form_slack_s
+        if self._unfit(group) or self._leaving(group) or late:
+            group.enter(GroupPhase.DISSOLVING, now_s)
+            return
+        for instance in group.members:
+            self._bring_in(group, self._state.engines[instance], now_s)
+        if len(group.ready) < len(group.members):
+            return
+        leader = self._state.engines[group.leader]
+        assert leader.membership is not None
+        if leader.membership.phase is MemberPhase.OPEN:
+            group.enter(GroupPhase.SERVING, now_s)
+            return
+        self._state.order(leader, Open(group.group, group.epoch), now_s)
+
+    def _bring_in(self, group: GroupRecord, record: EngineRecord, now_s: float) -> None:
+        membership = record.membership
+        if membership is not None and record.belongs_to(group.group, group.epoch):
+            if membership.phase in READY_PHASES:
+                group.ready.add(record.instance)
+            return
+        if membership is None:
+            join = Join(group.group, group.epoch, group.model, group.members)
+            self._state.order(record, join, now_s)
+
+    def _step_serving(self, group: GroupRecord, now_s: float) -> None:
+        if self._unfit(group):
+            group.enter(GroupPhase.DISSOLVING, now_s)
+            return
+        leader = self._state.engines[group.leader].membership
+        if self._leaving(group) or (leader and leader.phase is not MemberPhase.OPEN):
+            group.enter(GroupPhase.CLOSING, now_s)
+
+    def _step_closing(self, group: GroupRecord, now_s: float) -> None:
+        leader = self._state.engines.get(group.leader)
+        overdue = now_s - group.since_s > self._state.tuning.close_at_most_s
+        if self._unfit(group) or leader is None or leader.membership is None or overdue:
+            group.enter(GroupPhase.DISSOLVING, now_s)
+            return
+        if leader.membership.phase is MemberPhase.OPEN:
+            self._state.order(leader, Close(group.group, group.epoch), now_s)
+        elif leader.membership.phase is MemberPhase.READY:
+            group.enter(GroupPhase.DISSOLVING, now_s)
+
+    def _step_dissolving(self, group: GroupRecord, now_s: float) -> None:
+        """Release each member when it was seen, after this began, to have left."""
+        for instance in group.members:
+            record = self._state.engines.get(instance)
+            if record is None or record.dead:
+                group.released.add(instance)
+                continue
+            if record.belongs_to(group.group, group.epoch):
+                self._state.order(record, Leave(group.group, group.epoch), now_s)
+            elif record.observed_s > group.since_s and record.pending is None:
+                group.released.add(instance)
+        if group.released.issuperset(group.members):
+            del self._state.groups[group.group]
+
+    _STEPS: dict[GroupPhase, Callable[["GroupLifecycle", GroupRecord, float], None]] = {
+        GroupPhase.FORMING: _step_forming,
+        GroupPhase.SERVING: _step_serving,
+        GroupPhase.CLOSING: _step_closing,
+        GroupPhase.DISSOLVING: _step_dissolving,
+    }
+
+
+__all__ = ["GroupLifecycle"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -0,0 +1,144 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Loading weights ahead of need, onto free engines first and then beside what engines serve."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ochreway_core.ids import DomainId
+from ochreway_direct.configuration import EngineSpec, ModelSpec
+from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.formation import FreeEngines
+from ochreway_direct.coordinator.grouprecord import GroupPhase
+from ochreway_direct.coordinator.layout import Slot
+from ochreway_direct.coordinator.state import STANDING, CoordinatorState
+from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.order import Stage
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Pair an engine with the model whose weights it should get."""
+
+    engine: EngineRecord
+    model: ModelSpec
+
+
+class Staging:
+    """Give an engine the weights that would be missed most.
+
+    An engine joins a group of the model that it served last without its weights being staged,
+    so what is staged beside it should be another model's: then it can serve either.
+    """
+
+    def __init__(self, state: CoordinatorState) -> None:
+        self._state = state
+
+    def step(
+        self,
+        service: ServiceName,
+        spec: EngineSpec,
+        wanted: Mapping[Slot, int],
+        free: FreeEngines,
+        now_s: float,
+    ) -> None:
+        """Order the loads that the bound on loads allows."""
+        first = [
+            load
+            for domain, records in free.items()
+            for load in self._for_free(service, spec, domain, records, wanted)
+        ]
+        waiting = [load for load in first if not load.engine.staging]
+        for load in waiting or self._beside(service, spec):
+            self._load(service, load, now_s)
+
+    def _for_free(
+        self,
+        service: ServiceName,
+        spec: EngineSpec,
+        domain: DomainId,
+        records: list[EngineRecord],
+        wanted: Mapping[Slot, int],
+    ) -> list[Load]:
+        """Pair free engines with the models that the domain lacks engines for."""
+        lacking = self._lacking(service, spec, domain, records, wanted)
+        loads = []
+        for record in records:
+            useful = any(record.quick(name) and lacking[name] >= 0 for name in lacking)
+            if record.staging or (useful and max(lacking.values()) <= 0):
+                continue
+            model = max(spec.models, key=lambda each: lacking[each.name])
+            if record.quick(model.name) or (useful and lacking[model.name] <= 0):
+                continue
+            lacking[model.name] -= 1
+            loads.append(Load(record, model))
+        return loads
+
+    def _lacking(
+        self,
+        service: ServiceName,
+        spec: EngineSpec,
+        domain: DomainId,
+        records: list[EngineRecord],
+        wanted: Mapping[Slot, int],
+    ) -> dict[ModelName, int]:
+        """Return by how many engines the groups that are still to be formed fall short."""
+        standing = self._state.standing(service)
+        short = {}
+        for model in spec.models:
+            slot = Slot(domain, model.name)
+            groups = max(0, wanted.get(slot, 0) - standing[slot])
+            have = sum(r.quick(model.name) or r.staging == model.name for r in records)
+            short[model.name] = groups * model.size - have
+        return short
+
+    def _beside(self, service: ServiceName, spec: EngineSpec) -> list[Load]:
+        """Pair members with other models, those with the fewest substitutes first."""
+        substitutes = self._substitutes(service, spec)
+        loads = []
+        for group in self._state.of_service(service):
+            others = [model for model in spec.models if model.name != group.model]
+            if group.phase is not GroupPhase.SERVING or not others:
+                continue
+            model = max(others, key=lambda each: each.size)
+            for instance in group.members:
+                engine = self._state.engines[instance]
+                if not engine.leaving and not any(m.name in engine.state.staged for m in others):
+                    loads.append(Load(engine, model))
+
+        def urgency(load: Load) -> tuple[int, int]:
+            place = Slot(load.engine.domain, load.model.name)
+            return -load.model.size, substitutes[place]
+
+        return sorted(loads, key=urgency)
+
+    def _substitutes(self, service: ServiceName, spec: EngineSpec) -> Counter[Slot]:
+        """Count the engines of each domain that could replace a lost member of a model."""
+        serving = {
+            instance: group.model
+            for group in self._state.of_service(service)
+            if group.phase in STANDING
+            for instance in group.members
+        }
+        return Counter(
+            Slot(record.domain, model.name)
+            for record in self._state.engines.values()
+            for model in spec.models
+            if record.usable and serving.get(record.instance) != model.name
+            if record.quick(model.name) or record.staging == model.name
+        )
+
+    def _load(self, service: ServiceName, load: Load, now_s: float) -> None:
+        engine = load.engine
+        if engine.staging or engine.pending or engine.state.busy:
+            return
+        if now_s - engine.ordered_s < self._state.tuning.order_retry_s:
+            return
+        if not self._state.limits[service].take(now_s):
+            return
+        if self._state.order(engine, Stage(load.model.name), now_s):
+            engine.staging = load.model.name
+            engine.staging_until_s = now_s + 2 * load.model.load_s
+
+
+__all__ = ["Load", "Staging"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -0,0 +1,78 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What the parts of the coordinator share."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ochreway_core.ids import NO_EPOCH, DomainId, Epoch, GroupId, InstanceId
+from ochreway_direct.configuration import EngineSpec
+from ochreway_direct.coordinator.assignment import Assignment
+from ochreway_direct.coordinator.demand import Demand
+from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
+from ochreway_direct.coordinator.layout import Slot
+from ochreway_direct.coordinator.loadlimit import LoadLimit
+from ochreway_direct.coordinator.tuning import CoordinatorTuning
+from ochreway_direct.ids import ServiceName
+from ochreway_direct.order import Order
+
+STANDING = frozenset({GroupPhase.FORMING, GroupPhase.SERVING})
+
+
+@dataclass(slots=True)
+class CoordinatorState:
+    """Hold engines, groups, the figures of services, and the orders of one step."""
+
+    tuning: CoordinatorTuning
+    engines: dict[InstanceId, EngineRecord] = field(default_factory=dict)
+    groups: dict[GroupId, GroupRecord] = field(default_factory=dict)
+    specs: dict[ServiceName, EngineSpec] = field(default_factory=dict)
+    limits: dict[ServiceName, LoadLimit] = field(default_factory=dict)
+    demand: Demand = field(default_factory=Demand)
+    epoch: Epoch = NO_EPOCH
+    out: list[Assignment] = field(default_factory=list)
+
+    def next_epoch(self) -> Epoch:
+        """Return an epoch above all that were given."""
+        self.epoch = Epoch(self.epoch + 1)
+        return self.epoch
+
+    def order(self, record: EngineRecord, order: Order, now_s: float) -> bool:
+        """Give an order unless one is under way or was given just now."""
+        if record.pending is not None or now_s - record.ordered_s < self.tuning.order_retry_s:
+            return False
+        record.pending = order
+        record.ordered_s = now_s
+        self.out.append(Assignment(record.instance, record.listed.address, order))
+        return True
+
+    def held(self) -> set[InstanceId]:
+        """Return the engines that some group has not released."""
+        return {
+            instance
+            for group in self.groups.values()
+            for instance in group.members
+            if instance not in group.released
+        }
+
+    def standing(self, service: ServiceName) -> Counter[Slot]:
+        """Return the number of groups of a service at each place."""
+        return Counter(
+            Slot(group.domain, group.model)
+            for group in self.of_service(service)
+            if group.phase in STANDING
+        )
+
+    def of_service(self, service: ServiceName) -> Iterable[GroupRecord]:
+        """Return the groups of a service."""
+        return [group for group in self.groups.values() if group.service == service]
+
+    def changing(self, domain: DomainId) -> bool:
+        """Tell whether a group of a domain is being given up."""
+        return any(
+            group.domain == domain and group.phase not in STANDING for group in self.groups.values()
+        )
+
+
+__all__ = ["STANDING", "CoordinatorState"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -25,8 +25,7 @@
     listing_settled_s: float = 3.0
     listing_return_s: float = 2.5
     crowding: float = 1.2
-    keep_bonus: float = 1.3
-    trade_gain: float = 1.5
+    keep_bonus: float = 1.5
     loads_window_s: float = 5.0
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -5,7 +5,8 @@
 import random
 import secrets
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from ochreway_core.backoff import Backoff
 from ochreway_core.ids import Epoch, GroupId, HallId, NodeId
@@ -26,6 +27,7 @@
     ConfigurationUpdate,
     FleetUpdate,
     Heartbeat,
+    ListUpdate,
     Suspicion,
 )
 from ochreway_direct.peers import Peers
@@ -76,7 +78,7 @@
         identity = f"{settings.name}/{secrets.token_hex(6)}"
         self.lease = Lease(services.table, identity, timing.lease_renew_s, self._backoff(timing))
         self.coordination = Coordination(services.engines, timing, self.spawn, log, metrics)
-        self.view = FleetView(timing.fleet_stale_s)
+        self.view = FleetView(timing.list_stale_s)
         self._tasks: set[asyncio.Task[None]] = set()
         self._sequence = 0
         self._ticked_s = 0.0
@@ -172,6 +174,9 @@
         self.coordination.listed(targets, self._loop.time())
         self.view.list(targets, asked_s)
         self._show()
+        holder = self.peers.holder(self._loop.time())
+        if holder is not None and not self.lease.held:
+            self.links.send(holder.peer, ListUpdate(targets))
 
     # Groups.
 
@@ -190,7 +195,7 @@
         for record in self.peers.alive(now_s):
             if record.last is not None:
                 offered.update(record.last.offered)
-        self.coordination.coordinator.demand.update(offered)
+        self.coordination.coordinator.demand.update(offered, now_s)
 
     def _publish(self) -> None:
         """Tell the other entries which groups serve."""
@@ -204,6 +209,7 @@
             groups=self.coordination.coordinator.views(),
             lost=self.coordination.lost(now_s),
             targets=self.view.plain_targets(),
+            leaving=tuple(self.view.leaving),
             listed_age_s=self.view.listed_age_s(now_s),
         )
         for peer in self.peers.all():
@@ -220,6 +226,7 @@
         now_s = self._loop.time()
         self.serving.fleet.set_groups(self.view.groups(now_s))
         self.serving.fleet.set_targets(self.view.plain_targets())
+        self.serving.fleet.set_leaving(self.view.leaving)
 
     def suspect(self, group: GroupId) -> None:
         """Have the members of a group asked at once, as its leader fell silent."""
@@ -248,6 +255,8 @@
         await self.lease.renew(now_s)
         if not self.lease.held:
             self.log.event("lease_lost", revision=self.lease.revision)
+            return
+        self._send_heartbeats(self._loop.time())
 
     def _may_take(self, now_s: float) -> bool:
         """Tell whether the lease looks free: no holder is heard, and others go first by name."""
@@ -261,7 +270,9 @@
 
     async def _take(self, now_s: float) -> None:
         await self.lease.observe(now_s)
-        if not self.lease.allowed(now_s) or not await self.lease.take(now_s):
+        if not self.lease.free(now_s, self._timing.peer_silent_s):
+            return
+        if not await self.lease.take(now_s):
             self._began_s = self._loop.time()
             return
         self.log.event("lease_taken", revision=self.lease.taken_at)
@@ -291,7 +302,7 @@
             echo_s=self.peers.echo_s(peer.node),
             version=self.serving.version,
             proof_age_s=self.serving.freshness.age_s(now_s),
-            lease_revision=self.lease.taken_at if self.lease.held else 0,
+            lease_revision=self.lease.revision if self.lease.held else 0,
             holds_lease=self.lease.held,
             stopping=self.serving.stopping,
             under_way=dict(self.serving.fleet.under_way()),
@@ -308,6 +319,8 @@
     def _on_heartbeat(self, sender: Peer, heartbeat: Heartbeat) -> None:
         now_s = self._loop.time()
         self.peers.hear(sender, heartbeat, now_s)
+        if heartbeat.holds_lease:
+            self.lease.hear(heartbeat.lease_revision, now_s)
         self.serving.fleet.set_elsewhere(sender.node, Counter(heartbeat.under_way))
         if heartbeat.version > self.serving.version:
             self.links.send(sender, ConfigurationRequest(self.serving.version))
@@ -325,15 +338,22 @@
     def _on_fleet_update(self, _: Peer, update: FleetUpdate) -> None:
         self._take_update(update)
 
+    def _on_list_update(self, _: Peer, update: ListUpdate) -> None:
+        now_s = self._loop.time()
+        if self.lease.held and self.view.stale(now_s):
+            self.coordination.listed(update.targets, now_s)
+            self.view.list(update.targets, now_s)
+
     def _on_suspicion(self, _: Peer, suspicion: Suspicion) -> None:
         if self.lease.held:
             self.coordination.coordinator.suspect(suspicion.group)
 
-    _HANDLERS = {
+    _HANDLERS: dict[type, Callable[["DirectEntry", Peer, Any], None]] = {
         Heartbeat: _on_heartbeat,
         ConfigurationRequest: _on_configuration_request,
         ConfigurationUpdate: _on_configuration_update,
         FleetUpdate: _on_fleet_update,
+        ListUpdate: _on_list_update,
         Suspicion: _on_suspicion,
     }
 
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -25,6 +25,7 @@
         self._chance = chance
         self._groups: dict[GroupId, GroupView] = {}
         self._targets: dict[InstanceId, ListedTarget] = {}
+        self._leaving: frozenset[InstanceId] = frozenset()
         self._under_way: dict[str, set[Attempt]] = defaultdict(set)
         self._elsewhere: dict[NodeId, Counter[str]] = {}
         self._health: dict[InstanceId, TargetHealth] = defaultdict(TargetHealth)
@@ -44,6 +45,10 @@
         """Replace the plain targets."""
         self._targets = {each.instance: each for each in targets}
 
+    def set_leaving(self, leaving: Iterable[InstanceId]) -> None:
+        """Replace the engines that leave; their groups get nothing new."""
+        self._leaving = frozenset(leaving)
+
     def set_elsewhere(self, node: NodeId, counts: Counter[str]) -> None:
         """Take what another entry has under way."""
         self._elsewhere[node] = counts
@@ -76,6 +81,7 @@
             if each.service == service
             and (model is None or each.model == model)
             and each.leader not in avoid
+            and each.leader not in self._leaving
         ]
         if not found:
             return None
--- a/packages/ochreway-direct/src/ochreway_direct/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetview.py
@@ -8,6 +8,8 @@
 from ochreway_direct.messages import FleetUpdate
 
 NEVER_S = -1.0e9
+UPDATE_TRUSTED_S = 5.0
+"""For how long the last update goes before the list when no holder is heard."""
 
 
 class FleetView:
@@ -19,6 +21,12 @@
         self._updated_s = NEVER_S
         self._targets: dict[InstanceId, ListedTarget] = {}
         self._listed_s = NEVER_S
+        self._leaving: frozenset[InstanceId] = frozenset()
+
+    @property
+    def leaving(self) -> frozenset[InstanceId]:
+        """Return the instances that have announced that they leave, or just left the list."""
+        return self._leaving
 
     def take(self, update: FleetUpdate, now_s: float) -> bool:
         """Take an update unless a newer one is known; return whether it was taken."""
@@ -30,18 +38,19 @@
             self._listed_s = now_s - update.listed_age_s
             engines = {i: t for i, t in self._targets.items() if t.engine is not None}
             self._targets = engines | {each.instance: each for each in update.targets}
+            self._leaving = frozenset(update.leaving)
         return True
 
     def list(self, targets: tuple[ListedTarget, ...], asked_s: float) -> None:
         """Take the platform's list as it was read by this entry."""
+        gone = self._targets.keys() - {each.instance for each in targets}
         self._targets = {each.instance: each for each in targets}
+        self._leaving = frozenset(gone) | {each.instance for each in targets if each.leaving}
         self._listed_s = max(self._listed_s, asked_s)
 
     def stale(self, now_s: float) -> bool:
         """Tell whether the list has to be read by this entry itself."""
-        return min(now_s - self._updated_s, now_s - self._listed_s) > self._stale_s or (
-            now_s - self._listed_s > self._stale_s
-        )
+        return now_s - self._listed_s > self._stale_s
 
     def listed_age_s(self, now_s: float) -> float | None:
         """Return the age of the list, or None before it was read."""
@@ -57,7 +66,7 @@
 
     def groups(self, now_s: float) -> tuple[GroupView, ...]:
         """Return the groups that serve."""
-        if self._update is not None and now_s - self._updated_s < 2 * self._stale_s:
+        if self._update is not None and now_s - self._updated_s < UPDATE_TRUSTED_S:
             return self._update.groups
         listed = tuple(filter(None, map(_listed_group, self._targets.values())))
         return listed or (self._update.groups if self._update is not None else ())
--- a/packages/ochreway-direct/src/ochreway_direct/lease.py
+++ b/packages/ochreway-direct/src/ochreway_direct/lease.py
@@ -64,6 +64,20 @@
         """Tell whether the table may be asked again after its last failure."""
         return now_s >= self._retry_s
 
+    def hear(self, revision: int, now_s: float) -> None:
+        """Note a revision that its holder spoke of."""
+        if not self.held and revision > self.revision:
+            self.revision = revision
+            self.seen_s = now_s
+
+    def free(self, now_s: float, unchanged_s: float) -> bool:
+        """Tell whether the lease may be taken: released, or not renewed for a while."""
+        if not self.allowed(now_s):
+            return False
+        if self.row is None or self.row.released:
+            return True
+        return now_s - self.seen_s >= unchanged_s
+
     async def observe(self, now_s: float) -> None:
         """Read the row."""
         try:
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -6,7 +6,8 @@
 import os
 import signal
 import sys
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import aiohttp
 import click
@@ -22,6 +23,7 @@
 from ochreway_direct.settings import DirectSettings
 from ochreway_direct.timing import DirectTiming
 
+F = TypeVar("F", bound=Callable[..., Any])
 KEPT_S = 3.0
 """For how long an idle connection to a target is kept."""
 STOP_POLL_S = 0.1
@@ -30,7 +32,7 @@
 """For how long a stopping entry serves on at the least, as new connections still come."""
 
 
-def setting(flag: str, default: Any, text: str, **more: Any) -> Any:
+def setting(flag: str, default: Any, text: str, **more: Any) -> Callable[[F], F]:
     """Declare a setting as a flag and an environment variable."""
     variable = "OCHREWAY_" + flag.removeprefix("--").replace("-", "_").upper()
     return click.option(flag, default=default, envvar=variable, help=text, **more)
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -3,7 +3,7 @@
 
 from dataclasses import dataclass
 
-from ochreway_core.ids import GroupId, Version
+from ochreway_core.ids import GroupId, InstanceId, Version
 from ochreway_core.message import message
 from ochreway_core.peer import Peer
 from ochreway_direct.configuration import Configuration
@@ -37,7 +37,7 @@
 @message(61)
 @dataclass(frozen=True, slots=True)
 class FleetUpdate:
-    """Tell other entries which groups serve and which plain targets there are.
+    """Tell other entries which groups serve, which plain targets there are, and who leaves.
 
     A newer lease goes before an older one, and a later update of the same lease before an
     earlier one. ``listed_age_s`` is the age of the list of targets, or None before it was read.
@@ -48,6 +48,7 @@
     groups: tuple[GroupView, ...]
     lost: tuple[GroupId, ...]
     targets: tuple[ListedTarget, ...]
+    leaving: tuple[InstanceId, ...]
     listed_age_s: float | None
 
 
@@ -75,10 +76,19 @@
     group: GroupId
 
 
+@message(65)
+@dataclass(frozen=True, slots=True)
+class ListUpdate:
+    """Hand the platform's list to a holder of the lease that cannot read it."""
+
+    targets: tuple[ListedTarget, ...]
+
+
 __all__ = [
     "ConfigurationRequest",
     "ConfigurationUpdate",
     "FleetUpdate",
     "Heartbeat",
+    "ListUpdate",
     "Suspicion",
 ]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -16,6 +16,7 @@
     """Hold what was asked, under which route, and what became of it so far.
 
     ``runs`` counts the targets that may have begun, less those that were lost meanwhile.
+    ``may_have_run`` stays set once any may have.
     """
 
     request: web.BaseRequest
@@ -29,6 +30,7 @@
     end_s: float
     work_s: float
     runs: int = 0
+    may_have_run: bool = False
     sends: int = 0
     tried: set[InstanceId] = field(default_factory=set)
     resume_after: str | None = None
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -18,7 +18,7 @@
 from ochreway_direct.coordinator.demand import work_s
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.ports.dialect import AnswerHead, CallerDialect, ForwardTerms
+from ochreway_direct.ports.dialect import AnswerHead, CallerDialect, CallerTerms, ForwardTerms
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
 from ochreway_direct.relay.ending import Ending
@@ -72,20 +72,22 @@
             self.open_calls -= 1
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        identity = ""
+        terms = self._dialect.read(request.headers)
         try:
-            call = await self._admit(request)
-            identity = call.terms.request
+            call = await self._admit(request, terms)
             return await self._run(call)
         except Refused as refused:
             self._metrics.count(f"refused.{refused.reason.value}")
             self._log.detail(
-                "refused", request=identity, status=refused.status, reason=refused.reason.value
+                "refused",
+                request=terms.request,
+                status=refused.status,
+                reason=refused.reason.value,
             )
-            return self._refusal(request, refused)
+            return self._refusal(terms, refused)
         except AnswerBroken as broken:
             self._metrics.count(f"broken.{broken.reason.value}")
-            self._log.detail("broken", request=identity, reason=broken.reason.value)
+            self._log.detail("broken", request=terms.request, reason=broken.reason.value)
             if request.transport is not None:
                 request.transport.abort()
             raise asyncio.CancelledError from broken
@@ -93,8 +95,7 @@
             self._metrics.count(f"refused.{Reason.CALLER_GONE.value}")
             raise
 
-    def _refusal(self, request: web.BaseRequest, refused: Refused) -> web.Response:
-        terms = self._dialect.read(request.headers)
+    def _refusal(self, terms: CallerTerms, refused: Refused) -> web.Response:
         headers = self._dialect.refusal(terms.request, refused.retry_after_s)
         answer = web.Response(
             status=refused.status, headers=headers, text=refused.reason.value + "\n"
@@ -105,10 +106,9 @@
 
     # Admission.
 
-    async def _admit(self, request: web.BaseRequest) -> Call:
+    async def _admit(self, request: web.BaseRequest, terms: CallerTerms) -> Call:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        terms = self._dialect.read(request.headers)
         body = await self._body(request)
         routes = self._serving.routes
         if routes is None:
@@ -146,7 +146,8 @@
         """Name the organisation that calls; its keys are trusted only while they are fresh."""
         if call.route.public or not routes.asks_for_keys:
             return
-        self._check_fresh()
+        if not self._fresh():
+            raise _refusal_of(call, Reason.STALE_VERSION, self._tuning.retry_after_s)
         organisation = routes.organisation(call.terms.key)
         if organisation is None:
             raise Refused(401, Reason.UNAUTHORISED)
@@ -154,10 +155,8 @@
         if organisation.priority is not None:
             call.priority = organisation.priority
 
-    def _check_fresh(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if not self._serving.freshness.holds(now_s):
-            raise Refused(NOT_RUN_STATUS, Reason.STALE_VERSION, self._tuning.retry_after_s)
+    def _fresh(self) -> bool:
+        return self._serving.freshness.holds(asyncio.get_running_loop().time())
 
     def _weigh(self, call: Call, routes: RouteTable) -> None:
         service = routes.service(call.service)
@@ -178,8 +177,9 @@
             if ending.response is not None:
                 return ending.response
             self._metrics.count(f"attempt.{ending.reason.value}")
-            if not ending.lost and ending.outcome is not Outcome.NOT_RUN:
-                call.runs += 1
+            if ending.outcome is not Outcome.NOT_RUN:
+                call.may_have_run = True
+                call.runs += 0 if ending.lost else 1
             call.tried.add(attempt.instance)
             await self._check_again(call, ending)
             self._metrics.count(f"retry.{ending.reason.value}")
@@ -196,13 +196,8 @@
         )
         if allowed and self._budget.spend():
             return
-        if call.answer is not None:
-            raise AnswerBroken(ending.reason)
-        if left_s <= 0 and ran:
-            raise Refused(TIMEOUT_STATUS, Reason.DEADLINE_PASSED)
-        if ran or call.runs:
-            raise Refused(UNKNOWN_STATUS, ending.reason)
-        raise Refused(NOT_RUN_STATUS, ending.reason, self._tuning.retry_after_s)
+        reason = Reason.DEADLINE_PASSED if left_s <= 0 else ending.reason
+        raise _refusal_of(call, reason, self._tuning.retry_after_s)
 
     async def _place(self, call: Call) -> Attempt:
         """Choose where to send a call, waiting a little while nothing can take it."""
@@ -215,11 +210,7 @@
             if loop.time() >= until_s:
                 break
             await asyncio.sleep(self._tuning.place_poll_s)
-        if call.answer is not None:
-            raise AnswerBroken(Reason.NO_GROUP)
-        if call.runs:
-            raise Refused(UNKNOWN_STATUS, Reason.NO_GROUP)
-        raise Refused(NOT_RUN_STATUS, Reason.NO_GROUP, self._tuning.regroup_after_s)
+        raise _refusal_of(call, Reason.NO_GROUP, self._tuning.regroup_after_s)
 
     def _patience_s(self, call: Call) -> float:
         if call.answer is not None or call.runs:
@@ -238,8 +229,8 @@
         return Attempt(target.instance, target.address, target.hall, target.instance)
 
     async def _send(self, call: Call, attempt: Attempt) -> Ending:
-        if call.organisation is not None:
-            self._check_fresh()
+        if call.organisation is not None and not self._fresh():
+            raise _refusal_of(call, Reason.STALE_VERSION, self._tuning.retry_after_s)
         call.sends += 1
         self._fleet.begin(attempt)
         ending = Ending(Outcome.UNKNOWN, Reason.CALLER_GONE)
@@ -348,8 +339,9 @@
             whole = splitter.feed(piece)
             attempt.extend(min(call.end_s, loop.time() + pause_s))
             if whole:
-                await self._pass_on(call, response, whole)
+                # Noted first: a write that is cancelled may have been passed on all the same.
                 call.resume_after = splitter.last_id or call.resume_after
+                await self._pass_on(call, response, whole)
         if splitter.rest():
             return Ending(Outcome.UNKNOWN, Reason.ANSWER_SHORT)
         answer = await self._begin(call, response)
@@ -372,6 +364,16 @@
         await answer.write(whole)
 
 
+def _refusal_of(call: Call, reason: Reason, retry_after_s: float) -> Refused | AnswerBroken:
+    """Return how to end a call that is given up on, by what may have become of it."""
+    if call.answer is not None:
+        return AnswerBroken(reason)
+    if not call.may_have_run:
+        return Refused(NOT_RUN_STATUS, reason, retry_after_s)
+    late = reason is Reason.DEADLINE_PASSED
+    return Refused(TIMEOUT_STATUS if late else UNKNOWN_STATUS, reason)
+
+
 def _service(route: Route, request: str) -> ServiceName:
     """Return one of a route's services, by its weights and the request's id."""
     total = sum(share.weight for share in route.shares)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
@@ -36,7 +36,9 @@
             happy_eyeballs_delay=None,
             socket_factory=_target_socket,
         )
-        self._factory = functools.partial(TargetProtocol, loop=self._loop)
+        self._factory: functools.partial[ResponseHandler] = functools.partial(
+            TargetProtocol, loop=self._loop
+        )
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
         while True:
--- a/packages/ochreway-direct/src/ochreway_direct/timing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/timing.py
@@ -13,14 +13,14 @@
     """
 
     tick_s: float = 0.05
-    heartbeat_s: float = 0.4
-    peer_silent_s: float = 1.3
+    heartbeat_s: float = 0.3
+    peer_silent_s: float = 1.0
     configuration_wait_s: float = 1.2
     configuration_gap_s: float = 0.05
-    list_wait_s: float = 1.0
-    list_gap_s: float = 0.6
-    fleet_update_s: float = 0.8
-    fleet_stale_s: float = 2.5
+    list_wait_s: float = 0.5
+    list_gap_s: float = 0.35
+    fleet_update_s: float = 0.5
+    list_stale_s: float = 1.4
     lease_renew_s: float = 1.0
     lease_stagger_s: float = 0.25
     lease_isolated_s: float = 4.0
