--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -19,8 +19,9 @@
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.listedtarget import ListedTarget
-from ochreway_direct.order import Order, OrderOutcome, Stage
+from ochreway_direct.order import Leave, Order, OrderOutcome, Stage
 
+TAKEN = frozenset({OrderOutcome.HOLDS, OrderOutcome.BEGUN})
 UNSETTLED = frozenset({OrderOutcome.UNKNOWN, OrderOutcome.CONFLICT, OrderOutcome.OTHER_INSTANCE})
 
 
@@ -75,7 +76,10 @@
         }
         for name, spec in self._state.specs.items():
             if name not in self._state.limits:
-                self._state.limits[name] = LoadLimit(spec.loads_per_s, self.tuning.loads_window_s)
+                self._state.limits[name] = LoadLimit(
+                    self.tuning.loads_at_most(spec.loads_per_s),
+                    self.tuning.loads_window_s + self.tuning.loads_slack_s,
+                )
 
     def on_listing(self, targets: Iterable[ListedTarget], now_s: float) -> None:
         """Take the platform's list; an engine that is not on it any more is leaving."""
@@ -103,6 +107,7 @@
             return
         record.probing = False
         record.misses = 0
+        record.suspected = False
         record.dead = False
         record.state = state
         record.observed_s = now_s
@@ -118,7 +123,8 @@
             return
         record.probing = False
         record.misses += 1
-        if refused or record.misses >= self.tuning.misses_until_dead:
+        allowed = 1 if record.suspected else self.tuning.misses_until_dead
+        if refused or record.misses >= allowed:
             record.dead = True
 
     def on_outcome(self, instance: InstanceId, order: Order, outcome: OrderOutcome) -> None:
@@ -127,6 +133,8 @@
         if record is None:
             return
         record.pending = None
+        if isinstance(order, Leave) and outcome in TAKEN:
+            record.left(order.group, order.epoch)
         if outcome not in UNSETTLED:
             record.probed_s = 0.0
         if isinstance(order, Stage) and outcome is not OrderOutcome.BEGUN:
@@ -137,7 +145,8 @@
         found = self.groups.get(group)
         for instance in found.members if found is not None else ():
             record = self.engines.get(instance)
-            if record is not None:
+            if record is not None and not record.dead:
+                record.suspected = True
                 record.probed_s = 0.0
 
     def on_pause(self) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What the coordinator knows of one engine."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ochreway_core.ids import DomainId, Epoch, GroupId, InstanceId
 from ochreway_direct.enginestate import EngineState, Membership
@@ -21,6 +21,7 @@
     observed_s: float = NEVER_S
     probed_s: float = NEVER_S
     misses: int = 0
+    suspected: bool = False
     dead: bool = False
     missing_s: float | None = None
     pending: Order | None = None
@@ -70,6 +71,11 @@
         found = self.membership
         return found is not None and found.group == group and found.epoch == epoch
 
+    def left(self, group: GroupId, epoch: Epoch) -> None:
+        """Take it that the engine has left a group, as it does so at once."""
+        if self.belongs_to(group, epoch):
+            self.state = replace(self.state, membership=None)
+
     def quick(self, model: ModelName) -> bool:
         """Tell whether the engine can join a group of a model without loading weights.
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -58,8 +58,16 @@
         domain: DomainId,
         now_s: float,
     ) -> bool:
-        """Form a group of engines that need not load weights; return whether there were enough."""
+        """Form a group; return whether there were engines enough.
+
+        They have to have the weights, unless no engine of the domain has any yet.
+        """
         quick = [record for record in free if record.quick(model.name)]
+        cold = not quick and self._state.cold(service, domain)
+        if cold and len(free) >= model.size:
+            if not self._state.limits[service].take(now_s, model.size):
+                return False
+            quick = list(free)
         if len(quick) < model.size:
             return False
         quick.sort(key=lambda r: (r.state.pace > SLOW_PACE, r.last_model != model.name))
@@ -73,7 +81,7 @@
             *(group, epoch, service, domain, model.name, members),
             phase=GroupPhase.FORMING,
             since_s=now_s,
-            expected_s=model.warm_s,
+            expected_s=model.load_s if cold else model.warm_s,
         )
         return True
 
@@ -88,9 +96,12 @@
         now_s: float,
     ) -> None:
         """Give up one group too many where its engines would complete a wanted one."""
-        if self._state.changing(slot.domain):
+        if self._state.closing(slot.domain):
+            return
+        coming = [*free[slot.domain], *self._state.survivors(slot.domain)]
+        lacking = model.size - sum(record.quick(model.name) for record in coming)
+        if lacking <= 0:
             return
-        lacking = model.size - sum(r.quick(model.name) for r in free[slot.domain])
         for group in self._state.of_service(service):
             place = Slot(group.domain, group.model)
             surplus = standing.get(place, 0) > wanted.get(place, 0)
@@ -98,6 +109,7 @@
                 continue
             quick = sum(self._state.engines[each].quick(model.name) for each in group.members)
             if quick >= lacking:
+                group.close_at_most_s = self._state.tuning.trade_close_s
                 group.enter(GroupPhase.CLOSING, now_s)
                 return
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
@@ -30,7 +30,10 @@
     phase: GroupPhase
     since_s: float
     expected_s: float = 0.0
+    close_at_most_s: float = 0.0
+    opening_until_s: float = 0.0
     ready: set[InstanceId] = field(default_factory=set)
+    told: set[InstanceId] = field(default_factory=set)
     released: set[InstanceId] = field(default_factory=set)
 
     @property
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -95,7 +95,11 @@
         if leader.membership.phase is MemberPhase.OPEN:
             group.enter(GroupPhase.SERVING, now_s)
             return
-        self._state.order(leader, Open(group.group, group.epoch), now_s)
+        if now_s < group.opening_until_s:
+            return
+        if self._state.order(leader, Open(group.group, group.epoch), now_s):
+            form_s = self._state.specs[group.service].form_s
+            group.opening_until_s = now_s + form_s + self._state.tuning.open_slack_s
 
     def _bring_in(self, group: GroupRecord, record: EngineRecord, now_s: float) -> None:
         membership = record.membership
@@ -113,11 +117,12 @@
             return
         leader = self._state.engines[group.leader].membership
         if self._leaving(group) or (leader and leader.phase is not MemberPhase.OPEN):
+            group.close_at_most_s = self._state.tuning.close_at_most_s
             group.enter(GroupPhase.CLOSING, now_s)
 
     def _step_closing(self, group: GroupRecord, now_s: float) -> None:
         leader = self._state.engines.get(group.leader)
-        overdue = now_s - group.since_s > self._state.tuning.close_at_most_s
+        overdue = now_s - group.since_s > group.close_at_most_s
         if self._unfit(group) or leader is None or leader.membership is None or overdue:
             group.enter(GroupPhase.DISSOLVING, now_s)
             return
@@ -135,7 +140,10 @@
                 continue
             if record.belongs_to(group.group, group.epoch):
                 self._state.order(record, Leave(group.group, group.epoch), now_s)
-            elif record.observed_s > group.since_s and record.pending is None:
+                group.told.add(instance)
+            elif record.pending is None and (
+                instance in group.told or record.observed_s > group.since_s
+            ):
                 group.released.add(instance)
         if group.released.issuperset(group.members):
             del self._state.groups[group.group]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/loadlimit.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/loadlimit.py
@@ -7,19 +7,23 @@
 class LoadLimit:
     """Allow so many loads in any window, whatever became of those before."""
 
-    def __init__(self, per_s: float, window_s: float) -> None:
-        self._at_most = max(1, int(per_s * window_s))
+    def __init__(self, at_most: int, window_s: float) -> None:
+        self._at_most = max(1, at_most)
         self._window_s = window_s
         self._begun_s: deque[float] = deque()
 
-    def take(self, now_s: float) -> bool:
-        """Begin a load; return whether the bound allows it."""
-        while self._begun_s and self._begun_s[0] <= now_s - self._window_s:
-            self._begun_s.popleft()
-        if len(self._begun_s) >= self._at_most:
+    def take(self, now_s: float, loads: int = 1) -> bool:
+        """Begin loads, all or none; return whether the bound allows them."""
+        if loads > self.left(now_s):
             return False
-        self._begun_s.append(now_s)
+        self._begun_s.extend([now_s] * loads)
         return True
 
+    def left(self, now_s: float) -> int:
+        """Return how many loads may begin now."""
+        while self._begun_s and self._begun_s[0] <= now_s - self._window_s:
+            self._begun_s.popleft()
+        return self._at_most - len(self._begun_s)
+
 
 __all__ = ["LoadLimit"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -68,10 +68,32 @@
         """Return the groups of a service."""
         return [group for group in self.groups.values() if group.service == service]
 
-    def changing(self, domain: DomainId) -> bool:
-        """Tell whether a group of a domain is being given up."""
+    def closing(self, domain: DomainId) -> bool:
+        """Tell whether a group of a domain is being closed."""
         return any(
-            group.domain == domain and group.phase not in STANDING for group in self.groups.values()
+            group.domain == domain and group.phase is GroupPhase.CLOSING
+            for group in self.groups.values()
+        )
+
+    def survivors(self, domain: DomainId) -> list[EngineRecord]:
+        """Return the usable engines that lost groups of a domain have not released yet."""
+        return [
+            self.engines[instance]
+            for group in self.groups.values()
+            if group.domain == domain and group.phase is GroupPhase.DISSOLVING
+            for instance in group.members
+            if instance not in group.released
+            and instance in self.engines
+            and self.engines[instance].usable
+        ]
+
+    def cold(self, service: ServiceName, domain: DomainId) -> bool:
+        """Tell whether no engine of a domain that is free has weights or is getting any."""
+        held = self.held()
+        return not any(
+            record.state.staged or record.staging or record.last_model
+            for record in self.engines.values()
+            if record.service == service and record.domain == domain and record.instance not in held
         )
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -14,19 +14,28 @@
 
     settle_s: float = 1.0
     probe_changing_s: float = 0.15
-    probe_serving_s: float = 0.4
+    probe_serving_s: float = 0.5
     probe_free_s: float = 0.8
     misses_until_dead: int = 2
     dead_probe_s: float = 1.0
-    order_retry_s: float = 0.3
+    order_retry_s: float = 0.25
     form_slack_s: float = 5.0
+    open_slack_s: float = 0.2
     close_at_most_s: float = 1.5
+    trade_close_s: float = 0.4
     silent_share_at_most: float = 0.6
     listing_settled_s: float = 3.0
     listing_return_s: float = 2.5
     crowding: float = 1.2
     keep_bonus: float = 1.5
     loads_window_s: float = 5.0
+    loads_excess: float = 1.1
+    loads_slack_s: float = 0.3
+    loads_spare: int = 2
+
+    def loads_at_most(self, per_s: float) -> int:
+        """Return how many loads may begin in one window."""
+        return int(per_s * self.loads_window_s * self.loads_excess) + self.loads_spare
 
 
 __all__ = ["CoordinatorTuning"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -39,6 +39,9 @@
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
 
+SUSPECT_AFTER_S = 0.3
+"""For how long all answers of a group stand still before its members are asked at once."""
+SUSPECT_AGAIN_S = 0.15
 EPOCHS_PER_LEASE = 100_000
 """How many groups one holder of the lease may form before epochs would meet the next one's."""
 
@@ -102,6 +105,7 @@
         timing = self._timing
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._send_heartbeats)
+        self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
         self.timer.every(timing.fleet_update_s, lambda _: self._publish())
         self.spawn(self.timer.run())
         self.spawn(self._follow_configuration())
@@ -190,6 +194,11 @@
         if self.coordination.step(now_s):
             self._publish()
 
+    def _suspect_silent(self, now_s: float) -> None:
+        for group in self.serving.fleet.silent_groups(now_s, SUSPECT_AFTER_S):
+            self.metrics.count("group.suspected")
+            self.suspect(group)
+
     def _take_demand(self, now_s: float) -> None:
         offered = Counter(self.meter.offered(now_s))
         for record in self.peers.alive(now_s):
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -15,6 +15,8 @@
 OTHER_HALL_LOAD = 0.5
 """How many requests more a target of the own hall may have before another is preferred."""
 JITTER_LOAD = 0.9
+QUEUED_AT_MOST = 3
+"""How many requests may wait at a group beside those in its slots."""
 
 
 class Fleet:
@@ -67,21 +69,45 @@
         """Return how many attempts run at each place."""
         return Counter({place: len(each) for place, each in self._under_way.items() if each})
 
+    def places(self, service: ServiceName, model: ModelName | None) -> list[GroupView]:
+        """Return the groups that may be given requests for a model."""
+        return [
+            each
+            for each in self._groups.values()
+            if each.service == service
+            and (model is None or each.model == model)
+            and each.leader not in self._leaving
+        ]
+
+    def has_group(self, service: ServiceName, model: ModelName | None) -> bool:
+        """Tell whether any group serves a model."""
+        return bool(self.places(service, model))
+
+    def silent_groups(self, now_s: float, silent_s: float) -> list[GroupId]:
+        """Return the groups where answers have begun and none has gone on for a while."""
+        silent = []
+        for group in self._groups:
+            heard = [a.heard_s for a in self._under_way.get(group, ()) if a.heard_s is not None]
+            if heard and now_s - max(heard) > silent_s:
+                silent.append(group)
+        return silent
+
     def has_engines(self, service: ServiceName) -> bool:
         """Tell whether any group of a service serves."""
         return any(each.service == service for each in self._groups.values())
 
     def pick_group(
-        self, service: ServiceName, model: ModelName | None, avoid: Collection[InstanceId]
+        self,
+        service: ServiceName,
+        model: ModelName | None,
+        avoid: Collection[InstanceId],
+        slots: int,
     ) -> GroupView | None:
-        """Return the group with the least work per pace, or None."""
+        """Return the group with the least work per pace, or None when all have their slots full."""
         found = [
             each
-            for each in self._groups.values()
-            if each.service == service
-            and (model is None or each.model == model)
-            and each.leader not in avoid
-            and each.leader not in self._leaving
+            for each in self.places(service, model)
+            if each.leader not in avoid and self.load(each.group) < slots + QUEUED_AT_MOST
         ]
         if not found:
             return None
--- a/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -16,6 +16,7 @@
     hall: HallId
     place: str
     lost: bool = False
+    heard_s: float | None = None
     _bound: asyncio.Timeout | None = field(default=None)
 
     def bind(self, bound: asyncio.Timeout) -> None:
@@ -29,6 +30,10 @@
         self.lost = True
         self._expire()
 
+    def heard(self, now_s: float) -> None:
+        """Note that a part of the answer came."""
+        self.heard_s = now_s
+
     def extend(self, until_s: float) -> None:
         """Move the time bound."""
         if self._bound is not None and not self.lost and not self._bound.expired():
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -29,6 +29,7 @@
     started_s: float
     end_s: float
     work_s: float
+    slots: int = 0
     runs: int = 0
     may_have_run: bool = False
     sends: int = 0
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -147,7 +147,7 @@
         if call.route.public or not routes.asks_for_keys:
             return
         if not self._fresh():
-            raise _refusal_of(call, Reason.STALE_VERSION, self._tuning.retry_after_s)
+            raise self._give_up(call, Reason.STALE_VERSION, self._tuning.regroup_after_s)
         organisation = routes.organisation(call.terms.key)
         if organisation is None:
             raise Refused(401, Reason.UNAUTHORISED)
@@ -165,8 +165,13 @@
         call.work_s = work_s(
             service.engine, call.terms.model, call.terms.prompt_tokens, call.terms.answer_tokens
         )
+        call.slots = service.engine.slots
         self._meter.note(call.terms.model, call.work_s, call.started_s)
 
+    def _give_up(self, call: Call, reason: Reason, after_s: float) -> Refused | AnswerBroken:
+        left_s = call.left_s(asyncio.get_running_loop().time())
+        return _refusal_of(call, reason, min(after_s, self._tuning.retry_after_share * left_s))
+
     # Sending.
 
     async def _run(self, call: Call) -> web.StreamResponse:
@@ -197,7 +202,7 @@
         if allowed and self._budget.spend():
             return
         reason = Reason.DEADLINE_PASSED if left_s <= 0 else ending.reason
-        raise _refusal_of(call, reason, self._tuning.retry_after_s)
+        raise self._give_up(call, reason, self._tuning.retry_after_s)
 
     async def _place(self, call: Call) -> Attempt:
         """Choose where to send a call, waiting a little while nothing can take it."""
@@ -210,7 +215,9 @@
             if loop.time() >= until_s:
                 break
             await asyncio.sleep(self._tuning.place_poll_s)
-        raise _refusal_of(call, Reason.NO_GROUP, self._tuning.regroup_after_s)
+        full = self._fleet.has_group(call.service, call.terms.model)
+        reason = Reason.QUEUE_FULL if full else Reason.NO_GROUP
+        raise self._give_up(call, reason, self._tuning.regroup_after_s)
 
     def _patience_s(self, call: Call) -> float:
         if call.answer is not None or call.runs:
@@ -218,7 +225,7 @@
         return call.route.objective_s * self._tuning.patience_share
 
     def _pick(self, call: Call) -> Attempt | None:
-        group = self._fleet.pick_group(call.service, call.terms.model, call.tried)
+        group = self._fleet.pick_group(call.service, call.terms.model, call.tried, call.slots)
         if group is not None:
             return Attempt(group.leader, group.address, group.hall, group.group)
         target = self._fleet.pick_target(call.service, call.tried)
@@ -230,7 +237,7 @@
 
     async def _send(self, call: Call, attempt: Attempt) -> Ending:
         if call.organisation is not None and not self._fresh():
-            raise _refusal_of(call, Reason.STALE_VERSION, self._tuning.retry_after_s)
+            raise self._give_up(call, Reason.STALE_VERSION, self._tuning.regroup_after_s)
         call.sends += 1
         self._fleet.begin(attempt)
         ending = Ending(Outcome.UNKNOWN, Reason.CALLER_GONE)
@@ -258,10 +265,25 @@
             return Ending(Outcome.UNKNOWN, Reason.TARGET_FAILED)
 
     def _first_bound_s(self, call: Call, now_s: float) -> float:
-        if not call.route.repeatable or call.runs + 1 >= call.route.attempts_at_most:
+        """Return until when a first answer is waited for: less when another place may give one."""
+        route, tuning = call.route, self._tuning
+        last = not route.repeatable or call.runs + 1 >= route.attempts_at_most
+        if not last and self._alternative(call):
+            patience_s = tuning.first_answer_objectives * route.objective_s
+            return min(call.end_s, now_s + max(tuning.first_answer_least_s, patience_s))
+        if route.kind is not RouteKind.STREAM:
             return call.end_s
-        patience_s = self._tuning.first_answer_objectives * call.route.objective_s
-        return min(call.end_s, now_s + max(self._tuning.first_answer_least_s, patience_s))
+        silence_s = max(
+            tuning.caller_silence_s,
+            tuning.caller_silence_objectives * route.objective_s,
+            tuning.caller_silence_pauses * route.pause_s,
+        )
+        return min(call.end_s, call.started_s + silence_s)
+
+    def _alternative(self, call: Call) -> bool:
+        if self._fleet.has_engines(call.service):
+            return len(self._fleet.places(call.service, call.terms.model)) > 1
+        return True
 
     async def _exchange(self, call: Call, attempt: Attempt) -> Ending:
         async with self._request(call, attempt) as response:
@@ -337,7 +359,9 @@
         pause_s = max(self._tuning.stall_least_s, self._tuning.stall_pauses * call.route.pause_s)
         async for piece in response.content.iter_any():
             whole = splitter.feed(piece)
-            attempt.extend(min(call.end_s, loop.time() + pause_s))
+            now_s = loop.time()
+            attempt.heard(now_s)
+            attempt.extend(min(call.end_s, now_s + pause_s))
             if whole:
                 # Noted first: a write that is cancelled may have been passed on all the same.
                 call.resume_after = splitter.last_id or call.resume_after
--- a/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
@@ -3,6 +3,7 @@
 
 import functools
 import socket
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -36,9 +37,8 @@
             happy_eyeballs_delay=None,
             socket_factory=_target_socket,
         )
-        self._factory: functools.partial[ResponseHandler] = functools.partial(
-            TargetProtocol, loop=self._loop
-        )
+        factory: Any = functools.partial(TargetProtocol, loop=self._loop)
+        self._factory = factory
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
         while True:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -9,7 +9,9 @@
     """Hold durations, shares of an objective and the retry budget.
 
     A call waits for a place for ``patience_share`` of its objective and is then refused with
-    the time after which a group is expected to serve again.
+    the time after which a group is expected to serve again, at most ``retry_after_share`` of
+    what the caller has left. A caller gives a stream up that is silent for the longest of the
+    three ``caller_silence`` bounds.
     """
 
     retry_share: float = 0.15
@@ -20,9 +22,13 @@
     patience_share: float = 0.22
     resume_patience_s: float = 1.0
     retry_after_s: float = 0.3
-    regroup_after_s: float = 1.0
-    first_answer_objectives: float = 3.0
+    regroup_after_s: float = 2.2
+    first_answer_objectives: float = 2.5
     first_answer_least_s: float = 0.8
+    caller_silence_s: float = 2.0
+    caller_silence_objectives: float = 4.0
+    caller_silence_pauses: float = 8.0
+    retry_after_share: float = 0.3
     stall_pauses: float = 3.0
     stall_least_s: float = 0.7
 
--- a/packages/ochreway-direct/src/ochreway_direct/timing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/timing.py
@@ -24,7 +24,7 @@
     lease_renew_s: float = 1.0
     lease_stagger_s: float = 0.25
     lease_isolated_s: float = 4.0
-    probe_timeout_s: float = 0.3
+    probe_timeout_s: float = 0.25
     order_timeout_s: float = 0.8
     call_timeout_s: float = 1.5
     backoff_base_s: float = 0.1
--- /dev/null
+++ b/tests/direct/__init__.py
@@ -0,0 +1,1 @@
+# SPDX-License-Identifier: Apache-2.0
--- /dev/null
+++ b/tests/direct/engineworld.py
@@ -0,0 +1,276 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Engines under virtual time, which do what the coordinator orders and watch its promises."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from ochreway_core.ids import DomainId, Epoch, HallId, InstanceId, Version
+from ochreway_direct.configuration import Configuration, EngineSpec, ModelSpec, Service
+from ochreway_direct.coordinator import Assignment, Coordinator
+from ochreway_direct.coordinator.grouprecord import GroupPhase
+from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
+from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.order import Close, Join, Leave, Open, Order, OrderOutcome, Stage
+
+STEP_S = 0.05
+LARGE = ModelSpec(ModelName("large"), size=4, share=0.67, pace=1.0, load_s=16.0, warm_s=1.6)
+SMALL = ModelSpec(ModelName("small"), size=2, share=0.33, pace=0.6, load_s=12.0, warm_s=1.1)
+SPEC = EngineSpec(
+    slots=24,
+    models=(LARGE, SMALL),
+    step_s=0.006,
+    per_sequence_s=0.0005,
+    context_s_per_1k_tokens=0.00001,
+    read_tokens_per_s=46_000.0,
+    usual_prompt_tokens=1000,
+    usual_answer_tokens=85,
+    staged_at_most=1,
+    loads_per_s=3.0,
+    form_s=0.3,
+)
+SERVICE = ServiceName("models")
+CONFIGURATION = Configuration(Version(1), services=(Service(SERVICE, 100, SPEC),))
+
+
+@dataclass(slots=True, eq=False)
+class FakeEngine:
+    instance: InstanceId
+    domain: DomainId
+    alive: bool = True
+    leaving: bool = False
+    staged: ModelName | None = None
+    loading: tuple[ModelName, float] | None = None
+    last_model: ModelName | None = None
+    members: tuple[InstanceId, ...] = ()
+    membership: Membership | None = None
+    model: ModelName | None = None
+    ready_s: float = 0.0
+    opens_s: float | None = None
+    highest: Epoch = field(default=Epoch(0))
+
+    def state(self, now_s: float) -> EngineState:
+        self.advance(now_s)
+        staged = (self.staged,) if self.staged is not None else ()
+        return EngineState(self.domain, self.model, staged, self.membership)
+
+    def advance(self, now_s: float) -> None:
+        if self.loading is not None and now_s >= self.loading[1]:
+            self.staged, self.loading = self.loading[0], None
+        if self.membership is None:
+            return
+        if self.membership.phase is MemberPhase.JOINING and now_s >= self.ready_s:
+            self.enter(MemberPhase.READY)
+        if self.opens_s is not None and now_s >= self.opens_s:
+            self.opens_s = None
+            self.enter(MemberPhase.OPEN)
+
+    def enter(self, phase: MemberPhase) -> None:
+        assert self.membership is not None
+        self.membership = replace(self.membership, phase=phase)
+
+    def listed(self) -> ListedTarget:
+        return ListedTarget(
+            self.instance,
+            SERVICE,
+            f"{self.instance}:1",
+            HallId(self.domain),
+            self.leaving,
+            24,
+            EngineState(self.domain),
+        )
+
+
+class EngineWorld:
+    """Run a coordinator against engines; faults are lost answers, late orders and crashes."""
+
+    def __init__(self, domains: int = 2, engines: int = 8, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.now_s = 100.0
+        self.engines: dict[InstanceId, FakeEngine] = {}
+        self.violations: list[str] = []
+        self.late: list[tuple[float, Assignment]] = []
+        self.lost_share = 0.0
+        self.coordinator = Coordinator()
+        self.terms = 0
+        self.made = 0
+        for domain in range(domains):
+            for _ in range(engines):
+                self.add(DomainId(f"d{domain}"))
+        self.take_over()
+
+    # Faults.
+
+    def add(self, domain: DomainId, staged: ModelName | None = None) -> FakeEngine:
+        self.made += 1
+        engine = FakeEngine(InstanceId(f"e{self.made}"), domain, staged=staged)
+        self.engines[engine.instance] = engine
+        return engine
+
+    def crash(self, instance: InstanceId) -> None:
+        self.engines[instance].alive = False
+
+    def take_over(self) -> None:
+        """Let another process take the lease: it knows nothing but the list."""
+        self.terms += 1
+        before = self.coordinator
+        self.coordinator = Coordinator()
+        self.coordinator.configure(CONFIGURATION)
+        self.coordinator.begin(Epoch(self.terms * 100_000), self.now_s)
+        self.former = before
+        self._list()
+
+    # Time.
+
+    def run(self, duration_s: float, each_step: Callable[[], None] | None = None) -> None:
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            self.step()
+            if each_step is not None:
+                each_step()
+
+    def run_until(self, check: Callable[[], bool], bound_s: float) -> float:
+        begun_s = self.now_s
+        while not check():
+            self.step()
+            if self.now_s - begun_s > bound_s:
+                raise AssertionError(f"not within {bound_s} s")
+        return self.now_s - begun_s
+
+    def step(self) -> None:
+        self.now_s += STEP_S
+        for engine in self.engines.values():
+            engine.advance(self.now_s)
+        due = [each for at_s, each in self.late if at_s <= self.now_s]
+        self.late = [(at_s, each) for at_s, each in self.late if at_s > self.now_s]
+        for assignment in due:
+            self._carry_out(assignment.instance, assignment.order)
+        if self.random.random() < 0.1:
+            self._list()
+        self._probe()
+        for assignment in self.coordinator.tick(self.now_s):
+            self._give(assignment)
+
+    def _list(self) -> None:
+        listed = [each.listed() for each in self.engines.values() if each.alive]
+        self.coordinator.on_listing(listed, self.now_s)
+
+    def _probe(self) -> None:
+        for record in self.coordinator.due_probes(self.now_s):
+            engine = self.engines[record.instance]
+            if engine.alive:
+                state = engine.state(self.now_s)
+                self.coordinator.on_state(record.instance, state, self.now_s)
+            else:
+                self.coordinator.on_silence(record.instance, False, self.now_s)
+
+    def _give(self, assignment: Assignment) -> None:
+        engine = self.engines[assignment.instance]
+        outcome = OrderOutcome.UNKNOWN
+        if not engine.alive:
+            outcome = OrderOutcome.UNREACHABLE
+        elif self.random.random() < self.lost_share:
+            late_s = self.now_s + self.random.uniform(2.0, 12.0)
+            self.late.append((late_s, assignment))
+        else:
+            outcome = self._carry_out(assignment.instance, assignment.order)
+        self.coordinator.on_outcome(assignment.instance, assignment.order, outcome)
+
+    # What engines do.
+
+    def _carry_out(self, instance: InstanceId, order: Order) -> OrderOutcome:
+        engine = self.engines[instance]
+        if not engine.alive:
+            return OrderOutcome.UNREACHABLE
+        engine.advance(self.now_s)
+        match order:
+            case Join():
+                return self._join(engine, order)
+            case Stage(model):
+                load_s = SPEC.model(model).load_s  # type: ignore[union-attr]
+                engine.loading = (model, self.now_s + load_s)
+                return OrderOutcome.BEGUN
+            case Open(group, epoch) | Close(group, epoch) | Leave(group, epoch):
+                membership = engine.membership
+                named = membership is not None and (membership.group, membership.epoch)
+                if named != (group, epoch):
+                    return OrderOutcome.CONFLICT
+                return self._change(engine, order)
+
+    def _join(self, engine: FakeEngine, order: Join) -> OrderOutcome:
+        if order.epoch < engine.highest:
+            return OrderOutcome.FENCED
+        current = engine.membership
+        if current is not None and current.group == order.group and current.epoch == order.epoch:
+            return OrderOutcome.HOLDS if engine.members == order.members else OrderOutcome.FENCED
+        self._watch_join(engine)
+        model = SPEC.model(order.model)
+        assert model is not None
+        if engine.last_model == order.model:
+            wait_s = 0.2
+        elif engine.staged == order.model:
+            wait_s = model.warm_s
+        else:
+            wait_s = model.load_s
+            engine.staged = order.model
+        engine.highest = order.epoch
+        engine.members = order.members
+        engine.model = engine.last_model = order.model
+        rank = order.members.index(engine.instance)
+        engine.membership = Membership(order.group, order.epoch, rank, MemberPhase.JOINING)
+        engine.ready_s = self.now_s + wait_s
+        engine.opens_s = None
+        return OrderOutcome.BEGUN
+
+    def _watch_join(self, engine: FakeEngine) -> None:
+        if not engine.members or engine.membership is None:
+            return
+        leader = self.engines[engine.members[0]]
+        same = leader.membership is not None and leader.members == engine.members
+        opened = same and leader.membership.phase in (MemberPhase.OPEN, MemberPhase.CLOSING)  # type: ignore[union-attr]
+        if leader.alive and opened:
+            self.violations.append(f"{engine.instance} joined anew under its open leader")
+
+    def _change(self, engine: FakeEngine, order: Open | Close | Leave) -> OrderOutcome:
+        assert engine.membership is not None
+        if isinstance(order, Leave):
+            engine.membership = None
+            engine.model = None
+            engine.opens_s = None
+            return OrderOutcome.HOLDS
+        if isinstance(order, Close):
+            engine.enter(MemberPhase.READY)
+            return OrderOutcome.HOLDS
+        if engine.membership.phase is not MemberPhase.READY:
+            return OrderOutcome.CONFLICT
+        if engine.opens_s is not None:
+            return OrderOutcome.HOLDS
+        self._watch_open(engine)
+        engine.opens_s = self.now_s + SPEC.form_s
+        return OrderOutcome.BEGUN
+
+    def _watch_open(self, leader: FakeEngine) -> None:
+        for instance in leader.members:
+            member = self.engines[instance]
+            member.advance(self.now_s)
+            joined = member.members == leader.members and member.membership is not None
+            ready = joined and member.membership.phase is not MemberPhase.JOINING  # type: ignore[union-attr]
+            if member.alive and not ready:
+                self.violations.append(f"{leader.instance} opened without {instance}")
+
+    # What is asked.
+
+    def serving(self, model: ModelSpec) -> int:
+        return sum(1 for view in self.coordinator.views() if view.model == model.name)
+
+    def members(self, model: ModelSpec) -> list[InstanceId]:
+        """Return the members of the first group of a model that serves."""
+        return next(
+            list(group.members)
+            for group in self.coordinator.groups.values()
+            if group.model == model.name and group.phase is GroupPhase.SERVING
+        )
+
+
+__all__ = ["CONFIGURATION", "LARGE", "SERVICE", "SMALL", "SPEC", "EngineWorld", "FakeEngine"]
--- /dev/null
+++ b/tests/direct/relaycase.py
@@ -0,0 +1,205 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A relay between a caller and scripted targets, over real sockets."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+import testtools
+from aiohttp import web
+from yarl import URL
+
+from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId, OrganisationId, Version
+from ochreway_daemon.logs import EventLog
+from ochreway_daemon.metrics import Metrics
+from ochreway_direct.configuration import (
+    Configuration,
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+)
+from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.freshness import Freshness
+from ochreway_direct.groupview import GroupView
+from ochreway_direct.ids import ServiceName
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.relay.relay import Relay
+from ochreway_direct.relay.targetprotocol import TargetConnector
+from ochreway_direct.relay.tuning import RelayTuning
+from ochreway_direct.serving import Serving
+from tests.direct.engineworld import LARGE, SERVICE, SPEC
+from tests.direct.plaindialect import PlainDialect
+
+HALL = HallId("h")
+PLAIN = ServiceName("roster")
+Headers = dict[str, str]
+Script = Callable[[Headers, asyncio.StreamWriter], Awaitable[None]]
+
+
+def head(headers: Headers, more: str = "", status: str = "200 OK") -> bytes:
+    lines = f"HTTP/1.1 {status}\r\nRequest: {headers['request']}\r\n{more}\r\n"
+    return lines.encode()
+
+
+def whole(headers: Headers, body: str, status: str = "200 OK", more: str = "") -> bytes:
+    signed = f"Signed: 1\r\nContent-Length: {len(body)}\r\n{more}"
+    return head(headers, signed, status) + body.encode()
+
+
+def stream_head(headers: Headers) -> bytes:
+    return head(
+        headers, "Signed: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    )
+
+
+def event(number: int) -> bytes:
+    content = f"id: {number}\ndata: e{number}\n\n".encode()
+    return f"{len(content):x}\r\n".encode() + content + b"\r\n"
+
+
+END = b"0\r\n\r\n"
+
+
+@dataclass(slots=True)
+class Target:
+    """Run one script for each request that comes."""
+
+    name: str
+    script: Script
+    seen: list[Headers] = field(default_factory=list)
+    address: str = ""
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                pairs = (line.partition(": ") for line in lines[1:] if line)
+                headers = {name.lower(): value for name, _, value in pairs}
+                await reader.readexactly(int(headers.get("content-length", 0)))
+                headers["line"] = lines[0]
+                self.seen.append(headers)
+                await self.script(headers, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    broken: bool = False
+
+
+class RelayCase(testtools.TestCase):
+    kind = RouteKind.SAFE
+    resumable = False
+    attempts = 2
+
+    def configuration(self) -> Configuration:
+        shares = (Share(SERVICE if self.kind is RouteKind.STREAM else PLAIN, 1),)
+        route = Route(
+            *("r", "care.example", "/a/", self.kind, self.resumable, False, self.attempts),
+            *(4.0, 0.4, 0.2, 1, shares),
+        )
+        organisation = Organisation(OrganisationId("ann"), ("secret",))
+        services = (Service(SERVICE, 100, SPEC), Service(PLAIN, 100))
+        return Configuration(Version(1), (route,), services, (organisation,))
+
+    def relayed(
+        self,
+        work: Callable[["Running"], Awaitable[None]],
+        *scripts: Script,
+        key_trust_s: float = 60.0,
+    ) -> None:
+        async def run() -> None:
+            running = Running(self.configuration(), scripts, key_trust_s)
+            try:
+                await running.start()
+                await work(running)
+            finally:
+                await running.stop()
+
+        asyncio.run(run())
+
+
+class Running:
+    """Hold the relay, its targets in the order in which they are preferred, and a caller."""
+
+    def __init__(
+        self, configuration: Configuration, scripts: tuple[Script, ...], key_trust_s: float
+    ) -> None:
+        self.targets = [Target(f"t{n}", script) for n, script in enumerate(scripts)]
+        self.fleet = Fleet(HALL, random.Random(1))
+        self.serving = Serving(self.fleet, Freshness(key_trust_s))
+        self.serving.apply(configuration)
+        self.metrics = Metrics(None, "entry")
+
+    async def start(self) -> None:
+        self.serving.freshness.prove(asyncio.get_running_loop().time())
+        for target in self.targets:
+            await target.start()
+        self.show()
+        options = {"auto_decompress": False, "cookie_jar": aiohttp.DummyCookieJar()}
+        self.kept = aiohttp.ClientSession(connector=TargetConnector(3.0), **options)
+        self.single = aiohttp.ClientSession(connector=TargetConnector(0.0), **options)
+        self.relay = Relay(
+            *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
+            *(RelayTuning(), EventLog("entry", "e", "error"), self.metrics),
+        )
+        server = web.Server(self.relay.handle, handler_cancellation=True, access_log=None)
+        self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        self.port = self.runner.addresses[0][1]
+        self.caller = aiohttp.ClientSession()
+
+    def show(self) -> None:
+        """Show every target both as the leader of a group and as a plain target."""
+        groups, plain = [], []
+        for number, target in enumerate(self.targets):
+            instance = InstanceId(target.name)
+            pace = 1.0 + 10.0 * number
+            group = GroupId(f"g{number}")
+            groups.append(
+                GroupView(
+                    *(group, Epoch(1), SERVICE, LARGE.name, instance, target.address, HALL, pace)
+                )
+            )
+            plain.append(ListedTarget(instance, PLAIN, target.address, HALL))
+        self.fleet.set_groups(groups)
+        self.fleet.set_targets(plain)
+
+    async def stop(self) -> None:
+        for session in (self.caller, self.kept, self.single):
+            await session.close()
+        await self.runner.cleanup()
+        for target in self.targets:
+            assert target.server is not None
+            target.server.close()
+
+    async def ask(self, path: str = "/a/x?q=%2F", key: str = "secret", **more: str) -> Answer:
+        headers = {"Host": "care.example", "Request": "r1", "Key": key, "Model": LARGE.name, **more}
+        url = URL(f"http://127.0.0.1:{self.port}{path}", encoded=True)
+        async with self.caller.post(url, headers=headers, data=b"body") as response:
+            body = b""
+            try:
+                async for piece in response.content.iter_any():
+                    body += piece
+            except aiohttp.ClientError:
+                return Answer(response.status, dict(response.headers), body, broken=True)
+            return Answer(response.status, dict(response.headers), body)
+
+
+__all__ = ["END", "Answer", "RelayCase", "Running", "event", "head", "stream_head", "whole"]
--- /dev/null
+++ b/tests/direct/test_coordinator.py
@@ -0,0 +1,113 @@
+# SPDX-License-Identifier: Apache-2.0
+import testtools
+
+from ochreway_core.ids import DomainId
+from ochreway_direct.coordinator.grouprecord import GroupPhase
+from tests.direct.engineworld import LARGE, SMALL, EngineWorld
+
+
+def settled(seed: int = 1) -> EngineWorld:
+    """Return a world whose groups serve and whose engines have the other model's weights."""
+    world = EngineWorld(seed=seed)
+    world.run_until(lambda: world.serving(LARGE) >= 2 and world.serving(SMALL) >= 2, 60.0)
+    world.run(60.0)
+    return world
+
+
+class CoordinatorTests(testtools.TestCase):
+    def test_groups_of_every_model_are_formed_from_nothing(self) -> None:
+        world = settled()
+        self.assertEqual([], world.violations)
+
+    def test_a_lost_member_is_replaced_by_one_that_has_the_weights(self) -> None:
+        world = settled()
+        before = world.serving(LARGE)
+        world.crash(world.members(LARGE)[1])
+        world.run_until(lambda: world.serving(LARGE) < before, 2.0)
+        took_s = world.run_until(lambda: world.serving(LARGE) >= before, 30.0)
+        self.assertLess(took_s, 4.0)
+        self.assertEqual([], world.violations)
+
+    def test_survivors_of_a_lost_leader_serve_again(self) -> None:
+        world = settled()
+        world.crash(world.members(LARGE)[0])
+        world.run_until(lambda: world.serving(LARGE) < 2, 2.0)
+        world.run_until(lambda: world.serving(LARGE) >= 2, 30.0)
+        self.assertEqual([], world.violations)
+
+    def test_a_new_holder_of_the_lease_adopts_the_groups_that_serve(self) -> None:
+        world = settled()
+        epochs = {group.epoch for group in world.coordinator.groups.values()}
+        world.take_over()
+        world.run(3.0)
+        self.assertEqual(epochs, {group.epoch for group in world.coordinator.groups.values()})
+
+    def test_a_new_holder_finishes_a_group_that_was_being_formed(self) -> None:
+        world = EngineWorld()
+        groups = world.coordinator.groups
+        world.run_until(lambda: any(g.phase is GroupPhase.FORMING for g in groups.values()), 30.0)
+        world.run(0.3)
+        world.take_over()
+        world.run_until(lambda: world.serving(LARGE) >= 2 and world.serving(SMALL) >= 2, 60.0)
+        self.assertEqual([], world.violations)
+
+    def test_a_leaving_member_gives_its_group_up_in_order(self) -> None:
+        world = settled()
+        leaving = world.members(SMALL)[0]
+        world.engines[leaving].leaving = True
+        world.run(4.0)
+        held = {i for group in world.coordinator.groups.values() for i in group.members}
+        self.assertNotIn(leaving, held)
+        self.assertEqual([], world.violations)
+
+    def test_silence_of_most_engines_dissolves_nothing(self) -> None:
+        world = settled()
+        before = set(world.coordinator.groups)
+        for record in world.coordinator.engines.values():
+            world.coordinator.on_silence(record.instance, False, world.now_s)
+            world.coordinator.on_silence(record.instance, False, world.now_s)
+        world.coordinator.tick(world.now_s)
+        self.assertEqual(before, set(world.coordinator.groups))
+
+    def test_engines_that_load_may_rejoin_the_model_that_they_served_last(self) -> None:
+        world = settled()
+        member = world.coordinator.engines[world.members(LARGE)[2]]
+        member.staging = SMALL.name
+        self.assertTrue(member.quick(LARGE.name))
+        self.assertFalse(member.quick(SMALL.name))
+
+    def test_loads_stay_under_their_bound(self) -> None:
+        world = EngineWorld(domains=6)
+        begun: list[float] = []
+        give = world._give
+
+        def watch(assignment: object) -> None:
+            order = assignment.order  # type: ignore[attr-defined]
+            engine = world.engines[assignment.instance]  # type: ignore[attr-defined]
+            staged = getattr(order, "model", None) in (engine.staged, engine.last_model)
+            if type(order).__name__ in ("Stage", "Join") and not staged:
+                begun.append(world.now_s)
+            give(assignment)  # type: ignore[arg-type]
+
+        world._give = watch  # type: ignore[method-assign]
+        world.run(30.0)
+        busiest = max(sum(1 for at in begun if t <= at <= t + 5.0) for t in begun)
+        self.assertLess(busiest, 3 * 5 * 1.1 + 3)
+
+    def test_orders_lost_and_carried_out_late_break_no_promise(self) -> None:
+        for seed in range(1, 13):
+            world = EngineWorld(seed=seed)
+            world.lost_share = 0.35
+            world.run(40.0, lambda world=world: self._disturb(world))  # type: ignore[misc]
+            world.lost_share = 0.0
+            world.run_until(lambda world=world: world.serving(LARGE) >= 1, 90.0)  # type: ignore[misc]
+            self.assertEqual([], world.violations, f"seed {seed}")
+
+    def _disturb(self, world: EngineWorld) -> None:
+        if world.random.random() < 0.01:
+            alive = [each for each in world.engines.values() if each.alive]
+            lost = world.random.choice(alive)
+            lost.alive = False
+            world.add(DomainId(lost.domain))
+        if world.random.random() < 0.005:
+            world.take_over()
--- /dev/null
+++ b/tests/direct/test_layout.py
@@ -0,0 +1,64 @@
+# SPDX-License-Identifier: Apache-2.0
+import testtools
+
+from ochreway_core.ids import DomainId
+from ochreway_direct.coordinator.demand import Demand, gain, worth
+from ochreway_direct.coordinator.layout import Slot, plan
+from ochreway_direct.coordinator.loadlimit import LoadLimit
+from ochreway_direct.coordinator.tuning import CoordinatorTuning
+from tests.direct.engineworld import LARGE, SMALL, SPEC
+
+D1, D2 = DomainId("d1"), DomainId("d2")
+TUNING = CoordinatorTuning()
+
+
+class LayoutTests(testtools.TestCase):
+    def plan(self, large: float, small: float, engines: dict[DomainId, int]) -> dict[Slot, int]:
+        needs = {LARGE.name: large, SMALL.name: small}
+        return dict(plan(SPEC, needs, engines, {}, TUNING))
+
+    def test_every_domain_is_filled(self) -> None:
+        chosen = self.plan(1.0, 1.0, {D1: 8, D2: 6})
+        size = {LARGE.name: LARGE.size, SMALL.name: SMALL.size}
+        for domain, engines in ((D1, 8), (D2, 6)):
+            used = sum(size[s.model] * n for s, n in chosen.items() if s.domain == domain)
+            self.assertEqual(engines, used)
+
+    def test_more_work_gets_more_groups(self) -> None:
+        much = self.plan(4.0, 0.1, {D1: 8, D2: 8})
+        little = self.plan(0.1, 4.0, {D1: 8, D2: 8})
+        count = lambda chosen: sum(n for s, n in chosen.items() if s.model == LARGE.name)  # noqa: E731
+        self.assertGreater(count(much), count(little))
+
+    def test_a_standing_group_goes_before_a_new_one_of_like_worth(self) -> None:
+        needs = {LARGE.name: 1.0, SMALL.name: 0.55}
+        large = Slot(D1, LARGE.name)
+        self.assertEqual(0, plan(SPEC, needs, {D1: 4}, {}, TUNING)[large])
+        self.assertEqual(1, plan(SPEC, needs, {D1: 4}, {large: 1}, TUNING)[large])
+
+    def test_each_further_group_adds_less(self) -> None:
+        gains = [gain(2.0, groups, 1.2) for groups in range(5)]
+        self.assertEqual(sorted(gains, reverse=True), gains)
+        self.assertEqual(0.0, worth(2.0, 0, 1.2))
+
+
+class DemandTests(testtools.TestCase):
+    def test_shares_count_until_meters_have_filled(self) -> None:
+        demand = Demand()
+        demand.update({SMALL.name: 5.0}, 0.0)
+        first = demand.needs(SPEC, 16)
+        demand.update({SMALL.name: 5.0}, 20.0)
+        self.assertGreater(first[LARGE.name], first[SMALL.name])
+        self.assertEqual(5.0, demand.needs(SPEC, 16)[SMALL.name])
+
+
+class LoadLimitTests(testtools.TestCase):
+    def test_a_window_bounds_loads(self) -> None:
+        limit = LoadLimit(2, 5.0)
+        self.assertEqual([True, True, False], [limit.take(at) for at in (0.0, 1.0, 2.0)])
+        self.assertTrue(limit.take(5.1))
+
+    def test_all_or_none_of_several_begin(self) -> None:
+        limit = LoadLimit(3, 5.0)
+        self.assertFalse(limit.take(0.0, 4))
+        self.assertTrue(limit.take(0.0, 3))
--- /dev/null
+++ b/tests/direct/test_relay.py
@@ -0,0 +1,306 @@
+# SPDX-License-Identifier: Apache-2.0
+import asyncio
+
+from ochreway_core.ids import GroupId, OrganisationId, Version
+from ochreway_direct.configuration import Configuration, Organisation, RouteKind
+from tests.direct.relaycase import END, Headers, RelayCase, Running, event, head, stream_head, whole
+
+Writer = asyncio.StreamWriter
+
+
+async def good(headers: Headers, writer: Writer) -> None:
+    writer.write(whole(headers, "fine"))
+
+
+async def full(headers: Headers, writer: Writer) -> None:
+    writer.write(whole(headers, "", "503 Busy", "Not-Run: 1\r\n"))
+
+
+async def cut(headers: Headers, writer: Writer) -> None:
+    writer.write(head(headers, "Signed: 1\r\nContent-Length: 9\r\n") + b"fi")
+    await writer.drain()
+    writer.close()
+
+
+async def failing(headers: Headers, writer: Writer) -> None:
+    writer.write(whole(headers, "no", "500 Failed"))
+
+
+async def foreign(headers: Headers, writer: Writer) -> None:
+    writer.write(whole({"request": "another"}, "not yours"))
+
+
+async def unsigned(headers: Headers, writer: Writer) -> None:
+    writer.write(head(headers, "Content-Length: 4\r\n") + b"fine")
+
+
+async def encoded(headers: Headers, writer: Writer) -> None:
+    writer.write(whole(headers, "zzzz", more="Content-Encoding: gzip\r\n"))
+
+
+async def doubled(headers: Headers, writer: Writer) -> None:
+    writer.write(whole(headers, "fine") + whole(headers, "surplus"))
+
+
+async def reset_unframed(headers: Headers, writer: Writer) -> None:
+    writer.write(head(headers, "Signed: 1\r\nConnection: close\r\n") + b"half of")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    writer.transport.get_extra_info("socket").setsockopt(1, 13, b"\x01\0\0\0\0\0\0\0")
+    writer.transport.abort()
+
+
+class SafeTests(RelayCase):
+    def test_status_body_and_path_pass_unchanged(self) -> None:
+        async def work(running: Running) -> None:
+            answer = await running.ask()
+            self.assertEqual((200, b"fine"), (answer.status, answer.body))
+            seen = running.targets[0].seen[0]
+            self.assertEqual("POST /a/x?q=%2F HTTP/1.1", seen["line"])
+            self.assertEqual(("ann", "r1"), (seen["organisation"], seen["request"]))
+            self.assertLessEqual(float(seen["deadline-s"]), 4.0)
+
+        self.relayed(work, good)
+
+    def test_what_did_not_run_is_sent_elsewhere(self) -> None:
+        async def work(running: Running) -> None:
+            self.assertEqual(200, (await running.ask()).status)
+            self.assertEqual([1, 1], [len(each.seen) for each in running.targets])
+
+        self.relayed(work, full, good)
+
+    def test_answers_that_are_not_whole_or_not_ours_are_asked_for_again(self) -> None:
+        for script in (cut, foreign, unsigned, encoded, failing, reset_unframed):
+
+            async def work(running: Running) -> None:
+                answer = await running.ask()
+                self.assertEqual((200, b"fine"), (answer.status, answer.body))
+
+            self.relayed(work, script, good)
+
+    def test_a_failure_of_the_last_target_is_passed_on(self) -> None:
+        async def work(running: Running) -> None:
+            answer = await running.ask()
+            self.assertEqual((500, b"no"), (answer.status, answer.body))
+
+        self.relayed(work, failing, failing)
+
+    def test_surplus_bytes_answer_no_later_request(self) -> None:
+        async def work(running: Running) -> None:
+            for number in range(4):
+                answer = await running.ask(Request=f"r{number}")
+                self.assertEqual((200, b"fine"), (answer.status, answer.body))
+                self.assertEqual(f"r{number}", answer.headers["Request"])
+
+        self.relayed(work, doubled)
+
+    def test_without_any_target_a_caller_is_told_when_to_come_back(self) -> None:
+        async def work(running: Running) -> None:
+            running.fleet.set_targets(())
+            answer = await running.ask()
+            self.assertEqual(503, answer.status)
+            self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
+
+        self.relayed(work, good)
+
+    def test_a_leaving_target_gets_nothing_new(self) -> None:
+        async def work(running: Running) -> None:
+            from dataclasses import replace
+
+            targets = running.fleet._targets.values()
+            running.fleet.set_targets([replace(each, leaving=True) for each in targets])
+            self.assertEqual(503, (await running.ask()).status)
+            self.assertEqual([], running.targets[0].seen)
+
+        self.relayed(work, good)
+
+
+class AdmissionTests(RelayCase):
+    def test_unknown_routes_and_keys_have_their_own_answers(self) -> None:
+        async def work(running: Running) -> None:
+            self.assertEqual(404, (await running.ask("/b/x")).status)
+            self.assertEqual(401, (await running.ask(key="stolen")).status)
+            self.assertEqual(400, (await running.ask(Request="")).status)
+            self.assertEqual([], running.targets[0].seen)
+
+        self.relayed(work, good)
+
+    def test_keys_are_not_trusted_without_proof_of_freshness(self) -> None:
+        async def work(running: Running) -> None:
+            self.assertEqual(503, (await running.ask()).status)
+            self.assertEqual([], running.targets[0].seen)
+
+        self.relayed(work, good, key_trust_s=-1.0)
+
+    def test_an_older_configuration_changes_nothing(self) -> None:
+        async def work(running: Running) -> None:
+            self.assertFalse(running.serving.apply(Configuration(Version(0))))
+            self.assertEqual(200, (await running.ask()).status)
+
+        self.relayed(work, good)
+
+    def test_a_removed_key_is_refused_at_once(self) -> None:
+        async def work(running: Running) -> None:
+            newer = Configuration(
+                Version(2),
+                self.configuration().routes,
+                organisations=(Organisation(OrganisationId("bo"), ("other",)),),
+            )
+            running.serving.apply(newer)
+            self.assertEqual(401, (await running.ask()).status)
+
+        self.relayed(work, good)
+
+
+class UnsafeTests(RelayCase):
+    kind = RouteKind.UNSAFE
+
+    def test_what_may_have_run_is_never_sent_again_nor_called_not_run(self) -> None:
+        for script in (cut, foreign, unsigned, reset_unframed):
+
+            async def work(running: Running) -> None:
+                self.assertEqual(502, (await running.ask()).status)
+                self.assertEqual([1, 0], [len(each.seen) for each in running.targets])
+
+            self.relayed(work, script, good)
+
+    def test_a_failure_is_passed_on_at_once(self) -> None:
+        async def work(running: Running) -> None:
+            self.assertEqual(500, (await running.ask()).status)
+            self.assertEqual([1, 0], [len(each.seen) for each in running.targets])
+
+        self.relayed(work, failing, good)
+
+    def test_what_did_not_run_may_run_elsewhere(self) -> None:
+        async def work(running: Running) -> None:
+            self.assertEqual(200, (await running.ask()).status)
+
+        self.relayed(work, full, good)
+
+    def test_a_deadline_that_passes_is_a_time_out(self) -> None:
+        async def silent(headers: Headers, writer: Writer) -> None:
+            await asyncio.sleep(3.0)
+
+        async def work(running: Running) -> None:
+            answer = await running.ask(**{"Deadline-S": "0.3"})
+            self.assertEqual(504, answer.status)
+
+        self.relayed(work, silent)
+
+
+class StreamTests(RelayCase):
+    kind = RouteKind.STREAM
+    resumable = True
+
+    def test_events_pass_as_they_come(self) -> None:
+        async def stream(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers) + event(1) + event(2) + END)
+
+        async def work(running: Running) -> None:
+            answer = await running.ask()
+            self.assertEqual(b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", answer.body)
+            self.assertFalse(answer.broken)
+
+        self.relayed(work, stream)
+
+    def test_a_broken_stream_goes_on_at_another_target(self) -> None:
+        async def breaks(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers) + event(1) + event(2)[:-9])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        async def goes_on(headers: Headers, writer: Writer) -> None:
+            begin = int(headers["after"]) + 1
+            pieces = b"".join(event(number) for number in range(begin, 4))
+            writer.write(stream_head(headers) + pieces + END)
+
+        async def work(running: Running) -> None:
+            answer = await running.ask()
+            self.assertEqual(
+                b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in (1, 2, 3)), answer.body
+            )
+            self.assertFalse(answer.broken)
+
+        self.relayed(work, breaks, goes_on)
+
+    def test_a_stream_at_a_lost_group_goes_on_elsewhere_at_once(self) -> None:
+        async def hangs(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers) + event(1))
+            await writer.drain()
+            await asyncio.sleep(5.0)
+
+        async def goes_on(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers) + event(2) + END)
+
+        async def work(running: Running) -> None:
+            asking = asyncio.ensure_future(running.ask())
+            while not running.targets[0].seen:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            running.fleet.abandon(GroupId("g0"))
+            answer = await asking
+            self.assertEqual(b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", answer.body)
+
+        self.relayed(work, hangs, goes_on)
+
+    def test_a_begun_answer_that_cannot_go_on_is_broken_off_and_nothing_else(self) -> None:
+        async def breaks(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers) + event(1))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        async def work(running: Running) -> None:
+            running.serving.freshness.bound_s = 60.0
+            asking = asyncio.ensure_future(running.ask())
+            while not running.targets[0].seen:
+                await asyncio.sleep(0.01)
+            # Keys grow too old while the stream runs, so it may not be sent again.
+            running.serving.freshness.bound_s = -1.0
+            answer = await asking
+            self.assertTrue(answer.broken)
+            self.assertEqual(b"id: 1\ndata: e1\n\n", answer.body)
+
+        self.relayed(work, breaks, good)
+
+    def test_a_full_group_is_not_sent_more(self) -> None:
+        async def work(running: Running) -> None:
+            from collections import Counter
+
+            from ochreway_core.ids import NodeId
+
+            running.fleet.set_elsewhere(NodeId("other"), Counter({"g0": 99}))
+            answer = await running.ask()
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], running.targets[0].seen)
+
+        self.relayed(work, good)
+
+
+class CallerGoneTests(RelayCase):
+    kind = RouteKind.STREAM
+
+    def test_a_caller_that_leaves_ends_its_work(self) -> None:
+        ended = asyncio.Event()
+
+        async def hangs(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers) + event(1))
+            await writer.drain()
+            number = 1
+            while not writer.transport.is_closing():
+                number += 1
+                writer.write(event(number))
+                await asyncio.sleep(0.01)
+            ended.set()
+
+        async def work(running: Running) -> None:
+            asking = asyncio.ensure_future(running.ask())
+            while not running.targets[0].seen:
+                await asyncio.sleep(0.01)
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+            async with asyncio.timeout(10.0):
+                await ended.wait()
+
+        self.relayed(work, hangs)
