--- a/packages/ochreway-direct/src/ochreway_direct/configuration.py
+++ b/packages/ochreway-direct/src/ochreway_direct/configuration.py
@@ -73,6 +73,7 @@
     usual_answer_tokens: float
     staged_at_most: int
     loads_per_s: float
+    loads_at_once: int
     form_s: float
 
     def model(self, name: ModelName) -> ModelSpec | None:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -41,6 +41,8 @@
         self._staging = Staging(self._state)
         self._listing = Listing(self.tuning)
         self._began_s = 0.0
+        self._grown_s = 0.0
+        self._started = False
 
     @property
     def engines(self) -> dict[InstanceId, EngineRecord]:
@@ -63,6 +65,7 @@
         """Start from nothing, with epochs above the one given."""
         self._state.epoch = epoch
         self._began_s = now_s
+        self._started = False
         self.groups.clear()
         self.engines.clear()
         self._listing = Listing(self.tuning)
@@ -86,15 +89,16 @@
         engines = {each.instance: each for each in targets if each.engine is not None}
         gone = self._listing.read(engines, now_s)
         for instance, listed in engines.items():
-            self._list(instance, listed)
+            self._list(instance, listed, now_s)
         for instance, record in list(self.engines.items()):
             if instance in gone and record.missing_s is None:
                 record.missing_s = now_s
 
-    def _list(self, instance: InstanceId, listed: ListedTarget) -> None:
+    def _list(self, instance: InstanceId, listed: ListedTarget, now_s: float) -> None:
         record = self.engines.get(instance)
         if record is None:
             assert listed.engine is not None
+            self._grown_s = now_s
             self.engines[instance] = EngineRecord(listed, listed.engine)
             return
         record.listed = listed
@@ -113,7 +117,11 @@
         record.observed_s = now_s
         if state.membership is not None and state.model is not None:
             record.last_model = state.model
-        if record.staging in state.staged or now_s > record.staging_until_s:
+        if (
+            record.staging is None
+            or record.staging in state.staged
+            or now_s > record.staging_until_s
+        ):
             record.staging = None
 
     def on_silence(self, instance: InstanceId, refused: bool, now_s: float) -> None:
@@ -214,7 +222,8 @@
         """Return the orders to give now."""
         self._state.out = []
         self._forget()
-        if not self._settled(now_s):
+        self._begin_loads(now_s)
+        if not self._started:
             return []
         if not self._all_silent():
             self._lifecycle.step(now_s)
@@ -225,10 +234,33 @@
         return self._state.out
 
     def _settled(self, now_s: float) -> bool:
-        """Tell whether every listed engine was asked since this began, or long enough passed."""
-        asked = all(r.observed_s > 0 or r.misses for r in self.engines.values())
-        waited_s = now_s - self._began_s
-        return waited_s >= self.tuning.settle_s or (bool(self.engines) and asked)
+        """Tell whether enough is known to decide.
+
+        Every listed engine was asked, and when none has any weights yet, as at the first start,
+        the list has stopped growing; or long enough passed.
+        """
+        if now_s - self._began_s >= self.tuning.settle_s:
+            return True
+        records = self.engines.values()
+        asked = bool(records) and all(r.observed_s > 0 or r.misses for r in records)
+        grown = now_s - self._grown_s < self.tuning.list_growing_s
+        return asked and not (grown and self._untouched())
+
+    def _untouched(self) -> bool:
+        """Tell whether no engine is in a group, has weights or is about to get any."""
+        return not any(
+            record.membership or record.state.staged or record.state.busy
+            for record in self.engines.values()
+        )
+
+    def _begin_loads(self, now_s: float) -> None:
+        """Take it that the holder before this one has used up the bound on loads."""
+        if self._started or not self._settled(now_s):
+            return
+        self._started = True
+        if not self._untouched():
+            for limit in self._state.limits.values():
+                limit.take(now_s, limit.left(now_s))
 
     def _all_silent(self) -> bool:
         """Tell whether so many engines are silent that the fault must be nearer home."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -25,6 +25,7 @@
     dead: bool = False
     missing_s: float | None = None
     pending: Order | None = None
+    ordered: Order | None = None
     ordered_s: float = NEVER_S
     last_model: ModelName | None = None
     staging: ModelName | None = None
@@ -71,6 +72,11 @@
         found = self.membership
         return found is not None and found.group == group and found.epoch == epoch
 
+    def stage(self, model: ModelName, until_s: float) -> None:
+        """Note that the engine is getting a model's weights, until a time at the latest."""
+        self.staging = model
+        self.staging_until_s = until_s
+
     def left(self, group: GroupId, epoch: Epoch) -> None:
         """Take it that the engine has left a group, as it does so at once."""
         if self.belongs_to(group, epoch):
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -27,7 +27,7 @@
         """Form what is lacking and can be had at once; return the plan."""
         free = self.free(service)
         standing = self._state.standing(service)
-        engines = _engines(spec, free, standing)
+        engines = self._engines(spec, free, standing)
         needs = self._state.demand.needs(spec, sum(engines.values()))
         wanted = plan(spec, needs, engines, standing, self._state.tuning)
         for slot in sorted(wanted, key=lambda each: (each.domain, each.model)):
@@ -65,7 +65,7 @@
         quick = [record for record in free if record.quick(model.name)]
         cold = not quick and self._state.cold(service, domain)
         if cold and len(free) >= model.size:
-            if not self._state.limits[service].take(now_s, model.size):
+            if not self._begin_loads(service, model, now_s):
                 return False
             quick = list(free)
         if len(quick) < model.size:
@@ -74,6 +74,9 @@
         chosen = quick[: model.size]
         for record in chosen:
             free.remove(record)
+        if cold:
+            for record in chosen:
+                record.stage(model.name, now_s + 2 * model.load_s)
         epoch = self._state.next_epoch()
         group = GroupId(f"{model.name}-{epoch}")
         members = tuple(record.instance for record in chosen)
@@ -85,6 +88,13 @@
         )
         return True
 
+    def _begin_loads(self, service: ServiceName, model: ModelSpec, now_s: float) -> bool:
+        state = self._state
+        at_most = state.tuning.loading_share * state.specs[service].loads_at_once
+        if state.loading(service) + model.size > at_most:
+            return False
+        return state.limits[service].take(now_s, model.size)
+
     def _trade(
         self,
         service: ServiceName,
@@ -113,16 +123,17 @@
                 group.enter(GroupPhase.CLOSING, now_s)
                 return
 
-
-def _engines(
-    spec: EngineSpec, free: FreeEngines, standing: Mapping[Slot, int]
-) -> dict[DomainId, int]:
-    counts = {domain: len(records) for domain, records in free.items()}
-    for slot, number in standing.items():
-        model = spec.model(slot.model)
-        if model is not None:
-            counts[slot.domain] = counts.get(slot.domain, 0) + number * model.size
-    return counts
+    def _engines(
+        self, spec: EngineSpec, free: FreeEngines, standing: Mapping[Slot, int]
+    ) -> dict[DomainId, int]:
+        """Count the engines of each domain that are in groups, free, or about to be."""
+        counts: Counter[DomainId] = Counter()
+        for domain, records in free.items():
+            counts[domain] += len(records) + len(self._state.survivors(domain))
+        for slot, number in standing.items():
+            model = spec.model(slot.model)
+            counts[slot.domain] += number * model.size if model is not None else 0
+        return dict(counts)
 
 
 __all__ = ["Formation", "FreeEngines"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -29,6 +29,8 @@
 ) -> Counter[Slot]:
     """Return the number of groups for each place, the most useful first.
 
+    A group goes where it leaves the fewest engines over, so that larger ones still find room.
+
     Args:
         spec: the models and their sizes.
         needs: the work offered for each model, in groups kept busy.
@@ -48,7 +50,7 @@
 
     while True:
         options = [
-            (value(domain, model), left[domain], domain, model)
+            (value(domain, model), -left[domain], domain, model)
             for domain in sorted(left)
             for model in spec.models
             if left[domain] >= model.size
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -31,7 +31,7 @@
         found: dict[tuple[GroupId, Epoch], dict[int, EngineRecord]] = defaultdict(dict)
         for record in self._state.engines.values():
             membership = record.membership
-            if membership is None or record.dead:
+            if membership is None or record.dead or record.observed_s < 0:
                 continue
             known = self._state.groups.get(membership.group)
             if known is None or known.epoch != membership.epoch:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -9,7 +9,6 @@
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.formation import FreeEngines
-from ochreway_direct.coordinator.grouprecord import GroupPhase
 from ochreway_direct.coordinator.layout import Slot
 from ochreway_direct.coordinator.state import STANDING, CoordinatorState
 from ochreway_direct.ids import ModelName, ServiceName
@@ -48,8 +47,7 @@
             for domain, records in free.items()
             for load in self._for_free(service, spec, domain, records, wanted)
         ]
-        waiting = [load for load in first if not load.engine.staging]
-        for load in waiting or self._beside(service, spec):
+        for load in [*first, *self._beside(service, spec)]:
             self._load(service, load, now_s)
 
     def _for_free(
@@ -93,17 +91,22 @@
         return short
 
     def _beside(self, service: ServiceName, spec: EngineSpec) -> list[Load]:
-        """Pair members with other models, those with the fewest substitutes first."""
+        """Pair members with larger models, those with the fewest substitutes first.
+
+        A smaller model's weights would push out those of the larger one, whose groups are the
+        harder to complete.
+        """
         substitutes = self._substitutes(service, spec)
         loads = []
         for group in self._state.of_service(service):
-            others = [model for model in spec.models if model.name != group.model]
-            if group.phase is not GroupPhase.SERVING or not others:
+            own = spec.model(group.model)
+            larger = [model for model in spec.models if own is not None and model.size > own.size]
+            if group.phase not in STANDING or not larger:
                 continue
-            model = max(others, key=lambda each: each.size)
+            model = max(larger, key=lambda each: each.size)
             for instance in group.members:
                 engine = self._state.engines[instance]
-                if not engine.leaving and not any(m.name in engine.state.staged for m in others):
+                if not engine.leaving and model.name not in engine.state.staged:
                     loads.append(Load(engine, model))
 
         def urgency(load: Load) -> tuple[int, int]:
@@ -132,13 +135,15 @@
         engine = load.engine
         if engine.staging or engine.pending or engine.state.busy:
             return
+        spec = self._state.specs[service]
+        if self._state.loading(service) >= self._state.tuning.loading_share * spec.loads_at_once:
+            return
         if now_s - engine.ordered_s < self._state.tuning.order_retry_s:
             return
         if not self._state.limits[service].take(now_s):
             return
         if self._state.order(engine, Stage(load.model.name), now_s):
-            engine.staging = load.model.name
-            engine.staging_until_s = now_s + 2 * load.model.load_s
+            engine.stage(load.model.name, now_s + 2 * load.model.load_s)
 
 
 __all__ = ["Load", "Staging"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -39,10 +39,11 @@
         return self.epoch
 
     def order(self, record: EngineRecord, order: Order, now_s: float) -> bool:
-        """Give an order unless one is under way or was given just now."""
-        if record.pending is not None or now_s - record.ordered_s < self.tuning.order_retry_s:
+        """Give an order unless one is under way or the same was given just now."""
+        again = order == record.ordered and now_s - record.ordered_s < self.tuning.order_retry_s
+        if record.pending is not None or again:
             return False
-        record.pending = order
+        record.pending = record.ordered = order
         record.ordered_s = now_s
         self.out.append(Assignment(record.instance, record.listed.address, order))
         return True
@@ -87,6 +88,14 @@
             and self.engines[instance].usable
         ]
 
+    def loading(self, service: ServiceName) -> int:
+        """Return how many engines of a service are getting weights."""
+        return sum(
+            1
+            for record in self.engines.values()
+            if record.service == service and not record.dead and record.staging
+        )
+
     def cold(self, service: ServiceName, domain: DomainId) -> bool:
         """Tell whether no engine of a domain that is free has weights or is getting any."""
         held = self.held()
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -12,7 +12,8 @@
     it has for the work that is offered.
     """
 
-    settle_s: float = 1.0
+    settle_s: float = 1.5
+    list_growing_s: float = 0.4
     probe_changing_s: float = 0.15
     probe_serving_s: float = 0.5
     probe_free_s: float = 0.8
@@ -30,6 +31,7 @@
     keep_bonus: float = 1.5
     loads_window_s: float = 5.0
     loads_excess: float = 1.1
+    loading_share: float = 1.5
     loads_slack_s: float = 0.3
     loads_spare: int = 2
 
--- a/packages/ochreway-direct/src/ochreway_direct/timing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/timing.py
@@ -21,7 +21,7 @@
     list_gap_s: float = 0.35
     fleet_update_s: float = 0.5
     list_stale_s: float = 1.4
-    lease_renew_s: float = 1.0
+    lease_renew_s: float = 2.0
     lease_stagger_s: float = 0.25
     lease_isolated_s: float = 4.0
     probe_timeout_s: float = 0.25
--- a/tests/direct/engineworld.py
+++ b/tests/direct/engineworld.py
@@ -28,9 +28,11 @@
     usual_answer_tokens=85,
     staged_at_most=1,
     loads_per_s=3.0,
+    loads_at_once=6,
     form_s=0.3,
 )
 SERVICE = ServiceName("models")
+OFFERED = {LARGE.name: 1.0, SMALL.name: 1.2}
 CONFIGURATION = Configuration(Version(1), services=(Service(SERVICE, 100, SPEC),))
 
 
@@ -117,6 +119,8 @@
         before = self.coordinator
         self.coordinator = Coordinator()
         self.coordinator.configure(CONFIGURATION)
+        for measured_s in (self.now_s - 60.0, self.now_s):
+            self.coordinator.demand.update(OFFERED, measured_s)
         self.coordinator.begin(Epoch(self.terms * 100_000), self.now_s)
         self.former = before
         self._list()
