--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core routing nodes platform wire daemon cli standins
-EDITABLE := $(foreach name,$(PACKAGES),-e packages/ochreway-$(name))
+PACKAGES := core routing nodes platform wire daemon direct cli standins
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/ochreway-$(name)) -e platform
 SEED ?= 1
 RUNS ?= 500
 JOBS ?= 4
@@ -12,7 +12,7 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt setuptools wheel
 	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
@@ -25,16 +25,17 @@
 test: setup lint unit
 
 lint: setup
-	$(BIN)/ruff format --check packages tests
-	$(BIN)/ruff check packages tests
-	$(BIN)/mypy packages/*/src
+	$(BIN)/ruff format --check packages tests platform
+	$(BIN)/ruff check packages tests platform
+	$(BIN)/mypy packages/*/src platform/src
 
 unit: setup
 	$(BIN)/python -m pytest -n $(JOBS) tests
+	$(BIN)/python -m pytest -n 2 --import-mode=prepend platform/tests
 
 format: setup
-	$(BIN)/ruff format packages tests
-	$(BIN)/ruff check --fix packages tests
+	$(BIN)/ruff format packages tests platform
+	$(BIN)/ruff check --fix packages tests platform
 
 soak: setup
 	$(BIN)/python -m ochreway_standins.soak --seed $(SEED) --runs $(RUNS) --jobs $(JOBS)
