--- a/packages/ochreway-daemon/src/ochreway_daemon/main.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -50,6 +50,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_CUT = 3
+EXIT_LISTEN = 4
 HEADER_BYTES_AT_MOST = 16 * 1024
 IDLE_CALLER_S = 30.0
 
@@ -230,7 +231,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await shell.start()
+    try:
+        await shell.start()
+    except OSError as fault:
+        return await _cannot_listen(shell, shell.settings.link_listen, fault)
     runner = web.AppRunner(
         application,
         access_log=None,
@@ -241,7 +245,11 @@
     )
     await runner.setup()
     host, _, port = shell.settings.http_listen.rpartition(":")
-    await web.TCPSite(runner, host, int(port)).start()
+    try:
+        await web.TCPSite(runner, host, int(port)).start()
+    except OSError as fault:
+        await runner.cleanup()
+        return await _cannot_listen(shell, shell.settings.http_listen, fault)
     shell.log.event("started", pid=os.getpid(), http=shell.settings.http_listen)
     await stop.wait()
     shell.log.event("stopping")
@@ -252,5 +260,11 @@
     return 0 if drained else EXIT_CUT
 
 
+async def _cannot_listen(shell: Shell, address: str, fault: OSError) -> int:
+    shell.log.fault("cannot_listen", address=address, cause=fault)
+    await shell.stop()
+    return EXIT_LISTEN
+
+
 if __name__ == "__main__":
     main()
--- a/packages/ochreway-standins/src/ochreway_standins/bench.py
+++ b/packages/ochreway-standins/src/ochreway_standins/bench.py
@@ -29,7 +29,7 @@
 async def ready_site(site: Site, session: aiohttp.ClientSession, *entry_more: str) -> None:
     """Start one entry, one group of three and a service, with a bundle in force."""
     site.start_platform()
-    await until("platform", lambda: _answers(session, site.platform_url + "/counts"))
+    await until("platform", lambda: _answers(session, site.platform_url + "/counts"), site=site)
     site.start_entry("entry-1", *entry_more)
     for name in ENGINES:
         site.start_engine(name)
@@ -37,7 +37,9 @@
         site.start_service(name)
     for daemon in list(site.daemons.values()):
         if daemon.link:
-            await until(daemon.name, partial(_answers, session, daemon.http + "/healthz"))
+            await until(
+                daemon.name, partial(_answers, session, daemon.http + "/healthz"), site=site
+            )
     await site.publish_list(session)
     await roll(site, session, bundle_text(ENGINES, SERVICES, 1, "1"))
 
--- a/packages/ochreway-standins/src/ochreway_standins/site.py
+++ b/packages/ochreway-standins/src/ochreway_standins/site.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import fcntl
 import hashlib
 import os
 import random
@@ -26,23 +27,45 @@
 CALLER_TOKEN = "caller-token"
 DOMAIN = "domain-1"
 BOUND_S = 40.0
+LOG_SHOWN = 2000
 PORTS_FROM, PORTS_BELOW = 15_000, 32_000
 
-_given_ports: set[int] = set()
+PORT_LOCKS = Path(tempfile.gettempdir()) / "ochreway-ports"
+
+_given_ports: dict[int, int] = {}
+"""The lock that this process holds on each port it was given, until it ends."""
+
+
+class ProcessEnded(Exception):
+    """A process of the site ended that nobody had asked to."""
 
 
 def free_port() -> int:
-    """Return a port that is free now, below those that outgoing connections are given."""
+    """Return a port that is free, and that no other process of ours is given meanwhile.
+
+    It lies below those that outgoing connections are given.
+    """
     while True:
         port = random.randrange(PORTS_FROM, PORTS_BELOW)
-        if port in _given_ports:
+        if port in _given_ports or not _lock(port):
             continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
-            _given_ports.add(port)
             return port
 
 
+def _lock(port: int) -> bool:
+    PORT_LOCKS.mkdir(exist_ok=True)
+    lock = os.open(PORT_LOCKS / str(port), os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(lock)
+        return False
+    _given_ports[port] = lock
+    return True
+
+
 @dataclass(slots=True)
 class Daemon:
     """Hold one started process and where it can be reached."""
@@ -65,6 +88,7 @@
     link_tick_s: float = 0.001
     daemons: dict[str, Daemon] = field(default_factory=dict)
     listed: list[dict[str, str]] = field(default_factory=list)
+    asked_to_end: set[str] = field(default_factory=set)
     keys: KeyPair = field(default_factory=new_keys)
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="ochreway-")))
 
@@ -184,12 +208,25 @@
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process of this site."""
+        self.asked_to_end.add(name)
         self.daemons[name].process.send_signal(number)
 
     def wait(self, name: str, bound_s: float = BOUND_S) -> int:
         """Wait until a process of this site has ended."""
         return self.daemons.pop(name).process.wait(bound_s)
 
+    def check_running(self) -> None:
+        """Check that no process has ended of its own.
+
+        Raises:
+            ProcessEnded: when one has, with its code and the end of its log.
+        """
+        for name, daemon in self.daemons.items():
+            code = daemon.process.poll()
+            if code is not None and name not in self.asked_to_end:
+                log = (self.folder / f"{name}.log").read_text()[-LOG_SHOWN:]
+                raise ProcessEnded(f"{name} ended with {code}: {log}")
+
     def stop(self) -> list[str]:
         """End every process of this site; return those that had to be killed."""
         for daemon in self.daemons.values():
@@ -255,15 +292,22 @@
 
 
 async def until(
-    what: str, check: Callable[[], Any], bound_s: float = BOUND_S, every_s: float = 0.05
+    what: str,
+    check: Callable[[], Any],
+    bound_s: float = BOUND_S,
+    every_s: float = 0.05,
+    site: Site | None = None,
 ) -> Any:
     """Wait for an asynchronous check to give something true.
 
     Raises:
         TimeoutError: when it has not within the bound.
+        ProcessEnded: when a process of the site, if one is given, has ended of its own.
     """
     end_s = time.monotonic() + bound_s
     while time.monotonic() < end_s:
+        if site is not None:
+            site.check_running()
         with contextlib.suppress(aiohttp.ClientError, OSError, asyncio.TimeoutError):
             found = await check()
             if found:
@@ -286,6 +330,7 @@
     "DOMAIN",
     "OPERATOR_TOKEN",
     "Daemon",
+    "ProcessEnded",
     "Site",
     "bundle_text",
     "free_port",
--- a/tests/processes/site.py
+++ b/tests/processes/site.py
@@ -68,7 +68,7 @@
         async def check() -> bool:
             return await self.gate(group, entry) == gate
 
-        await until(f"{group} is {gate}", check)
+        await until(f"{group} is {gate}", check, site=self.site)
 
 
 def on_a_site(scenario: Scenario, entries: int = 2, more: str = "", **given: Any) -> None:
@@ -90,7 +90,7 @@
         async with session.get(url) as response:
             return response.status == 200
 
-    await until("platform", lambda: answers(site.platform_url + "/counts"))
+    await until("platform", lambda: answers(site.platform_url + "/counts"), site=site)
     for number in range(1, entries + 1):
         site.start_entry(f"entry-{number}")
     for name in ENGINES:
@@ -99,7 +99,7 @@
         site.start_service(name)
     for daemon in list(site.daemons.values()):
         if daemon.link:
-            await until(daemon.name, lambda url=daemon.http + "/healthz": answers(url))
+            await until(daemon.name, lambda url=daemon.http + "/healthz": answers(url), site=site)
     await site.publish_list(session)
     await roll(site, session, bundle_text(ENGINES, SERVICES, 1, "1", more))
     running = Running(site, session)
