--- a/tests/processes/test_ports.py
+++ b/tests/processes/test_ports.py
@@ -10,6 +10,7 @@
 
 import testtools
 
+from ochreway_cli.porcelain import new_keys
 from ochreway_daemon.main import EXIT_LISTEN
 from ochreway_standins.site import ProcessEnded, Site, free_port, running_site, until
 
@@ -20,7 +21,8 @@
     def daemon(self, role: str, link: int, http: int) -> subprocess.CompletedProcess[str]:
         binary = str(Path(sys.executable).parent / "ochrewayd")
         listen = ("--link-listen", f"127.0.0.1:{link}", "--http-listen", f"127.0.0.1:{http}")
-        command = [binary, role, "--name", "one", "--link-key", "k" * 16, *listen]
+        keys = ("--link-key", "k" * 16, "--operator-key", f"bo={new_keys().public}")
+        command = [binary, role, "--name", "one", *keys, *listen]
         return subprocess.run(command, capture_output=True, text=True, timeout=BOUND_S)
 
     def test_a_daemon_that_cannot_bind_says_so_and_exits_with_its_own_code(self) -> None:
