Move logs, metrics, timer and setting checks below both daemons; add ochrewayd direct

Every setting of a direct entry is checked, faults are told at once, secrets hidden. Found by importing both: message tags 60 to 65 were the claims' already; now 100 to 105.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core routing nodes platform wire daemon direct cli standins
+PACKAGES := core routing nodes platform wire runtime direct daemon cli standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/ochreway-$(name)) -e platform
 SEED ?= 1
 RUNS ?= 500
--- a/packages/ochreway-cli/src/ochreway_cli/main.py
+++ b/packages/ochreway-cli/src/ochreway_cli/main.py
@@ -21,6 +21,7 @@
 from ochreway_core.ids import ScopeId
 from ochreway_platform.httpobjectstore import HttpObjectStore
 from ochreway_platform.httptable import HttpTable
+from ochreway_runtime.option import option
 
 TIMEOUT_S = 3.0
 WATCH_EVERY_S = 0.5
@@ -68,20 +69,6 @@
         sys.exit(fault.exit_code)
 
 
-def option(flag: str, default: Any, text: str, **more: Any) -> Callable[[Any], Any]:
-    """Declare an option that is also an environment variable."""
-    variable = "OCHREWAY_" + flag.removeprefix("--").replace("-", "_").upper()
-    return click.option(
-        flag,
-        default=default,
-        envvar=variable,
-        show_envvar=True,
-        show_default=True,
-        help=text,
-        **more,
-    )
-
-
 @click.group(
     epilog="Exit codes: 0 done, 1 failed, 2 usage, 3 bundle refused, 4 not found, "
     "5 race lost, 6 not approved, 7 platform down, 8 fate unknown, 9 roll not complete."
--- a/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
@@ -11,14 +11,14 @@
 from ochreway_core.ids import NodeId
 from ochreway_core.peer import Peer
 from ochreway_core.timing import Timing
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
 from ochreway_daemon.settings import AgentSettings
 from ochreway_daemon.shell import Shell
 from ochreway_nodes.agent import AgentNode
 from ochreway_nodes.targetstate import TargetState
 from ochreway_platform.errors import HandOverRefused, TargetBroke, TargetUnreachable
 from ochreway_platform.target import Target
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
 
 STATE_POLL_S = 0.25
 WINDOW_POLL_S = 0.005
--- a/packages/ochreway-daemon/src/ochreway_daemon/entryshell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/entryshell.py
@@ -21,8 +21,6 @@
 from ochreway_core.timing import Timing
 from ochreway_daemon.callerstream import CallerStream
 from ochreway_daemon.legacyrunner import LegacyRunner
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
 from ochreway_daemon.settings import EntrySettings
 from ochreway_daemon.shell import Shell
 from ochreway_nodes.entry import EntryNode
@@ -31,6 +29,8 @@
 from ochreway_platform.instancelist import InstanceList
 from ochreway_platform.objectstore import ObjectStore
 from ochreway_platform.table import Table
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
 
 
 class EntryShell(Shell):
--- a/packages/ochreway-daemon/src/ochreway_daemon/main.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -25,10 +25,7 @@
 from ochreway_daemon.api.health import health_routes
 from ochreway_daemon.api.operators import OperatorApi
 from ochreway_daemon.entryshell import EntryShell
-from ochreway_daemon.errors import SettingsInvalid
 from ochreway_daemon.legacyrunner import LegacyRunner
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
 from ochreway_daemon.settings import (
     AgentSettings,
     CommonSettings,
@@ -36,9 +33,9 @@
     check,
     first_peers,
     operator_keys,
-    shown,
 )
 from ochreway_daemon.shell import Shell
+from ochreway_direct.main import main as direct_entry
 from ochreway_nodes.agent import AgentNode
 from ochreway_nodes.controller.repair import REPAIR_POLICIES, RepairTuning
 from ochreway_nodes.entry import EntryNode
@@ -47,6 +44,11 @@
 from ochreway_platform.httptarget import HttpTarget
 from ochreway_platform.instancelist import HttpInstanceList
 from ochreway_routing.policy import POLICIES
+from ochreway_runtime.checks import shown
+from ochreway_runtime.errors import SettingsInvalid
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.option import option
 
 EXIT_SETTINGS = 2
 EXIT_CUT = 3
@@ -57,38 +59,24 @@
 F = TypeVar("F", bound=Callable[..., Any])
 
 
-def setting(flag: str, default: Any, text: str, **more: Any) -> Callable[[F], F]:
-    """Declare a setting as a flag and an environment variable."""
-    variable = "OCHREWAY_" + flag.removeprefix("--").replace("-", "_").upper()
-    return click.option(
-        flag,
-        default=default,
-        envvar=variable,
-        show_envvar=True,
-        show_default=True,
-        help=text,
-        **more,
-    )
-
-
 _COMMON = (
-    setting("--name", "", "Name of this instance in the platform's list."),
-    setting("--hall", "hall-1", "Data hall of this instance."),
-    setting("--domain", "domain-1", "Fabric domain of this instance."),
-    setting("--scope", "main", "Scope whose rolled versions are followed."),
-    setting("--link-listen", "127.0.0.1:7400", "host:port for links of other processes."),
-    setting("--http-listen", "127.0.0.1:7480", "host:port for HTTP."),
-    setting("--platform-url", "http://127.0.0.1:7000", "Base URL of the platform's services."),
-    setting("--link-key", "", "Key that every process of the system shares (secret)."),
-    setting("--operator-key", (), "NAME=BASE64 public key of an approver.", multiple=True),
-    setting("--statsd", "", "host:port of a statsd server; empty for none."),
-    setting("--log-level", "info", "debug, info, warning or error."),
-    setting("--drain-timeout-s", 900.0, "How long a planned stop waits for requests."),
-    setting("--link-tick-s", 0.001, "How long frames are gathered into one batch."),
-    setting("--key-memory-s", 120.0, "How long an idempotency key is remembered."),
-    setting("--tls-certificate", "", "Certificate of this process for links (PEM)."),
-    setting("--tls-key", "", "Private key of the certificate (PEM)."),
-    setting("--tls-authority", "", "Certificate of the authority for links (PEM)."),
+    option("--name", "", "Name of this instance in the platform's list."),
+    option("--hall", "hall-1", "Data hall of this instance."),
+    option("--domain", "domain-1", "Fabric domain of this instance."),
+    option("--scope", "main", "Scope whose rolled versions are followed."),
+    option("--link-listen", "127.0.0.1:7400", "host:port for links of other processes."),
+    option("--http-listen", "127.0.0.1:7480", "host:port for HTTP."),
+    option("--platform-url", "http://127.0.0.1:7000", "Base URL of the platform's services."),
+    option("--link-key", "", "Key that every process of the system shares (secret)."),
+    option("--operator-key", (), "NAME=BASE64 public key of an approver.", multiple=True),
+    option("--statsd", "", "host:port of a statsd server; empty for none."),
+    option("--log-level", "info", "debug, info, warning or error."),
+    option("--drain-timeout-s", 900.0, "How long a planned stop waits for requests."),
+    option("--link-tick-s", 0.001, "How long frames are gathered into one batch."),
+    option("--key-memory-s", 120.0, "How long an idempotency key is remembered."),
+    option("--tls-certificate", "", "Certificate of this process for links (PEM)."),
+    option("--tls-key", "", "Private key of the certificate (PEM)."),
+    option("--tls-authority", "", "Certificate of the authority for links (PEM)."),
     click.option("--check", "only_check", is_flag=True, help="Print the settings and stop."),
 )
 
@@ -107,15 +95,15 @@
 
 @main.command()
 @common
-@setting(
+@option(
     "--peer", (), "NAME=HOST:PORT of another entry, asked while the list is away.", multiple=True
 )
-@setting("--operator-token", "", "Token that the ochreway command shows (secret).")
-@setting("--routing-policy", "cost", "One of: " + ", ".join(sorted(POLICIES)) + ".")
-@setting("--repair-policy", "expected_cost", "One of: " + ", ".join(sorted(REPAIR_POLICIES)) + ".")
-@setting("--body-bytes-at-most", 8 * 1024 * 1024, "Longest body of a caller's request.")
-@setting("--default-deadline-s", 60.0, "Deadline of a request that states none.")
-@setting("--load-s", 30.0, "How long a group is expected to take to load a model.")
+@option("--operator-token", "", "Token that the ochreway command shows (secret).")
+@option("--routing-policy", "cost", "One of: " + ", ".join(sorted(POLICIES)) + ".")
+@option("--repair-policy", "expected_cost", "One of: " + ", ".join(sorted(REPAIR_POLICIES)) + ".")
+@option("--body-bytes-at-most", 8 * 1024 * 1024, "Longest body of a caller's request.")
+@option("--default-deadline-s", 60.0, "Deadline of a request that states none.")
+@option("--load-s", 30.0, "How long a group is expected to take to load a model.")
 def entry(only_check: bool, **given: Any) -> None:
     """Take callers' requests, route them, and hold controller leases."""
     settings = EntrySettings(**given)
@@ -125,8 +113,8 @@
 
 @main.command()
 @common
-@setting("--target-url", "http://127.0.0.1:8000", "Base URL of the target beside this agent.")
-@setting("--target-kind", "model", "model or service.")
+@option("--target-url", "http://127.0.0.1:8000", "Base URL of the target beside this agent.")
+@option("--target-kind", "model", "model or service.")
 def agent(only_check: bool, **given: Any) -> None:
     """Stand beside one target: its group, its orders, its requests."""
     settings = AgentSettings(**given)
@@ -134,6 +122,9 @@
     sys.exit(asyncio.run(_run_agent(settings)))
 
 
+main.add_command(direct_entry, "direct")
+
+
 def _checked(settings: CommonSettings, only_check: bool) -> None:
     try:
         check(settings)
--- a/packages/ochreway-daemon/src/ochreway_daemon/settings.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/settings.py
@@ -3,24 +3,16 @@
 
 import base64
 import binascii
-import dataclasses
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 
 from ochreway_core.ids import NodeId
 from ochreway_core.peer import Peer
 from ochreway_core.targetkind import TargetKind
-from ochreway_daemon.errors import SettingsInvalid
-
-HIDDEN = "(hidden)"
-LINK_KEY_BYTES_AT_LEAST = 16
-LEVELS = ("debug", "info", "warning", "error")
-
-Check = Callable[[Any], str | None]
+from ochreway_runtime import checks
+from ochreway_runtime.errors import SettingsInvalid
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,38 +59,6 @@
     target_kind: str
 
 
-def _address(value: str) -> str | None:
-    host, _, port = value.rpartition(":")
-    if host and port.isdigit() and int(port) < 65536:
-        return None
-    return "host:port with a port from 0 to 65535"
-
-
-def _optional_address(value: str) -> str | None:
-    return _address(value) if value else None
-
-
-def _url(value: str) -> str | None:
-    return None if value.startswith(("http://", "https://")) else "an http:// or https:// URL"
-
-
-def _filled(value: str) -> str | None:
-    return None if value else "a name"
-
-
-def _link_key(value: str) -> str | None:
-    long_enough = len(value.encode()) >= LINK_KEY_BYTES_AT_LEAST
-    return None if long_enough else f"at least {LINK_KEY_BYTES_AT_LEAST} bytes"
-
-
-def _positive(value: float) -> str | None:
-    return None if value > 0 else "a number above 0"
-
-
-def _one_of(*allowed: str) -> Check:
-    return lambda value: None if value in allowed else "one of " + ", ".join(allowed)
-
-
 def _operator_keys(values: tuple[str, ...]) -> str | None:
     try:
         return None if operator_keys(values) else "at least one NAME=BASE64 public key"
@@ -107,7 +67,7 @@
 
 
 def _peers(values: tuple[str, ...]) -> str | None:
-    shaped = all(name and _address(address) is None for name, address in map(_pair, values))
+    shaped = all(name and checks.address(address) is None for name, address in map(_pair, values))
     return None if shaped else "NAME=HOST:PORT of another entry's links"
 
 
@@ -125,30 +85,30 @@
     return None if not value or Path(value).is_file() else "a file that can be read"
 
 
-CHECKS: dict[str, Check] = {
-    "name": _filled,
-    "hall": _filled,
-    "domain": _filled,
-    "scope": _filled,
-    "link_listen": _address,
-    "http_listen": _address,
-    "platform_url": _url,
-    "link_key": _link_key,
+CHECKS: dict[str, checks.Check] = {
+    "name": checks.filled,
+    "hall": checks.filled,
+    "domain": checks.filled,
+    "scope": checks.filled,
+    "link_listen": checks.address,
+    "http_listen": checks.address,
+    "platform_url": checks.url,
+    "link_key": checks.link_key,
     "operator_key": _operator_keys,
     "peer": _peers,
-    "statsd": _optional_address,
-    "log_level": _one_of(*LEVELS),
-    "drain_timeout_s": _positive,
-    "link_tick_s": _positive,
-    "key_memory_s": _positive,
+    "statsd": checks.optional_address,
+    "log_level": checks.one_of(*checks.LEVELS),
+    "drain_timeout_s": checks.positive,
+    "link_tick_s": checks.positive,
+    "key_memory_s": checks.positive,
     "tls_certificate": _file,
     "tls_key": _file,
     "tls_authority": _file,
-    "body_bytes_at_most": _positive,
-    "default_deadline_s": _positive,
-    "load_s": _positive,
-    "target_url": _url,
-    "target_kind": _one_of(*(kind.value for kind in TargetKind)),
+    "body_bytes_at_most": checks.positive,
+    "default_deadline_s": checks.positive,
+    "load_s": checks.positive,
+    "target_url": checks.url,
+    "target_kind": checks.one_of(*(kind.value for kind in TargetKind)),
 }
 
 
@@ -158,13 +118,7 @@
     Raises:
         SettingsInvalid: with a line for each fault: flag, value, what is allowed.
     """
-    faults = []
-    for item in dataclasses.fields(settings):
-        value = getattr(settings, item.name)
-        allowed = CHECKS[item.name](value) if item.name in CHECKS else None
-        if allowed is not None:
-            shown = HIDDEN if item.metadata.get("secret") else repr(value)
-            faults.append(f"--{item.name.replace('_', '-')}: {shown} is not {allowed}")
+    faults = checks.faults_of(settings, CHECKS)
     tls = (settings.tls_certificate, settings.tls_key, settings.tls_authority)
     if any(tls) and not all(tls):
         faults.append("--tls-certificate, --tls-key, --tls-authority: give all three or none")
@@ -172,15 +126,6 @@
         raise SettingsInvalid(faults)
 
 
-def shown(settings: CommonSettings) -> list[str]:
-    """Return the settings in force as key=value lines, secrets hidden."""
-    lines = []
-    for item in dataclasses.fields(settings):
-        value = HIDDEN if item.metadata.get("secret") else getattr(settings, item.name)
-        lines.append(f"{item.name}={value}")
-    return lines
-
-
 def operator_keys(values: tuple[str, ...]) -> dict[str, Ed25519PublicKey]:
     """Return each operator's public key.
 
@@ -204,5 +149,4 @@
     "check",
     "first_peers",
     "operator_keys",
-    "shown",
 ]
--- a/packages/ochreway-daemon/src/ochreway_daemon/shell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/shell.py
@@ -11,11 +11,11 @@
 from ochreway_core.ids import NodeId, Version
 from ochreway_core.peer import Peer
 from ochreway_core.timing import Timing
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
 from ochreway_daemon.settings import CommonSettings
-from ochreway_daemon.timer import TimerService
 from ochreway_daemon.tls import client_context, server_context
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.timer import TimerService
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 
 from ochreway_core.ids import Epoch, GroupId
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
-from ochreway_direct.coordinator import Assignment, Coordinator
+from ochreway_direct.coordinator import Assignment, Coordinator, CoordinatorTuning
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import GroupPhase
 from ochreway_direct.listedtarget import ListedTarget
@@ -15,6 +13,8 @@
 from ochreway_direct.ports import EngineControl
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.errors import PlatformError, TargetUnreachable
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
 
 Spawn = Callable[[Coroutine[None, None, None]], object]
 LOST_TOLD_S = 3.0
@@ -28,11 +28,12 @@
         self,
         engines: EngineControl,
         timing: DirectTiming,
+        tuning: CoordinatorTuning,
         spawn: Spawn,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
-        self.coordinator = Coordinator()
+        self.coordinator = Coordinator(tuning)
         self._engines = engines
         self._timing = timing
         self._spawn = spawn
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -11,11 +11,9 @@
 from ochreway_core.backoff import Backoff
 from ochreway_core.ids import Epoch, GroupId, HallId, NodeId
 from ochreway_core.peer import Peer
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
-from ochreway_daemon.timer import TimerService
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.coordination import Coordination
+from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.fleetview import FleetView
@@ -36,6 +34,9 @@
 from ochreway_direct.settings import DirectSettings
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.errors import PlatformError
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.timer import TimerService
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
 
@@ -80,7 +81,9 @@
         )
         identity = f"{settings.name}/{secrets.token_hex(6)}"
         self.lease = Lease(services.table, identity, timing.lease_renew_s, self._backoff(timing))
-        self.coordination = Coordination(services.engines, timing, self.spawn, log, metrics)
+        self.coordination = Coordination(
+            services.engines, timing, _tuning(settings), self.spawn, log, metrics
+        )
         self.view = FleetView(timing.list_stale_s)
         self._tasks: set[asyncio.Task[None]] = set()
         self._sequence = 0
@@ -367,4 +370,10 @@
     }
 
 
+def _tuning(settings: DirectSettings) -> CoordinatorTuning:
+    return CoordinatorTuning(
+        loads_window_s=settings.loads_window_s, loads_excess=settings.loads_excess
+    )
+
+
 __all__ = ["DirectEntry"]
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -6,24 +6,27 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any
 
 import aiohttp
 import click
 from aiohttp import web
 
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
 from ochreway_direct.entry import DirectEntry
 from ochreway_direct.ports.platformservices import ADAPTERS
 from ochreway_direct.relay.relay import Relay
 from ochreway_direct.relay.targetprotocol import TargetConnector
 from ochreway_direct.relay.tuning import RelayTuning
-from ochreway_direct.settings import DirectSettings
+from ochreway_direct.settings import DirectSettings, check
 from ochreway_direct.timing import DirectTiming
-
-F = TypeVar("F", bound=Callable[..., Any])
+from ochreway_runtime.checks import shown
+from ochreway_runtime.errors import SettingsInvalid
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.option import option
+
+EXIT_SETTINGS = 2
+EXIT_LISTEN = 4
 KEPT_S = 3.0
 """For how long an idle connection to a target is kept."""
 STOP_POLL_S = 0.1
@@ -32,30 +35,40 @@
 """For how long a stopping entry serves on at the least, as new connections still come."""
 
 
-def setting(flag: str, default: Any, text: str, **more: Any) -> Callable[[F], F]:
-    """Declare a setting as a flag and an environment variable."""
-    variable = "OCHREWAY_" + flag.removeprefix("--").replace("-", "_").upper()
-    return click.option(flag, default=default, envvar=variable, help=text, **more)
-
-
 @click.command()
-@setting("--name", "", "Name of this instance.")
-@setting("--hall", "hall-1", "Data hall of this instance.")
-@setting("--adapter", "", "Module that adapts to the platform, and registers its name.")
-@setting("--caller-listen", "127.0.0.1:7480", "host:port for callers.")
-@setting("--ready-listen", "127.0.0.1:7481", "host:port for the question whether it is ready.")
-@setting("--link-listen", "127.0.0.1:7400", "host:port for links of other entries.")
-@setting("--platform-url", "http://127.0.0.1:7000", "Base URL of the platform's services.")
-@setting("--peer", "", "host:port of other entries' links, with commas between.")
-@setting("--link-key", "", "Key that every process of the system shares (secret).")
-@setting("--statsd", "", "host:port of a statsd server; empty for none.")
-@setting("--log-level", "info", "debug, info, warning or error.")
-@setting("--key-trust-s", 4.5, "For how long keys are trusted without proof of freshness.")
-@setting("--grace-s", 8.0, "How long a planned stop may take.")
-def main(**given: Any) -> None:
+@option("--name", "", "Name of this instance.")
+@option("--hall", "hall-1", "Data hall of this instance.")
+@option("--adapter", "", "Module that adapts to the platform, and registers its name.")
+@option("--caller-listen", "127.0.0.1:7480", "host:port for callers.")
+@option("--ready-listen", "127.0.0.1:7481", "host:port for the question whether it is ready.")
+@option("--link-listen", "127.0.0.1:7400", "host:port for links of other entries.")
+@option("--platform-url", "http://127.0.0.1:7000", "Base URL of the platform's services.")
+@option("--peer", "", "host:port of other entries' links, with commas between.")
+@option("--link-key", "", "Key that every process of the system shares (secret).")
+@option("--statsd", "", "host:port of a statsd server; empty for none.")
+@option("--log-level", "info", "debug, info, warning or error.")
+@option("--key-revoke-ms", 5000, "How soon a key that was taken away may not be used any more.")
+@option("--grace-s", 8.0, "How long a planned stop may take.")
+@option("--loads-window-s", 5.0, "Window in which loads of weights are bounded.")
+@option("--loads-excess", 1.1, "Share of the configured rate of loads that a window may have.")
+@option("--idle-caller-s", 30.0, "How long a caller's connection may rest.")
+@option("--body-bytes-at-most", 4 * 1024 * 1024, "Longest body of a caller's request.")
+@option("--header-bytes-at-most", 16 * 1024, "Longest header line of a caller's request.")
+@click.option("--check", "only_check", is_flag=True, help="Print the settings and stop.")
+def main(only_check: bool, **given: Any) -> None:
     """Take callers' requests and send them straight to targets."""
     given["peer"] = tuple(each for each in given["peer"].split(",") if each)
-    sys.exit(asyncio.run(run(DirectSettings(**given))))
+    settings = DirectSettings(**given)
+    try:
+        check(settings)
+    except SettingsInvalid as fault:
+        for line in fault.faults:
+            click.echo(line, err=True)
+        sys.exit(EXIT_SETTINGS)
+    if only_check:
+        click.echo("\n".join(shown(settings)))
+        return
+    sys.exit(asyncio.run(run(settings)))
 
 
 async def run(settings: DirectSettings) -> int:
@@ -87,9 +100,14 @@
             *(entry.serving, services.dialect, kept, single, entry.meter, RelayTuning()),
             *(log, metrics),
         )
-        await entry.start()
-        callers = await _serve_callers(settings, relay)
-        ready = await _serve_ready(settings, entry)
+        try:
+            await entry.start()
+            callers = await _serve_callers(settings, relay)
+            ready = await _serve_ready(settings, entry)
+        except OSError as fault:
+            log.fault("cannot_listen", cause=fault)
+            await entry.stop()
+            return EXIT_LISTEN
         log.event("started", pid=os.getpid(), callers=settings.caller_listen)
         await stop.wait()
         await _drain(entry, relay)
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -12,7 +12,7 @@
 from ochreway_direct.listedtarget import ListedTarget
 
 
-@message(60)
+@message(100)
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Tell another entry what this one knows and does.
@@ -34,7 +34,7 @@
     peers: tuple[Peer, ...]
 
 
-@message(61)
+@message(101)
 @dataclass(frozen=True, slots=True)
 class FleetUpdate:
     """Tell other entries which groups serve, which plain targets there are, and who leaves.
@@ -52,7 +52,7 @@
     listed_age_s: float | None
 
 
-@message(62)
+@message(102)
 @dataclass(frozen=True, slots=True)
 class ConfigurationRequest:
     """Ask for the configuration when it is newer than a version."""
@@ -60,7 +60,7 @@
     than: Version
 
 
-@message(63)
+@message(103)
 @dataclass(frozen=True, slots=True)
 class ConfigurationUpdate:
     """Hand over the configuration in force."""
@@ -68,7 +68,7 @@
     configuration: Configuration
 
 
-@message(64)
+@message(104)
 @dataclass(frozen=True, slots=True)
 class Suspicion:
     """Tell the holder of the lease that a group's leader fell silent under requests."""
@@ -76,7 +76,7 @@
     group: GroupId
 
 
-@message(65)
+@message(105)
 @dataclass(frozen=True, slots=True)
 class ListUpdate:
     """Hand the platform's list to a holder of the lease that cannot read it."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -12,8 +12,6 @@
 
 from ochreway_core.outcome import Outcome
 from ochreway_core.reason import Reason
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
 from ochreway_direct.configuration import Route, RouteKind
 from ochreway_direct.coordinator.demand import work_s
 from ochreway_direct.demandmeter import DemandMeter
@@ -28,6 +26,8 @@
 from ochreway_direct.routetable import RouteTable
 from ochreway_direct.serving import Serving
 from ochreway_routing.retrybudget import RetryBudget
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
 
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 502
--- /dev/null
+++ b/packages/ochreway-runtime/src/ochreway_runtime/checks.py
@@ -0,0 +1,102 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Checking settings at start, with every fault reported at once."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from ochreway_runtime.errors import SettingsInvalid
+
+HIDDEN = "(hidden)"
+LINK_KEY_BYTES_AT_LEAST = 16
+LEVELS = ("debug", "info", "warning", "error")
+
+Check = Callable[[Any], str | None]
+"""Return what a value has to be, or None when it is that."""
+
+
+def address(value: str) -> str | None:
+    """Check a host and port."""
+    host, _, port = value.rpartition(":")
+    if host and port.isdigit() and int(port) < 65536:
+        return None
+    return "host:port with a port from 0 to 65535"
+
+
+def optional_address(value: str) -> str | None:
+    """Check a host and port that may be left out."""
+    return address(value) if value else None
+
+
+def url(value: str) -> str | None:
+    """Check a base URL."""
+    return None if value.startswith(("http://", "https://")) else "an http:// or https:// URL"
+
+
+def filled(value: str) -> str | None:
+    """Check that a name is given."""
+    return None if value else "a name"
+
+
+def link_key(value: str) -> str | None:
+    """Check the key of links between processes."""
+    long_enough = len(value.encode()) >= LINK_KEY_BYTES_AT_LEAST
+    return None if long_enough else f"at least {LINK_KEY_BYTES_AT_LEAST} bytes"
+
+
+def positive(value: float) -> str | None:
+    """Check a number above 0."""
+    return None if value > 0 else "a number above 0"
+
+
+def one_of(*allowed: str) -> Check:
+    """Return a check that a value is among those allowed."""
+    return lambda value: None if value in allowed else "one of " + ", ".join(allowed)
+
+
+def faults_of(settings: Any, checks: Mapping[str, Check]) -> list[str]:
+    """Return a line for each setting that is not acceptable: flag, value, what is allowed."""
+    faults = []
+    for item in dataclasses.fields(settings):
+        value = getattr(settings, item.name)
+        allowed = checks[item.name](value) if item.name in checks else None
+        if allowed is not None:
+            told = HIDDEN if item.metadata.get("secret") else repr(value)
+            faults.append(f"--{item.name.replace('_', '-')}: {told} is not {allowed}")
+    return faults
+
+
+def check_all(settings: Any, checks: Mapping[str, Check]) -> None:
+    """Check every setting.
+
+    Raises:
+        SettingsInvalid: with a line for each fault.
+    """
+    faults = faults_of(settings, checks)
+    if faults:
+        raise SettingsInvalid(faults)
+
+
+def shown(settings: Any) -> list[str]:
+    """Return the settings in force as key=value lines, secrets hidden."""
+    lines = []
+    for item in dataclasses.fields(settings):
+        value = HIDDEN if item.metadata.get("secret") else getattr(settings, item.name)
+        lines.append(f"{item.name}={value}")
+    return lines
+
+
+__all__ = [
+    "LEVELS",
+    "Check",
+    "address",
+    "check_all",
+    "faults_of",
+    "filled",
+    "link_key",
+    "one_of",
+    "optional_address",
+    "positive",
+    "shown",
+    "url",
+]
--- /dev/null
+++ b/packages/ochreway-runtime/src/ochreway_runtime/option.py
@@ -0,0 +1,26 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Settings as flags and environment variables of a command."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import click
+
+F = TypeVar("F", bound=Callable[..., Any])
+
+
+def option(flag: str, default: Any, text: str, **more: Any) -> Callable[[F], F]:
+    """Declare a setting as a flag and an environment variable."""
+    variable = "OCHREWAY_" + flag.removeprefix("--").replace("-", "_").upper()
+    return click.option(
+        flag,
+        default=default,
+        envvar=variable,
+        show_envvar=True,
+        show_default=True,
+        help=text,
+        **more,
+    )
+
+
+__all__ = ["option"]
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -12,8 +12,6 @@
 from yarl import URL
 
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId, OrganisationId, Version
-from ochreway_daemon.logs import EventLog
-from ochreway_daemon.metrics import Metrics
 from ochreway_direct.configuration import (
     Configuration,
     Organisation,
@@ -32,6 +30,8 @@
 from ochreway_direct.relay.targetprotocol import TargetConnector
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
 from tests.direct.engineworld import LARGE, SERVICE, SPEC
 from tests.direct.plaindialect import PlainDialect
 
