Plan groups for the whole site, spread over domains; take a dead life's lease at once

Change: the number of groups is chosen for the site, larger ones are placed first and each model is spread; the lease of a life whose process was heard in a later life is free. Also: a process test that waits for work to begin now says how the request ended if it was answered instead.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -27,9 +27,10 @@
     standing: Mapping[Slot, int],
     tuning: CoordinatorTuning,
 ) -> Counter[Slot]:
-    """Return the number of groups for each place, the most useful first.
+    """Return the number of groups for each place.
 
-    A group goes where it leaves the fewest engines over, so that larger ones still find room.
+    Groups are added as long as all of them find room, the one that adds most for each engine
+    first.
 
     Args:
         spec: the models and their sizes.
@@ -38,29 +39,57 @@
         standing: the groups there are, which are preferred to new ones.
         tuning: the weights.
     """
-    left = dict(engines)
-    chosen: Counter[Slot] = Counter()
+    stand: Counter[ModelName] = Counter()
+    for slot, number in standing.items():
+        stand[slot.model] += number
     totals: Counter[ModelName] = Counter()
+    placed: Counter[Slot] = Counter()
 
-    def value(domain: DomainId, model: ModelSpec) -> float:
+    def value(model: ModelSpec) -> float:
         added = gain(needs[model.name], totals[model.name], tuning.crowding) / model.size
-        slot = Slot(domain, model.name)
-        stands = chosen[slot] < standing.get(slot, 0)
-        return added * (tuning.keep_bonus if stands else 1.0)
+        return added * (tuning.keep_bonus if totals[model.name] < stand[model.name] else 1.0)
 
     while True:
-        options = [
-            (value(domain, model), -left[domain], domain, model)
-            for domain in sorted(left)
-            for model in spec.models
-            if left[domain] >= model.size
-        ]
-        if not options:
-            return chosen
-        _, _, domain, model = max(options, key=lambda option: option[:2])
-        chosen[Slot(domain, model.name)] += 1
-        totals[model.name] += 1
-        left[domain] -= model.size
-
-
-__all__ = ["Slot", "plan"]
+        for model in sorted(spec.models, key=value, reverse=True):
+            found = place(spec, totals + Counter([model.name]), engines, standing)
+            if found is not None:
+                totals[model.name] += 1
+                placed = found
+                break
+        else:
+            return placed
+
+
+def place(
+    spec: EngineSpec,
+    totals: Mapping[ModelName, int],
+    engines: Mapping[DomainId, int],
+    standing: Mapping[Slot, int],
+) -> Counter[Slot] | None:
+    """Return where so many groups of each model go, or None when they find no room.
+
+    Larger groups are placed first. A standing one keeps its place; new ones are spread, so that
+    each domain has groups of several models, whose engines can stand in for each other.
+    """
+    left = Counter(engines)
+    placed: Counter[Slot] = Counter()
+    for model in sorted(spec.models, key=lambda each: -each.size):
+        for _ in range(totals.get(model.name, 0)):
+            slots = [Slot(domain, model.name) for domain in left if left[domain] >= model.size]
+            if not slots:
+                return None
+            chosen = max(
+                slots,
+                key=lambda slot: (
+                    placed[slot] < standing.get(slot, 0),
+                    -placed[slot],
+                    left[slot.domain],
+                    slot.domain,
+                ),
+            )
+            placed[chosen] += 1
+            left[chosen.domain] -= model.size
+    return placed
+
+
+__all__ = ["Slot", "place", "plan"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -18,7 +18,7 @@
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.freshness import Freshness
-from ochreway_direct.lease import Lease
+from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.messages import (
     ConfigurationRequest,
@@ -79,8 +79,13 @@
             lambda _: None,
             lambda peer: self.peers.learn((peer,), self._loop.time()),
         )
-        identity = f"{settings.name}/{secrets.token_hex(6)}"
-        self.lease = Lease(services.table, identity, timing.lease_renew_s, self._backoff(timing))
+        self.incarnation = secrets.token_hex(6)
+        self.lease = Lease(
+            services.table,
+            Holder(self.me.node, self.incarnation),
+            timing.lease_renew_s,
+            self._backoff(timing),
+        )
         self.coordination = Coordination(
             services.engines, timing, _tuning(settings), self.spawn, log, metrics
         )
@@ -179,6 +184,8 @@
 
     def _listed(self, targets: tuple[ListedTarget, ...], asked_s: float) -> None:
         self.coordination.listed(targets, self._loop.time())
+        if len(targets) != len(self.view.targets()):
+            self.log.event("listed", targets=len(targets), before=len(self.view.targets()))
         self.view.list(targets, asked_s)
         self._show()
         holder = self.peers.holder(self._loop.time())
@@ -310,6 +317,7 @@
 
     def _heartbeat(self, peer: Peer, known: list[Peer], now_s: float) -> Heartbeat:
         return Heartbeat(
+            incarnation=self.incarnation,
             sent_s=now_s,
             echo_s=self.peers.echo_s(peer.node),
             version=self.serving.version,
@@ -331,6 +339,7 @@
     def _on_heartbeat(self, sender: Peer, heartbeat: Heartbeat) -> None:
         now_s = self._loop.time()
         self.peers.hear(sender, heartbeat, now_s)
+        self.lease.note_alive(Holder(sender.node, heartbeat.incarnation))
         if heartbeat.holds_lease:
             self.lease.hear(heartbeat.lease_revision, now_s)
         self.serving.fleet.set_elsewhere(sender.node, Counter(heartbeat.under_way))
--- a/packages/ochreway-direct/src/ochreway_direct/lease.py
+++ b/packages/ochreway-direct/src/ochreway_direct/lease.py
@@ -7,7 +7,7 @@
 from ochreway_core.backoff import Backoff
 from ochreway_core.codec import decode, encode
 from ochreway_core.errors import CodecError
-from ochreway_core.ids import ChangeId
+from ochreway_core.ids import ChangeId, NodeId
 from ochreway_core.table import ABSENT, CommitStatus, Condition, Row, Transaction
 from ochreway_platform.errors import TableUnavailable
 from ochreway_platform.table import Table
@@ -15,11 +15,19 @@
 LEASE_KEY = "lease/coordinator"
 
 
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """Name one life of a process."""
+
+    node: NodeId
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRow:
     """Hold who has the lease, as of which change; a released one may be taken at once."""
 
-    holder: str
+    holder: Holder
     change: str
     released: bool = False
 
@@ -37,11 +45,12 @@
     A write without an answer is settled by reading the change back, never by guessing.
     """
 
-    def __init__(self, table: Table, holder: str, renew_s: float, backoff: Backoff) -> None:
+    def __init__(self, table: Table, holder: Holder, renew_s: float, backoff: Backoff) -> None:
         self._table = table
         self._holder = holder
         self._renew_s = renew_s
         self._backoff = backoff
+        self._alive: dict[NodeId, str] = {holder.node: holder.incarnation}
         self._changes = 0
         self._retry_s = 0.0
         self.state = LeaseState.ABSENT
@@ -70,11 +79,19 @@
             self.revision = revision
             self.seen_s = now_s
 
+    def note_alive(self, process: Holder) -> None:
+        """Note which life of another process speaks, as any former one has ended."""
+        self._alive[process.node] = process.incarnation
+
+    def _ended(self, holder: Holder) -> bool:
+        """Tell whether a later life of the holder is known."""
+        return self._alive.get(holder.node, holder.incarnation) != holder.incarnation
+
     def free(self, now_s: float, unchanged_s: float) -> bool:
         """Tell whether the lease may be taken: released, or not renewed for a while."""
         if not self.allowed(now_s):
             return False
-        if self.row is None or self.row.released:
+        if self.row is None or self.row.released or self._ended(self.row.holder):
             return True
         return now_s - self.seen_s >= unchanged_s
 
@@ -115,7 +132,7 @@
 
     async def _write(self, released: bool, now_s: float) -> bool:
         self._changes += 1
-        change = ChangeId(f"{self._holder}/{self._changes}")
+        change = ChangeId(f"{self._holder.node}/{self._holder.incarnation}/{self._changes}")
         content = encode(LeaseRow(self._holder, change, released))
         conditions = (Condition(LEASE_KEY, self.revision),)
         reply = await self._table.commit(Transaction(change, conditions, {LEASE_KEY: content}))
@@ -167,4 +184,4 @@
         return None
 
 
-__all__ = ["LEASE_KEY", "Lease", "LeaseRow", "LeaseState"]
+__all__ = ["LEASE_KEY", "Holder", "Lease", "LeaseRow", "LeaseState"]
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -22,6 +22,7 @@
     sender's proof that its configuration is the newest.
     """
 
+    incarnation: str
     sent_s: float
     echo_s: float | None
     version: Version
--- a/tests/direct/test_layout.py
+++ b/tests/direct/test_layout.py
@@ -24,6 +24,18 @@
             used = sum(size[s.model] * n for s, n in chosen.items() if s.domain == domain)
             self.assertEqual(engines, used)
 
+    def test_models_are_spread_over_domains(self) -> None:
+        chosen = self.plan(1.6, 1.6, {D1: 8, D2: 8})
+        for domain in (D1, D2):
+            models = {slot.model for slot, n in chosen.items() if slot.domain == domain and n}
+            self.assertEqual({LARGE.name, SMALL.name}, models)
+
+    def test_a_large_group_finds_room_where_small_ones_can_go_elsewhere(self) -> None:
+        standing = {Slot(D1, SMALL.name): 2, Slot(D2, SMALL.name): 2, Slot(D2, LARGE.name): 1}
+        needs = {LARGE.name: 1.0, SMALL.name: 1.2}
+        chosen = plan(SPEC, needs, {D1: 7, D2: 8}, standing, TUNING)
+        self.assertEqual(1, chosen[Slot(D1, LARGE.name)])
+
     def test_more_work_gets_more_groups(self) -> None:
         much = self.plan(4.0, 0.1, {D1: 8, D2: 8})
         little = self.plan(0.1, 4.0, {D1: 8, D2: 8})
--- a/tests/direct/test_lease.py
+++ b/tests/direct/test_lease.py
@@ -5,8 +5,9 @@
 import testtools
 
 from ochreway_core.backoff import Backoff
+from ochreway_core.ids import NodeId
 from ochreway_core.table import CommitReply, CommitStatus, Transaction
-from ochreway_direct.lease import Lease
+from ochreway_direct.lease import Holder, Lease
 from ochreway_platform.memorytable import MemoryTable
 
 
@@ -22,8 +23,8 @@
         return CommitReply(CommitStatus.LOST) if self.lose else reply
 
 
-def lease(table: MemoryTable, holder: str) -> Lease:
-    return Lease(table, holder, 1.0, Backoff(0.1, 1.0, random.Random(1)))
+def lease(table: MemoryTable, name: str, life: str = "1") -> Lease:
+    return Lease(table, Holder(NodeId(name), life), 1.0, Backoff(0.1, 1.0, random.Random(1)))
 
 
 class LeaseTests(testtools.TestCase):
@@ -51,6 +52,20 @@
 
         asyncio.run(work())
 
+    def test_the_lease_of_a_life_that_has_ended_is_free_at_once(self) -> None:
+        async def work() -> None:
+            table = MemoryTable()
+            one, again, other = lease(table, "one"), lease(table, "one", "2"), lease(table, "two")
+            await one.observe(1.0)
+            await one.take(1.0)
+            for each in (again, other):
+                await each.observe(1.2)
+            self.assertEqual([True, False], [each.free(1.2, 1.0) for each in (again, other)])
+            other.note_alive(Holder(NodeId("one"), "2"))
+            self.assertTrue(other.free(1.2, 1.0))
+
+        asyncio.run(work())
+
     def test_a_released_lease_is_free_at_once(self) -> None:
         async def work() -> None:
             table = MemoryTable()
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -101,6 +101,7 @@
             first = asyncio.create_task(running.confirm("v2", "entry-1", "key-2"))
 
             async def begun() -> bool:
+                self.assertFalse(first.done(), f"answered too early: {first}")
                 return await running.confirmed("v2") == 1
 
             await until("the service has begun", begun)
