--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -41,7 +41,6 @@
         self._staging = Staging(self._state)
         self._listing = Listing(self.tuning)
         self._began_s = 0.0
-        self._grown_s = 0.0
         self._started = False
 
     @property
@@ -89,16 +88,15 @@
         engines = {each.instance: each for each in targets if each.engine is not None}
         gone = self._listing.read(engines, now_s)
         for instance, listed in engines.items():
-            self._list(instance, listed, now_s)
+            self._list(instance, listed)
         for instance, record in list(self.engines.items()):
             if instance in gone and record.missing_s is None:
                 record.missing_s = now_s
 
-    def _list(self, instance: InstanceId, listed: ListedTarget, now_s: float) -> None:
+    def _list(self, instance: InstanceId, listed: ListedTarget) -> None:
         record = self.engines.get(instance)
         if record is None:
             assert listed.engine is not None
-            self._grown_s = now_s
             self.engines[instance] = EngineRecord(listed, listed.engine)
             return
         record.listed = listed
@@ -234,17 +232,11 @@
         return self._state.out
 
     def _settled(self, now_s: float) -> bool:
-        """Tell whether enough is known to decide.
-
-        Every listed engine was asked, and when none has any weights yet, as at the first start,
-        the list has stopped growing; or long enough passed.
-        """
+        """Tell whether every listed engine was asked since this began, or long enough passed."""
         if now_s - self._began_s >= self.tuning.settle_s:
             return True
         records = self.engines.values()
-        asked = bool(records) and all(r.observed_s > 0 or r.misses for r in records)
-        grown = now_s - self._grown_s < self.tuning.list_growing_s
-        return asked and not (grown and self._untouched())
+        return bool(records) and all(r.observed_s > 0 or r.misses for r in records)
 
     def _untouched(self) -> bool:
         """Tell whether no engine is in a group, has weights or is about to get any."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -9,6 +9,7 @@
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.formation import FreeEngines
+from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
 from ochreway_direct.coordinator.layout import Slot
 from ochreway_direct.coordinator.state import STANDING, CoordinatorState
 from ochreway_direct.ids import ModelName, ServiceName
@@ -91,23 +92,18 @@
         return short
 
     def _beside(self, service: ServiceName, spec: EngineSpec) -> list[Load]:
-        """Pair members with larger models, those with the fewest substitutes first.
+        """Pair members with other models, those with the fewest substitutes first.
 
-        A smaller model's weights would push out those of the larger one, whose groups are the
-        harder to complete.
+        Every member of a smaller group gets a larger model's weights, as large groups are the
+        harder to complete. Half of a larger group's members get a smaller one's: more would
+        leave too few with the larger model's after a restart, which forgets what was served.
         """
         substitutes = self._substitutes(service, spec)
         loads = []
         for group in self._state.of_service(service):
             own = spec.model(group.model)
-            larger = [model for model in spec.models if own is not None and model.size > own.size]
-            if group.phase not in STANDING or not larger:
-                continue
-            model = max(larger, key=lambda each: each.size)
-            for instance in group.members:
-                engine = self._state.engines[instance]
-                if not engine.leaving and model.name not in engine.state.staged:
-                    loads.append(Load(engine, model))
+            if group.phase in STANDING and own is not None:
+                loads += self._larger(spec, own, group) or self._smaller(spec, own, group)
 
         def urgency(load: Load) -> tuple[int, int]:
             place = Slot(load.engine.domain, load.model.name)
@@ -115,6 +111,31 @@
 
         return sorted(loads, key=urgency)
 
+    def _larger(self, spec: EngineSpec, own: ModelSpec, group: GroupRecord) -> list[Load]:
+        larger = [model for model in spec.models if model.size > own.size]
+        if not larger:
+            return []
+        model = max(larger, key=lambda each: each.size)
+        return [
+            Load(engine, model)
+            for engine in self._members(group)
+            if model.name not in engine.state.staged
+        ]
+
+    def _smaller(self, spec: EngineSpec, own: ModelSpec, group: GroupRecord) -> list[Load]:
+        smaller = [model for model in spec.models if model.size < own.size]
+        if not smaller or group.phase is not GroupPhase.SERVING:
+            return []
+        model = max(smaller, key=lambda each: each.size)
+        members = self._members(group)
+        have = sum(1 for each in members if each.staging or own.name not in each.state.staged)
+        rest = [each for each in members if not each.staging and own.name in each.state.staged]
+        return [Load(engine, model) for engine in rest[: max(0, own.size // 2 - have)]]
+
+    def _members(self, group: GroupRecord) -> list[EngineRecord]:
+        members = [self._state.engines[each] for each in group.members]
+        return [each for each in members if not each.leaving and not each.dead]
+
     def _substitutes(self, service: ServiceName, spec: EngineSpec) -> Counter[Slot]:
         """Count the engines of each domain that could replace a lost member of a model."""
         serving = {
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -13,7 +13,6 @@
     """
 
     settle_s: float = 1.5
-    list_growing_s: float = 0.4
     probe_changing_s: float = 0.15
     probe_serving_s: float = 0.5
     probe_free_s: float = 0.8
