--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -189,6 +189,8 @@
             return self.tuning.dead_probe_s
         if record.misses or record.instance in changing or record.observed_s < 0:
             return self.tuning.probe_changing_s
+        if record.staging and self.demand.measured_since_s is None:
+            return self.tuning.probe_staging_s
         if record.instance in members:
             return self.tuning.probe_serving_s
         return self.tuning.probe_free_s
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -89,11 +89,9 @@
         return True
 
     def _begin_loads(self, service: ServiceName, model: ModelSpec, now_s: float) -> bool:
-        state = self._state
-        at_most = state.tuning.loading_share * state.specs[service].loads_at_once
-        if state.loading(service) + model.size > at_most:
+        if not self._state.may_load(service, model.size):
             return False
-        return state.limits[service].take(now_s, model.size)
+        return self._state.limits[service].take(now_s, model.size)
 
     def _trade(
         self,
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -156,8 +156,7 @@
         engine = load.engine
         if engine.staging or engine.pending or engine.state.busy:
             return
-        spec = self._state.specs[service]
-        if self._state.loading(service) >= self._state.tuning.loading_share * spec.loads_at_once:
+        if not self._state.may_load(service, 1):
             return
         if now_s - engine.ordered_s < self._state.tuning.order_retry_s:
             return
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -88,6 +88,17 @@
             and self.engines[instance].usable
         ]
 
+    def may_load(self, service: ServiceName, engines: int) -> bool:
+        """Tell whether so many more engines may get weights at the same time.
+
+        More at once would all end later. Before the first request loads are short, and what
+        counts is that the store is never idle.
+        """
+        if self.demand.measured_since_s is None:
+            return True
+        at_most = self.tuning.loading_share * self.specs[service].loads_at_once
+        return self.loading(service) + engines <= at_most
+
     def loading(self, service: ServiceName) -> int:
         """Return how many engines of a service are getting weights."""
         return sum(
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -16,6 +16,7 @@
     probe_changing_s: float = 0.15
     probe_serving_s: float = 0.5
     probe_free_s: float = 0.8
+    probe_staging_s: float = 0.25
     misses_until_dead: int = 2
     dead_probe_s: float = 1.0
     order_retry_s: float = 0.25
