--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 RUNS ?= 500
 JOBS ?= 4
 
-.PHONY: setup demo test lint unit soak guards faults bench bench-policy slopes repairs format
+.PHONY: setup demo test lint unit soak guards faults bench bench-policy slopes repairs groups format
 
 setup: $(VENV)/.ready
 
@@ -55,6 +55,9 @@
 repairs: setup
 	$(BIN)/python -m ochreway_standins.repairs --seed $(SEED) --jobs $(JOBS)
 
+groups: setup
+	$(BIN)/python -m ochreway_standins.groupbench --seed $(SEED) --runs 56 --jobs $(JOBS)
+
 faults: setup
 	$(BIN)/python -m pytest -n 2 tests/processes
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -89,7 +89,7 @@
         return True
 
     def _begin_loads(self, service: ServiceName, model: ModelSpec, now_s: float) -> bool:
-        if not self._state.may_load(service, model.size):
+        if not self._state.may_load(service, model.size, self._state.tuning.loading_share):
             return False
         return self._state.limits[service].take(now_s, model.size)
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -48,8 +48,11 @@
             for domain, records in free.items()
             for load in self._for_free(service, spec, domain, records, wanted)
         ]
-        for load in [*first, *self._beside(service, spec)]:
-            self._load(service, load, now_s)
+        tuning = self._state.tuning
+        for load in first:
+            self._load(service, load, tuning.loading_share, now_s)
+        for load in self._beside(service, spec):
+            self._load(service, load, tuning.loading_beside_share, now_s)
 
     def _for_free(
         self,
@@ -152,11 +155,11 @@
             if record.quick(model.name) or record.staging == model.name
         )
 
-    def _load(self, service: ServiceName, load: Load, now_s: float) -> None:
+    def _load(self, service: ServiceName, load: Load, share: float, now_s: float) -> None:
         engine = load.engine
         if engine.staging or engine.pending or engine.state.busy:
             return
-        if not self._state.may_load(service, 1):
+        if not self._state.may_load(service, 1, share):
             return
         if now_s - engine.ordered_s < self._state.tuning.order_retry_s:
             return
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -88,16 +88,15 @@
             and self.engines[instance].usable
         ]
 
-    def may_load(self, service: ServiceName, engines: int) -> bool:
-        """Tell whether so many more engines may get weights at the same time.
+    def may_load(self, service: ServiceName, engines: int, share: float) -> bool:
+        """Tell whether so many more engines may get weights, within a share of the store's rate.
 
         More at once would all end later. Before the first request loads are short, and what
         counts is that the store is never idle.
         """
         if self.demand.measured_since_s is None:
             return True
-        at_most = self.tuning.loading_share * self.specs[service].loads_at_once
-        return self.loading(service) + engines <= at_most
+        return self.loading(service) + engines <= share * self.specs[service].loads_at_once
 
     def loading(self, service: ServiceName) -> int:
         """Return how many engines of a service are getting weights."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -31,7 +31,8 @@
     keep_bonus: float = 1.5
     loads_window_s: float = 5.0
     loads_excess: float = 1.1
-    loading_share: float = 1.5
+    loading_share: float = 1.0
+    loading_beside_share: float = 0.5
     loads_slack_s: float = 0.3
     loads_spare: int = 2
 
--- a/tests/direct/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -15,6 +15,7 @@
 from ochreway_direct.order import Close, Join, Leave, Open, Order, OrderOutcome, Stage
 
 STEP_S = 0.05
+FOREVER_S = 1.0e9
 LARGE = ModelSpec(ModelName("large"), size=4, share=0.67, pace=1.0, load_s=16.0, warm_s=1.6)
 SMALL = ModelSpec(ModelName("small"), size=2, share=0.33, pace=0.6, load_s=12.0, warm_s=1.1)
 SPEC = EngineSpec(
@@ -38,12 +39,17 @@
 
 @dataclass(slots=True, eq=False)
 class FakeEngine:
+    """Stand in for one engine."""
+
     instance: InstanceId
     domain: DomainId
     alive: bool = True
     leaving: bool = False
     staged: ModelName | None = None
-    loading: tuple[ModelName, float] | None = None
+    listed_s: float = 0.0
+    loading: ModelName | None = None
+    load_left_s: float = 0.0
+    joining_load: bool = False
     last_model: ModelName | None = None
     members: tuple[InstanceId, ...] = ()
     membership: Membership | None = None
@@ -53,14 +59,19 @@
     highest: Epoch = field(default=Epoch(0))
 
     def state(self, now_s: float) -> EngineState:
+        """Return what the engine reports."""
         self.advance(now_s)
         staged = (self.staged,) if self.staged is not None else ()
         return EngineState(self.domain, self.model, staged, self.membership)
 
     def advance(self, now_s: float) -> None:
-        if self.loading is not None and now_s >= self.loading[1]:
-            self.staged, self.loading = self.loading[0], None
-        if self.membership is None:
+        """Finish what is due."""
+        if self.loading is not None and self.load_left_s <= 0.0:
+            self.staged, self.loading = self.loading, None
+            if self.joining_load:
+                self.joining_load = False
+                self.ready_s = now_s
+        if self.membership is None or self.joining_load:
             return
         if self.membership.phase is MemberPhase.JOINING and now_s >= self.ready_s:
             self.enter(MemberPhase.READY)
@@ -69,10 +80,12 @@
             self.enter(MemberPhase.OPEN)
 
     def enter(self, phase: MemberPhase) -> None:
+        """Change the phase of the membership."""
         assert self.membership is not None
         self.membership = replace(self.membership, phase=phase)
 
     def listed(self) -> ListedTarget:
+        """Return the entry in the platform's list."""
         return ListedTarget(
             self.instance,
             SERVICE,
@@ -87,30 +100,38 @@
 class EngineWorld:
     """Run a coordinator against engines; faults are lost answers, late orders and crashes."""
 
-    def __init__(self, domains: int = 2, engines: int = 8, seed: int = 1) -> None:
+    def __init__(
+        self, domains: int = 2, engines: int = 8, seed: int = 1, lag_s: float = 0.0
+    ) -> None:
         self.random = random.Random(seed)
         self.now_s = 100.0
         self.engines: dict[InstanceId, FakeEngine] = {}
         self.violations: list[str] = []
         self.late: list[tuple[float, Assignment]] = []
         self.lost_share = 0.0
+        self.load_speed = 1.0
         self.coordinator = Coordinator()
         self.terms = 0
+        self.measured = lag_s == 0.0
         self.made = 0
         for domain in range(domains):
             for _ in range(engines):
-                self.add(DomainId(f"d{domain}"))
+                self.add(DomainId(f"d{domain}")).listed_s = self.now_s + self.random.uniform(
+                    0.0, lag_s
+                )
         self.take_over()
 
     # Faults.
 
     def add(self, domain: DomainId, staged: ModelName | None = None) -> FakeEngine:
+        """Add an engine."""
         self.made += 1
         engine = FakeEngine(InstanceId(f"e{self.made}"), domain, staged=staged)
         self.engines[engine.instance] = engine
         return engine
 
     def crash(self, instance: InstanceId) -> None:
+        """Lose an engine for good."""
         self.engines[instance].alive = False
 
     def take_over(self) -> None:
@@ -119,8 +140,9 @@
         before = self.coordinator
         self.coordinator = Coordinator()
         self.coordinator.configure(CONFIGURATION)
-        for measured_s in (self.now_s - 60.0, self.now_s):
-            self.coordinator.demand.update(OFFERED, measured_s)
+        if self.measured:
+            for measured_s in (self.now_s - 60.0, self.now_s):
+                self.coordinator.demand.update(OFFERED, measured_s)
         self.coordinator.begin(Epoch(self.terms * 100_000), self.now_s)
         self.former = before
         self._list()
@@ -128,6 +150,7 @@
     # Time.
 
     def run(self, duration_s: float, each_step: Callable[[], None] | None = None) -> None:
+        """Let time pass."""
         end_s = self.now_s + duration_s
         while self.now_s < end_s:
             self.step()
@@ -135,6 +158,7 @@
                 each_step()
 
     def run_until(self, check: Callable[[], bool], bound_s: float) -> float:
+        """Let time pass until a check holds; return how long it took."""
         begun_s = self.now_s
         while not check():
             self.step()
@@ -143,7 +167,9 @@
         return self.now_s - begun_s
 
     def step(self) -> None:
+        """Let one step pass."""
         self.now_s += STEP_S
+        self._load()
         for engine in self.engines.values():
             engine.advance(self.now_s)
         due = [each for at_s, each in self.late if at_s <= self.now_s]
@@ -156,8 +182,19 @@
         for assignment in self.coordinator.tick(self.now_s):
             self._give(assignment)
 
+    def _load(self) -> None:
+        """Let every load go on; more than the weight store takes share its rate."""
+        loading = [each for each in self.engines.values() if each.alive and each.loading]
+        rate = min(1.0, SPEC.loads_at_once / max(1, len(loading)))
+        for engine in loading:
+            engine.load_left_s -= STEP_S * rate * self.load_speed
+
     def _list(self) -> None:
-        listed = [each.listed() for each in self.engines.values() if each.alive]
+        listed = [
+            each.listed()
+            for each in self.engines.values()
+            if each.alive and each.listed_s <= self.now_s
+        ]
         self.coordinator.on_listing(listed, self.now_s)
 
     def _probe(self) -> None:
@@ -192,8 +229,8 @@
             case Join():
                 return self._join(engine, order)
             case Stage(model):
-                load_s = SPEC.model(model).load_s  # type: ignore[union-attr]
-                engine.loading = (model, self.now_s + load_s)
+                engine.loading = model
+                engine.load_left_s = SPEC.model(model).load_s  # type: ignore[union-attr]
                 return OrderOutcome.BEGUN
             case Open(group, epoch) | Close(group, epoch) | Leave(group, epoch):
                 membership = engine.membership
@@ -216,8 +253,10 @@
         elif engine.staged == order.model:
             wait_s = model.warm_s
         else:
-            wait_s = model.load_s
-            engine.staged = order.model
+            wait_s = FOREVER_S
+            engine.joining_load = True
+            engine.loading = order.model
+            engine.load_left_s = model.load_s
         engine.highest = order.epoch
         engine.members = order.members
         engine.model = engine.last_model = order.model
@@ -241,6 +280,7 @@
         if isinstance(order, Leave):
             engine.membership = None
             engine.model = None
+            engine.joining_load = False
             engine.opens_s = None
             return OrderOutcome.HOLDS
         if isinstance(order, Close):
@@ -266,6 +306,7 @@
     # What is asked.
 
     def serving(self, model: ModelSpec) -> int:
+        """Return how many groups of a model the coordinator believes to serve."""
         return sum(1 for view in self.coordinator.views() if view.model == model.name)
 
     def members(self, model: ModelSpec) -> list[InstanceId]:
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -32,7 +32,7 @@
 from ochreway_direct.serving import Serving
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
-from tests.direct.engineworld import LARGE, SERVICE, SPEC
+from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
 from tests.direct.plaindialect import PlainDialect
 
 HALL = HallId("h")
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -3,7 +3,7 @@
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.coordinator.grouprecord import GroupPhase
-from tests.direct.engineworld import LARGE, SMALL, EngineWorld
+from ochreway_standins.engineworld import LARGE, SMALL, EngineWorld
 
 
 def settled(seed: int = 1) -> EngineWorld:
--- a/tests/direct/test_layout.py
+++ b/tests/direct/test_layout.py
@@ -6,7 +6,7 @@
 from ochreway_direct.coordinator.layout import Slot, plan
 from ochreway_direct.coordinator.loadlimit import LoadLimit
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
-from tests.direct.engineworld import LARGE, SMALL, SPEC
+from ochreway_standins.engineworld import LARGE, SMALL, SPEC
 
 D1, D2 = DomainId("d1"), DomainId("d2")
 TUNING = CoordinatorTuning()
