--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -18,8 +18,8 @@
     retries_at_most: float = 30.0
     sends_more: int = 2
     least_left_s: float = 0.05
-    place_poll_s: float = 0.02
-    patience_share: float = 0.22
+    place_poll_s: float = 0.01
+    patience_share: float = 0.1
     resume_patience_s: float = 1.0
     retry_after_s: float = 0.3
     regroup_after_s: float = 2.2
