Count a lost group's leader among the targets that ran a call; no reuse for single calls

The new test fails on the former code (three targets asked, two allowed). Connections for what may not be repeated had a keep-alive of zero, which is not none.

--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -91,7 +91,7 @@
     }
     async with (
         aiohttp.ClientSession(connector=TargetConnector(KEPT_S), **options) as kept,
-        aiohttp.ClientSession(connector=TargetConnector(0.0), **options) as single,
+        aiohttp.ClientSession(connector=TargetConnector(None), **options) as single,
         aiohttp.ClientSession(connector=TargetConnector(KEPT_S), cookie_jar=jar) as platform,
     ):
         services = ADAPTERS[settings.adapter](platform, settings.platform_url)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -15,8 +15,8 @@
 class Call:
     """Hold what was asked, under which route, and what became of it so far.
 
-    ``runs`` counts the targets that may have begun, less those that were lost meanwhile.
-    ``may_have_run`` stays set once any may have.
+    ``runs`` counts the targets that may have begun, lost ones too: the leader of a lost group may
+    be alive.
     """
 
     request: web.BaseRequest
@@ -31,7 +31,6 @@
     work_s: float
     slots: int = 0
     runs: int = 0
-    may_have_run: bool = False
     sends: int = 0
     tried: set[InstanceId] = field(default_factory=set)
     resume_after: str | None = None
--- a/packages/ochreway-direct/src/ochreway_direct/relay/ending.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/ending.py
@@ -11,15 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ending:
-    """Hold an attempt's outcome, its reason, and the response when it was answered.
-
-    ``lost`` says that the target was lost under the attempt.
-    """
+    """Hold an attempt's outcome, its reason, and the response when it was answered."""
 
     outcome: Outcome
     reason: Reason
     response: web.StreamResponse | None = None
-    lost: bool = False
     failed: bool = True
 
     @classmethod
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -183,8 +183,7 @@
                 return ending.response
             self._metrics.count(f"attempt.{ending.reason.value}")
             if ending.outcome is not Outcome.NOT_RUN:
-                call.may_have_run = True
-                call.runs += 0 if ending.lost else 1
+                call.runs += 1
             call.tried.add(attempt.instance)
             await self._check_again(call, ending)
             self._metrics.count(f"retry.{ending.reason.value}")
@@ -256,7 +255,7 @@
                 return await self._exchange(call, attempt)
         except TimeoutError:
             if attempt.lost:
-                return Ending(Outcome.UNKNOWN, Reason.GROUP_INCOMPLETE, lost=True)
+                return Ending(Outcome.UNKNOWN, Reason.GROUP_INCOMPLETE)
             late = call.left_s(loop.time()) <= 0
             return Ending(Outcome.UNKNOWN, Reason.DEADLINE_PASSED if late else Reason.TARGET_FAILED)
         except CONNECT_FAULTS:
@@ -392,7 +391,7 @@
     """Return how to end a call that is given up on, by what may have become of it."""
     if call.answer is not None:
         return AnswerBroken(reason)
-    if not call.may_have_run:
+    if not call.runs:
         return Refused(NOT_RUN_STATUS, reason, retry_after_s)
     late = reason is Reason.DEADLINE_PASSED
     return Refused(TIMEOUT_STATUS if late else UNKNOWN_STATUS, reason)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
@@ -29,10 +29,14 @@
 class TargetConnector(aiohttp.TCPConnector):
     """Reuse a connection only if nothing came on it after the last whole answer."""
 
-    def __init__(self, keepalive_s: float) -> None:
+    def __init__(self, kept_s: float | None) -> None:
+        """Keep idle connections for so long, or none at all."""
+        keeping: dict[str, Any] = {"force_close": True}
+        if kept_s is not None:
+            keeping = {"keepalive_timeout": kept_s}
         super().__init__(
             limit=0,
-            keepalive_timeout=keepalive_s,
+            **keeping,
             use_dns_cache=False,
             happy_eyeballs_delay=None,
             socket_factory=_target_socket,
--- a/packages/ochreway-standins/src/ochreway_standins/groupbench.py
+++ b/packages/ochreway-standins/src/ochreway_standins/groupbench.py
@@ -143,8 +143,7 @@
     def _result(self) -> DayResult:
         total = sum(WORTH.values())
         worths = [
-            sum(WORTH[name] * shares[name] for name in WORTH) / total
-            for shares in self._shares
+            sum(WORTH[name] * shares[name] for name in WORTH) / total for shares in self._shares
         ]
         size = int(WINDOW_S / STEP_S)
         windows = [statistics.fmean(worths[i : i + size]) for i in range(0, len(worths), size)]
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -153,7 +153,7 @@
         self.show()
         options = {"auto_decompress": False, "cookie_jar": aiohttp.DummyCookieJar()}
         self.kept = aiohttp.ClientSession(connector=TargetConnector(3.0), **options)
-        self.single = aiohttp.ClientSession(connector=TargetConnector(0.0), **options)
+        self.single = aiohttp.ClientSession(connector=TargetConnector(None), **options)
         self.relay = Relay(
             *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
             *(RelayTuning(), EventLog("entry", "e", "error"), self.metrics),
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -224,6 +224,24 @@
 
         self.relayed(work, breaks, goes_on)
 
+    def test_no_more_targets_run_a_call_than_its_route_allows(self) -> None:
+        async def hangs(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers) + event(1))
+            await writer.drain()
+            await asyncio.sleep(5.0)
+
+        async def work(running: Running) -> None:
+            asking = asyncio.ensure_future(running.ask())
+            for number in range(2):
+                while not running.targets[number].seen:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
+                running.fleet.abandon(GroupId(f"g{number}"))
+            self.assertTrue((await asking).broken)
+            self.assertEqual([1, 1, 0], [len(each.seen) for each in running.targets])
+
+        self.relayed(work, hangs, hangs, hangs)
+
     def test_a_stream_at_a_lost_group_goes_on_elsewhere_at_once(self) -> None:
         async def hangs(headers: Headers, writer: Writer) -> None:
             writer.write(stream_head(headers) + event(1))
