--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -40,6 +40,9 @@
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
 
+NAMED_FOR_S = 3.0
+NAMED_AGAIN_S = 5.0
+"""For how long, and how long after, heartbeats name all entries that are known."""
 SUSPECT_AFTER_S = 0.3
 """For how long all answers of a group stand still before its members are asked at once."""
 SUSPECT_AGAIN_S = 0.15
@@ -92,6 +95,8 @@
         self.view = FleetView(timing.list_stale_s)
         self._tasks: set[asyncio.Task[None]] = set()
         self._sequence = 0
+        self._named = -1
+        self._named_until_s = 0.0
         self._ticked_s = 0.0
         self._began_s = self._loop.time()
         self._list_changed = asyncio.Event()
@@ -327,9 +332,18 @@
             stopping=self.serving.stopping,
             under_way=dict(self.serving.fleet.under_way()),
             offered=dict(self.meter.offered(now_s)),
-            peers=(self.me, *known),
+            peers=(self.me, *known) if self._names_peers(known, now_s) else (),
         )
 
+    def _names_peers(self, known: list[Peer], now_s: float) -> bool:
+        """Tell whether heartbeats name all entries now: while that is news, and now and then."""
+        if len(known) != self._named:
+            self._named = len(known)
+            self._named_until_s = now_s + NAMED_FOR_S
+        if now_s > self._named_until_s + NAMED_AGAIN_S:
+            self._named_until_s = now_s + self._timing.heartbeat_s / 2
+        return now_s <= self._named_until_s
+
     def _received(self, sender: Peer, batch: Batch) -> None:
         for message in batch.messages:
             handler = self._HANDLERS.get(type(message))
