--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -0,0 +1,106 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Finding out what a request asks for, and whether its caller may ask for it."""
+
+import asyncio
+import zlib
+
+from aiohttp import web
+
+from ochreway_core.reason import Reason
+from ochreway_direct.configuration import Route
+from ochreway_direct.coordinator.demand import work_s
+from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.ids import ServiceName
+from ochreway_direct.ports.dialect import CallerTerms
+from ochreway_direct.relay.call import Call
+from ochreway_direct.relay.errors import Refused
+from ochreway_direct.relay.refusal import NOT_RUN_STATUS
+from ochreway_direct.relay.tuning import RelayTuning
+from ochreway_direct.routetable import RouteTable
+from ochreway_direct.serving import Serving
+
+
+class Admission:
+    """Turn requests into calls by the configuration in force."""
+
+    def __init__(self, serving: Serving, meter: DemandMeter, tuning: RelayTuning) -> None:
+        self._serving = serving
+        self._meter = meter
+        self._tuning = tuning
+
+    async def admit(self, request: web.BaseRequest, terms: CallerTerms) -> Call:
+        """Return the call that a request makes.
+
+        Raises:
+            Refused: when it is not acceptable, or keys cannot be trusted now.
+        """
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        body = await self._body(request)
+        routes = self._serving.routes
+        if routes is None:
+            raise Refused(NOT_RUN_STATUS, Reason.NO_CONFIGURATION, self._tuning.stale_after_s)
+        route = routes.route(request.host.partition(":")[0], request.raw_path.partition("?")[0])
+        if route is None:
+            raise Refused(404, Reason.UNKNOWN_TARGET)
+        if not terms.request:
+            raise Refused(400, Reason.BAD_REQUEST)
+        call = Call(
+            request=request,
+            terms=terms,
+            route=route,
+            service=_service(route, terms.request),
+            organisation=None,
+            priority=route.priority,
+            body=body,
+            started_s=started_s,
+            end_s=started_s + min(route.timeout_s, terms.deadline_s or route.timeout_s),
+            work_s=0.0,
+            resume_after=terms.resume_after,
+        )
+        self._identify(call, routes)
+        self._weigh(call, routes)
+        return call
+
+    async def _body(self, request: web.BaseRequest) -> bytes:
+        try:
+            return await request.read()
+        except web.HTTPRequestEntityTooLarge as fault:
+            raise Refused(413, Reason.TOO_LARGE) from fault
+
+    def _identify(self, call: Call, routes: RouteTable) -> None:
+        """Name the organisation that calls; its keys are trusted only while they are fresh."""
+        if call.route.public or not routes.asks_for_keys:
+            return
+        if not self._serving.fresh():
+            raise Refused(NOT_RUN_STATUS, Reason.STALE_VERSION, self._tuning.stale_after_s)
+        organisation = routes.organisation(call.terms.key)
+        if organisation is None:
+            raise Refused(401, Reason.UNAUTHORISED)
+        call.organisation = organisation.name
+        if organisation.priority is not None:
+            call.priority = organisation.priority
+
+    def _weigh(self, call: Call, routes: RouteTable) -> None:
+        service = routes.service(call.service)
+        if service is None or service.engine is None or call.terms.model is None:
+            return
+        call.work_s = work_s(
+            service.engine, call.terms.model, call.terms.prompt_tokens, call.terms.answer_tokens
+        )
+        call.slots = service.engine.slots
+        self._meter.note(call.terms.model, call.work_s, call.started_s)
+
+
+def _service(route: Route, request: str) -> ServiceName:
+    """Return one of a route's services, by its weights and the request's id."""
+    total = sum(share.weight for share in route.shares)
+    point = zlib.crc32(request.encode()) % max(1, total)
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
+
+
+__all__ = ["Admission"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/errors.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/errors.py
@@ -23,4 +23,8 @@
         self.reason = reason
 
 
-__all__ = ["AnswerBroken", "Refused"]
+class CallerGone(OchrewayError):
+    """The caller does not take the answer any more."""
+
+
+__all__ = ["AnswerBroken", "CallerGone", "Refused"]
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an entry serves by: the configuration in force, its freshness, and the fleet."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from ochreway_core.ids import NO_VERSION, Version
@@ -31,6 +32,10 @@
         self.routes = RouteTable(configuration)
         return True
 
+    def fresh(self) -> bool:
+        """Tell whether keys may be trusted now."""
+        return self.freshness.holds(asyncio.get_running_loop().time())
+
     def ready(self, now_s: float) -> bool:
         """Tell whether new connections are wanted."""
         return not self.stopping and self.routes is not None and self.freshness.holds(now_s)
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -298,6 +298,7 @@
 
 class CallerGoneTests(RelayCase):
     kind = RouteKind.STREAM
+    resumable = True
 
     def test_a_caller_that_leaves_ends_its_work(self) -> None:
         ended = asyncio.Event()
@@ -320,5 +321,6 @@
             await asyncio.gather(asking, return_exceptions=True)
             async with asyncio.timeout(10.0):
                 await ended.wait()
+            self.assertEqual([1, 0], [len(each.seen) for each in running.targets])
 
-        self.relayed(work, hangs)
+        self.relayed(work, hangs, good)
