Show no groups before a new holder of the lease has asked the engines

Change: a holder publishes once it has asked the engines; it hands the whole list on every 2 s, so that its successor knows them without the store. Ruled out: lost groups (the log shows them open throughout), stale keys (another reason).

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -53,6 +53,11 @@
         """Return every group that is known."""
         return self._state.groups
 
+    @property
+    def started(self) -> bool:
+        """Tell whether the engines were asked since this began, so that its views are its own."""
+        return self._started
+
     @property
     def demand(self) -> Demand:
         """Return the work that is offered."""
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -43,6 +43,8 @@
 NAMED_FOR_S = 3.0
 NAMED_AGAIN_S = 5.0
 """For how long, and how long after, heartbeats name all entries that are known."""
+LIST_SHARED_S = 2.0
+"""How often the holder hands the whole list on, so that another can take over without the store."""
 SUSPECT_AFTER_S = 0.3
 """For how long all answers of a group stand still before its members are asked at once."""
 SUSPECT_AGAIN_S = 0.15
@@ -95,6 +97,7 @@
         self.view = FleetView(timing.list_stale_s)
         self._tasks: set[asyncio.Task[None]] = set()
         self._sequence = 0
+        self._shared_s = 0.0
         self._named = -1
         self._named_until_s = 0.0
         self._ticked_s = 0.0
@@ -193,8 +196,17 @@
             self.log.event("listed", targets=len(targets), before=len(self.view.targets()))
         self.view.list(targets, asked_s)
         self._show()
-        holder = self.peers.holder(self._loop.time())
-        if holder is not None and not self.lease.held:
+        self._share_list(targets)
+
+    def _share_list(self, targets: tuple[ListedTarget, ...]) -> None:
+        """Hand the list on: as holder to all, now and then; else to a holder that may lack it."""
+        now_s = self._loop.time()
+        holder = self.peers.holder(now_s)
+        if self.lease.held and now_s - self._shared_s >= LIST_SHARED_S:
+            self._shared_s = now_s
+            for peer in self.peers.all():
+                self.links.send(peer, ListUpdate(targets))
+        elif not self.lease.held and holder is not None:
             self.links.send(holder.peer, ListUpdate(targets))
 
     # Groups.
@@ -222,8 +234,8 @@
         self.coordination.coordinator.demand.update(offered, now_s)
 
     def _publish(self) -> None:
-        """Tell the other entries which groups serve."""
-        if not self.lease.held:
+        """Tell the other entries which groups serve, once this one has seen for itself."""
+        if not self.lease.held or not self.coordination.coordinator.started:
             return
         self._sequence += 1
         now_s = self._loop.time()
@@ -375,7 +387,9 @@
 
     def _on_list_update(self, _: Peer, update: ListUpdate) -> None:
         now_s = self._loop.time()
-        if self.lease.held and self.view.stale(now_s):
+        if not self.lease.held:
+            self.view.know_engines(update.targets)
+        elif self.view.stale(now_s):
             self.coordination.listed(update.targets, now_s)
             self.view.list(update.targets, now_s)
 
--- a/packages/ochreway-direct/src/ochreway_direct/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetview.py
@@ -48,6 +48,12 @@
         self._leaving = frozenset(gone) | {each.instance for each in targets if each.leaving}
         self._listed_s = max(self._listed_s, asked_s)
 
+    def know_engines(self, targets: tuple[ListedTarget, ...]) -> None:
+        """Take another entry's list of engines, for the time when this one forms groups."""
+        plain = {i: t for i, t in self._targets.items() if t.engine is None}
+        engines = {each.instance: each for each in targets if each.engine is not None}
+        self._targets = plain | engines
+
     def stale(self, now_s: float) -> bool:
         """Tell whether the list has to be read by this entry itself."""
         return now_s - self._listed_s > self._stale_s
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -42,6 +42,14 @@
         world.run(3.0)
         self.assertEqual(epochs, {group.epoch for group in world.coordinator.groups.values()})
 
+    def test_a_new_holder_shows_no_views_before_it_has_asked_the_engines(self) -> None:
+        world = settled()
+        world.take_over()
+        self.assertFalse(world.coordinator.started)
+        world.run_until(lambda: world.coordinator.started, 2.0)
+        world.run(0.2)
+        self.assertGreaterEqual(world.serving(LARGE), 2)
+
     def test_a_new_holder_finishes_a_group_that_was_being_formed(self) -> None:
         world = EngineWorld()
         groups = world.coordinator.groups
--- /dev/null
+++ b/tests/direct/test_fleetview.py
@@ -0,0 +1,73 @@
+# SPDX-License-Identifier: Apache-2.0
+from dataclasses import replace
+
+import testtools
+
+from ochreway_core.ids import DomainId, Epoch, GroupId, HallId, InstanceId
+from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
+from ochreway_direct.fleetview import FleetView
+from ochreway_direct.groupview import GroupView
+from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.messages import FleetUpdate
+
+SERVICE, HALL = ServiceName("s"), HallId("h")
+PLAIN = ListedTarget(InstanceId("p"), ServiceName("plain"), "p:1", HALL)
+
+
+def engine(name: str, rank: int = 0, phase: MemberPhase = MemberPhase.OPEN) -> ListedTarget:
+    membership = Membership(GroupId("g"), Epoch(1), rank, phase)
+    state = EngineState(DomainId("d"), ModelName("m"), (), membership)
+    return ListedTarget(InstanceId(name), SERVICE, f"{name}:1", HALL, engine=state)
+
+
+def update(revision: int, sequence: int, *names: str, age_s: float | None = 0.1) -> FleetUpdate:
+    groups = tuple(
+        GroupView(*(GroupId(n), Epoch(1), SERVICE, ModelName("m"), InstanceId(n), f"{n}:1", HALL))
+        for n in names
+    )
+    return FleetUpdate(revision, sequence, groups, (), (PLAIN,), (), age_s)
+
+
+class FleetViewTests(testtools.TestCase):
+    def names(self, view: FleetView, now_s: float) -> list[str]:
+        return [each.group for each in view.groups(now_s)]
+
+    def test_a_newer_lease_goes_before_a_later_update_of_an_older_one(self) -> None:
+        view = FleetView(1.4)
+        self.assertTrue(view.take(update(5, 1, "new"), 10.0))
+        self.assertFalse(view.take(update(3, 99, "old"), 10.1))
+        self.assertEqual(["new"], self.names(view, 10.2))
+
+    def test_the_list_shows_open_groups_when_no_holder_was_heard(self) -> None:
+        view = FleetView(1.4)
+        members = (
+            engine("a"),
+            engine("b", 1, MemberPhase.READY),
+            engine("c", 0, MemberPhase.READY),
+        )
+        view.list((PLAIN, *members), 10.0)
+        self.assertEqual(["g"], self.names(view, 10.1))
+
+    def test_the_last_update_stands_in_while_the_list_is_empty(self) -> None:
+        view = FleetView(1.4)
+        view.take(update(5, 1, "g9"), 10.0)
+        self.assertEqual(["g9"], self.names(view, 60.0))
+
+    def test_a_target_that_left_the_list_is_leaving(self) -> None:
+        view = FleetView(1.4)
+        view.list((PLAIN, engine("a"), engine("b")), 10.0)
+        view.list((PLAIN, replace(engine("a"), leaving=True)), 11.0)
+        self.assertEqual({"a", "b"}, set(view.leaving))
+
+    def test_the_list_is_stale_by_the_time_it_was_asked_for(self) -> None:
+        view = FleetView(1.4)
+        view.take(update(5, 1, age_s=1.0), 10.0)
+        self.assertFalse(view.stale(10.3))
+        self.assertTrue(view.stale(10.5))
+
+    def test_engines_of_another_entrys_list_are_known_but_not_fresh(self) -> None:
+        view = FleetView(1.4)
+        view.know_engines((PLAIN, engine("a")))
+        self.assertEqual(["a"], [each.instance for each in view.targets()])
+        self.assertTrue(view.stale(10.0))
