Take no more requests late in a planned stop

Change: a stopping entry takes requests for 2.8 s, then answers 503 with the time to come back and closes the connection; what runs has until 0.9 of the grace. The former code had no such state, so the new test cannot pass there. Ruled out: a stream longer than the grace (1.8 s old).

--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -30,9 +30,9 @@
 KEPT_S = 3.0
 """For how long an idle connection to a target is kept."""
 STOP_POLL_S = 0.1
-GRACE_SHARE = 0.8
-LINGER_S = 2.5
-"""For how long a stopping entry serves on at the least, as new connections still come."""
+GRACE_SHARE = 0.9
+LINGER_S = 2.8
+"""For how long a stopping entry takes requests on, as connections still come and are still open."""
 
 
 @click.command()
@@ -128,7 +128,8 @@
     end_s = begun_s + entry.settings.grace_s * GRACE_SHARE
     while loop.time() < end_s:
         await asyncio.sleep(STOP_POLL_S)
-        if relay.open_calls == 0 and loop.time() - begun_s > LINGER_S:
+        entry.serving.closed = loop.time() - begun_s > LINGER_S
+        if relay.open_calls == 0 and entry.serving.closed:
             return
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -37,6 +37,8 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         body = await self._body(request)
+        if self._serving.closed:
+            raise Refused(NOT_RUN_STATUS, Reason.STOPPING, self._tuning.elsewhere_after_s)
         routes = self._serving.routes
         if routes is None:
             raise Refused(NOT_RUN_STATUS, Reason.NO_CONFIGURATION, self._tuning.stale_after_s)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -22,6 +22,7 @@
     patience_share: float = 0.1
     resume_patience_s: float = 1.0
     retry_after_s: float = 0.3
+    elsewhere_after_s: float = 0.05
     stale_after_s: float = 1.0
     regroup_after_s: float = 2.2
     first_answer_objectives: float = 2.5
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -13,11 +13,15 @@
 
 @dataclass(slots=True)
 class Serving:
-    """Hold the newest configuration that was learned; it never goes back."""
+    """Hold the newest configuration that was learned; it never goes back.
+
+    A process that is ``stopping`` still takes requests for a while; once ``closed`` it takes none.
+    """
 
     fleet: Fleet
     freshness: Freshness
     stopping: bool = False
+    closed: bool = False
     routes: RouteTable | None = field(default=None)
 
     @property
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -132,6 +132,15 @@
 
         self.relayed(work, good, key_trust_s=-1.0)
 
+    def test_an_entry_about_to_end_takes_nothing_more_and_closes_the_connection(self) -> None:
+        async def work(running: Running) -> None:
+            running.serving.stopping = running.serving.closed = True
+            answer = await running.ask()
+            self.assertEqual((503, "close"), (answer.status, answer.headers["Connection"]))
+            self.assertEqual([], running.targets[0].seen)
+
+        self.relayed(work, good)
+
     def test_an_older_configuration_changes_nothing(self) -> None:
         async def work(running: Running) -> None:
             self.assertFalse(running.serving.apply(Configuration(Version(0))))
