Plan groups by what engines can join now, and span domains while none can be completed

The plan counted engines whose weights were still loading, so no group was ever too many, and three survivors in each of two domains waited 16 s for a fourth.

--- a/packages/ochreway-direct/src/ochreway_direct/configuration.py
+++ b/packages/ochreway-direct/src/ochreway_direct/configuration.py
@@ -75,6 +75,11 @@
     loads_per_s: float
     loads_at_once: int
     form_s: float
+    far_factor: float = 1.0
+
+    def token_s(self, requests: float) -> float:
+        """Return the time that a group takes for a token of each of so many requests."""
+        return self.step_s + requests * self.per_sequence_s
 
     def model(self, name: ModelName) -> ModelSpec | None:
         """Return a model by its name."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -9,7 +9,7 @@
 from ochreway_direct.coordinator.demand import Demand
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.formation import Formation
-from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
+from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
 from ochreway_direct.coordinator.lifecycle import GroupLifecycle
 from ochreway_direct.coordinator.listing import Listing
 from ochreway_direct.coordinator.loadlimit import LoadLimit
@@ -208,6 +208,8 @@
             if group.phase is not GroupPhase.SERVING or leader is None:
                 continue
             pace = max(self.engines[each].state.pace for each in group.members)
+            if group.domain == SPANNING:
+                pace *= self._state.specs[group.service].far_factor
             listed = leader.listed
             found.append(
                 GroupView(
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
@@ -23,7 +23,7 @@
     """Return how long a request keeps a group busy that runs a typical number of them."""
     found = spec.model(model) if model is not None else None
     pace = found.pace if found is not None else 1.0
-    step_s = spec.step_s + TYPICAL_SEQUENCES * spec.per_sequence_s
+    step_s = spec.token_s(TYPICAL_SEQUENCES)
     reading_s = prompt_tokens / spec.read_tokens_per_s
     return pace * (reading_s + answer_tokens * step_s / TYPICAL_SEQUENCES)
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -4,15 +4,17 @@
 from collections import Counter, defaultdict
 from collections.abc import Mapping
 
-from ochreway_core.ids import DomainId, GroupId
+from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.enginerecord import EngineRecord
-from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
-from ochreway_direct.coordinator.layout import Slot, plan
-from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
+from ochreway_direct.coordinator.layout import Slot
+from ochreway_direct.coordinator.planner import Planner
+from ochreway_direct.coordinator.room import Ability, Room
+from ochreway_direct.coordinator.spanning import FreeEngines, SpanningFormation
+from ochreway_direct.coordinator.state import STANDING, CoordinatorState
 from ochreway_direct.ids import ServiceName
 
-FreeEngines = Mapping[DomainId, list[EngineRecord]]
 SLOW_PACE = 1.5
 """From which pace on an engine is chosen last."""
 
@@ -22,22 +24,44 @@
 
     def __init__(self, state: CoordinatorState) -> None:
         self._state = state
+        self._now = Planner(state.tuning)
+        self._later = Planner(state.tuning)
+        self._spanning = SpanningFormation(state)
 
     def step(self, service: ServiceName, spec: EngineSpec, now_s: float) -> Counter[Slot]:
-        """Form what is lacking and can be had at once; return the plan."""
+        """Form what can be had at once; return the plan that further weights should allow."""
         free = self.free(service)
         standing = self._state.standing(service)
-        engines = self._engines(spec, free, standing)
-        needs = self._state.demand.needs(spec, sum(engines.values()))
-        wanted = plan(spec, needs, engines, standing, self._state.tuning)
+        inside = Counter({slot: n for slot, n in standing.items() if slot.domain != SPANNING})
+        rooms = self._rooms(service, spec, free)
+        needs = self._state.demand.needs(spec, sum(room.total for room in rooms.values()))
+        wanted = self._now.plan(spec, needs, rooms, inside)
+        lacking = self._form_wanted(service, spec, wanted, standing, free, now_s)
+        spare = {domain: records for domain, records in free.items() if domain not in lacking}
+        self._spanning.step(service, spec, needs, wanted | inside, spare, now_s)
+        whole = {domain: _any_model(spec, room) for domain, room in rooms.items()}
+        return self._later.plan(spec, needs, whole, inside)
+
+    def _form_wanted(
+        self,
+        service: ServiceName,
+        spec: EngineSpec,
+        wanted: Mapping[Slot, int],
+        standing: Mapping[Slot, int],
+        free: FreeEngines,
+        now_s: float,
+    ) -> set[DomainId]:
+        """Form the groups that are wanted; return the domains whose engines are still awaited."""
+        lacking = set()
         for slot in sorted(wanted, key=lambda each: (each.domain, each.model)):
             model = spec.model(slot.model)
             assert model is not None
-            for _ in range(wanted[slot] - standing[slot]):
+            for _ in range(wanted[slot] - standing.get(slot, 0)):
                 if not self._form(service, model, free[slot.domain], slot.domain, now_s):
                     self._trade(service, model, wanted, standing, free, slot, now_s)
+                    lacking.add(slot.domain)
                     break
-        return wanted
+        return lacking
 
     def free(self, service: ServiceName) -> FreeEngines:
         """Return the engines of each domain that can become members."""
@@ -77,15 +101,8 @@
         if cold:
             for record in chosen:
                 record.stage(model.name, now_s + 2 * model.load_s)
-        epoch = self._state.next_epoch()
-        group = GroupId(f"{model.name}-{epoch}")
-        members = tuple(record.instance for record in chosen)
-        self._state.groups[group] = GroupRecord(
-            *(group, epoch, service, domain, model.name, members),
-            phase=GroupPhase.FORMING,
-            since_s=now_s,
-            expected_s=model.load_s if cold else model.warm_s,
-        )
+        expected_s = model.load_s if cold else model.warm_s
+        self._state.begin_group(service, model, domain, chosen, expected_s, now_s)
         return True
 
     def _begin_loads(self, service: ServiceName, model: ModelSpec, now_s: float) -> bool:
@@ -103,35 +120,59 @@
         slot: Slot,
         now_s: float,
     ) -> None:
-        """Give up one group too many where its engines would complete a wanted one."""
+        """Give up groups too many where their engines would complete a wanted one."""
         if self._state.closing(slot.domain):
             return
         coming = [*free[slot.domain], *self._state.survivors(slot.domain)]
         lacking = model.size - sum(record.quick(model.name) for record in coming)
-        if lacking <= 0:
-            return
+        surplus = Counter(standing)
+        surplus.subtract(wanted)
+        given_up = []
         for group in self._state.of_service(service):
             place = Slot(group.domain, group.model)
-            surplus = standing.get(place, 0) > wanted.get(place, 0)
-            if place.domain != slot.domain or not surplus or group.phase is not GroupPhase.SERVING:
+            members = [self._state.engines[each] for each in group.members]
+            able = sum(r.domain == slot.domain and r.quick(model.name) for r in members)
+            if group.phase is not GroupPhase.SERVING:
                 continue
-            quick = sum(self._state.engines[each].quick(model.name) for each in group.members)
-            if quick >= lacking:
-                group.close_at_most_s = self._state.tuning.trade_close_s
-                group.enter(GroupPhase.CLOSING, now_s)
-                return
-
-    def _engines(
-        self, spec: EngineSpec, free: FreeEngines, standing: Mapping[Slot, int]
-    ) -> dict[DomainId, int]:
-        """Count the engines of each domain that are in groups, free, or about to be."""
-        counts: Counter[DomainId] = Counter()
-        for domain, records in free.items():
-            counts[domain] += len(records) + len(self._state.survivors(domain))
-        for slot, number in standing.items():
-            model = spec.model(slot.model)
-            counts[slot.domain] += number * model.size if model is not None else 0
-        return dict(counts)
+            if lacking > 0 and surplus[place] > 0 and able > 0:
+                given_up.append(group)
+                surplus[place] -= 1
+                lacking -= able
+        if lacking > 0:
+            return
+        for group in given_up:
+            group.close_at_most_s = self._state.tuning.trade_close_s
+            group.enter(GroupPhase.CLOSING, now_s)
+
+    def _rooms(
+        self, service: ServiceName, spec: EngineSpec, free: FreeEngines
+    ) -> dict[DomainId, Room]:
+        """Count the engines that are in groups, free, or about to be, by what they can join."""
+        found: dict[DomainId, Counter[Ability]] = defaultdict(Counter)
+        lost = {each.domain for each in self._state.of_service(service)}
+        for domain in lost | set(free):
+            cold = self._state.cold(service, domain)
+            for record in [*free[domain], *self._state.survivors(domain)]:
+                found[domain][_all(spec) if cold else _quick(spec, record)] += 1
+        for group in self._state.of_service(service):
+            if group.phase in STANDING:
+                for instance in group.members:
+                    record = self._state.engines[instance]
+                    able = _quick(spec, record) | {group.model}
+                    found[record.domain][able] += 1
+        return {domain: Room(counts) for domain, counts in found.items()}
+
+
+def _quick(spec: EngineSpec, record: EngineRecord) -> Ability:
+    return frozenset(model.name for model in spec.models if record.quick(model.name))
+
+
+def _all(spec: EngineSpec) -> Ability:
+    return frozenset(model.name for model in spec.models)
+
+
+def _any_model(spec: EngineSpec, room: Room) -> Room:
+    return Room({_all(spec): room.total})
 
 
 __all__ = ["Formation", "FreeEngines"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
@@ -7,6 +7,9 @@
 from ochreway_core.ids import DomainId, Epoch, GroupId, InstanceId
 from ochreway_direct.ids import ModelName, ServiceName
 
+SPANNING = DomainId("")
+"""Stands for the domain of a group whose members are in several."""
+
 
 class GroupPhase(Enum):
     """Say what the coordinator is doing with a group."""
@@ -47,4 +50,4 @@
         self.since_s = now_s
 
 
-__all__ = ["GroupPhase", "GroupRecord"]
+__all__ = ["SPANNING", "GroupPhase", "GroupRecord"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -1,13 +1,14 @@
 # SPDX-License-Identifier: Apache-2.0
 """How many groups of each model every fabric domain should have."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.demand import gain
+from ochreway_direct.coordinator.room import Room
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.ids import ModelName
 
@@ -23,7 +24,7 @@
 def plan(
     spec: EngineSpec,
     needs: Mapping[ModelName, float],
-    engines: Mapping[DomainId, int],
+    rooms: Mapping[DomainId, Room],
     standing: Mapping[Slot, int],
     tuning: CoordinatorTuning,
 ) -> Counter[Slot]:
@@ -35,7 +36,7 @@
     Args:
         spec: the models and their sizes.
         needs: the work offered for each model, in groups kept busy.
-        engines: the usable engines of each domain.
+        rooms: the usable engines of each domain, by the models whose groups they can join.
         standing: the groups there are, which are preferred to new ones.
         tuning: the weights.
     """
@@ -51,7 +52,7 @@
 
     while True:
         for model in sorted(spec.models, key=value, reverse=True):
-            found = place(spec, totals + Counter([model.name]), engines, standing)
+            found = place(spec, totals + Counter([model.name]), rooms, standing)
             if found is not None:
                 totals[model.name] += 1
                 placed = found
@@ -63,7 +64,7 @@
 def place(
     spec: EngineSpec,
     totals: Mapping[ModelName, int],
-    engines: Mapping[DomainId, int],
+    rooms: Mapping[DomainId, Room],
     standing: Mapping[Slot, int],
 ) -> Counter[Slot] | None:
     """Return where so many groups of each model go, or None when they find no room.
@@ -71,11 +72,17 @@
     Larger groups are placed first. A standing one keeps its place; new ones are spread, so that
     each domain has groups of several models, whose engines can stand in for each other.
     """
-    left = Counter(engines)
+    left = Counter({domain: room.total for domain, room in rooms.items()})
+    members: dict[DomainId, Counter[ModelName]] = defaultdict(Counter)
     placed: Counter[Slot] = Counter()
     for model in sorted(spec.models, key=lambda each: -each.size):
         for _ in range(totals.get(model.name, 0)):
-            slots = [Slot(domain, model.name) for domain in left if left[domain] >= model.size]
+            more = Counter({model.name: model.size})
+            slots = [
+                Slot(domain, model.name)
+                for domain, room in rooms.items()
+                if room.holds(members[domain] + more)
+            ]
             if not slots:
                 return None
             chosen = max(
@@ -89,6 +96,7 @@
             )
             placed[chosen] += 1
             left[chosen.domain] -= model.size
+            members[chosen.domain] += more
     return placed
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -6,7 +6,7 @@
 
 from ochreway_core.ids import Epoch, GroupId
 from ochreway_direct.coordinator.enginerecord import EngineRecord
-from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
+from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.enginestate import MemberPhase
 from ochreway_direct.order import Close, Join, Leave, Open
@@ -55,8 +55,10 @@
         ):
             assert model_spec is not None
             members = tuple(ranks[rank].instance for rank in range(model_spec.size))
+            domains = {record.domain for record in ranks.values()}
+            domain = any_member.domain if len(domains) == 1 else SPANNING
             self._state.groups[group] = GroupRecord(
-                *(group, epoch, any_member.service, any_member.domain, model_spec.name, members),
+                *(group, epoch, any_member.service, domain, model_spec.name, members),
                 phase=GroupPhase.FORMING,
                 since_s=now_s,
                 expected_s=model_spec.load_s,
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
@@ -0,0 +1,55 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Planning again only when something has changed that a plan depends on."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ochreway_core.ids import DomainId
+from ochreway_direct.configuration import EngineSpec
+from ochreway_direct.coordinator.layout import Slot, plan
+from ochreway_direct.coordinator.room import Room
+from ochreway_direct.coordinator.tuning import CoordinatorTuning
+from ochreway_direct.ids import ModelName
+
+NEED_STEP = 0.1
+"""By how many groups' work the need of a model has to change before a plan is made anew."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Inputs:
+    spec: EngineSpec
+    needs: Mapping[ModelName, float]
+    rooms: Mapping[DomainId, Room]
+    standing: Mapping[Slot, int]
+
+
+class Planner:
+    """Hold the last plan and what it was made from."""
+
+    def __init__(self, tuning: CoordinatorTuning) -> None:
+        self._tuning = tuning
+        self._inputs: _Inputs | None = None
+        self._plan: Counter[Slot] = Counter()
+
+    def plan(
+        self,
+        spec: EngineSpec,
+        needs: Mapping[ModelName, float],
+        rooms: Mapping[DomainId, Room],
+        standing: Mapping[Slot, int],
+    ) -> Counter[Slot]:
+        """Return the number of groups for each place."""
+        rounded = {model: _rounded(need) for model, need in needs.items()}
+        inputs = _Inputs(spec, rounded, rooms, standing)
+        if inputs != self._inputs:
+            self._inputs = inputs
+            self._plan = plan(spec, rounded, rooms, standing, self._tuning)
+        return self._plan
+
+
+def _rounded(need: float) -> float:
+    return max(NEED_STEP, round(need / NEED_STEP) * NEED_STEP)
+
+
+__all__ = ["Planner"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/room.py
@@ -0,0 +1,44 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The engines of a fabric domain, by the models whose groups they can join."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from itertools import chain, combinations
+
+from ochreway_direct.ids import ModelName
+
+Ability = frozenset[ModelName]
+"""The models whose groups an engine can join."""
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Count the engines of a domain by their abilities."""
+
+    engines: Mapping[Ability, int] = field(default_factory=dict)
+
+    @property
+    def total(self) -> int:
+        """Return the number of engines."""
+        return sum(self.engines.values())
+
+    def holds(self, members: Mapping[ModelName, int]) -> bool:
+        """Tell whether there are engines for so many members of each model at once.
+
+        That is so when each set of models has as many engines that can join any of them as it
+        asks for (Hall's condition).
+        """
+        asked = [model for model, number in members.items() if number > 0]
+        subsets = chain.from_iterable(
+            combinations(asked, size) for size in range(1, len(asked) + 1)
+        )
+        return all(
+            self._able(frozenset(subset)) >= sum(members[model] for model in subset)
+            for subset in subsets
+        )
+
+    def _able(self, models: Ability) -> int:
+        return sum(number for ability, number in self.engines.items() if ability & models)
+
+
+__all__ = ["Ability", "Room"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/spanning.py
@@ -0,0 +1,66 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Groups whose members are in several fabric domains, as a stopgap."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+from ochreway_core.ids import DomainId
+from ochreway_direct.configuration import EngineSpec, ModelSpec
+from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.grouprecord import SPANNING
+from ochreway_direct.coordinator.layout import Slot
+from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.ids import ModelName, ServiceName
+
+FreeEngines = Mapping[DomainId, list[EngineRecord]]
+"""The engines of each domain that can become members."""
+
+
+class SpanningFormation:
+    """Form groups across domains from engines that no domain has a use for.
+
+    Such a group is slower by a factor that the configuration gives. It is given up as soon as
+    its engines complete a group inside a domain.
+    """
+
+    def __init__(self, state: CoordinatorState) -> None:
+        self._state = state
+
+    def step(
+        self,
+        service: ServiceName,
+        spec: EngineSpec,
+        needs: Mapping[ModelName, float],
+        wanted: Mapping[Slot, int],
+        free: FreeEngines,
+        now_s: float,
+    ) -> None:
+        """Form groups of each model whose groups inside domains fall short of its work."""
+        standing = self._state.standing(service)
+        for model in sorted(spec.models, key=lambda each: -each.size):
+            inside = sum(number for slot, number in wanted.items() if slot.model == model.name)
+            across = standing[Slot(SPANNING, model.name)]
+            while inside + across / spec.far_factor < needs[model.name]:
+                if not self._form(service, model, free, now_s):
+                    break
+                across += 1
+
+    def _form(
+        self, service: ServiceName, model: ModelSpec, free: FreeEngines, now_s: float
+    ) -> bool:
+        quick = [r for records in free.values() for r in records if r.quick(model.name)]
+        if len(quick) < model.size:
+            return False
+        near = Counter(record.domain for record in quick)
+
+        def preference(record: EngineRecord) -> tuple[int, str, bool]:
+            return -near[record.domain], record.domain, record.last_model != model.name
+
+        chosen = sorted(quick, key=preference)[: model.size]
+        for record in chosen:
+            free[record.domain].remove(record)
+        self._state.begin_group(service, model, SPANNING, chosen, model.warm_s, now_s)
+        return True
+
+
+__all__ = ["FreeEngines", "SpanningFormation"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -2,11 +2,11 @@
 """What the parts of the coordinator share."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ochreway_core.ids import NO_EPOCH, DomainId, Epoch, GroupId, InstanceId
-from ochreway_direct.configuration import EngineSpec
+from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.assignment import Assignment
 from ochreway_direct.coordinator.demand import Demand
 from ochreway_direct.coordinator.enginerecord import EngineRecord
@@ -38,6 +38,26 @@
         self.epoch = Epoch(self.epoch + 1)
         return self.epoch
 
+    def begin_group(
+        self,
+        service: ServiceName,
+        model: ModelSpec,
+        domain: DomainId,
+        chosen: Sequence[EngineRecord],
+        expected_s: float,
+        now_s: float,
+    ) -> None:
+        """Begin to form a group of engines, the first of which is to lead."""
+        epoch = self.next_epoch()
+        group = GroupId(f"{model.name}-{epoch}")
+        members = tuple(record.instance for record in chosen)
+        self.groups[group] = GroupRecord(
+            *(group, epoch, service, domain, model.name, members),
+            phase=GroupPhase.FORMING,
+            since_s=now_s,
+            expected_s=expected_s,
+        )
+
     def order(self, record: EngineRecord, order: Order, now_s: float) -> bool:
         """Give an order unless one is under way or the same was given just now."""
         again = order == record.ordered and now_s - record.ordered_s < self.tuning.order_retry_s
@@ -72,7 +92,7 @@
     def closing(self, domain: DomainId) -> bool:
         """Tell whether a group of a domain is being closed."""
         return any(
-            group.domain == domain and group.phase is GroupPhase.CLOSING
+            group.phase is GroupPhase.CLOSING and domain in self._domains(group)
             for group in self.groups.values()
         )
 
@@ -81,13 +101,17 @@
         return [
             self.engines[instance]
             for group in self.groups.values()
-            if group.domain == domain and group.phase is GroupPhase.DISSOLVING
+            if group.phase is GroupPhase.DISSOLVING
             for instance in group.members
             if instance not in group.released
             and instance in self.engines
             and self.engines[instance].usable
+            and self.engines[instance].domain == domain
         ]
 
+    def _domains(self, group: GroupRecord) -> set[DomainId]:
+        return {self.engines[each].domain for each in group.members if each in self.engines}
+
     def may_load(self, service: ServiceName, engines: int, share: float) -> bool:
         """Tell whether so many more engines may get weights, within a share of the store's rate.
 
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable
 
 from ochreway_core.ids import GroupId, HallId, InstanceId, NodeId
+from ochreway_direct.configuration import EngineSpec
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.listedtarget import ListedTarget
@@ -101,17 +102,19 @@
         service: ServiceName,
         model: ModelName | None,
         avoid: Collection[InstanceId],
-        slots: int,
+        spec: EngineSpec,
     ) -> GroupView | None:
-        """Return the group with the least work per pace, or None when all have their slots full."""
+        """Return the group that is to take the least time, or None when all have no place left."""
         found = [
             each
             for each in self.places(service, model)
-            if each.leader not in avoid and self.load(each.group) < slots + QUEUED_AT_MOST
+            if each.leader not in avoid and self.load(each.group) < spec.slots + QUEUED_AT_MOST
         ]
         if not found:
             return None
-        return min(found, key=lambda each: each.pace * (1 + self._load(each.group, each.hall)))
+        return min(
+            found, key=lambda each: each.pace * spec.token_s(self._load(each.group, each.hall))
+        )
 
     def pick_target(
         self, service: ServiceName, avoid: Collection[InstanceId]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -85,12 +85,14 @@
 
     def _weigh(self, call: Call, routes: RouteTable) -> None:
         service = routes.service(call.service)
-        if service is None or service.engine is None or call.terms.model is None:
+        if service is None or service.engine is None:
+            return
+        call.engine = service.engine
+        if call.terms.model is None:
             return
         call.work_s = work_s(
             service.engine, call.terms.model, call.terms.prompt_tokens, call.terms.answer_tokens
         )
-        call.slots = service.engine.slots
         self._meter.note(call.terms.model, call.work_s, call.started_s)
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from ochreway_core.ids import InstanceId, OrganisationId
-from ochreway_direct.configuration import Route
+from ochreway_direct.configuration import EngineSpec, Route
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
 
@@ -29,7 +29,7 @@
     started_s: float
     end_s: float
     work_s: float
-    slots: int = 0
+    engine: EngineSpec | None = None
     runs: int = 0
     sends: int = 0
     tried: set[InstanceId] = field(default_factory=set)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -147,8 +147,10 @@
         return call.route.objective_s * self._tuning.patience_share
 
     def _pick(self, call: Call) -> Attempt | None:
-        group = self._fleet.pick_group(call.service, call.terms.model, call.tried, call.slots)
-        if group is not None:
+        if call.engine is not None:
+            group = self._fleet.pick_group(call.service, call.terms.model, call.tried, call.engine)
+            if group is None:
+                return None
             return Attempt(group.leader, group.address, group.hall, group.group)
         target = self._fleet.pick_target(call.service, call.tried)
         if target is None and call.tried and not self._fleet.has_engines(call.service):
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -31,6 +31,7 @@
     loads_per_s=3.0,
     loads_at_once=6,
     form_s=0.3,
+    far_factor=3.0,
 )
 SERVICE = ServiceName("models")
 OFFERED = {LARGE.name: 1.0, SMALL.name: 1.2}
@@ -309,6 +310,10 @@
         """Return how many groups of a model the coordinator believes to serve."""
         return sum(1 for view in self.coordinator.views() if view.model == model.name)
 
+    def views_inside(self) -> int:
+        """Return how many groups serve whose members are in one domain."""
+        return sum(1 for view in self.coordinator.views() if view.pace < SPEC.far_factor)
+
     def members(self, model: ModelSpec) -> list[InstanceId]:
         """Return the members of the first group of a model that serves."""
         return next(
--- a/packages/ochreway-standins/src/ochreway_standins/groupbench.py
+++ b/packages/ochreway-standins/src/ochreway_standins/groupbench.py
@@ -14,7 +14,7 @@
 import click
 
 from ochreway_core.ids import DomainId
-from ochreway_standins.engineworld import LARGE, SMALL, STEP_S, EngineWorld, FakeEngine
+from ochreway_standins.engineworld import LARGE, SMALL, SPEC, STEP_S, EngineWorld, FakeEngine
 
 LEAD_S = 11.0
 DAY_S = 34.0
@@ -118,10 +118,10 @@
     def _note(self) -> None:
         demand = self.world.coordinator.demand
         demand.update(NEEDS, self.world.now_s)
-        serving = {LARGE.name: 0, SMALL.name: 0}
+        serving = {LARGE.name: 0.0, SMALL.name: 0.0}
         for engine in self.world.engines.values():
             if self._serves(engine):
-                serving[engine.model] += 1  # type: ignore[index]
+                serving[engine.model] += self._capacity(engine)  # type: ignore[index]
         shares = {name: min(1.0, serving[name] / NEEDS[name]) for name in NEEDS}
         self._shares.append({str(name): share for name, share in shares.items()})
         alive = [each for each in self.world.engines.values() if each.alive]
@@ -136,6 +136,11 @@
         whole = all(self._stands(engine, each) for each in engine.members)
         return whole and membership.phase.value == "open"
 
+    def _capacity(self, leader: FakeEngine) -> float:
+        """Return the capacity of a group, which is less when it spans domains."""
+        domains = {self.world.engines[each].domain for each in leader.members}
+        return 1.0 if len(domains) == 1 else 1.0 / SPEC.far_factor
+
     def _stands(self, leader: FakeEngine, instance: str) -> bool:
         member = self.world.engines[instance]  # type: ignore[index]
         return member.alive and member.members == leader.members and bool(member.membership)
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -2,8 +2,8 @@
 import testtools
 
 from ochreway_core.ids import DomainId
-from ochreway_direct.coordinator.grouprecord import GroupPhase
-from ochreway_standins.engineworld import LARGE, SMALL, EngineWorld
+from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
+from ochreway_standins.engineworld import LARGE, SMALL, SPEC, EngineWorld
 
 
 def settled(seed: int = 1) -> EngineWorld:
@@ -68,6 +68,45 @@
         self.assertNotIn(leaving, held)
         self.assertEqual([], world.violations)
 
+    def test_a_small_group_is_given_up_for_a_large_one_when_none_stands(self) -> None:
+        world = EngineWorld(domains=0)
+        near = DomainId("near")
+        for staged in (LARGE,) * 3 + (SMALL,) * 6:
+            world.add(near, staged.name)
+        world.run_until(lambda: world.serving(SMALL) == 3, 10.0)
+        self.assertEqual(0, world.serving(LARGE))
+        for engine in world.engines.values():
+            engine.staged = LARGE.name
+        world.run_until(lambda: world.serving(LARGE) == 1, 6.0)
+        self.assertEqual([], world.violations)
+
+    def test_a_group_spans_domains_while_none_can_be_completed_inside_one(self) -> None:
+        world = EngineWorld(domains=0)
+        near, far = DomainId("near"), DomainId("far")
+        for domain in (near, near, near, far, far, far):
+            world.add(domain, LARGE.name)
+        world.run_until(lambda: world.serving(LARGE) == 1, 6.0)
+        (view,) = world.coordinator.views()
+        self.assertEqual(SPEC.far_factor, view.pace)
+        world.take_over()
+        world.run(3.0)
+        self.assertEqual([view], list(world.coordinator.views()))
+        world.add(near, LARGE.name)
+        world.run_until(lambda: world.views_inside() == 1, 8.0)
+        self.assertEqual([], world.violations)
+
+    def test_engines_that_a_domain_awaits_are_not_taken_for_a_group_that_spans(self) -> None:
+        world = settled()
+        world.crash(world.members(LARGE)[1])
+        spans: list[bool] = []
+        groups = world.coordinator.groups
+
+        def watch() -> None:
+            spans.append(any(each.domain == SPANNING for each in groups.values()))
+
+        world.run(6.0, watch)
+        self.assertFalse(any(spans))
+
     def test_silence_of_most_engines_dissolves_nothing(self) -> None:
         world = settled()
         before = set(world.coordinator.groups)
--- /dev/null
+++ b/tests/direct/test_fleet.py
@@ -0,0 +1,51 @@
+# SPDX-License-Identifier: Apache-2.0
+import random
+
+import testtools
+
+from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.groupview import GroupView
+from ochreway_direct.relay.attempt import Attempt
+from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
+
+HALL = HallId("h")
+
+
+def view(name: str, pace: float) -> GroupView:
+    leader = InstanceId(f"{name}-leader")
+    return GroupView(GroupId(name), Epoch(1), SERVICE, LARGE.name, leader, "x:1", HALL, pace)
+
+
+class GroupChoiceTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Fleet(HALL, random.Random(1))
+
+    def load(self, group: GroupView, requests: int) -> None:
+        for _ in range(requests):
+            self.fleet.begin(Attempt(group.leader, group.address, group.hall, group.group))
+
+    def chosen(self) -> str | None:
+        found = self.fleet.pick_group(SERVICE, LARGE.name, (), SPEC)
+        return found.group if found is not None else None
+
+    def test_of_equal_groups_the_least_loaded_is_chosen(self) -> None:
+        busy, idle = view("busy", 1.0), view("idle", 1.0)
+        self.fleet.set_groups((busy, idle))
+        self.load(busy, 4)
+        self.assertEqual("idle", self.chosen())
+
+    def test_a_slow_group_is_chosen_only_when_others_would_be_slower(self) -> None:
+        fast, slow = view("fast", 1.0), view("slow", 3.0)
+        self.fleet.set_groups((fast, slow))
+        self.load(fast, 12)
+        self.assertEqual("fast", self.chosen())
+        self.load(fast, SPEC.slots)
+        self.assertEqual("slow", self.chosen())
+
+    def test_none_is_chosen_when_all_are_full(self) -> None:
+        only = view("only", 1.0)
+        self.fleet.set_groups((only,))
+        self.load(only, SPEC.slots + 3)
+        self.assertIsNone(self.chosen())
--- a/tests/direct/test_layout.py
+++ b/tests/direct/test_layout.py
@@ -5,6 +5,7 @@
 from ochreway_direct.coordinator.demand import Demand, gain, worth
 from ochreway_direct.coordinator.layout import Slot, plan
 from ochreway_direct.coordinator.loadlimit import LoadLimit
+from ochreway_direct.coordinator.room import Room
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_standins.engineworld import LARGE, SMALL, SPEC
 
@@ -12,10 +13,16 @@
 TUNING = CoordinatorTuning()
 
 
+def rooms(engines: dict[DomainId, int]) -> dict[DomainId, Room]:
+    """Return domains whose engines can join groups of any model."""
+    any_model = frozenset({LARGE.name, SMALL.name})
+    return {domain: Room({any_model: number}) for domain, number in engines.items()}
+
+
 class LayoutTests(testtools.TestCase):
     def plan(self, large: float, small: float, engines: dict[DomainId, int]) -> dict[Slot, int]:
         needs = {LARGE.name: large, SMALL.name: small}
-        return dict(plan(SPEC, needs, engines, {}, TUNING))
+        return dict(plan(SPEC, needs, rooms(engines), {}, TUNING))
 
     def test_every_domain_is_filled(self) -> None:
         chosen = self.plan(1.0, 1.0, {D1: 8, D2: 6})
@@ -33,7 +40,7 @@
     def test_a_large_group_finds_room_where_small_ones_can_go_elsewhere(self) -> None:
         standing = {Slot(D1, SMALL.name): 2, Slot(D2, SMALL.name): 2, Slot(D2, LARGE.name): 1}
         needs = {LARGE.name: 1.0, SMALL.name: 1.2}
-        chosen = plan(SPEC, needs, {D1: 7, D2: 8}, standing, TUNING)
+        chosen = plan(SPEC, needs, rooms({D1: 7, D2: 8}), standing, TUNING)
         self.assertEqual(1, chosen[Slot(D1, LARGE.name)])
 
     def test_more_work_gets_more_groups(self) -> None:
@@ -45,8 +52,15 @@
     def test_a_standing_group_goes_before_a_new_one_of_like_worth(self) -> None:
         needs = {LARGE.name: 1.0, SMALL.name: 0.55}
         large = Slot(D1, LARGE.name)
-        self.assertEqual(0, plan(SPEC, needs, {D1: 4}, {}, TUNING)[large])
-        self.assertEqual(1, plan(SPEC, needs, {D1: 4}, {large: 1}, TUNING)[large])
+        room = rooms({D1: 4})
+        self.assertEqual(0, plan(SPEC, needs, room, {}, TUNING)[large])
+        self.assertEqual(1, plan(SPEC, needs, room, {large: 1}, TUNING)[large])
+
+    def test_engines_count_only_for_models_that_they_can_join(self) -> None:
+        needs = {LARGE.name: 1.0, SMALL.name: 1.0}
+        room = Room({frozenset({SMALL.name}): 6, frozenset({LARGE.name}): 3})
+        chosen = plan(SPEC, needs, {D1: room}, {}, TUNING)
+        self.assertEqual({Slot(D1, SMALL.name): 3}, dict(chosen))
 
     def test_each_further_group_adds_less(self) -> None:
         gains = [gain(2.0, groups, 1.2) for groups in range(5)]
