Do not wait for reports where an order's answer tells as much

Reports are 0.2 s old, so an engine that had acknowledged its leave was seen in its group again 50 ms later, held until 0.3 s after, and told to leave a second time; a group whose opening was taken was asked again after 0.5 s before it was shown.

Change: what an engine has left is not believed from reports for as long as they lag; a group serves the forming time after its opening was taken; members that are joining are asked when they can be ready; the coordinator goes on as soon as an answer has come. The stand-in's reports lag now too.

--- a/packages/ochreway-direct/src/ochreway_direct/configuration.py
+++ b/packages/ochreway-direct/src/ochreway_direct/configuration.py
@@ -76,6 +76,7 @@
     loads_at_once: int
     form_s: float
     far_factor: float = 1.0
+    report_lag_s: float = 0.2
 
     def token_s(self, requests: float) -> float:
         """Return the time that a group takes for a token of each of so many requests."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -30,6 +30,7 @@
         timing: DirectTiming,
         tuning: CoordinatorTuning,
         spawn: Spawn,
+        changed: Callable[[], None],
         log: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -37,6 +38,7 @@
         self._engines = engines
         self._timing = timing
         self._spawn = spawn
+        self._changed = changed
         self._log = log
         self._metrics = metrics
         self._phases: dict[GroupId, GroupPhase] = {}
@@ -98,7 +100,13 @@
                 self._timing.order_timeout_s,
             )
         finally:
-            self.coordinator.on_outcome(assignment.instance, assignment.order, outcome)
+            self.coordinator.on_outcome(
+                assignment.instance,
+                assignment.order,
+                outcome,
+                asyncio.get_running_loop().time(),
+            )
+            self._changed()
         self._metrics.count(f"order_outcome.{outcome.value}")
         self._log.detail(
             "order", instance=assignment.instance, order=assignment.order, outcome=outcome.value
@@ -116,7 +124,10 @@
             self.coordinator.on_silence(instance, refused, loop.time())
             self._log.detail("engine_silent", instance=instance, cause=fault)
             return
+        changed = state.membership != record.membership
         self.coordinator.on_state(instance, state, asked_s)
+        if changed:
+            self._changed()
 
 
 __all__ = ["Coordination"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -19,7 +19,7 @@
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.listedtarget import ListedTarget
-from ochreway_direct.order import Leave, Order, OrderOutcome, Stage
+from ochreway_direct.order import Order, OrderOutcome, Stage
 
 TAKEN = frozenset({OrderOutcome.HOLDS, OrderOutcome.BEGUN})
 UNSETTLED = frozenset({OrderOutcome.UNKNOWN, OrderOutcome.CONFLICT, OrderOutcome.OTHER_INSTANCE})
@@ -116,10 +116,7 @@
         record.misses = 0
         record.suspected = False
         record.dead = False
-        record.state = state
-        record.observed_s = now_s
-        if state.membership is not None and state.model is not None:
-            record.last_model = state.model
+        record.observe(state, now_s)
         if (
             record.staging is None
             or record.staging in state.staged
@@ -138,14 +135,17 @@
         if refused or record.misses >= allowed:
             record.dead = True
 
-    def on_outcome(self, instance: InstanceId, order: Order, outcome: OrderOutcome) -> None:
+    def on_outcome(
+        self, instance: InstanceId, order: Order, outcome: OrderOutcome, now_s: float
+    ) -> None:
         """Note what became of an order; the next report tells the rest."""
         record = self.engines.get(instance)
         if record is None:
             return
         record.pending = None
-        if isinstance(order, Leave) and outcome in TAKEN:
-            record.left(order.group, order.epoch)
+        record.taken = outcome in TAKEN
+        if record.taken:
+            self._lifecycle.on_taken(record, order, now_s)
         if outcome not in UNSETTLED:
             record.probed_s = 0.0
         if isinstance(order, Stage) and outcome is not OrderOutcome.BEGUN:
@@ -181,18 +181,24 @@
         for record in self.engines.values():
             if record.probing:
                 continue
-            if now_s - record.probed_s >= self._probe_period_s(record, changing, members):
+            if now_s - record.probed_s >= self._probe_period_s(record, changing, members, now_s):
                 record.probing = True
                 record.probed_s = now_s
                 due.append(record)
         return due
 
     def _probe_period_s(
-        self, record: EngineRecord, changing: set[InstanceId], members: set[InstanceId]
+        self,
+        record: EngineRecord,
+        changing: set[InstanceId],
+        members: set[InstanceId],
+        now_s: float,
     ) -> float:
         if record.dead:
             return self.tuning.dead_probe_s
-        if record.misses or record.instance in changing or record.observed_s < 0:
+        if record.misses or record.observed_s < 0:
+            return self.tuning.probe_changing_s
+        if record.instance in changing and now_s >= record.change_due_s:
             return self.tuning.probe_changing_s
         if record.staging and self.demand.measured_since_s is None:
             return self.tuning.probe_staging_s
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -12,6 +12,15 @@
 NEVER_S = -1.0e9
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """Name a group that an engine has left, and until when its reports may still name it."""
+
+    group: GroupId
+    epoch: Epoch
+    until_s: float
+
+
 @dataclass(slots=True)
 class EngineRecord:
     """Hold an engine's last state, how it answers, and the order it was last given."""
@@ -30,6 +39,9 @@
     last_model: ModelName | None = None
     staging: ModelName | None = None
     staging_until_s: float = NEVER_S
+    taken: bool = False
+    change_due_s: float = NEVER_S
+    departure: Departure | None = None
     probing: bool = field(default=False)
 
     @property
@@ -77,11 +89,21 @@
         self.staging = model
         self.staging_until_s = until_s
 
-    def left(self, group: GroupId, epoch: Epoch) -> None:
-        """Take it that the engine has left a group, as it does so at once."""
+    def left(self, group: GroupId, epoch: Epoch, until_s: float) -> None:
+        """Take it that the engine has left a group; its reports may name it for a while."""
+        self.departure = Departure(group, epoch, until_s)
         if self.belongs_to(group, epoch):
             self.state = replace(self.state, membership=None)
 
+    def observe(self, state: EngineState, asked_s: float) -> None:
+        """Take the engine's own report, but for a group that it has left since."""
+        self.state = state
+        self.observed_s = asked_s
+        if state.membership is not None and state.model is not None:
+            self.last_model = state.model
+        if self.departure is not None and asked_s < self.departure.until_s:
+            self.left(self.departure.group, self.departure.epoch, self.departure.until_s)
+
     def quick(self, model: ModelName) -> bool:
         """Tell whether the engine can join a group of a model without loading weights.
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
@@ -34,7 +34,7 @@
     since_s: float
     expected_s: float = 0.0
     close_at_most_s: float = 0.0
-    opening_until_s: float = 0.0
+    serves_s: float | None = None
     ready: set[InstanceId] = field(default_factory=set)
     told: set[InstanceId] = field(default_factory=set)
     released: set[InstanceId] = field(default_factory=set)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -9,7 +9,8 @@
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.enginestate import MemberPhase
-from ochreway_direct.order import Close, Join, Leave, Open
+from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.order import Close, Join, Leave, Open, Order
 
 READY_PHASES = frozenset({MemberPhase.READY, MemberPhase.OPEN, MemberPhase.CLOSING})
 
@@ -26,6 +27,37 @@
         for group in list(self._state.groups.values()):
             self._STEPS[group.phase](self, group, now_s)
 
+    def on_taken(self, record: EngineRecord, order: Order, now_s: float) -> None:
+        """Note that an engine carries an order out, and when its reports will show that."""
+        seen_s = now_s + self._seen_after_s(record.service)
+        match order:
+            case Leave(group, epoch):
+                record.left(group, epoch, seen_s)
+            case Open(group, _) if group in self._state.groups:
+                opened = self._state.groups[group]
+                opened.serves_s = now_s + self._forming_s(record.service)
+            case Join(_, _, model, _):
+                record.change_due_s = seen_s + self._joining_s(record, model)
+            case _:
+                pass
+
+    def _joining_s(self, record: EngineRecord, model: ModelName) -> float:
+        """Return how long an engine takes to join, unless it has to load weights."""
+        spec = self._state.specs.get(record.service)
+        found = spec.model(model) if spec is not None else None
+        if found is None or record.last_model == model:
+            return self._state.tuning.rejoin_s
+        return found.warm_s
+
+    def _forming_s(self, service: ServiceName) -> float:
+        spec = self._state.specs.get(service)
+        return spec.form_s if spec is not None else 0.0
+
+    def _seen_after_s(self, service: ServiceName) -> float:
+        """Return how old what engines report may be."""
+        spec = self._state.specs.get(service)
+        return spec.report_lag_s if spec is not None else 0.0
+
     def _adopt(self, now_s: float) -> None:
         """Take over whole groups that engines report; dissolve what is left of others."""
         found: dict[tuple[GroupId, Epoch], dict[int, EngineRecord]] = defaultdict(dict)
@@ -97,11 +129,10 @@
         if leader.membership.phase is MemberPhase.OPEN:
             group.enter(GroupPhase.SERVING, now_s)
             return
-        if now_s < group.opening_until_s:
-            return
-        if self._state.order(leader, Open(group.group, group.epoch), now_s):
-            form_s = self._state.specs[group.service].form_s
-            group.opening_until_s = now_s + form_s + self._state.tuning.open_slack_s
+        if group.serves_s is None:
+            self._state.order(leader, Open(group.group, group.epoch), now_s)
+        elif now_s >= group.serves_s:
+            group.enter(GroupPhase.SERVING, now_s)
 
     def _bring_in(self, group: GroupRecord, record: EngineRecord, now_s: float) -> None:
         membership = record.membership
@@ -117,8 +148,10 @@
         if self._unfit(group):
             group.enter(GroupPhase.DISSOLVING, now_s)
             return
-        leader = self._state.engines[group.leader].membership
-        if self._leaving(group) or (leader and leader.phase is not MemberPhase.OPEN):
+        leader = self._state.engines[group.leader]
+        told = leader.observed_s > group.since_s + self._seen_after_s(group.service)
+        shut = leader.membership is not None and leader.membership.phase is not MemberPhase.OPEN
+        if self._leaving(group) or (told and shut):
             group.close_at_most_s = self._state.tuning.close_at_most_s
             group.enter(GroupPhase.CLOSING, now_s)
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -60,7 +60,8 @@
 
     def order(self, record: EngineRecord, order: Order, now_s: float) -> bool:
         """Give an order unless one is under way or the same was given just now."""
-        again = order == record.ordered and now_s - record.ordered_s < self.tuning.order_retry_s
+        wait_s = self.tuning.order_taken_retry_s if record.taken else self.tuning.order_retry_s
+        again = order == record.ordered and now_s - record.ordered_s < wait_s
         if record.pending is not None or again:
             return False
         record.pending = record.ordered = order
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -13,15 +13,16 @@
     """
 
     settle_s: float = 1.5
-    probe_changing_s: float = 0.15
+    probe_changing_s: float = 0.1
     probe_serving_s: float = 0.5
     probe_free_s: float = 0.8
     probe_staging_s: float = 0.25
     misses_until_dead: int = 2
     dead_probe_s: float = 1.0
     order_retry_s: float = 0.25
+    order_taken_retry_s: float = 0.9
+    rejoin_s: float = 0.2
     form_slack_s: float = 5.0
-    open_slack_s: float = 0.2
     close_at_most_s: float = 1.5
     trade_close_s: float = 0.4
     silent_share_at_most: float = 0.6
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -92,7 +92,7 @@
             self._backoff(timing),
         )
         self.coordination = Coordination(
-            services.engines, timing, _tuning(settings), self.spawn, log, metrics
+            services.engines, timing, _tuning(settings), self.spawn, self._step_soon, log, metrics
         )
         self.view = FleetView(timing.list_stale_s)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -101,6 +101,7 @@
         self._named = -1
         self._named_until_s = 0.0
         self._ticked_s = 0.0
+        self._step_planned = False
         self._began_s = self._loop.time()
         self._list_changed = asyncio.Event()
 
@@ -218,7 +219,17 @@
         if not self.lease.held:
             return
         self._take_demand(now_s)
-        if self.coordination.step(now_s):
+        self._step()
+
+    def _step_soon(self) -> None:
+        """Have the coordinator go on at once, as something that it waits for has come."""
+        if not self._step_planned:
+            self._step_planned = True
+            self._loop.call_soon(self._step)
+
+    def _step(self) -> None:
+        self._step_planned = False
+        if self.lease.held and self.coordination.step(self._loop.time()):
             self._publish()
 
     def _suspect_silent(self, now_s: float) -> None:
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -2,6 +2,7 @@
 """Engines under virtual time, which do what the coordinator orders and watch its promises."""
 
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -38,6 +39,14 @@
 CONFIGURATION = Configuration(Version(1), services=(Service(SERVICE, 100, SPEC),))
 
 
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Hold what an engine was from a time on."""
+
+    since_s: float
+    state: EngineState
+
+
 @dataclass(slots=True, eq=False)
 class FakeEngine:
     """Stand in for one engine."""
@@ -58,12 +67,22 @@
     ready_s: float = 0.0
     opens_s: float | None = None
     highest: Epoch = field(default=Epoch(0))
+    reports: deque[Report] = field(default_factory=deque)
 
     def state(self, now_s: float) -> EngineState:
-        """Return what the engine reports."""
+        """Return what the engine reports, which is as of some time before."""
+        self.note(now_s)
+        while len(self.reports) > 1 and self.reports[1].since_s <= now_s - SPEC.report_lag_s:
+            self.reports.popleft()
+        return self.reports[0].state
+
+    def note(self, now_s: float) -> None:
+        """Keep what the engine is now for later reports."""
         self.advance(now_s)
         staged = (self.staged,) if self.staged is not None else ()
-        return EngineState(self.domain, self.model, staged, self.membership)
+        state = EngineState(self.domain, self.model, staged, self.membership)
+        if not self.reports or self.reports[-1].state != state:
+            self.reports.append(Report(now_s, state))
 
     def advance(self, now_s: float) -> None:
         """Finish what is due."""
@@ -172,7 +191,7 @@
         self.now_s += STEP_S
         self._load()
         for engine in self.engines.values():
-            engine.advance(self.now_s)
+            engine.note(self.now_s)
         due = [each for at_s, each in self.late if at_s <= self.now_s]
         self.late = [(at_s, each) for at_s, each in self.late if at_s > self.now_s]
         for assignment in due:
@@ -217,7 +236,7 @@
             self.late.append((late_s, assignment))
         else:
             outcome = self._carry_out(assignment.instance, assignment.order)
-        self.coordinator.on_outcome(assignment.instance, assignment.order, outcome)
+        self.coordinator.on_outcome(assignment.instance, assignment.order, outcome, self.now_s)
 
     # What engines do.
 
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -2,8 +2,9 @@
 import testtools
 
 from ochreway_core.ids import DomainId
+from ochreway_direct.coordinator import Assignment
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
-from ochreway_standins.engineworld import LARGE, SMALL, SPEC, EngineWorld
+from ochreway_standins.engineworld import LARGE, SMALL, SPEC, STEP_S, EngineWorld
 
 
 def settled(seed: int = 1) -> EngineWorld:
@@ -28,6 +29,37 @@
         self.assertLess(took_s, 4.0)
         self.assertEqual([], world.violations)
 
+    def test_reports_from_before_a_leave_delay_nothing_and_no_order_is_given_twice(self) -> None:
+        world = settled()
+        given: list[object] = []
+        give = world._give
+
+        def watch(assignment: Assignment) -> None:
+            given.append((assignment.instance, assignment.order))
+            give(assignment)
+
+        world._give = watch  # type: ignore[method-assign]
+        lost, *survivors = reversed(world.members(LARGE))
+        world.crash(lost)
+        groups = world.coordinator.groups
+        world.run_until(lambda: any(g.phase is GroupPhase.DISSOLVING for g in groups.values()), 2.0)
+        left_s = world.run_until(
+            lambda: all(world.coordinator.engines[each].membership is None for each in survivors),
+            2.0,
+        )
+        world.run(6.0)
+        self.assertLess(left_s, SPEC.report_lag_s)
+        self.assertEqual([], [each for each in set(given) if given.count(each) > 1])
+
+    def test_a_group_serves_when_it_has_formed_without_being_asked(self) -> None:
+        world = EngineWorld(domains=0)
+        for _ in range(2):
+            world.add(DomainId("near"), SMALL.name)
+        leader = next(iter(world.engines.values()))
+        world.run_until(lambda: leader.opens_s is not None, 10.0)
+        took_s = world.run_until(lambda: world.serving(SMALL) == 1, 2.0)
+        self.assertLessEqual(took_s, SPEC.form_s + 2 * STEP_S)
+
     def test_survivors_of_a_lost_leader_serve_again(self) -> None:
         world = settled()
         world.crash(world.members(LARGE)[0])
