Begin loads at once under a new holder, keep awaited engines as they are, place groups one by one

After all entries had lost power seven empty engines got no weights for 5.3 s, as a new holder took the bound on loads for used up. While a group was given up for a larger one, the free engine that it was to join began to load other weights, so the same group was formed again. And a large group was placed first, where small ones stood, and then refused, although another domain had four engines with nothing but its weights.

Change: engines that report an order under way count as loading, and half of the bound is kept for what is not seen; engines that can join a group that comes next load nothing; a group is added to the placement there is, and only when it finds no room are all placed anew.

--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -17,6 +17,7 @@
 from ochreway_runtime.metrics import Metrics
 
 Spawn = Callable[[Coroutine[None, None, None]], object]
+SUMMARY_EVERY_S = 1.0
 LOST_TOLD_S = 3.0
 """For how long a lost group is named in updates."""
 
@@ -43,6 +44,7 @@
         self._metrics = metrics
         self._phases: dict[GroupId, GroupPhase] = {}
         self._lost_s: dict[GroupId, float] = {}
+        self._summary_due_s = 0.0
 
     def begin(self, epoch: Epoch, targets: Iterable[ListedTarget], now_s: float) -> None:
         """Start with epochs above the one given and the targets known so far."""
@@ -61,8 +63,25 @@
             self._spawn(self._order(assignment))
         for record in self.coordinator.due_probes(now_s):
             self._spawn(self._probe(record))
+        if now_s >= self._summary_due_s:
+            self._summary_due_s = now_s + SUMMARY_EVERY_S
+            self._note_domains()
         return self._note_phases(now_s)
 
+    def _note_domains(self) -> None:
+        for each in self.coordinator.summaries():
+            able = ",".join(f"{model}:{number}" for model, number in sorted(each.able.items()))
+            self._log.detail(
+                "domain",
+                domain=each.domain,
+                members=each.members,
+                free=each.free,
+                able=able,
+                loading=each.loading,
+                silent=each.silent,
+                leaving=each.leaving,
+            )
+
     def lost(self, now_s: float) -> tuple[GroupId, ...]:
         """Return the groups whose requests have to be abandoned."""
         self._lost_s = {g: at_s for g, at_s in self._lost_s.items() if now_s - at_s < LOST_TOLD_S}
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -15,6 +15,7 @@
 from ochreway_direct.coordinator.loadlimit import LoadLimit
 from ochreway_direct.coordinator.staging import Staging
 from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.coordinator.summary import DomainSummary, summaries
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.groupview import GroupView
@@ -231,6 +232,10 @@
             )
         return tuple(found)
 
+    def summaries(self) -> tuple[DomainSummary, ...]:
+        """Return what the engines of each domain are doing."""
+        return summaries(self.engines.values(), frozenset(self._state.held()))
+
     def tick(self, now_s: float) -> list[Assignment]:
         """Return the orders to give now."""
         self._state.out = []
@@ -241,9 +246,9 @@
         if not self._all_silent():
             self._lifecycle.step(now_s)
             for service, spec in self._state.specs.items():
-                wanted = self._formation.step(service, spec, now_s)
+                outlook = self._formation.step(service, spec, now_s)
                 free = self._formation.free(service)
-                self._staging.step(service, spec, wanted, free, now_s)
+                self._staging.step(service, spec, outlook, free, now_s)
         return self._state.out
 
     def _settled(self, now_s: float) -> bool:
@@ -261,13 +266,19 @@
         )
 
     def _begin_loads(self, now_s: float) -> None:
-        """Take it that the holder before this one has used up the bound on loads."""
+        """Take into account the loads that the holder before this one may have begun.
+
+        Those of the last window still go on, as loading takes longer than it. What was not
+        seen yet, or was on an engine that is lost, is allowed for by a share of the bound.
+        """
         if self._started or not self._settled(now_s):
             return
         self._started = True
         if not self._untouched():
-            for limit in self._state.limits.values():
-                limit.take(now_s, limit.left(now_s))
+            for service, limit in self._state.limits.items():
+                unseen = int(limit.left(now_s) * self.tuning.loads_unseen_share)
+                begun = self._state.loading(service) + unseen
+                limit.take(now_s, min(begun, limit.left(now_s)))
 
     def _all_silent(self) -> bool:
         """Tell whether so many engines are silent that the fault must be nearer home."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -74,6 +74,11 @@
         """Tell whether the engine may become a member."""
         return not self.dead and not self.leaving and self.observed_s > NEVER_S
 
+    @property
+    def loading(self) -> bool:
+        """Tell whether the engine is getting weights, by its report or by an order."""
+        return self.staging is not None or self.state.busy
+
     @property
     def ordered_group(self) -> bool:
         """Tell whether an order that changes its group is under way."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -3,12 +3,13 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
-from ochreway_direct.coordinator.layout import Slot
+from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.planner import Planner
 from ochreway_direct.coordinator.room import Ability, Room
 from ochreway_direct.coordinator.spanning import FreeEngines, SpanningFormation
@@ -19,6 +20,14 @@
 """From which pace on an engine is chosen last."""
 
 
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """Hold the groups that engines could form with other weights, and those that come next."""
+
+    wanted: Counter[Slot]
+    awaited: frozenset[Slot]
+
+
 class Formation:
     """Compare the groups of a service with the plan, and form or give up what differs."""
 
@@ -28,19 +37,20 @@
         self._later = Planner(state.tuning)
         self._spanning = SpanningFormation(state)
 
-    def step(self, service: ServiceName, spec: EngineSpec, now_s: float) -> Counter[Slot]:
-        """Form what can be had at once; return the plan that further weights should allow."""
+    def step(self, service: ServiceName, spec: EngineSpec, now_s: float) -> Outlook:
+        """Form what can be had at once; return what is awaited, and what weights are for."""
         free = self.free(service)
         standing = self._state.standing(service)
         inside = Counter({slot: n for slot, n in standing.items() if slot.domain != SPANNING})
         rooms = self._rooms(service, spec, free)
         needs = self._state.demand.needs(spec, sum(room.total for room in rooms.values()))
         wanted = self._now.plan(spec, needs, rooms, inside)
-        lacking = self._form_wanted(service, spec, wanted, standing, free, now_s)
-        spare = {domain: records for domain, records in free.items() if domain not in lacking}
+        awaited = self._form_wanted(service, spec, wanted, standing, free, now_s)
+        taken = {slot.domain for slot in awaited}
+        spare = {domain: records for domain, records in free.items() if domain not in taken}
         self._spanning.step(service, spec, needs, wanted | inside, spare, now_s)
         whole = {domain: _any_model(spec, room) for domain, room in rooms.items()}
-        return self._later.plan(spec, needs, whole, inside)
+        return Outlook(self._later.plan(spec, needs, whole, inside), frozenset(awaited))
 
     def _form_wanted(
         self,
@@ -50,18 +60,18 @@
         standing: Mapping[Slot, int],
         free: FreeEngines,
         now_s: float,
-    ) -> set[DomainId]:
-        """Form the groups that are wanted; return the domains whose engines are still awaited."""
-        lacking = set()
+    ) -> set[Slot]:
+        """Form the groups that are wanted; return the places whose engines are still awaited."""
+        awaited = set()
         for slot in sorted(wanted, key=lambda each: (each.domain, each.model)):
             model = spec.model(slot.model)
             assert model is not None
             for _ in range(wanted[slot] - standing.get(slot, 0)):
                 if not self._form(service, model, free[slot.domain], slot.domain, now_s):
                     self._trade(service, model, wanted, standing, free, slot, now_s)
-                    lacking.add(slot.domain)
+                    awaited.add(slot)
                     break
-        return lacking
+        return awaited
 
     def free(self, service: ServiceName) -> FreeEngines:
         """Return the engines of each domain that can become members."""
@@ -175,4 +185,4 @@
     return Room({_all(spec): room.total})
 
 
-__all__ = ["Formation", "FreeEngines"]
+__all__ = ["Formation", "FreeEngines", "Outlook"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -1,26 +1,18 @@
 # SPDX-License-Identifier: Apache-2.0
 """How many groups of each model every fabric domain should have."""
 
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.demand import gain
+from ochreway_direct.coordinator.placement import Placement, Slot
 from ochreway_direct.coordinator.room import Room
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.ids import ModelName
 
 
-@dataclass(frozen=True, slots=True)
-class Slot:
-    """Name a place for a group: a domain and a model."""
-
-    domain: DomainId
-    model: ModelName
-
-
 def plan(
     spec: EngineSpec,
     needs: Mapping[ModelName, float],
@@ -44,60 +36,38 @@
     for slot, number in standing.items():
         stand[slot.model] += number
     totals: Counter[ModelName] = Counter()
-    placed: Counter[Slot] = Counter()
 
     def value(model: ModelSpec) -> float:
         added = gain(needs[model.name], totals[model.name], tuning.crowding) / model.size
         return added * (tuning.keep_bonus if totals[model.name] < stand[model.name] else 1.0)
 
+    placement = Placement(rooms, standing)
     while True:
         for model in sorted(spec.models, key=value, reverse=True):
-            found = place(spec, totals + Counter([model.name]), rooms, standing)
+            found = _with_one_more(spec, model, totals, placement)
             if found is not None:
                 totals[model.name] += 1
-                placed = found
+                placement = found
                 break
         else:
-            return placed
+            return placement.placed
 
 
-def place(
-    spec: EngineSpec,
-    totals: Mapping[ModelName, int],
-    rooms: Mapping[DomainId, Room],
-    standing: Mapping[Slot, int],
-) -> Counter[Slot] | None:
-    """Return where so many groups of each model go, or None when they find no room.
+def _with_one_more(
+    spec: EngineSpec, model: ModelSpec, totals: Mapping[ModelName, int], placement: Placement
+) -> Placement | None:
+    """Return a placement with one more group, or None when it finds no room.
 
-    Larger groups are placed first. A standing one keeps its place; new ones are spread, so that
-    each domain has groups of several models, whose engines can stand in for each other.
+    Where it finds none beside the others, all are placed anew, larger ones first.
     """
-    left = Counter({domain: room.total for domain, room in rooms.items()})
-    members: dict[DomainId, Counter[ModelName]] = defaultdict(Counter)
-    placed: Counter[Slot] = Counter()
-    for model in sorted(spec.models, key=lambda each: -each.size):
-        for _ in range(totals.get(model.name, 0)):
-            more = Counter({model.name: model.size})
-            slots = [
-                Slot(domain, model.name)
-                for domain, room in rooms.items()
-                if room.holds(members[domain] + more)
-            ]
-            if not slots:
+    if placement.add(model):
+        return placement
+    anew = Placement(placement.rooms, placement.standing)
+    for each in sorted(spec.models, key=lambda each: -each.size):
+        for _ in range(totals[each.name] + (each is model)):
+            if not anew.add(each):
                 return None
-            chosen = max(
-                slots,
-                key=lambda slot: (
-                    placed[slot] < standing.get(slot, 0),
-                    -placed[slot],
-                    left[slot.domain],
-                    slot.domain,
-                ),
-            )
-            placed[chosen] += 1
-            left[chosen.domain] -= model.size
-            members[chosen.domain] += more
-    return placed
+    return anew
 
 
-__all__ = ["Slot", "place", "plan"]
+__all__ = ["plan"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
@@ -7,7 +7,8 @@
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec
-from ochreway_direct.coordinator.layout import Slot, plan
+from ochreway_direct.coordinator.layout import plan
+from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.room import Room
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.ids import ModelName
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/spanning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/spanning.py
@@ -8,7 +8,7 @@
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import SPANNING
-from ochreway_direct.coordinator.layout import Slot
+from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.ids import ModelName, ServiceName
 
@@ -59,7 +59,9 @@
         chosen = sorted(quick, key=preference)[: model.size]
         for record in chosen:
             free[record.domain].remove(record)
-        self._state.begin_group(service, model, SPANNING, chosen, model.warm_s, now_s)
+        domains = {record.domain for record in chosen}
+        domain = domains.pop() if len(domains) == 1 else SPANNING
+        self._state.begin_group(service, model, domain, chosen, model.warm_s, now_s)
         return True
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -8,9 +8,9 @@
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.enginerecord import EngineRecord
-from ochreway_direct.coordinator.formation import FreeEngines
+from ochreway_direct.coordinator.formation import FreeEngines, Outlook
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
-from ochreway_direct.coordinator.layout import Slot
+from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.state import STANDING, CoordinatorState
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.order import Stage
@@ -38,7 +38,7 @@
         self,
         service: ServiceName,
         spec: EngineSpec,
-        wanted: Mapping[Slot, int],
+        outlook: Outlook,
         free: FreeEngines,
         now_s: float,
     ) -> None:
@@ -46,7 +46,8 @@
         first = [
             load
             for domain, records in free.items()
-            for load in self._for_free(service, spec, domain, records, wanted)
+            for load in self._for_free(service, spec, domain, records, outlook.wanted)
+            if not _awaited(load.engine, outlook)
         ]
         tuning = self._state.tuning
         for load in first:
@@ -169,4 +170,11 @@
             engine.stage(load.model.name, now_s + 2 * load.model.load_s)
 
 
+def _awaited(engine: EngineRecord, outlook: Outlook) -> bool:
+    """Tell whether a group that comes next may need the engine with the weights it has."""
+    return any(
+        slot.domain == engine.domain and engine.quick(slot.model) for slot in outlook.awaited
+    )
+
+
 __all__ = ["Load", "Staging"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -11,13 +11,14 @@
 from ochreway_direct.coordinator.demand import Demand
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
-from ochreway_direct.coordinator.layout import Slot
 from ochreway_direct.coordinator.loadlimit import LoadLimit
+from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.order import Order
 
 STANDING = frozenset({GroupPhase.FORMING, GroupPhase.SERVING})
+RELEASING = frozenset({GroupPhase.CLOSING, GroupPhase.DISSOLVING})
 
 
 @dataclass(slots=True)
@@ -98,11 +99,11 @@
         )
 
     def survivors(self, domain: DomainId) -> list[EngineRecord]:
-        """Return the usable engines that lost groups of a domain have not released yet."""
+        """Return the usable engines of a domain that groups are about to release."""
         return [
             self.engines[instance]
             for group in self.groups.values()
-            if group.phase is GroupPhase.DISSOLVING
+            if group.phase in RELEASING
             for instance in group.members
             if instance not in group.released
             and instance in self.engines
@@ -128,7 +129,7 @@
         return sum(
             1
             for record in self.engines.values()
-            if record.service == service and not record.dead and record.staging
+            if record.service == service and not record.dead and record.loading
         )
 
     def cold(self, service: ServiceName, domain: DomainId) -> bool:
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/summary.py
@@ -0,0 +1,51 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What the engines of a domain are doing, for the log."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ochreway_core.ids import DomainId, InstanceId
+from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.ids import ModelName
+
+
+@dataclass(slots=True)
+class DomainSummary:
+    """Count a domain's engines by what they do and by the weights they could join with."""
+
+    domain: DomainId
+    members: int = 0
+    free: int = 0
+    silent: int = 0
+    leaving: int = 0
+    loading: int = 0
+    able: Counter[ModelName] = field(default_factory=Counter)
+
+    def note(self, record: EngineRecord, member: bool) -> None:
+        """Count one engine."""
+        self.members += member
+        self.silent += record.dead
+        self.leaving += record.leaving
+        self.loading += record.loading
+        if member or not record.usable:
+            return
+        self.free += 1
+        for model in {record.last_model, *record.state.staged}:
+            if model is not None and record.quick(model):
+                self.able[model] += 1
+
+
+def summaries(
+    engines: Iterable[EngineRecord], members: frozenset[InstanceId]
+) -> tuple[DomainSummary, ...]:
+    """Return a summary for each domain."""
+    found: dict[DomainId, DomainSummary] = defaultdict(lambda: DomainSummary(DomainId("")))
+    for record in engines:
+        summary = found[record.domain]
+        summary.domain = record.domain
+        summary.note(record, record.instance in members)
+    return tuple(found[domain] for domain in sorted(found))
+
+
+__all__ = ["DomainSummary", "summaries"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -36,6 +36,7 @@
     loading_beside_share: float = 0.5
     loads_slack_s: float = 0.3
     loads_spare: int = 2
+    loads_unseen_share: float = 0.5
 
     def loads_at_most(self, per_s: float) -> int:
         """Return how many loads may begin in one window."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -68,6 +68,8 @@
             self._log.detail(
                 "refused",
                 request=terms.request,
+                model=terms.model,
+                deadline_s=terms.deadline_s,
                 status=refused.status,
                 reason=refused.reason.value,
             )
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -80,7 +80,9 @@
         """Keep what the engine is now for later reports."""
         self.advance(now_s)
         staged = (self.staged,) if self.staged is not None else ()
-        state = EngineState(self.domain, self.model, staged, self.membership)
+        state = EngineState(
+            self.domain, self.model, staged, self.membership, busy=self.loading is not None
+        )
         if not self.reports or self.reports[-1].state != state:
             self.reports.append(Report(now_s, state))
 
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -82,6 +82,24 @@
         world.run(0.2)
         self.assertGreaterEqual(world.serving(LARGE), 2)
 
+    def test_a_new_holder_begins_loads_at_once_while_few_are_under_way(self) -> None:
+        world = settled()
+        empty = world.add(DomainId("d0"))
+        world.run(0.5)
+        empty.loading = None
+        world.take_over()
+        world.run_until(lambda: empty.loading is not None, 2.5)
+
+    def test_a_new_holder_counts_the_loads_that_are_under_way(self) -> None:
+        world = settled()
+        added = [world.add(DomainId("d0")) for _ in range(12)]
+        world.run_until(lambda: any(each.loading for each in added), 8.0)
+        world.take_over()
+        for _ in range(80):
+            world.step()
+            loading = sum(1 for each in world.engines.values() if each.loading)
+            self.assertLessEqual(loading, SPEC.loads_at_once)
+
     def test_a_new_holder_finishes_a_group_that_was_being_formed(self) -> None:
         world = EngineWorld()
         groups = world.coordinator.groups
--- a/tests/direct/test_layout.py
+++ b/tests/direct/test_layout.py
@@ -3,8 +3,9 @@
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.coordinator.demand import Demand, gain, worth
-from ochreway_direct.coordinator.layout import Slot, plan
+from ochreway_direct.coordinator.layout import plan
 from ochreway_direct.coordinator.loadlimit import LoadLimit
+from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.room import Room
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_standins.engineworld import LARGE, SMALL, SPEC
@@ -56,6 +57,14 @@
         self.assertEqual(0, plan(SPEC, needs, room, {}, TUNING)[large])
         self.assertEqual(1, plan(SPEC, needs, room, {large: 1}, TUNING)[large])
 
+    def test_a_large_group_goes_where_small_ones_have_no_use_for_the_engines(self) -> None:
+        needs = {LARGE.name: 1.0, SMALL.name: 3.0}
+        any_model = frozenset({LARGE.name, SMALL.name})
+        mixed = Room({any_model: 4, frozenset(): 1})
+        only_large = Room({frozenset({LARGE.name}): 4})
+        chosen = plan(SPEC, needs, {D1: mixed, D2: only_large}, {}, TUNING)
+        self.assertEqual({Slot(D1, SMALL.name): 2, Slot(D2, LARGE.name): 1}, dict(chosen))
+
     def test_engines_count_only_for_models_that_they_can_join(self) -> None:
         needs = {LARGE.name: 1.0, SMALL.name: 1.0}
         room = Room({frozenset({SMALL.name}): 6, frozenset({LARGE.name}): 3})
