--- a/tests/processes/site.py
+++ b/tests/processes/site.py
@@ -40,6 +40,16 @@
         status, content, _ = await self.post(path, entry, headers=headers)
         return status, content
 
+    async def until_key_homes_answer(self, entry: str) -> None:
+        """Wait until an entry's claim on a key is won, which takes its homes' answers."""
+        tries = iter(range(1000))
+
+        async def won() -> bool:
+            number = next(tries)
+            return (await self.confirm(f"warm-{number}", entry, f"warm-{number}"))[0] == 200
+
+        await until("the homes of keys answer", won, site=self.site)
+
     async def confirmed(self, visit: str) -> int:
         counts = []
         for name in SERVICES:
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -98,6 +98,7 @@
 
     def test_killed_entry_and_a_retry_with_the_key_run_once(self) -> None:
         async def scenario(running: Running) -> None:
+            await running.until_key_homes_answer("entry-1")
             first = asyncio.create_task(running.confirm("v2", "entry-1", "key-2"))
 
             async def begun() -> bool:
