--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # Tests that are known to fail for a fault that is not mended yet: one a line, up to the first bar.
 KNOWN_RED := $(foreach test,$(shell cut -d' ' -f1 KNOWN-RED.txt 2>/dev/null),--deselect $(test))
 
-.PHONY: setup demo test lint unit soak guards faults bench bench-policy slopes repairs groups format
+.PHONY: setup demo test lint unit soak guards faults bench bench-policy slopes repairs groups group-repairs format
 
 setup: $(VENV)/.ready
 
@@ -59,6 +59,9 @@
 repairs: setup
 	$(BIN)/python -m ochreway_standins.repairs --seed $(SEED) --jobs $(JOBS)
 
+group-repairs: setup
+	$(BIN)/python -m ochreway_standins.grouprepairs --seed $(SEED) --jobs $(JOBS)
+
 groups: setup
 	$(BIN)/python -m ochreway_standins.groupbench --seed $(SEED) --runs 56 --jobs $(JOBS)
 
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -81,7 +81,7 @@
             LinkSettings(settings.link_key.encode()),
             lambda: self.serving.version,
             self._received,
-            lambda _: None,
+            self._on_link_down,
             lambda peer: self.peers.learn((peer,), self._loop.time()),
         )
         self.incarnation = secrets.token_hex(6)
@@ -329,6 +329,25 @@
 
     # Other entries.
 
+    def _on_link_down(self, node: NodeId) -> None:
+        """Find out whether the holder of the lease has ended, which its silence would tell late."""
+        holder = self.peers.holder(self._loop.time())
+        if holder is not None and holder.peer.node == node:
+            self.spawn(self._check_holder(holder.peer))
+
+    async def _check_holder(self, holder: Peer) -> None:
+        host, _, port = holder.address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._timing.probe_timeout_s):
+                _, writer = await asyncio.open_connection(host, int(port))
+            writer.close()
+        except ConnectionError:
+            self.log.event("holder_ended", holder=holder.node)
+            self.peers.ended(holder.node, self._loop.time())
+            self.lease.note_ended(holder.node)
+        except (TimeoutError, OSError):
+            self.log.detail("holder_unreachable", holder=holder.node)
+
     def _send_heartbeats(self, now_s: float) -> None:
         for node in self.peers.forget_silent(now_s):
             self.serving.fleet.forget_entry(node)
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -16,8 +16,6 @@
 OTHER_HALL_LOAD = 0.5
 """How many requests more a target of the own hall may have before another is preferred."""
 JITTER_LOAD = 0.9
-QUEUED_AT_MOST = 3
-"""How many requests may wait at a group beside those in its slots."""
 
 
 class Fleet:
@@ -103,12 +101,16 @@
         model: ModelName | None,
         avoid: Collection[InstanceId],
         spec: EngineSpec,
+        queued_at_most: int,
     ) -> GroupView | None:
-        """Return the group that is to take the least time, or None when all have no place left."""
+        """Return the group that is to take the least time, or None when all have no place left.
+
+        So many requests may wait at a group beside those in its slots.
+        """
         found = [
             each
             for each in self.places(service, model)
-            if each.leader not in avoid and self.load(each.group) < spec.slots + QUEUED_AT_MOST
+            if each.leader not in avoid and self.load(each.group) < spec.slots + queued_at_most
         ]
         if not found:
             return None
--- a/packages/ochreway-direct/src/ochreway_direct/lease.py
+++ b/packages/ochreway-direct/src/ochreway_direct/lease.py
@@ -32,6 +32,10 @@
     released: bool = False
 
 
+ENDED = ""
+"""Stands for the incarnation of a process that has ended."""
+
+
 class LeaseState(Enum):
     """Say whether this process has the lease."""
 
@@ -83,8 +87,12 @@
         """Note which life of another process speaks, as any former one has ended."""
         self._alive[process.node] = process.incarnation
 
+    def note_ended(self, node: NodeId) -> None:
+        """Note that a process has ended, until one speaks under its name again."""
+        self._alive[node] = ENDED
+
     def _ended(self, holder: Holder) -> bool:
-        """Tell whether a later life of the holder is known."""
+        """Tell whether the holder is known to have ended, or a later life of it speaks."""
         return self._alive.get(holder.node, holder.incarnation) != holder.incarnation
 
     def free(self, now_s: float, unchanged_s: float) -> bool:
--- a/packages/ochreway-direct/src/ochreway_direct/peers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/peers.py
@@ -40,6 +40,11 @@
         self._records[sender.node] = PeerRecord(sender, now_s, heartbeat)
         self.learn(heartbeat.peers, now_s)
 
+    def ended(self, node: NodeId, now_s: float) -> None:
+        """Take an entry as silent, as its process has ended; it may be back soon."""
+        if node in self._records:
+            self._records[node].heard_s = now_s - self._silent_s
+
     def forget_silent(self, now_s: float) -> list[NodeId]:
         """Drop entries that have been silent for long; return them."""
         gone = [n for n, r in self._records.items() if now_s - r.heard_s > FORGOTTEN_S]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -150,7 +150,13 @@
 
     def _pick(self, call: Call) -> Attempt | None:
         if call.engine is not None:
-            group = self._fleet.pick_group(call.service, call.terms.model, call.tried, call.engine)
+            group = self._fleet.pick_group(
+                call.service,
+                call.terms.model,
+                call.tried,
+                call.engine,
+                self._tuning.queued_at_most,
+            )
             if group is None:
                 return None
             return Attempt(group.leader, group.address, group.hall, group.group)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -20,6 +20,7 @@
     least_left_s: float = 0.05
     place_poll_s: float = 0.01
     patience_share: float = 0.1
+    queued_at_most: int = 3
     resume_patience_s: float = 1.0
     retry_after_s: float = 0.3
     elsewhere_after_s: float = 0.05
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -8,7 +8,7 @@
 
 from ochreway_core.ids import DomainId, Epoch, HallId, InstanceId, Version
 from ochreway_direct.configuration import Configuration, EngineSpec, ModelSpec, Service
-from ochreway_direct.coordinator import Assignment, Coordinator
+from ochreway_direct.coordinator import Assignment, Coordinator, CoordinatorTuning
 from ochreway_direct.coordinator.grouprecord import GroupPhase
 from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
 from ochreway_direct.ids import ModelName, ServiceName
@@ -123,8 +123,14 @@
     """Run a coordinator against engines; faults are lost answers, late orders and crashes."""
 
     def __init__(
-        self, domains: int = 2, engines: int = 8, seed: int = 1, lag_s: float = 0.0
+        self,
+        domains: int = 2,
+        engines: int = 8,
+        seed: int = 1,
+        lag_s: float = 0.0,
+        tuning: CoordinatorTuning | None = None,
     ) -> None:
+        self.tuning = tuning or CoordinatorTuning()
         self.random = random.Random(seed)
         self.now_s = 100.0
         self.engines: dict[InstanceId, FakeEngine] = {}
@@ -132,7 +138,7 @@
         self.late: list[tuple[float, Assignment]] = []
         self.lost_share = 0.0
         self.load_speed = 1.0
-        self.coordinator = Coordinator()
+        self.coordinator = Coordinator(self.tuning)
         self.terms = 0
         self.measured = lag_s == 0.0
         self.made = 0
@@ -160,7 +166,7 @@
         """Let another process take the lease: it knows nothing but the list."""
         self.terms += 1
         before = self.coordinator
-        self.coordinator = Coordinator()
+        self.coordinator = Coordinator(self.tuning)
         self.coordinator.configure(CONFIGURATION)
         if self.measured:
             for measured_s in (self.now_s - 60.0, self.now_s):
@@ -188,12 +194,21 @@
                 raise AssertionError(f"not within {bound_s} s")
         return self.now_s - begun_s
 
-    def step(self) -> None:
-        """Let one step pass."""
+    def pass_time(self, duration_s: float) -> None:
+        """Let engines go on for a while with nobody to give orders."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            self._advance()
+
+    def _advance(self) -> None:
         self.now_s += STEP_S
         self._load()
         for engine in self.engines.values():
             engine.note(self.now_s)
+
+    def step(self) -> None:
+        """Let one step pass."""
+        self._advance()
         due = [each for at_s, each in self.late if at_s <= self.now_s]
         self.late = [(at_s, each) for at_s, each in self.late if at_s > self.now_s]
         for assignment in due:
--- a/packages/ochreway-standins/src/ochreway_standins/groupbench.py
+++ b/packages/ochreway-standins/src/ochreway_standins/groupbench.py
@@ -14,6 +14,7 @@
 import click
 
 from ochreway_core.ids import DomainId
+from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_standins.engineworld import LARGE, SMALL, SPEC, STEP_S, EngineWorld, FakeEngine
 
 LEAD_S = 11.0
@@ -27,6 +28,8 @@
 WORTH = {LARGE.name: 47.0, SMALL.name: 54.0}
 WINDOW_S = 2.0
 SHORT_LOADS = 10.0
+NO_STAGING = CoordinatorTuning(loading_share=0.0, loading_beside_share=0.0)
+"""Loads nothing any more once the first request was seen."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,8 +46,15 @@
 class Day:
     """Play one day."""
 
-    def __init__(self, seed: int) -> None:
-        self.world = EngineWorld(domains=3, engines=8, seed=seed, lag_s=LAG_S)
+    def __init__(self, seed: int, load: float = 1.0, staging: bool = True) -> None:
+        self._needs = {name: need * load for name, need in NEEDS.items()}
+        self.world = EngineWorld(
+            domains=3,
+            engines=8,
+            seed=seed,
+            lag_s=LAG_S,
+            tuning=CoordinatorTuning() if staging else NO_STAGING,
+        )
         self.world.load_speed = SHORT_LOADS
         self._begin_s = self.world.now_s + LEAD_S
         self._dark: list[FakeEngine] = []
@@ -117,12 +127,12 @@
 
     def _note(self) -> None:
         demand = self.world.coordinator.demand
-        demand.update(NEEDS, self.world.now_s)
+        demand.update(self._needs, self.world.now_s)
         serving = {LARGE.name: 0.0, SMALL.name: 0.0}
         for engine in self.world.engines.values():
             if self._serves(engine):
                 serving[engine.model] += self._capacity(engine)  # type: ignore[index]
-        shares = {name: min(1.0, serving[name] / NEEDS[name]) for name in NEEDS}
+        shares = {name: min(1.0, serving[name] / need) for name, need in self._needs.items()}
         self._shares.append({str(name): share for name, share in shares.items()})
         alive = [each for each in self.world.engines.values() if each.alive]
         used = serving[LARGE.name] * LARGE.size + serving[SMALL.name] * SMALL.size
@@ -161,24 +171,27 @@
         )
 
 
-def play(seed: int) -> DayResult:
+def play(seed: int, load: float = 1.0, staging: bool = True) -> DayResult:
     """Play the day of a seed."""
-    return Day(seed).play()
+    return Day(seed, load, staging).play()
 
 
 @click.command()
 @click.option("--seed", default=1, show_default=True)
 @click.option("--runs", default=24, show_default=True)
 @click.option("--jobs", default=4, show_default=True)
-def main(seed: int, runs: int, jobs: int) -> None:
+@click.option("--load", default=1.0, show_default=True, help="Offered work against the usual.")
+@click.option("--staging/--no-staging", default=True, help="Load weights ahead of need.")
+def main(seed: int, runs: int, jobs: int, load: float, staging: bool) -> None:
     """Print the served share of the offered worth over seeds."""
     with ProcessPoolExecutor(jobs) as pool:
-        results = list(pool.map(play, range(seed, seed + runs)))
+        seeds = range(seed, seed + runs)
+        results = list(pool.map(play, seeds, [load] * runs, [staging] * runs))
     for name in ("mean", "worst", "large", "small", "stranded"):
         values = sorted(getattr(result, name) for result in results)
         middle = statistics.fmean(values)
         print(f"{name} mean={middle:.3f} least={values[0]:.3f} most={values[-1]:.3f}")
-    print(f"seed={seed} runs={runs}")
+    print(f"seed={seed} runs={runs} load={load} staging={staging}")
 
 
 if __name__ == "__main__":
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -10,6 +10,7 @@
 from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
 
 HALL = HallId("h")
+QUEUED = 3
 
 
 def view(name: str, pace: float) -> GroupView:
@@ -27,7 +28,7 @@
             self.fleet.begin(Attempt(group.leader, group.address, group.hall, group.group))
 
     def chosen(self) -> str | None:
-        found = self.fleet.pick_group(SERVICE, LARGE.name, (), SPEC)
+        found = self.fleet.pick_group(SERVICE, LARGE.name, (), SPEC, QUEUED)
         return found.group if found is not None else None
 
     def test_of_equal_groups_the_least_loaded_is_chosen(self) -> None:
@@ -47,5 +48,5 @@
     def test_none_is_chosen_when_all_are_full(self) -> None:
         only = view("only", 1.0)
         self.fleet.set_groups((only,))
-        self.load(only, SPEC.slots + 3)
+        self.load(only, SPEC.slots + QUEUED)
         self.assertIsNone(self.chosen())
--- a/tests/direct/test_lease.py
+++ b/tests/direct/test_lease.py
@@ -66,6 +66,20 @@
 
         asyncio.run(work())
 
+    def test_the_lease_of_a_process_that_has_ended_is_free_until_it_speaks_again(self) -> None:
+        async def work() -> None:
+            table = MemoryTable()
+            one, other = lease(table, "one"), lease(table, "other")
+            await one.observe(1.0)
+            await one.take(1.0)
+            await other.observe(1.2)
+            other.note_ended(NodeId("one"))
+            self.assertTrue(other.free(1.2, 1.0))
+            other.note_alive(Holder(NodeId("one"), "1"))
+            self.assertFalse(other.free(1.2, 1.0))
+
+        asyncio.run(work())
+
     def test_a_released_lease_is_free_at_once(self) -> None:
         async def work() -> None:
             table = MemoryTable()
