--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -0,0 +1,100 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What entries tell each other at short intervals."""
+
+import asyncio
+from collections import Counter
+
+from ochreway_core.peer import Peer
+from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.lease import Holder, Lease
+from ochreway_direct.messages import ConfigurationRequest, Heartbeat
+from ochreway_direct.peers import Peers
+from ochreway_direct.serving import Serving
+from ochreway_wire.links import Links
+
+NAMED_FOR_S = 3.0
+NAMED_AGAIN_S = 5.0
+"""For how long, and how long after, heartbeats name all entries that are known."""
+
+
+class Heartbeats:
+    """Send this entry's heartbeats and take in those of others."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        me: Peer,
+        seeds: tuple[str, ...],
+        peers: Peers,
+        links: Links,
+        serving: Serving,
+        lease: Lease,
+        meter: DemandMeter,
+        heartbeat_s: float,
+    ) -> None:
+        self._incarnation = incarnation
+        self._me = me
+        self._seeds = seeds
+        self._peers = peers
+        self._links = links
+        self._serving = serving
+        self._lease = lease
+        self._meter = meter
+        self._heartbeat_s = heartbeat_s
+        self._named = -1
+        self._named_until_s = 0.0
+
+    def send(self, now_s: float) -> None:
+        """Send a heartbeat to each entry that is known, and dial seeds that are not."""
+        for node in self._peers.forget_silent(now_s):
+            self._serving.fleet.forget_entry(node)
+        known = self._peers.all()
+        self._meet_seeds(known)
+        for peer in known:
+            self._links.send(peer, self._heartbeat(peer, known, now_s))
+
+    def receive(self, sender: Peer, heartbeat: Heartbeat) -> None:
+        """Take another entry's heartbeat."""
+        now_s = asyncio.get_running_loop().time()
+        self._peers.hear(sender, heartbeat, now_s)
+        self._lease.note_alive(Holder(sender.node, heartbeat.incarnation))
+        if heartbeat.holds_lease:
+            self._lease.hear(heartbeat.lease_revision, now_s)
+        self._serving.fleet.set_elsewhere(sender.node, Counter(heartbeat.under_way))
+        if heartbeat.version > self._serving.version:
+            self._links.send(sender, ConfigurationRequest(self._serving.version))
+        elif heartbeat.version == self._serving.version and heartbeat.echo_s is not None:
+            self._serving.freshness.prove(heartbeat.echo_s - heartbeat.proof_age_s)
+
+    def _meet_seeds(self, known: list[Peer]) -> None:
+        met = {peer.address for peer in known}
+        for address in self._seeds:
+            if address and address != self._me.address and address not in met:
+                self._links.meet(address)
+
+    def _heartbeat(self, peer: Peer, known: list[Peer], now_s: float) -> Heartbeat:
+        return Heartbeat(
+            incarnation=self._incarnation,
+            sent_s=now_s,
+            echo_s=self._peers.echo_s(peer.node),
+            version=self._serving.version,
+            proof_age_s=self._serving.freshness.age_s(now_s),
+            lease_revision=self._lease.revision if self._lease.held else 0,
+            holds_lease=self._lease.held,
+            stopping=self._serving.stopping,
+            under_way=dict(self._serving.fleet.under_way()),
+            offered=dict(self._meter.offered(now_s)),
+            peers=(self._me, *known) if self._names_peers(known, now_s) else (),
+        )
+
+    def _names_peers(self, known: list[Peer], now_s: float) -> bool:
+        """Tell whether heartbeats name all entries now: while that is news, and now and then."""
+        if len(known) != self._named:
+            self._named = len(known)
+            self._named_until_s = now_s + NAMED_FOR_S
+        if now_s > self._named_until_s + NAMED_AGAIN_S:
+            self._named_until_s = now_s + self._heartbeat_s / 2
+        return now_s <= self._named_until_s
+
+
+__all__ = ["Heartbeats"]
