--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -161,6 +161,17 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def gauges(self) -> dict[str, float]:
+        """Return what an operator's page shows of this entry now."""
+        now_s = self._loop.time()
+        return {
+            "configuration_version": float(self.serving.version),
+            "keys_trusted": float(self.serving.freshness.holds(now_s)),
+            "lease_held": float(self.lease.held),
+            "groups": float(len(self.view.groups(now_s))),
+            "entries_heard": float(len(self.peers.alive(now_s))),
+        }
+
     # The list of targets.
 
     async def _follow_list(self) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -24,6 +24,7 @@
 from ochreway_runtime.errors import SettingsInvalid
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.metricspage import CONTENT_TYPE, MetricsPage
 from ochreway_runtime.option import option
 
 EXIT_SETTINGS = 2
@@ -49,6 +50,7 @@
 @option("--peer", "", "host:port of other entries' links, with commas between.")
 @option("--link-key", "", "Key that every process of the system shares (secret).")
 @option("--statsd", "", "host:port of a statsd server; empty for none.")
+@option("--metrics-listen", "", "host:port for the counters as text; empty for none.")
 @option("--log-level", "info", "debug, info, warning or error.")
 @option("--key-revoke-ms", 5000, "How soon a key that was taken away may not be used any more.")
 @option("--grace-s", 8.0, "How long a planned stop may take.")
@@ -104,6 +106,7 @@
             await entry.start()
             callers = await _serve_callers(settings, entry, relay)
             ready = await _serve_ready(settings, entry)
+            figures = await _serve_metrics(settings, entry, relay, metrics)
         except OSError as fault:
             log.fault("cannot_listen", cause=fault)
             await entry.stop()
@@ -113,6 +116,8 @@
         await _drain(entry, relay)
         await callers.cleanup()
         await ready.cleanup()
+        if figures is not None:
+            await figures.cleanup()
         await entry.stop()
         log.event("stopped", open_calls=relay.open_calls)
     return 0
@@ -149,6 +154,25 @@
     return await _listen(web.ServerRunner(server, shutdown_timeout=0.1), settings.ready_listen)
 
 
+async def _serve_metrics(
+    settings: DirectSettings, entry: DirectEntry, relay: Relay, metrics: Metrics
+) -> web.ServerRunner | None:
+    """Serve the counters as text at any path, if an address for them is set."""
+    if not settings.metrics_listen:
+        return None
+
+    def gauges() -> dict[str, float]:
+        return {**entry.gauges(), "open_calls": relay.open_calls}
+
+    page = MetricsPage(metrics, gauges)
+
+    async def answer(_: web.BaseRequest) -> web.Response:
+        return web.Response(body=page.render(), headers={"Content-Type": CONTENT_TYPE})
+
+    server = web.Server(answer, access_log=None)
+    return await _listen(web.ServerRunner(server, shutdown_timeout=0.1), settings.metrics_listen)
+
+
 async def _listen(runner: web.ServerRunner, address: str) -> web.ServerRunner:
     await runner.setup()
     host, _, port = address.rpartition(":")
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -23,6 +23,7 @@
     peer: tuple[str, ...] = ()
     link_key: str = field(default="", metadata={"secret": True})
     statsd: str = ""
+    metrics_listen: str = ""
     log_level: str = "info"
     key_revoke_ms: int = 5000
     grace_s: float = 8.0
@@ -52,6 +53,7 @@
     "peer": _peers,
     "link_key": checks.link_key,
     "statsd": checks.optional_address,
+    "metrics_listen": checks.optional_address,
     "log_level": checks.one_of(*checks.LEVELS),
     "key_revoke_ms": checks.positive,
     "grace_s": checks.positive,
--- /dev/null
+++ b/packages/ochreway-runtime/src/ochreway_runtime/metricspage.py
@@ -0,0 +1,54 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A process's counters and gauges as text, in the format that Prometheus reads."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from ochreway_runtime.metrics import PREFIX, Metrics
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+KIND = "kind"
+"""The label that holds what follows a counter's first name."""
+
+Gauges = Callable[[], Mapping[str, float]]
+
+
+class _Figures(Collector):
+    """Turn ``refused.no_group`` into a family ``refused`` with a label for each kind."""
+
+    def __init__(self, metrics: Metrics, gauges: Gauges) -> None:
+        self._metrics = metrics
+        self._gauges = gauges
+
+    def collect(self) -> Iterable[Metric]:
+        """Return the families as they stand now."""
+        families: dict[str, dict[str, int]] = defaultdict(dict)
+        for name, value in self._metrics.counters.items():
+            family, _, kind = name.partition(".")
+            families[family][kind] = value
+        for family, kinds in sorted(families.items()):
+            found = CounterMetricFamily(f"{PREFIX}_{family}", f"Counts of {family}.", labels=[KIND])
+            for kind, value in sorted(kinds.items()):
+                found.add_metric([kind], value)
+            yield found
+        for name, gauge in sorted(self._gauges().items()):
+            yield GaugeMetricFamily(f"{PREFIX}_{name}", f"{name} now.", value=gauge)
+
+
+class MetricsPage:
+    """Render a process's figures."""
+
+    def __init__(self, metrics: Metrics, gauges: Gauges = dict) -> None:
+        self._registry = CollectorRegistry(auto_describe=False)
+        self._registry.register(_Figures(metrics, gauges))
+
+    def render(self) -> bytes:
+        """Return the page."""
+        return generate_latest(self._registry)
+
+
+__all__ = ["CONTENT_TYPE", "MetricsPage"]
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -109,6 +109,7 @@
     resumable = False
     attempts = 2
     limits = CallerLimits()
+    tuning = RelayTuning()
 
     def configuration(self) -> Configuration:
         shares = (Share(SERVICE if self.kind is RouteKind.STREAM else PLAIN, 1),)
@@ -127,7 +128,7 @@
         key_trust_s: float = 60.0,
     ) -> None:
         async def run() -> None:
-            running = Running(self.configuration(), scripts, key_trust_s)
+            running = Running(self.configuration(), scripts, key_trust_s, self.tuning)
             try:
                 await running.start()
                 await work(running)
@@ -141,8 +142,13 @@
     """Hold the relay, its targets in the order in which they are preferred, and a caller."""
 
     def __init__(
-        self, configuration: Configuration, scripts: tuple[Script, ...], key_trust_s: float
+        self,
+        configuration: Configuration,
+        scripts: tuple[Script, ...],
+        key_trust_s: float,
+        tuning: RelayTuning,
     ) -> None:
+        self.tuning = tuning
         self.targets = [Target(f"t{n}", script) for n, script in enumerate(scripts)]
         self.fleet = Fleet(HALL, random.Random(1))
         self.serving = Serving(self.fleet, Freshness(key_trust_s))
@@ -160,7 +166,7 @@
         self.single = aiohttp.ClientSession(connector=TargetConnector(None), **options)
         self.relay = Relay(
             *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
-            *(RelayTuning(), EventLog("entry", "e", "error"), self.metrics),
+            *(self.tuning, EventLog("entry", "e", "error"), self.metrics),
         )
         server = CallerServer(self.serving, self.relay)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -3,6 +3,7 @@
 
 from ochreway_core.ids import GroupId, OrganisationId, Version
 from ochreway_direct.configuration import Configuration, Organisation, RouteKind
+from ochreway_direct.relay.tuning import RelayTuning
 from tests.direct.relaycase import END, Headers, RelayCase, Running, event, head, stream_head, whole
 
 Writer = asyncio.StreamWriter
@@ -115,6 +116,19 @@
         self.relayed(work, good)
 
 
+class RetryBudgetTests(RelayCase):
+    tuning = RelayTuning(retry_share=0.25, retries_at_most=1.0)
+
+    def test_repeats_are_paid_for_by_requests(self) -> None:
+        async def work(running: Running) -> None:
+            for number in range(8):
+                self.assertEqual(503, (await running.ask(Request=f"r{number}")).status)
+            sent = sum(len(each.seen) for each in running.targets)
+            self.assertEqual(8 + 2, sent)
+
+        self.relayed(work, full, full)
+
+
 class AdmissionTests(RelayCase):
     def test_unknown_routes_and_keys_have_their_own_answers(self) -> None:
         async def work(running: Running) -> None:
