Revert "Follow what is offered without the lease too, and weigh a young meter by what it has seen"

The likely reason, not shown: measured work plans for more small groups than the configuration's shares do, and large ones take longest to complete.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
@@ -11,7 +11,7 @@
 LEAST_WORK = 0.05
 """The least work, in groups kept busy, that a configured model is planned for."""
 TYPICAL_SEQUENCES = 8
-METERS_FILLED_S = 3.0
+METERS_FILLED_S = 8.0
 """How long work is measured before a plan goes by it."""
 UNKNOWN_USE = 0.5
 """The share of all engines that is taken to be busy before any request was seen."""
--- a/packages/ochreway-direct/src/ochreway_direct/demandmeter.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demandmeter.py
@@ -7,8 +7,6 @@
 from ochreway_direct.ids import ModelName
 
 MEMORY_S = 5.0
-LEAST_FILLED = 0.1
-"""The least share of its memory that a meter has to have seen, lest a single request count much."""
 
 
 class DemandMeter:
@@ -17,27 +15,15 @@
     def __init__(self) -> None:
         self._rates: dict[ModelName, float] = {}
         self._noted_s: dict[ModelName, float] = {}
-        self._began_s: float | None = None
 
     def note(self, model: ModelName, work_s: float, now_s: float) -> None:
         """Take the work of one arriving request."""
-        if self._began_s is None:
-            self._began_s = now_s
         self._rates[model] = self._rate(model, now_s) + work_s / MEMORY_S
         self._noted_s[model] = now_s
 
     def offered(self, now_s: float) -> Mapping[ModelName, float]:
-        """Return the work that arrives for each model now.
-
-        A meter that has not run for long has seen less of what it would remember; its rates
-        are raised by that.
-        """
-        if self._began_s is None:
-            return {}
-        filled = 1.0 - math.exp(-(now_s - self._began_s) / MEMORY_S)
-        return {
-            model: self._rate(model, now_s) / max(LEAST_FILLED, filled) for model in self._rates
-        }
+        """Return the work that arrives for each model now."""
+        return {model: self._rate(model, now_s) for model in self._rates}
 
     def _rate(self, model: ModelName, now_s: float) -> float:
         elapsed_s = now_s - self._noted_s.get(model, now_s)
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -147,7 +147,6 @@
         timing = self._timing
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
-        self.timer.every(timing.heartbeat_s, self._take_demand)
         self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
         self.timer.every(timing.fleet_update_s, lambda _: self._publish())
         self.spawn(self.timer.run())
@@ -221,6 +220,9 @@
         if now_s - self._ticked_s > self._timing.pause_noticed_s:
             self.coordination.coordinator.on_pause()
         self._ticked_s = now_s
+        if not self.lease.held:
+            return
+        self._take_demand(now_s)
         self._step()
 
     def _step_soon(self) -> None:
@@ -240,7 +242,6 @@
             self.suspect(group)
 
     def _take_demand(self, now_s: float) -> None:
-        """Follow what is offered, without the lease too, so that a new holder knows it at once."""
         offered = Counter(self.meter.offered(now_s))
         for record in self.peers.alive(now_s):
             if record.last is not None:
