--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -8,12 +8,13 @@
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.enginerecord import EngineRecord
-from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
+from ochreway_direct.coordinator.grouprecord import SPANNING
 from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.planner import Planner
-from ochreway_direct.coordinator.room import Ability, Room
+from ochreway_direct.coordinator.rooms import rooms_later, rooms_now
 from ochreway_direct.coordinator.spanning import FreeEngines, SpanningFormation
-from ochreway_direct.coordinator.state import STANDING, CoordinatorState
+from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.coordinator.trading import Trading
 from ochreway_direct.ids import ServiceName
 
 SLOW_PACE = 1.5
@@ -36,21 +37,22 @@
         self._now = Planner(state.tuning)
         self._later = Planner(state.tuning)
         self._spanning = SpanningFormation(state)
+        self._trading = Trading(state)
 
     def step(self, service: ServiceName, spec: EngineSpec, now_s: float) -> Outlook:
         """Form what can be had at once; return what is awaited, and what weights are for."""
         free = self.free(service)
         standing = self._state.standing(service)
         inside = Counter({slot: n for slot, n in standing.items() if slot.domain != SPANNING})
-        rooms = self._rooms(service, spec, free)
+        rooms = rooms_now(self._state, service, spec, free)
         needs = self._state.demand.needs(spec, sum(room.total for room in rooms.values()))
         wanted = self._now.plan(spec, needs, rooms, inside)
         awaited = self._form_wanted(service, spec, wanted, standing, free, now_s)
         taken = {slot.domain for slot in awaited}
         spare = {domain: records for domain, records in free.items() if domain not in taken}
         self._spanning.step(service, spec, needs, wanted | inside, spare, now_s)
-        whole = {domain: _any_model(spec, room) for domain, room in rooms.items()}
-        return Outlook(self._later.plan(spec, needs, whole, inside), frozenset(awaited))
+        later = self._later.plan(spec, needs, rooms_later(spec, rooms), inside)
+        return Outlook(later, frozenset(awaited))
 
     def _form_wanted(
         self,
@@ -63,12 +65,14 @@
     ) -> set[Slot]:
         """Form the groups that are wanted; return the places whose engines are still awaited."""
         awaited = set()
+        surplus = Counter(standing)
+        surplus.subtract(wanted)
         for slot in sorted(wanted, key=lambda each: (each.domain, each.model)):
             model = spec.model(slot.model)
             assert model is not None
             for _ in range(wanted[slot] - standing.get(slot, 0)):
                 if not self._form(service, model, free[slot.domain], slot.domain, now_s):
-                    self._trade(service, model, wanted, standing, free, slot, now_s)
+                    self._trading.complete(service, model, slot, surplus, free, now_s)
                     awaited.add(slot)
                     break
         return awaited
@@ -120,69 +124,5 @@
             return False
         return self._state.limits[service].take(now_s, model.size)
 
-    def _trade(
-        self,
-        service: ServiceName,
-        model: ModelSpec,
-        wanted: Mapping[Slot, int],
-        standing: Mapping[Slot, int],
-        free: FreeEngines,
-        slot: Slot,
-        now_s: float,
-    ) -> None:
-        """Give up groups too many where their engines would complete a wanted one."""
-        if self._state.closing(slot.domain):
-            return
-        coming = [*free[slot.domain], *self._state.survivors(slot.domain)]
-        lacking = model.size - sum(record.quick(model.name) for record in coming)
-        surplus = Counter(standing)
-        surplus.subtract(wanted)
-        given_up = []
-        for group in self._state.of_service(service):
-            place = Slot(group.domain, group.model)
-            members = [self._state.engines[each] for each in group.members]
-            able = sum(r.domain == slot.domain and r.quick(model.name) for r in members)
-            if group.phase is not GroupPhase.SERVING:
-                continue
-            if lacking > 0 and surplus[place] > 0 and able > 0:
-                given_up.append(group)
-                surplus[place] -= 1
-                lacking -= able
-        if lacking > 0:
-            return
-        for group in given_up:
-            group.close_at_most_s = self._state.tuning.trade_close_s
-            group.enter(GroupPhase.CLOSING, now_s)
-
-    def _rooms(
-        self, service: ServiceName, spec: EngineSpec, free: FreeEngines
-    ) -> dict[DomainId, Room]:
-        """Count the engines that are in groups, free, or about to be, by what they can join."""
-        found: dict[DomainId, Counter[Ability]] = defaultdict(Counter)
-        lost = {each.domain for each in self._state.of_service(service)}
-        for domain in lost | set(free):
-            cold = self._state.cold(service, domain)
-            for record in [*free[domain], *self._state.survivors(domain)]:
-                found[domain][_all(spec) if cold else _quick(spec, record)] += 1
-        for group in self._state.of_service(service):
-            if group.phase in STANDING:
-                for instance in group.members:
-                    record = self._state.engines[instance]
-                    able = _quick(spec, record) | {group.model}
-                    found[record.domain][able] += 1
-        return {domain: Room(counts) for domain, counts in found.items()}
-
-
-def _quick(spec: EngineSpec, record: EngineRecord) -> Ability:
-    return frozenset(model.name for model in spec.models if record.quick(model.name))
-
-
-def _all(spec: EngineSpec) -> Ability:
-    return frozenset(model.name for model in spec.models)
-
-
-def _any_model(spec: EngineSpec, room: Room) -> Room:
-    return Room({_all(spec): room.total})
-
 
 __all__ = ["Formation", "FreeEngines", "Outlook"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
@@ -0,0 +1,66 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Giving up groups whose engines complete one that is wanted more."""
+
+from collections import Counter
+
+from ochreway_direct.configuration import ModelSpec
+from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
+from ochreway_direct.coordinator.placement import Slot
+from ochreway_direct.coordinator.spanning import FreeEngines
+from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.ids import ServiceName
+
+
+class Trading:
+    """Close groups that the plan has no place for, where that lets a wanted one be formed."""
+
+    def __init__(self, state: CoordinatorState) -> None:
+        self._state = state
+
+    def complete(
+        self,
+        service: ServiceName,
+        model: ModelSpec,
+        slot: Slot,
+        surplus: Counter[Slot],
+        free: FreeEngines,
+        now_s: float,
+    ) -> None:
+        """Close as many groups as a wanted one needs engines from; none if that is not enough.
+
+        Args:
+            service: the service that the groups belong to.
+            model: the model of the wanted group.
+            slot: where it is wanted.
+            surplus: by how many groups each place has more than the plan.
+            free: the engines that are in no group.
+            now_s: the time.
+        """
+        if self._state.closing(slot.domain):
+            return
+        coming = [*free[slot.domain], *self._state.survivors(slot.domain)]
+        lacking = model.size - sum(record.quick(model.name) for record in coming)
+        left = Counter(surplus)
+        given_up = []
+        for group in self._state.of_service(service):
+            place = Slot(group.domain, group.model)
+            if group.phase is not GroupPhase.SERVING or left[place] <= 0 or lacking <= 0:
+                continue
+            able = self._able(group, model, slot)
+            if able > 0:
+                given_up.append(group)
+                left[place] -= 1
+                lacking -= able
+        if lacking > 0:
+            return
+        for group in given_up:
+            group.close_at_most_s = self._state.tuning.trade_close_s
+            group.enter(GroupPhase.CLOSING, now_s)
+
+    def _able(self, group: GroupRecord, model: ModelSpec, slot: Slot) -> int:
+        """Count the members that could join a group of a model in a place's domain."""
+        members = [self._state.engines[each] for each in group.members]
+        return sum(r.domain == slot.domain and r.quick(model.name) for r in members)
+
+
+__all__ = ["Trading"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -9,7 +9,12 @@
     """Hold every duration of the coordinator, and what an idle replica is worth.
 
     ``crowding`` says how steeply the worth of one more group of a model falls with the groups
-    it has for the work that is offered.
+    it has for the work that is offered; ``keep_bonus`` by how much a standing one is preferred.
+    An order is repeated after ``order_retry_s``, and after ``order_taken_retry_s`` when the engine
+    has acknowledged it, as reports lag. An engine joins the model that it served last within
+    ``rejoin_s``. A group given up for another has ``trade_close_s`` to end its requests. A new
+    holder of the lease keeps ``loads_unseen_share`` of the bound on loads for those that it cannot
+    see any more.
     """
 
     settle_s: float = 1.5
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -128,7 +128,6 @@
         self._shared_s = 0.0
         self._ticked_s = 0.0
         self._step_planned = False
-        self._list_changed = asyncio.Event()
 
     def _backoff(self, timing: DirectTiming) -> Backoff:
         return Backoff(timing.backoff_base_s, timing.backoff_max_s, self._random)
