Let groups end their requests before they are dissolved for planned work or a trade

A draining engine's group was closed at 23.99 s and dissolved 1.5 s later with its streams running; in the same second the only other group of the model, a spanning one, was given up for one inside a domain and dissolved after 0.4 s. No group served, so 1 s later some twenty streams were broken off, beside a change of the configuration.

Change: a closed group has 6 s instead of 1.5 to end what runs, which an engine that drains waits for; a group given up has 0.4 s only while another of its model serves; an answer that has begun may queue where new calls may not.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -12,9 +12,9 @@
     it has for the work that is offered; ``keep_bonus`` by how much a standing one is preferred.
     An order is repeated after ``order_retry_s``, and after ``order_taken_retry_s`` when the engine
     has acknowledged it, as reports lag. An engine joins the model that it served last within
-    ``rejoin_s``. A group given up for another has ``trade_close_s`` to end its requests. A new
-    holder of the lease keeps ``loads_unseen_share`` of the bound on loads for those that it cannot
-    see any more.
+    ``rejoin_s``. A group that is closed has ``close_at_most_s`` to end its requests, and
+    ``trade_close_s`` when it is given up while a further group of its model serves. A new holder
+    of the lease keeps ``loads_unseen_share`` of the bound on loads for those that it cannot see.
     """
 
     settle_s: float = 1.5
@@ -28,7 +28,7 @@
     order_taken_retry_s: float = 0.9
     rejoin_s: float = 0.2
     form_slack_s: float = 5.0
-    close_at_most_s: float = 1.5
+    close_at_most_s: float = 6.0
     trade_close_s: float = 0.4
     silent_share_at_most: float = 0.6
     listing_settled_s: float = 3.0
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -148,6 +148,11 @@
             return self._tuning.resume_patience_s
         return call.route.objective_s * self._tuning.patience_share
 
+    def _queued_at_most(self, call: Call) -> int:
+        tuning = self._tuning
+        begun = call.answer is not None
+        return tuning.resuming_queued_at_most if begun else tuning.queued_at_most
+
     def _pick(self, call: Call) -> Attempt | None:
         if call.engine is not None:
             group = self._fleet.pick_group(
@@ -155,7 +160,7 @@
                 call.terms.model,
                 call.tried,
                 call.engine,
-                self._tuning.queued_at_most,
+                self._queued_at_most(call),
             )
             if group is None:
                 return None
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -66,6 +66,8 @@
     model: ModelName | None = None
     ready_s: float = 0.0
     opens_s: float | None = None
+    busy_for_s: float = 0.0
+    ends_s: float | None = None
     highest: Epoch = field(default=Epoch(0))
     reports: deque[Report] = field(default_factory=deque)
 
@@ -97,6 +99,9 @@
             return
         if self.membership.phase is MemberPhase.JOINING and now_s >= self.ready_s:
             self.enter(MemberPhase.READY)
+        if self.ends_s is not None and now_s >= self.ends_s:
+            self.ends_s = None
+            self.enter(MemberPhase.READY)
         if self.opens_s is not None and now_s >= self.opens_s:
             self.opens_s = None
             self.enter(MemberPhase.OPEN)
@@ -135,6 +140,7 @@
         self.now_s = 100.0
         self.engines: dict[InstanceId, FakeEngine] = {}
         self.violations: list[str] = []
+        self.cut = 0
         self.late: list[tuple[float, Assignment]] = []
         self.lost_share = 0.0
         self.load_speed = 1.0
@@ -315,14 +321,15 @@
     def _change(self, engine: FakeEngine, order: Open | Close | Leave) -> OrderOutcome:
         assert engine.membership is not None
         if isinstance(order, Leave):
+            self.cut += engine.ends_s is not None
+            engine.ends_s = None
             engine.membership = None
             engine.model = None
             engine.joining_load = False
             engine.opens_s = None
             return OrderOutcome.HOLDS
         if isinstance(order, Close):
-            engine.enter(MemberPhase.READY)
-            return OrderOutcome.HOLDS
+            return self._close(engine)
         if engine.membership.phase is not MemberPhase.READY:
             return OrderOutcome.CONFLICT
         if engine.opens_s is not None:
@@ -331,6 +338,16 @@
         engine.opens_s = self.now_s + SPEC.form_s
         return OrderOutcome.BEGUN
 
+    def _close(self, engine: FakeEngine) -> OrderOutcome:
+        """Take no new requests, and end those that run in their time."""
+        if engine.busy_for_s <= 0.0:
+            engine.enter(MemberPhase.READY)
+            return OrderOutcome.HOLDS
+        if engine.ends_s is None:
+            engine.enter(MemberPhase.CLOSING)
+            engine.ends_s = self.now_s + engine.busy_for_s
+        return OrderOutcome.BEGUN
+
     def _watch_open(self, leader: FakeEngine) -> None:
         for instance in leader.members:
             member = self.engines[instance]
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -2,7 +2,7 @@
 import testtools
 
 from ochreway_core.ids import DomainId
-from ochreway_direct.coordinator import Assignment
+from ochreway_direct.coordinator import Assignment, CoordinatorTuning
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
 from ochreway_standins.engineworld import LARGE, SMALL, SPEC, STEP_S, EngineWorld
 
@@ -145,6 +145,27 @@
         world.run_until(lambda: world.views_inside() == 1, 8.0)
         self.assertEqual([], world.violations)
 
+    def test_the_last_group_of_a_model_ends_its_requests_before_it_is_given_up(self) -> None:
+        no_loads = CoordinatorTuning(loading_share=0.0, loading_beside_share=0.0)
+        world = EngineWorld(domains=0, tuning=no_loads)
+        near, far = DomainId("near"), DomainId("far")
+        for domain in (near, near, near, far, far, far):
+            world.add(domain, LARGE.name)
+        world.run_until(lambda: world.serving(LARGE) == 1, 6.0)
+        for engine in world.engines.values():
+            engine.busy_for_s = 3.0
+        world.add(near, LARGE.name)
+        world.run_until(lambda: world.views_inside() == 1, 12.0)
+        self.assertEqual(0, world.cut)
+
+    def test_a_leaving_member_does_not_cut_its_groups_requests(self) -> None:
+        world = settled()
+        for engine in world.engines.values():
+            engine.busy_for_s = 3.0
+        world.engines[world.members(SMALL)[0]].leaving = True
+        world.run(8.0)
+        self.assertEqual(0, world.cut)
+
     def test_engines_that_a_domain_awaits_are_not_taken_for_a_group_that_spans(self) -> None:
         world = settled()
         world.crash(world.members(LARGE)[1])
