--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -28,7 +28,7 @@
     order_taken_retry_s: float = 0.9
     rejoin_s: float = 0.2
     form_slack_s: float = 5.0
-    close_at_most_s: float = 6.0
+    close_at_most_s: float = 2.5
     trade_close_s: float = 0.4
     silent_share_at_most: float = 0.6
     listing_settled_s: float = 3.0
