Decode each body once with named errors, tell what cannot be read, trust keys as the site sets it

Unreadable configurations, rows and outages are logged at error level once, then with a count each 10 s, and when they are over; a counter each. Logs go to standard output. Keys that are not proved the newest are refused or trusted by a setting (--keys-fail-closed), through a registry; a key or route that is unknown while the configuration is not proved is refused as not run, not with 401 or 404. The list's age, the retry budget and its part for each entry follow the site's bounds.

An absence from the list counts at once but for 2.2 s after an outage that this entry saw. Before, any new holder of the lease waited 2.5 s for 3 s, longer than a leaving target serves on (test_listing.py, test_fleetview.py fail before).

--- a/packages/ochreway-direct/src/ochreway_direct/configurationfollower.py
+++ b/packages/ochreway-direct/src/ochreway_direct/configurationfollower.py
@@ -6,12 +6,23 @@
 
 from ochreway_core.backoff import Backoff
 from ochreway_direct.configuration import Configuration
-from ochreway_direct.ports import ConfigurationSource
+from ochreway_direct.platformhealth import PlatformHealth
+from ochreway_direct.ports import ConfigurationReading, ConfigurationSource
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
-from ochreway_platform.errors import PlatformError
+from ochreway_platform.errors import (
+    ConfigurationUnavailable,
+    ConfigurationUnreadable,
+    PlatformError,
+)
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.repeats import Repeats
+
+CAUSES: dict[type[PlatformError], str] = {
+    ConfigurationUnreadable: "configuration.unreadable",
+    ConfigurationUnavailable: "configuration.unavailable",
+}
 
 
 class ConfigurationFollower:
@@ -21,6 +32,7 @@
         self,
         source: ConfigurationSource,
         serving: Serving,
+        health: PlatformHealth,
         timing: DirectTiming,
         backoff: Backoff,
         applied: Callable[[Configuration], None],
@@ -29,11 +41,14 @@
     ) -> None:
         self._source = source
         self._serving = serving
+        self._health = health
         self._timing = timing
         self._backoff = backoff
         self._applied = applied
         self._log = log
         self._metrics = metrics
+        self._fault = Repeats(log, "configuration_unavailable")
+        self._loop = asyncio.get_running_loop()
 
     async def run(self) -> None:
         """Ask for a newer version again and again until cancelled."""
@@ -54,18 +69,37 @@
 
     async def _ask(self) -> float:
         """Ask once; return how long to wait before the next time."""
+        asked_s = self._loop.time()
         try:
             reading = await self._source.poll(self._timing.configuration_wait_s)
         except PlatformError as fault:
-            self._metrics.count("configuration.unavailable")
-            self._log.detail("configuration_unavailable", cause=fault)
-            return self._backoff.failed()
+            return self._failed(fault, asked_s)
         self._backoff.succeeded()
-        if reading.configuration is not None:
-            self.apply(reading.configuration)
-            if reading.configuration.version == self._serving.version:
-                self._serving.freshness.prove(reading.asked_s)
-        return self._timing.configuration_gap_s
+        self._health.answered(asked_s, self._loop.time())
+        self._fault.over(self._loop.time(), in_force=self._serving.version)
+        return self._take(reading)
+
+    def _failed(self, fault: PlatformError, asked_s: float) -> float:
+        """Count and tell why there is no reading; return how long to wait."""
+        now_s = self._loop.time()
+        self._metrics.count(CAUSES.get(type(fault), CAUSES[ConfigurationUnavailable]))
+        self._fault.met(str(fault), now_s, in_force=self._serving.version)
+        if not isinstance(fault, ConfigurationUnreadable):
+            self._health.failed(min(now_s, asked_s + self._timing.configuration_wait_s))
+        return self._backoff.failed()
+
+    def _take(self, reading: ConfigurationReading) -> float:
+        if reading.configuration is None:
+            return self._timing.configuration_gap_s
+        begun_s = self._loop.time()
+        self.apply(reading.configuration)
+        if reading.configuration.version == self._serving.version:
+            self._serving.freshness.prove(reading.asked_s)
+        took_s = self._loop.time() - begun_s + reading.decoded_in_s
+        paced_s = self._timing.configuration_rest_share * took_s
+        return min(
+            self._timing.configuration_rest_s, max(self._timing.configuration_gap_s, paced_s)
+        )
 
 
 __all__ = ["ConfigurationFollower"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -46,15 +46,17 @@
         self._lost_s: dict[GroupId, float] = {}
         self._summary_due_s = 0.0
 
-    def begin(self, epoch: Epoch, targets: Iterable[ListedTarget], now_s: float) -> None:
+    def begin(
+        self, epoch: Epoch, targets: Iterable[ListedTarget], now_s: float, regained_s: float
+    ) -> None:
         """Start with epochs above the one given and the targets known so far."""
         self.coordinator.begin(epoch, now_s)
-        self.coordinator.on_listing(targets, now_s)
+        self.coordinator.on_listing(targets, now_s, regained_s)
         self._phases.clear()
 
-    def listed(self, targets: Iterable[ListedTarget], now_s: float) -> None:
-        """Take the platform's list."""
-        self.coordinator.on_listing(targets, now_s)
+    def listed(self, targets: Iterable[ListedTarget], now_s: float, regained_s: float) -> None:
+        """Take the platform's list; the store's last outage ended at ``regained_s``."""
+        self.coordinator.on_listing(targets, now_s, regained_s)
 
     def step(self, now_s: float) -> bool:
         """Give the orders that are due; return whether a group's phase changed."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -11,7 +11,6 @@
 from ochreway_direct.coordinator.formation import Formation
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
 from ochreway_direct.coordinator.lifecycle import GroupLifecycle
-from ochreway_direct.coordinator.listing import Listing
 from ochreway_direct.coordinator.loadlimit import LoadLimit
 from ochreway_direct.coordinator.staging import Staging
 from ochreway_direct.coordinator.state import CoordinatorState
@@ -20,7 +19,9 @@
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.listing import Listing
 from ochreway_direct.order import Order, OrderOutcome, Stage
+from ochreway_direct.platformhealth import NEVER_S
 
 TAKEN = frozenset({OrderOutcome.HOLDS, OrderOutcome.BEGUN})
 UNSETTLED = frozenset({OrderOutcome.UNKNOWN, OrderOutcome.CONFLICT, OrderOutcome.OTHER_INSTANCE})
@@ -40,7 +41,7 @@
         self._lifecycle = GroupLifecycle(self._state)
         self._formation = Formation(self._state)
         self._staging = Staging(self._state)
-        self._listing = Listing(self.tuning)
+        self._listing = Listing()
         self._began_s = 0.0
         self._started = False
 
@@ -73,7 +74,7 @@
         self._started = False
         self.groups.clear()
         self.engines.clear()
-        self._listing = Listing(self.tuning)
+        self._listing = Listing()
 
     def configure(self, configuration: Configuration) -> None:
         """Take the engines' figures from a configuration."""
@@ -89,10 +90,16 @@
                     self.tuning.loads_window_s + self.tuning.loads_slack_s,
                 )
 
-    def on_listing(self, targets: Iterable[ListedTarget], now_s: float) -> None:
-        """Take the platform's list; an engine that is not on it any more is leaving."""
+    def on_listing(
+        self, targets: Iterable[ListedTarget], now_s: float, regained_s: float = NEVER_S
+    ) -> None:
+        """Take the platform's list; an engine that is not on it any more is leaving.
+
+        One that is missing just after an outage of the store, which ended at ``regained_s``,
+        may come back.
+        """
         engines = {each.instance: each for each in targets if each.engine is not None}
-        gone = self._listing.read(engines, now_s)
+        gone = self._listing.read(engines, now_s, regained_s)
         for instance, listed in engines.items():
             self._list(instance, listed)
         for instance, record in list(self.engines.items()):
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -31,8 +31,6 @@
     close_at_most_s: float = 2.5
     trade_close_s: float = 0.4
     silent_share_at_most: float = 0.6
-    listing_settled_s: float = 3.0
-    listing_return_s: float = 2.5
     crowding: float = 1.2
     keep_bonus: float = 1.5
     loads_window_s: float = 5.0
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 from ochreway_core.backoff import Backoff
@@ -31,13 +31,16 @@
     Suspicion,
 )
 from ochreway_direct.peers import Peers
+from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import PlatformServices
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.errors import PlatformError
+from ochreway_routing.retrybudget import RetryBudget
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.repeats import Repeats
 from ochreway_runtime.timer import TimerService
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
@@ -69,8 +72,11 @@
         self._random = random.Random()
         self.me = Peer(NodeId(settings.name), settings.link_listen)
         fleet = Fleet(HallId(settings.hall), self._random)
-        self.serving = Serving(fleet, Freshness(settings.key_trust_s))
+        freshness = Freshness(settings.key_trust_s, settings.key_trust)
+        self.serving = Serving(fleet, freshness)
+        self.health = PlatformHealth()
         self.meter = DemandMeter()
+        self.retry_budget = RetryBudget(settings.retries_per_request)
         self.peers = Peers(self.me, timing.peer_silent_s)
         self.timer = TimerService(timing.tick_s)
         self.links = Links(
@@ -91,7 +97,7 @@
         self.coordination = Coordination(
             services.engines, timing, _tuning(settings), self.spawn, self._step_soon, log, metrics
         )
-        self.view = FleetView(timing.list_stale_s)
+        self.view = FleetView(settings.list_trust_s)
         self._heartbeats = Heartbeats(
             incarnation,
             self.me,
@@ -117,12 +123,15 @@
         self._configurations = ConfigurationFollower(
             services.configurations,
             self.serving,
+            self.health,
             timing,
             self._backoff(timing),
             self.coordination.coordinator.configure,
             log,
             metrics,
         )
+        self._list_fault = Repeats(log, "list_unavailable")
+        self._target_fault = Repeats(log, "target_unreadable")
         self._tasks: set[asyncio.Task[None]] = set()
         self._sequence = 0
         self._shared_s = 0.0
@@ -146,6 +155,7 @@
         timing = self._timing
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
+        self.timer.every(timing.heartbeat_s, lambda _: self._share_retries())
         self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
         self.timer.every(timing.fleet_update_s, lambda _: self._publish())
         self.spawn(self.timer.run())
@@ -165,12 +175,18 @@
         now_s = self._loop.time()
         return {
             "configuration_version": float(self.serving.version),
-            "keys_trusted": float(self.serving.freshness.holds(now_s)),
+            "configuration_proved": float(self.serving.freshness.proved(now_s)),
+            "keys_trusted": float(self.serving.freshness.keys_trusted(now_s)),
             "lease_held": float(self.lease.held),
             "groups": float(len(self.view.groups(now_s))),
             "entries_heard": float(len(self.peers.alive(now_s))),
         }
 
+    def _share_retries(self) -> None:
+        """Take this entry's part of the repeats that all entries may make."""
+        entries = 1 + max(len(self.peers.all()), len(self.settings.peer) - 1)
+        self.retry_budget.at_most = self.settings.retries_at_once / entries
+
     # The list of targets.
 
     async def _follow_list(self) -> None:
@@ -179,26 +195,45 @@
             if not self._reads_list():
                 await asyncio.sleep(self._timing.list_gap_s)
                 continue
+            asked_s = self._loop.time()
             try:
                 reading = await self._services.targets.poll(self._timing.list_wait_s)
             except PlatformError as fault:
-                self.metrics.count("list.unavailable")
-                self.log.detail("list_unavailable", cause=fault)
+                self._list_failed(fault, asked_s)
                 await asyncio.sleep(backoff.failed())
                 continue
             backoff.succeeded()
+            self.health.answered(asked_s, self._loop.time())
+            self._list_fault.over(self._loop.time())
+            self._note_unreadable(reading.unreadable)
             self._listed(reading.targets, reading.asked_s)
             await asyncio.sleep(self._timing.list_gap_s)
 
+    def _list_failed(self, fault: PlatformError, asked_s: float) -> None:
+        now_s = self._loop.time()
+        self.metrics.count("list.unavailable")
+        self._list_fault.met(str(fault), now_s, listed=len(self.view.targets()))
+        self.health.failed(min(now_s, asked_s + self._timing.list_wait_s))
+
+    def _note_unreadable(self, unreadable: Mapping[str, str]) -> None:
+        now_s = self._loop.time()
+        if not unreadable:
+            self._target_fault.over(now_s)
+            return
+        self.metrics.count("list.target_unreadable")
+        entry, cause = min(unreadable.items())
+        self._target_fault.met(f"{entry}: {cause}", now_s, targets=len(unreadable))
+
     def _reads_list(self) -> bool:
         """Tell whether this entry reads the list itself: as holder, or with none to hear."""
         return self.lease.held or self.view.stale(self._loop.time())
 
     def _listed(self, targets: tuple[ListedTarget, ...], asked_s: float) -> None:
-        self.coordination.listed(targets, self._loop.time())
+        now_s = self._loop.time()
+        self.coordination.listed(targets, now_s, self.health.regained_s)
         if len(targets) != len(self.view.targets()):
             self.log.event("listed", targets=len(targets), before=len(self.view.targets()))
-        self.view.list(targets, asked_s)
+        self.view.list(targets, asked_s, now_s, self.health.regained_s)
         self._show()
         self._share_list(targets)
 
@@ -206,12 +241,13 @@
         """Hand the list on: as holder to all, now and then; else to a holder that may lack it."""
         now_s = self._loop.time()
         holder = self.peers.holder(now_s)
+        update = ListUpdate(targets, self.view.listed_age_s(now_s) or 0.0)
         if self.lease.held and now_s - self._shared_s >= LIST_SHARED_S:
             self._shared_s = now_s
             for peer in self.peers.all():
-                self.links.send(peer, ListUpdate(targets))
+                self.links.send(peer, update)
         elif not self.lease.held and holder is not None:
-            self.links.send(holder.peer, ListUpdate(targets))
+            self.links.send(holder.peer, update)
 
     # Groups.
 
@@ -287,7 +323,8 @@
             self.links.send(holder.peer, Suspicion(group))
 
     def _on_lease_taken(self, epoch: Epoch) -> None:
-        self.coordination.begin(epoch, self.view.targets(), self._loop.time())
+        now_s = self._loop.time()
+        self.coordination.begin(epoch, self.view.targets(), now_s, self.health.regained_s)
 
     # Other entries.
 
@@ -316,8 +353,9 @@
         if not self.lease.held:
             self.view.know_engines(update.targets)
         elif self.view.stale(now_s):
-            self.coordination.listed(update.targets, now_s)
-            self.view.list(update.targets, now_s)
+            asked_s = now_s - update.age_s
+            self.coordination.listed(update.targets, now_s, self.health.regained_s)
+            self.view.list(update.targets, asked_s, now_s, self.health.regained_s)
 
     def _on_suspicion(self, _: Peer, suspicion: Suspicion) -> None:
         if self.lease.held:
--- a/packages/ochreway-direct/src/ochreway_direct/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetview.py
@@ -5,6 +5,7 @@
 from ochreway_direct.enginestate import MemberPhase
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.listing import LAPSE_RETURN_S, Listing
 from ochreway_direct.messages import FleetUpdate
 
 NEVER_S = -1.0e9
@@ -22,6 +23,7 @@
         self._targets: dict[InstanceId, ListedTarget] = {}
         self._listed_s = NEVER_S
         self._leaving: frozenset[InstanceId] = frozenset()
+        self._listing = Listing()
 
     @property
     def leaving(self) -> frozenset[InstanceId]:
@@ -41,10 +43,19 @@
             self._leaving = frozenset(update.leaving)
         return True
 
-    def list(self, targets: tuple[ListedTarget, ...], asked_s: float) -> None:
-        """Take the platform's list as it was read by this entry."""
-        gone = self._targets.keys() - {each.instance for each in targets}
-        self._targets = {each.instance: each for each in targets}
+    def list(
+        self, targets: tuple[ListedTarget, ...], asked_s: float, now_s: float, regained_s: float
+    ) -> None:
+        """Take the platform's list as it was read by this entry.
+
+        Targets that may have lapsed in an outage, which ended at ``regained_s``, stay known.
+        """
+        found = {each.instance: each for each in targets}
+        gone = self._listing.read(found, now_s, regained_s)
+        if now_s - regained_s < LAPSE_RETURN_S:
+            self._targets |= found
+        else:
+            self._targets = found
         self._leaving = frozenset(gone) | {each.instance for each in targets if each.leaving}
         self._listed_s = max(self._listed_s, asked_s)
 
--- a/packages/ochreway-direct/src/ochreway_direct/freshness.py
+++ b/packages/ochreway-direct/src/ochreway_direct/freshness.py
@@ -1,11 +1,48 @@
 # SPDX-License-Identifier: Apache-2.0
 """How recently the configuration in force is known to have been the newest."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 NEVER_S = -1.0e9
 
 
+class KeyTrust(Enum):
+    """Say what becomes of keys while nothing proves that they are still the newest."""
+
+    WHILE_PROVED = "while_proved"
+    LAST_KNOWN = "last_known"
+
+
+Trusts = Callable[[float, float], bool]
+"""Tell from the age of the newest proof and its bound, in seconds, whether keys are trusted."""
+
+KEY_TRUSTS: dict[KeyTrust, Trusts] = {}
+
+
+def key_trust(name: KeyTrust) -> Callable[[Trusts], Trusts]:
+    """Register a way to trust keys."""
+
+    def register(trusts: Trusts) -> Trusts:
+        KEY_TRUSTS[name] = trusts
+        return trusts
+
+    return register
+
+
+@key_trust(KeyTrust.WHILE_PROVED)
+def _while_proved(age_s: float, bound_s: float) -> bool:
+    """Refuse all keys rather than let one in that may have been taken away."""
+    return age_s < bound_s
+
+
+@key_trust(KeyTrust.LAST_KNOWN)
+def _last_known(age_s: float, bound_s: float) -> bool:
+    """Serve by the last configuration that was learned, however old it is."""
+    return True
+
+
 @dataclass(slots=True)
 class Freshness:
     """Hold the steady time at which the newest proof of freshness was asked for.
@@ -15,6 +52,7 @@
     """
 
     bound_s: float
+    trust: KeyTrust = KeyTrust.WHILE_PROVED
     proved_s: float = NEVER_S
 
     def prove(self, asked_s: float) -> None:
@@ -25,9 +63,13 @@
         """Return the age of the newest proof."""
         return now_s - self.proved_s
 
-    def holds(self, now_s: float) -> bool:
-        """Tell whether keys may still be trusted."""
+    def proved(self, now_s: float) -> bool:
+        """Tell whether the configuration is known to have been the newest lately."""
         return self.age_s(now_s) < self.bound_s
 
+    def keys_trusted(self, now_s: float) -> bool:
+        """Tell whether known keys may be let in."""
+        return KEY_TRUSTS[self.trust](self.age_s(now_s), self.bound_s)
+
 
-__all__ = ["Freshness"]
+__all__ = ["KEY_TRUSTS", "Freshness", "KeyTrust", "key_trust"]
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -53,6 +53,15 @@
 @option("--metrics-listen", "", "host:port for the counters as text; empty for none.")
 @option("--log-level", "info", "debug, info, warning or error.")
 @option("--key-revoke-ms", 5000, "How soon a key that was taken away may not be used any more.")
+@option(
+    "--keys-fail-closed",
+    True,
+    "Refuse keys while no proof shows that the configuration is the newest.",
+    type=bool,
+)
+@option("--drain-ms", 2000, "How long a target serves on after it was listed as leaving.")
+@option("--retry-ratio", 0.2, "Bound on repeats, as a share of requests.")
+@option("--retry-slack", 200.0, "Bound on repeats beyond that share, over all entries.")
 @option("--grace-s", 8.0, "How long a planned stop may take.")
 @option("--loads-window-s", 5.0, "Window in which loads of weights are bounded.")
 @option("--loads-excess", 1.1, "Share of the configured rate of loads that a window may have.")
@@ -100,7 +109,7 @@
         entry = DirectEntry(settings, services, DirectTiming(), log, metrics)
         relay = Relay(
             *(entry.serving, services.dialect, kept, single, entry.meter, RelayTuning()),
-            *(log, metrics),
+            *(entry.retry_budget, log, metrics),
         )
         try:
             await entry.start()
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -83,6 +83,7 @@
     """Hand the platform's list to a holder of the lease that cannot read it."""
 
     targets: tuple[ListedTarget, ...]
+    age_s: float
 
 
 __all__ = [
--- a/packages/ochreway-direct/src/ochreway_direct/ports/configurationsource.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/configurationsource.py
@@ -11,11 +11,13 @@
 class ConfigurationReading:
     """Hold the newest configuration as of a moment not before it was asked for.
 
-    It is ``None`` while the operators have accepted none.
+    It is ``None`` while the operators have accepted none. ``decoded_in_s`` is the time that
+    this process spent on decoding it, 0 when nothing was new.
     """
 
     configuration: Configuration | None
     asked_s: float
+    decoded_in_s: float = 0.0
 
 
 class ConfigurationSource(ABC):
@@ -30,6 +32,7 @@
 
         Raises:
             ConfigurationUnavailable: when the source does not answer.
+            ConfigurationUnreadable: when a version cannot be decoded.
         """
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
@@ -2,17 +2,23 @@
 """Where the list of targets comes from."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from ochreway_direct.listedtarget import ListedTarget
 
 
 @dataclass(frozen=True, slots=True)
 class TargetReading:
-    """Hold every listed target as of a moment not before it was asked for."""
+    """Hold every listed target as of a moment not before it was asked for.
+
+    ``unreadable`` gives, by entry, why its newest content could not be decoded; what was known
+    of such a target before stays in the list.
+    """
 
     targets: tuple[ListedTarget, ...]
     asked_s: float
+    unreadable: Mapping[str, str] = field(default_factory=dict)
 
 
 class TargetList(ABC):
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -48,7 +48,7 @@
             raise Refused(NOT_RUN_STATUS, Reason.NO_CONFIGURATION, self._tuning.stale_after_s)
         route = routes.route(request.host.partition(":")[0], request.raw_path.partition("?")[0])
         if route is None:
-            raise Refused(404, Reason.UNKNOWN_TARGET)
+            raise self._unknown(404, Reason.UNKNOWN_TARGET)
         if not terms.request:
             raise Refused(400, Reason.BAD_REQUEST)
         call = Call(
@@ -86,15 +86,21 @@
         """Name the organisation that calls; its keys are trusted only while they are fresh."""
         if call.route.public or not routes.asks_for_keys:
             return
-        if not self._serving.fresh():
+        if not self._serving.keys_trusted():
             raise Refused(NOT_RUN_STATUS, Reason.STALE_VERSION, self._tuning.stale_after_s)
         organisation = routes.organisation(call.terms.key)
         if organisation is None:
-            raise Refused(401, Reason.UNAUTHORISED)
+            raise self._unknown(401, Reason.UNAUTHORISED)
         call.organisation = organisation.name
         if organisation.priority is not None:
             call.priority = organisation.priority
 
+    def _unknown(self, status: int, reason: Reason) -> Refused:
+        """Refuse what the configuration lacks; a newer one that is not known yet may have it."""
+        if self._serving.proved():
+            return Refused(status, reason)
+        return Refused(NOT_RUN_STATUS, Reason.STALE_VERSION, self._tuning.stale_after_s)
+
     def _weigh(self, call: Call, routes: RouteTable) -> None:
         service = routes.service(call.service)
         if service is None or service.engine is None:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -35,6 +35,7 @@
         single: aiohttp.ClientSession,
         meter: DemandMeter,
         tuning: RelayTuning,
+        budget: RetryBudget,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -46,7 +47,7 @@
         self._tuning = tuning
         self._log = log
         self._metrics = metrics
-        self._budget = RetryBudget(share=tuning.retry_share, at_most=tuning.retries_at_most)
+        self._budget = budget
         self.open_calls = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -173,7 +174,7 @@
         return Attempt(target.instance, target.address, target.hall, target.instance)
 
     async def _send(self, call: Call, attempt: Attempt) -> Ending:
-        if call.organisation is not None and not self._serving.fresh():
+        if call.organisation is not None and not self._serving.keys_trusted():
             raise self._give_up(call, Reason.STALE_VERSION, self._tuning.regroup_after_s)
         call.sends += 1
         self._fleet.begin(attempt)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -15,8 +15,6 @@
     three ``caller_silence`` bounds.
     """
 
-    retry_share: float = 0.15
-    retries_at_most: float = 30.0
     sends_more: int = 2
     least_left_s: float = 0.05
     place_poll_s: float = 0.01
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -41,13 +41,18 @@
         self.routes = RouteTable(configuration)
         return True
 
-    def fresh(self) -> bool:
-        """Tell whether keys may be trusted now."""
-        return self.freshness.holds(asyncio.get_running_loop().time())
+    def keys_trusted(self) -> bool:
+        """Tell whether known keys may be let in now."""
+        return self.freshness.keys_trusted(asyncio.get_running_loop().time())
+
+    def proved(self) -> bool:
+        """Tell whether the configuration is known to have been the newest lately."""
+        return self.freshness.proved(asyncio.get_running_loop().time())
 
     def ready(self, now_s: float) -> bool:
         """Tell whether new connections are wanted."""
-        return not self.stopping and self.routes is not None and self.freshness.holds(now_s)
+        known = self.routes is not None and self.freshness.keys_trusted(now_s)
+        return known and not self.stopping
 
 
 __all__ = ["Serving"]
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -3,10 +3,18 @@
 
 from dataclasses import dataclass, field
 
+from ochreway_direct.freshness import KeyTrust
 from ochreway_runtime import checks
 
 KEY_TRUST_SHARE = 0.9
 """The share of the time allowed for taking a key away in which it is still trusted unproved."""
+LIST_TRUST_SHARE = 0.7
+"""The share of the time that a leaving target serves on for which a list is gone by.
+
+The rest is for reading a newer one and for requests on their way.
+"""
+RETRY_SHARE = 0.75
+"""The share of the bound on repeats that entries use, as each knows only its own."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +34,10 @@
     metrics_listen: str = ""
     log_level: str = "info"
     key_revoke_ms: int = 5000
+    keys_fail_closed: bool = True
+    drain_ms: int = 2000
+    retry_ratio: float = 0.2
+    retry_slack: float = 200.0
     grace_s: float = 8.0
     loads_window_s: float = 5.0
     loads_excess: float = 1.1
@@ -35,6 +47,26 @@
         """Return for how long keys are trusted without proof that they are the newest."""
         return self.key_revoke_ms / 1000.0 * KEY_TRUST_SHARE
 
+    @property
+    def key_trust(self) -> KeyTrust:
+        """Return what becomes of keys while the configuration is not proved the newest."""
+        return KeyTrust.WHILE_PROVED if self.keys_fail_closed else KeyTrust.LAST_KNOWN
+
+    @property
+    def list_trust_s(self) -> float:
+        """Return how old a list of targets may be that requests are sent by."""
+        return self.drain_ms / 1000.0 * LIST_TRUST_SHARE
+
+    @property
+    def retries_per_request(self) -> float:
+        """Return how many repeats a request earns."""
+        return self.retry_ratio * RETRY_SHARE
+
+    @property
+    def retries_at_once(self) -> float:
+        """Return how many repeats all entries together may have made beyond what was earned."""
+        return self.retry_slack * RETRY_SHARE
+
 
 def _peers(values: tuple[str, ...]) -> str | None:
     if all(checks.address(value) is None for value in values):
@@ -56,6 +88,9 @@
     "metrics_listen": checks.optional_address,
     "log_level": checks.one_of(*checks.LEVELS),
     "key_revoke_ms": checks.positive,
+    "drain_ms": checks.positive,
+    "retry_ratio": checks.positive,
+    "retry_slack": checks.positive,
     "grace_s": checks.positive,
     "loads_window_s": checks.positive,
     "loads_excess": checks.positive,
--- a/packages/ochreway-direct/src/ochreway_direct/timing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/timing.py
@@ -9,7 +9,10 @@
     """Hold every duration of the parts that run beside the relay.
 
     ``configuration_wait_s`` is how long one question for a newer configuration stays open; two of
-    them have to fit into the time for which keys are trusted.
+    them have to fit into the time for which keys are trusted. After a version that took long to
+    decode and apply, the next is asked for only after ``configuration_rest_share`` times as long,
+    at most ``configuration_rest_s``, so that versions in quick succession leave most of the
+    processor to requests; what is overtaken meanwhile is never decoded.
     """
 
     tick_s: float = 0.05
@@ -17,10 +20,11 @@
     peer_silent_s: float = 1.0
     configuration_wait_s: float = 1.2
     configuration_gap_s: float = 0.05
+    configuration_rest_share: float = 8.0
+    configuration_rest_s: float = 0.6
     list_wait_s: float = 0.5
     list_gap_s: float = 0.35
     fleet_update_s: float = 0.5
-    list_stale_s: float = 1.4
     lease_renew_s: float = 2.0
     lease_stagger_s: float = 0.25
     lease_isolated_s: float = 4.0
--- a/packages/ochreway-platform/src/ochreway_platform/errors.py
+++ b/packages/ochreway-platform/src/ochreway_platform/errors.py
@@ -24,6 +24,10 @@
     """The source of the configuration did not answer."""
 
 
+class ConfigurationUnreadable(ConfigurationUnavailable):
+    """A version of the configuration cannot be decoded."""
+
+
 class ListUnavailable(PlatformError):
     """The list of instances could not be read."""
 
@@ -42,6 +46,7 @@
 
 __all__ = [
     "ConfigurationUnavailable",
+    "ConfigurationUnreadable",
     "HandOverRefused",
     "ListUnavailable",
     "ObjectMissing",
--- a/packages/ochreway-runtime/src/ochreway_runtime/logs.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/logs.py
@@ -20,7 +20,7 @@
         self._logger = logbook.Logger(role)
         self._in_detail = level == "debug"
         self._common = f"role={role} node={_quote(node)}"
-        handler = logbook.StreamHandler(sys.stderr, level=level.upper(), bubble=False)
+        handler = logbook.StreamHandler(sys.stdout, level=level.upper(), bubble=False)
         handler.format_string = (
             "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} {record.message}"
         )
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -23,7 +23,7 @@
 )
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.fleet import Fleet
-from ochreway_direct.freshness import Freshness
+from ochreway_direct.freshness import Freshness, KeyTrust
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.listedtarget import ListedTarget
@@ -32,6 +32,7 @@
 from ochreway_direct.relay.targetprotocol import TargetConnector
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
+from ochreway_routing.retrybudget import RetryBudget
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
@@ -110,6 +111,8 @@
     attempts = 2
     limits = CallerLimits()
     tuning = RelayTuning()
+    budget: tuple[float, float] = (0.15, 30.0)
+    key_trust = KeyTrust.WHILE_PROVED
 
     def configuration(self) -> Configuration:
         shares = (Share(SERVICE if self.kind is RouteKind.STREAM else PLAIN, 1),)
@@ -128,7 +131,9 @@
         key_trust_s: float = 60.0,
     ) -> None:
         async def run() -> None:
-            running = Running(self.configuration(), scripts, key_trust_s, self.tuning)
+            freshness = Freshness(key_trust_s, self.key_trust)
+            budget = RetryBudget(*self.budget)
+            running = Running(self.configuration(), scripts, freshness, self.tuning, budget)
             try:
                 await running.start()
                 await work(running)
@@ -145,13 +150,15 @@
         self,
         configuration: Configuration,
         scripts: tuple[Script, ...],
-        key_trust_s: float,
+        freshness: Freshness,
         tuning: RelayTuning,
+        budget: RetryBudget,
     ) -> None:
+        self.budget = budget
         self.tuning = tuning
         self.targets = [Target(f"t{n}", script) for n, script in enumerate(scripts)]
         self.fleet = Fleet(HALL, random.Random(1))
-        self.serving = Serving(self.fleet, Freshness(key_trust_s))
+        self.serving = Serving(self.fleet, freshness)
         self.serving.apply(configuration)
         self.metrics = Metrics(None, "entry")
         self.body = b"body"
@@ -166,7 +173,7 @@
         self.single = aiohttp.ClientSession(connector=TargetConnector(None), **options)
         self.relay = Relay(
             *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
-            *(self.tuning, EventLog("entry", "e", "error"), self.metrics),
+            *(self.tuning, self.budget, EventLog("entry", "e", "error"), self.metrics),
         )
         server = CallerServer(self.serving, self.relay)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
--- a/tests/direct/test_fleetview.py
+++ b/tests/direct/test_fleetview.py
@@ -10,6 +10,7 @@
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.messages import FleetUpdate
+from ochreway_direct.platformhealth import NEVER_S
 
 SERVICE, HALL = ServiceName("s"), HallId("h")
 PLAIN = ListedTarget(InstanceId("p"), ServiceName("plain"), "p:1", HALL)
@@ -46,7 +47,7 @@
             engine("b", 1, MemberPhase.READY),
             engine("c", 0, MemberPhase.READY),
         )
-        view.list((PLAIN, *members), 10.0)
+        view.list((PLAIN, *members), 10.0, 10.0, NEVER_S)
         self.assertEqual(["g"], self.names(view, 10.1))
 
     def test_the_last_update_stands_in_while_the_list_is_empty(self) -> None:
@@ -56,10 +57,27 @@
 
     def test_a_target_that_left_the_list_is_leaving(self) -> None:
         view = FleetView(1.4)
-        view.list((PLAIN, engine("a"), engine("b")), 10.0)
-        view.list((PLAIN, replace(engine("a"), leaving=True)), 11.0)
+        view.list((PLAIN, engine("a"), engine("b")), 10.0, 10.0, NEVER_S)
+        view.list((PLAIN, replace(engine("a"), leaving=True)), 11.0, 11.0, NEVER_S)
         self.assertEqual({"a", "b"}, set(view.leaving))
 
+    def test_one_that_left_unannounced_stays_so_while_others_name_its_group(self) -> None:
+        view = FleetView(1.4)
+        view.list((PLAIN, engine("a"), engine("b")), 10.0, 10.0, NEVER_S)
+        for now_s in (11.0, 12.0, 13.0):
+            view.list((PLAIN, engine("a")), now_s, now_s, NEVER_S)
+            self.assertEqual({"b"}, set(view.leaving))
+
+    def test_targets_that_lapsed_in_an_outage_are_kept_for_a_while(self) -> None:
+        view = FleetView(1.4)
+        view.list((PLAIN,), 10.0, 10.0, NEVER_S)
+        view.list((), 20.0, 20.0, 19.9)
+        self.assertEqual((PLAIN,), view.plain_targets())
+        self.assertEqual(set(), set(view.leaving))
+        view.list((), 22.2, 22.2, 19.9)
+        self.assertEqual((), view.plain_targets())
+        self.assertEqual({"p"}, set(view.leaving))
+
     def test_the_list_is_stale_by_the_time_it_was_asked_for(self) -> None:
         view = FleetView(1.4)
         view.take(update(5, 1, age_s=1.0), 10.0)
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -3,7 +3,6 @@
 
 from ochreway_core.ids import GroupId, OrganisationId, Version
 from ochreway_direct.configuration import Configuration, Organisation, RouteKind
-from ochreway_direct.relay.tuning import RelayTuning
 from tests.direct.relaycase import END, Headers, RelayCase, Running, event, head, stream_head, whole
 
 Writer = asyncio.StreamWriter
@@ -117,7 +116,7 @@
 
 
 class RetryBudgetTests(RelayCase):
-    tuning = RelayTuning(retry_share=0.25, retries_at_most=1.0)
+    budget = (0.25, 1.0)
 
     def test_repeats_are_paid_for_by_requests(self) -> None:
         async def work(running: Running) -> None:
--- a/tests/direct/test_routetable.py
+++ b/tests/direct/test_routetable.py
@@ -3,7 +3,7 @@
 
 from ochreway_core.ids import OrganisationId, Version
 from ochreway_direct.configuration import Configuration, Organisation, Route, RouteKind, Share
-from ochreway_direct.freshness import Freshness
+from ochreway_direct.freshness import KEY_TRUSTS, Freshness, KeyTrust
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.routetable import RouteTable
 
@@ -46,10 +46,18 @@
 class FreshnessTests(testtools.TestCase):
     def test_proof_lasts_from_the_time_of_asking(self) -> None:
         freshness = Freshness(4.5)
-        self.assertFalse(freshness.holds(100.0))
+        self.assertFalse(freshness.proved(100.0))
         freshness.prove(100.0)
-        self.assertTrue(freshness.holds(104.4))
-        self.assertFalse(freshness.holds(104.5))
+        self.assertTrue(freshness.proved(104.4))
+        self.assertFalse(freshness.proved(104.5))
+
+    def test_keys_are_refused_or_trusted_without_proof_as_is_set(self) -> None:
+        closed, opened = Freshness(4.5), Freshness(4.5, KeyTrust.LAST_KNOWN)
+        self.assertEqual(set(KeyTrust), set(KEY_TRUSTS))
+        self.assertEqual((False, True), (closed.keys_trusted(9.0), opened.keys_trusted(9.0)))
+        for freshness in (closed, opened):
+            freshness.prove(9.0)
+            self.assertTrue(freshness.keys_trusted(9.1))
 
     def test_an_older_proof_changes_nothing(self) -> None:
         freshness = Freshness(4.5)
--- a/tests/processes/test_ports.py
+++ b/tests/processes/test_ports.py
@@ -34,8 +34,8 @@
                     ports = {"link": free_port(), "http": free_port()}
                     ports[taken] = other.getsockname()[1]
                     ended = self.daemon(role, ports["link"], ports["http"])
-                self.assertEqual(EXIT_LISTEN, ended.returncode, ended.stderr)
-                self.assertIn("event=cannot_listen", ended.stderr)
+                self.assertEqual(EXIT_LISTEN, ended.returncode, ended.stdout)
+                self.assertIn("event=cannot_listen", ended.stdout)
 
     def test_waiting_ends_at_once_when_a_process_has_ended(self) -> None:
         async def never() -> bool:
