Hand the view of the fleet to an entry whose own is older

Cause: an entry that restarted while the store was away, and whose holder had ended, learned the configuration from another entry but never which groups serve: only the holder publishes. Heartbeats tell the lease that a view came from, and a newer view is handed over. The test now always kills the holder; it fails without the change.

--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -105,6 +105,7 @@
             self.peers,
             self.links,
             self.serving,
+            self.view,
             self.lease,
             self.meter,
             timing.heartbeat_s,
--- a/packages/ochreway-direct/src/ochreway_direct/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetview.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an entry believes the fleet to be, from the holder of the lease or from the list."""
 
+from dataclasses import replace
+
 from ochreway_core.ids import InstanceId
 from ochreway_direct.enginestate import MemberPhase
 from ochreway_direct.groupview import GroupView
@@ -30,6 +32,23 @@
         """Return the instances that have announced that they leave, or just left the list."""
         return self._leaving
 
+    @property
+    def revision(self) -> int:
+        """Return the lease that the newest update came from, 0 before the first."""
+        return self._update.lease_revision if self._update is not None else 0
+
+    def newest(self, now_s: float) -> FleetUpdate | None:
+        """Return the newest update, with the list as it is known by now."""
+        if self._update is None:
+            return None
+        return replace(
+            self._update,
+            lost=(),
+            targets=self.plain_targets(),
+            leaving=tuple(self._leaving),
+            listed_age_s=self.listed_age_s(now_s),
+        )
+
     def take(self, update: FleetUpdate, now_s: float) -> bool:
         """Take an update unless a newer one is known; return whether it was taken."""
         if self._update is not None and _order(update) < _order(self._update):
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -6,6 +6,7 @@
 
 from ochreway_core.peer import Peer
 from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.fleetview import FleetView
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.messages import ConfigurationRequest, Heartbeat
 from ochreway_direct.peers import Peers
@@ -28,6 +29,7 @@
         peers: Peers,
         links: Links,
         serving: Serving,
+        view: FleetView,
         lease: Lease,
         meter: DemandMeter,
         heartbeat_s: float,
@@ -38,6 +40,7 @@
         self._peers = peers
         self._links = links
         self._serving = serving
+        self._view = view
         self._lease = lease
         self._meter = meter
         self._heartbeat_s = heartbeat_s
@@ -66,6 +69,17 @@
         elif heartbeat.version == self._serving.version and heartbeat.echo_s is not None:
             self._serving.freshness.prove(heartbeat.echo_s - heartbeat.proof_age_s)
 
+        self._hand_view_on(sender, heartbeat.fleet_revision, now_s)
+
+    def _hand_view_on(self, peer: Peer, revision: int, now_s: float) -> None:
+        """Give the view of the fleet to an entry whose own is older, as after a restart.
+
+        Its holder may have ended while the store is away, when nobody else publishes one.
+        """
+        update = self._view.newest(now_s)
+        if update is not None and revision < update.lease_revision:
+            self._links.send(peer, update)
+
     def _meet_seeds(self, known: list[Peer]) -> None:
         met = {peer.address for peer in known}
         for address in self._seeds:
@@ -82,6 +96,7 @@
             lease_revision=self._lease.revision if self._lease.held else 0,
             holds_lease=self._lease.held,
             stopping=self._serving.stopping,
+            fleet_revision=self._view.revision,
             under_way=dict(self._serving.fleet.under_way()),
             offered=dict(self._meter.offered(now_s)),
             peers=(self._me, *known) if self._names_peers(known, now_s) else (),
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -19,7 +19,8 @@
 
     ``echo_s`` returns the newest ``sent_s`` that came from the receiver, on its own clock, so
     whatever is said here was known no earlier than then. ``proof_age_s`` is the age of the
-    sender's proof that its configuration is the newest.
+    sender's proof that its configuration is the newest. ``fleet_revision`` is the lease that its
+    newest view of the fleet came from, 0 when it has none.
     """
 
     incarnation: str
@@ -30,6 +31,7 @@
     lease_revision: int
     holds_lease: bool
     stopping: bool
+    fleet_revision: int
     under_way: dict[str, int]
     offered: dict[ModelName, float]
     peers: tuple[Peer, ...]
