--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -16,7 +16,8 @@
     """Hold what was asked, under which route, and what became of it so far.
 
     ``runs`` counts the targets that may have begun, lost ones too: the leader of a lost group may
-    be alive.
+    be alive. ``waited_s`` is the time spent waiting for a place, and ``first_part_s`` the time at
+    which the answer began.
     """
 
     request: web.BaseRequest
@@ -32,9 +33,11 @@
     engine: EngineSpec | None = None
     runs: int = 0
     sends: int = 0
+    waited_s: float = 0.0
     tried: set[InstanceId] = field(default_factory=set)
     resume_after: str | None = None
     answer: web.StreamResponse | None = None
+    first_part_s: float | None = None
 
     def left_s(self, now_s: float) -> float:
         """Return the time that is left."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -188,6 +188,7 @@
             answer.enable_chunked_encoding()
             self._end_connection(answer)
             call.answer = answer
+            call.first_part_s = asyncio.get_running_loop().time()
             await answer.prepare(call.request)
         return call.answer
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -63,7 +63,9 @@
         try:
             call = await self._admission.admit(request, terms)
             self._budget.requested()
-            return await self._run(call)
+            answer = await self._run(call)
+            self._note_answered(call, answer.status)
+            return answer
         except Refused as refused:
             self._metrics.count(f"refused.{refused.reason.value}")
             self._log.detail(
@@ -85,6 +87,23 @@
             self._metrics.count(f"refused.{Reason.CALLER_GONE.value}")
             raise asyncio.CancelledError from gone
 
+    def _note_answered(self, call: Call, status: int) -> None:
+        now_s = asyncio.get_running_loop().time()
+        first_s = (call.first_part_s or now_s) - call.started_s
+        self._log.detail(
+            "answered",
+            request=call.terms.request,
+            model=call.terms.model,
+            status=status,
+            first_s=round(first_s, 3),
+            took_s=round(now_s - call.started_s, 3),
+            objective_s=call.route.objective_s,
+            waited_s=round(call.waited_s, 3),
+            sends=call.sends,
+            runs=call.runs,
+            targets=",".join(call.tried),
+        )
+
     def _refusal(self, terms: CallerTerms, refused: Refused) -> web.Response:
         headers = self._dialect.refusal(terms.request, refused.retry_after_s)
         answer = web.Response(
@@ -132,10 +151,12 @@
     async def _place(self, call: Call) -> Attempt:
         """Choose where to send a call, waiting a little while nothing can take it."""
         loop = asyncio.get_running_loop()
-        until_s = min(loop.time() + self._patience_s(call), call.end_s)
+        begun_s = loop.time()
+        until_s = min(begun_s + self._patience_s(call), call.end_s)
         while True:
             found = self._pick(call)
             if found is not None:
+                call.waited_s += loop.time() - begun_s
                 return found
             if loop.time() >= until_s:
                 break
