--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -14,10 +14,16 @@
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.errors import PlatformError, TargetUnreachable
 from ochreway_runtime.logs import EventLog
+from ochreway_runtime.looplag import LoopLag
 from ochreway_runtime.metrics import Metrics
 
 Spawn = Callable[[Coroutine[None, None, None]], object]
 SUMMARY_EVERY_S = 1.0
+STALL_SHARE = 0.3
+"""The share of a probe's time that this process may stand still for its silence to count.
+
+Answers take a few ms, so what is left of the time is enough for one.
+"""
 LOST_TOLD_S = 3.0
 """For how long a lost group is named in updates."""
 
@@ -32,6 +38,7 @@
         tuning: CoordinatorTuning,
         spawn: Spawn,
         changed: Callable[[], None],
+        lag: LoopLag,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -40,6 +47,7 @@
         self._timing = timing
         self._spawn = spawn
         self._changed = changed
+        self._lag = lag
         self._log = log
         self._metrics = metrics
         self._phases: dict[GroupId, GroupPhase] = {}
@@ -142,6 +150,12 @@
             state = await self._engines.state(record.listed.address, timeout_s)
         except PlatformError as fault:
             refused = isinstance(fault, TargetUnreachable)
+            stalled_s = self._lag.since(asked_s, loop.time())
+            if not refused and stalled_s > STALL_SHARE * timeout_s:
+                # The answer may have come while this process itself stood still.
+                self._metrics.count("probe.own_stall")
+                self.coordinator.on_unsettled(instance)
+                return
             self.coordinator.on_silence(instance, refused, loop.time())
             self._log.detail("engine_silent", instance=instance, cause=fault)
             return
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -143,6 +143,12 @@
         if refused or record.misses >= allowed:
             record.dead = True
 
+    def on_unsettled(self, instance: InstanceId) -> None:
+        """Note that nothing was learned from a probe; the engine is asked again."""
+        record = self.engines.get(instance)
+        if record is not None:
+            record.probing = False
+
     def on_outcome(
         self, instance: InstanceId, order: Order, outcome: OrderOutcome, now_s: float
     ) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -39,6 +39,7 @@
 from ochreway_platform.errors import PlatformError
 from ochreway_routing.retrybudget import RetryBudget
 from ochreway_runtime.logs import EventLog
+from ochreway_runtime.looplag import REMEMBERED_S, LoopLag
 from ochreway_runtime.metrics import Metrics
 from ochreway_runtime.repeats import Repeats
 from ochreway_runtime.timer import TimerService
@@ -79,6 +80,7 @@
         self.retry_budget = RetryBudget(settings.retries_per_request)
         self.peers = Peers(self.me, timing.peer_silent_s)
         self.timer = TimerService(timing.tick_s)
+        self.lag = LoopLag(timing.tick_s, log)
         self.links = Links(
             self.me,
             LinkSettings(settings.link_key.encode()),
@@ -95,7 +97,14 @@
             self._backoff(timing),
         )
         self.coordination = Coordination(
-            services.engines, timing, _tuning(settings), self.spawn, self._step_soon, log, metrics
+            services.engines,
+            timing,
+            _tuning(settings),
+            self.spawn,
+            self._step_soon,
+            self.lag,
+            log,
+            metrics,
         )
         self.view = FleetView(settings.list_trust_s)
         self._heartbeats = Heartbeats(
@@ -154,6 +163,7 @@
         host, _, port = self.settings.link_listen.rpartition(":")
         await self.links.listen(host, int(port))
         timing = self._timing
+        self.timer.ticks.subscribe(self.lag.tick)
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
         self.timer.every(timing.heartbeat_s, lambda _: self._share_retries())
@@ -178,6 +188,7 @@
             "configuration_version": float(self.serving.version),
             "configuration_proved": float(self.serving.freshness.proved(now_s)),
             "keys_trusted": float(self.serving.freshness.keys_trusted(now_s)),
+            "loop_stalled_s": self.lag.since(now_s - REMEMBERED_S, now_s),
             "lease_held": float(self.lease.held),
             "groups": float(len(self.view.groups(now_s))),
             "entries_heard": float(len(self.peers.alive(now_s))),
@@ -273,7 +284,8 @@
             self._publish()
 
     def _suspect_silent(self, now_s: float) -> None:
-        for group in self.serving.fleet.silent_groups(now_s, SUSPECT_AFTER_S):
+        silent_s = SUSPECT_AFTER_S + self.lag.since(now_s - SUSPECT_AFTER_S, now_s)
+        for group in self.serving.fleet.silent_groups(now_s, silent_s):
             self.metrics.count("group.suspected")
             self.suspect(group)
 
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections import Counter
 
+from ochreway_core.ids import Version
 from ochreway_core.peer import Peer
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.fleetview import FleetView
@@ -16,6 +17,10 @@
 NAMED_FOR_S = 3.0
 NAMED_AGAIN_S = 5.0
 """For how long, and how long after, heartbeats name all entries that are known."""
+STORE_HEAD_START_S = 0.4
+"""How long an entry waits for a newer version from the store: a few answers of a slow store."""
+ASKED_AGAIN_S = 0.5
+"""How long the answer of one entry is waited for before the next one is asked."""
 
 
 class Heartbeats:
@@ -44,6 +49,8 @@
         self._lease = lease
         self._meter = meter
         self._heartbeat_s = heartbeat_s
+        self._behind_at: Version | None = None
+        self._ask_due_s = 0.0
         self._named = -1
         self._named_until_s = 0.0
 
@@ -65,12 +72,25 @@
             self._lease.hear(heartbeat.lease_revision, now_s)
         self._serving.fleet.set_elsewhere(sender.node, Counter(heartbeat.under_way))
         if heartbeat.version > self._serving.version:
-            self._links.send(sender, ConfigurationRequest(self._serving.version))
+            self._fall_behind(sender, now_s)
         elif heartbeat.version == self._serving.version and heartbeat.echo_s is not None:
             self._serving.freshness.prove(heartbeat.echo_s - heartbeat.proof_age_s)
 
         self._hand_view_on(sender, heartbeat.fleet_revision, now_s)
 
+    def _fall_behind(self, ahead: Peer, now_s: float) -> None:
+        """Ask another entry for its newer version, once the store has had time to bring it.
+
+        A version is large, and usually every entry reads it from the store at the same moment.
+        """
+        version = self._serving.version
+        if version != self._behind_at:
+            self._behind_at = version
+            self._ask_due_s = now_s + STORE_HEAD_START_S if version else now_s
+        if now_s >= self._ask_due_s:
+            self._ask_due_s = now_s + ASKED_AGAIN_S
+            self._links.send(ahead, ConfigurationRequest(version))
+
     def _hand_view_on(self, peer: Peer, revision: int, now_s: float) -> None:
         """Give the view of the fleet to an entry whose own is older, as after a restart.
 
--- /dev/null
+++ b/tests/direct/test_coordination.py
@@ -0,0 +1,76 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Probes whose answers do not come, because of the engine or of this process."""
+
+import asyncio
+import time
+
+import testtools
+
+from ochreway_core.ids import DomainId, HallId, InstanceId
+from ochreway_direct.coordination import Coordination
+from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.enginestate import EngineState
+from ochreway_direct.ids import ServiceName
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.order import Order, OrderOutcome
+from ochreway_direct.ports import EngineControl
+from ochreway_direct.timing import DirectTiming
+from ochreway_platform.errors import TargetBroke
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.looplag import LoopLag
+from ochreway_runtime.metrics import Metrics
+
+STATE = EngineState(DomainId("d"), None, (), None)
+ENGINE = ListedTarget(InstanceId("i"), ServiceName("s"), "i:1", HallId("h"), engine=STATE)
+
+
+class SilentEngines(EngineControl):
+    """Never answer; block the whole process meanwhile if told to."""
+
+    def __init__(self, blocked_s: float) -> None:
+        self._blocked_s = blocked_s
+
+    async def state(self, address: str, timeout_s: float) -> EngineState:
+        time.sleep(self._blocked_s)
+        await asyncio.sleep(timeout_s)
+        raise TargetBroke("no answer")
+
+    async def order(
+        self, address: str, instance: InstanceId, order: Order, timeout_s: float
+    ) -> OrderOutcome:
+        return OrderOutcome.UNKNOWN
+
+
+class CoordinationTests(testtools.TestCase):
+    def probed(self, blocked_s: float) -> EngineRecord:
+        async def work() -> EngineRecord:
+            timing = DirectTiming(probe_timeout_s=0.05)
+            log = EventLog("entry", "e", "error")
+            lag = LoopLag(timing.tick_s, log)
+            coordination = Coordination(
+                SilentEngines(blocked_s),
+                timing,
+                CoordinatorTuning(),
+                lambda work: work.close(),
+                lambda: None,
+                lag,
+                log,
+                Metrics(None, "entry"),
+            )
+            loop = asyncio.get_running_loop()
+            coordination.listed((ENGINE,), loop.time(), -1.0e9)
+            record = coordination.coordinator.engines[ENGINE.instance]
+            lag.tick(loop.time())
+            await coordination._probe(record)
+            return record
+
+        return asyncio.run(work())
+
+    def test_an_engine_that_does_not_answer_is_silent(self) -> None:
+        record = self.probed(0.0)
+        self.assertEqual((1, False), (record.misses, record.probing))
+
+    def test_silence_while_this_process_stood_still_counts_for_nothing(self) -> None:
+        record = self.probed(0.5)
+        self.assertEqual((0, False), (record.misses, record.probing))
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -20,6 +20,7 @@
         lease_revision=3,
         holds_lease=holds_lease,
         stopping=False,
+        fleet_revision=0,
         under_way={},
         offered={},
         peers=(),
