Choose groups by the prompts that they have yet to read; follow demand on every entry; compress entries' links

After a group is lost its callers' prompts are read again at once, which a count of requests does not show. A place is now chosen by the prompt tokens that it has yet to read for all entries (heartbeats carry them), the wait for a slot and the time of the first ten tokens.

--- a/packages/ochreway-direct/src/ochreway_direct/configuration.py
+++ b/packages/ochreway-direct/src/ochreway_direct/configuration.py
@@ -82,6 +82,13 @@
         """Return the time that a group takes for a token of each of so many requests."""
         return self.step_s + requests * self.per_sequence_s
 
+    @property
+    def turn_s(self) -> float:
+        """Return how soon one of a full group's slots is free, at a model's usual pace."""
+        writing_s = self.usual_answer_tokens * self.token_s(self.slots)
+        reading_s = self.usual_prompt_tokens / self.read_tokens_per_s
+        return reading_s + writing_s / self.slots
+
     def model(self, name: ModelName) -> ModelSpec | None:
         """Return a model by its name."""
         return next((each for each in self.models if each.name == name), None)
--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -2,12 +2,13 @@
 """Carrying out what the coordinator decides: probes and orders to engines."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 
 from ochreway_core.ids import Epoch, GroupId
 from ochreway_direct.coordinator import Assignment, Coordinator, CoordinatorTuning
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import GroupPhase
+from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.order import OrderOutcome
 from ochreway_direct.ports import EngineControl
@@ -92,6 +93,15 @@
                 leaving=each.leaving,
             )
 
+        for service, plan in self.coordinator.plans.items():
+            self._log.detail(
+                "plan",
+                service=service,
+                needs=",".join(f"{model}:{need:.2f}" for model, need in plan.needs.items()),
+                wanted=_slots(plan.wanted),
+                standing=_slots(plan.standing),
+            )
+
     def lost(self, now_s: float) -> tuple[GroupId, ...]:
         """Return the groups whose requests have to be abandoned."""
         self._lost_s = {g: at_s for g, at_s in self._lost_s.items() if now_s - at_s < LOST_TOLD_S}
@@ -165,4 +175,11 @@
             self._changed()
 
 
+def _slots(slots: Mapping[Slot, int]) -> str:
+    return ",".join(
+        f"{slot.model}@{slot.domain}:{number}"
+        for slot, number in sorted(slots.items(), key=lambda each: (each[0].domain, each[0].model))
+    )
+
+
 __all__ = ["Coordination"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -1,14 +1,14 @@
 # SPDX-License-Identifier: Apache-2.0
 """The decisions of the process that forms groups, without input or output."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from ochreway_core.ids import Epoch, GroupId, InstanceId
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.coordinator.assignment import Assignment
 from ochreway_direct.coordinator.demand import Demand
 from ochreway_direct.coordinator.enginerecord import EngineRecord
-from ochreway_direct.coordinator.formation import Formation
+from ochreway_direct.coordinator.formation import Formation, PlanSummary
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
 from ochreway_direct.coordinator.lifecycle import GroupLifecycle
 from ochreway_direct.coordinator.loadlimit import LoadLimit
@@ -18,6 +18,7 @@
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.groupview import GroupView
+from ochreway_direct.ids import ServiceName
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.listing import Listing
 from ochreway_direct.order import Order, OrderOutcome, Stage
@@ -249,6 +250,11 @@
         """Return what the engines of each domain are doing."""
         return summaries(self.engines.values(), frozenset(self._state.held()))
 
+    @property
+    def plans(self) -> Mapping[ServiceName, PlanSummary]:
+        """Return the newest plan of each service."""
+        return self._formation.plans
+
     def tick(self, now_s: float) -> list[Assignment]:
         """Return the orders to give now."""
         self._state.out = []
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -15,7 +15,7 @@
 from ochreway_direct.coordinator.spanning import FreeEngines, SpanningFormation
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.coordinator.trading import Trading
-from ochreway_direct.ids import ServiceName
+from ochreway_direct.ids import ModelName, ServiceName
 
 SLOW_PACE = 1.5
 """From which pace on an engine is chosen last."""
@@ -29,11 +29,21 @@
     awaited: frozenset[Slot]
 
 
+@dataclass(frozen=True, slots=True)
+class PlanSummary:
+    """Hold what a plan was made for, what it asks for, and the groups that stand in domains."""
+
+    needs: Mapping[ModelName, float]
+    wanted: Mapping[Slot, int]
+    standing: Mapping[Slot, int]
+
+
 class Formation:
     """Compare the groups of a service with the plan, and form or give up what differs."""
 
     def __init__(self, state: CoordinatorState) -> None:
         self._state = state
+        self.plans: dict[ServiceName, PlanSummary] = {}
         self._now = Planner(state.tuning)
         self._later = Planner(state.tuning)
         self._spanning = SpanningFormation(state)
@@ -47,6 +57,7 @@
         rooms = rooms_now(self._state, service, spec, free)
         needs = self._state.demand.needs(spec, sum(room.total for room in rooms.values()))
         wanted = self._now.plan(spec, needs, rooms, inside)
+        self.plans[service] = PlanSummary(needs, wanted, inside)
         awaited = self._form_wanted(service, spec, wanted, standing, free, now_s)
         taken = {slot.domain for slot in awaited}
         spare = {domain: records for domain, records in free.items() if domain not in taken}
@@ -125,4 +136,4 @@
         return self._state.limits[service].take(now_s, model.size)
 
 
-__all__ = ["Formation", "FreeEngines", "Outlook"]
+__all__ = ["Formation", "FreeEngines", "Outlook", "PlanSummary"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -83,7 +83,7 @@
         self.lag = LoopLag(timing.tick_s, log)
         self.links = Links(
             self.me,
-            LinkSettings(settings.link_key.encode()),
+            LinkSettings(settings.link_key.encode(), compressed=True),
             lambda: self.serving.version,
             self._received,
             lambda node: self._lease_keeper.on_link_down(node),
@@ -267,10 +267,10 @@
         if now_s - self._ticked_s > self._timing.pause_noticed_s:
             self.coordination.coordinator.on_pause()
         self._ticked_s = now_s
-        if not self.lease.held:
-            return
+        # Every entry follows what is offered, as it may be the next to form groups.
         self._take_demand(now_s)
-        self._step()
+        if self.lease.held:
+            self._step()
 
     def _step_soon(self) -> None:
         """Have the coordinator go on at once, as something that it waits for has come."""
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -16,6 +16,11 @@
 OTHER_HALL_LOAD = 0.5
 """How many requests more a target of the own hall may have before another is preferred."""
 JITTER_LOAD = 0.9
+FIRST_TOKENS = 10
+"""How many tokens of an answer a place is chosen for: the first few events.
+
+More would send callers to groups that write fast and still have many prompts to read.
+"""
 
 
 class Fleet:
@@ -29,6 +34,7 @@
         self._leaving: frozenset[InstanceId] = frozenset()
         self._under_way: dict[str, set[Attempt]] = defaultdict(set)
         self._elsewhere: dict[NodeId, Counter[str]] = {}
+        self._unread_elsewhere: dict[NodeId, Counter[str]] = {}
         self._health: dict[InstanceId, TargetHealth] = defaultdict(TargetHealth)
 
     # What is learned.
@@ -50,13 +56,17 @@
         """Replace the engines that leave; their groups get nothing new."""
         self._leaving = frozenset(leaving)
 
-    def set_elsewhere(self, node: NodeId, counts: Counter[str]) -> None:
-        """Take what another entry has under way."""
+    def set_elsewhere(
+        self, node: NodeId, counts: Counter[str], unread: Counter[str] | None = None
+    ) -> None:
+        """Take what another entry has under way, and the prompt tokens not read yet for it."""
         self._elsewhere[node] = counts
+        self._unread_elsewhere[node] = unread or Counter()
 
     def forget_entry(self, node: NodeId) -> None:
         """Drop what another entry had under way."""
         self._elsewhere.pop(node, None)
+        self._unread_elsewhere.pop(node, None)
 
     # What is asked.
 
@@ -102,6 +112,7 @@
         avoid: Collection[InstanceId],
         spec: EngineSpec,
         queued_at_most: int,
+        prompt_tokens: int = 0,
     ) -> GroupView | None:
         """Return the group that is to take the least time, or None when all have no place left.
 
@@ -114,9 +125,34 @@
         ]
         if not found:
             return None
-        return min(
-            found, key=lambda each: each.pace * spec.token_s(self._load(each.group, each.hall))
-        )
+        return min(found, key=lambda each: self._expected_s(each, spec, prompt_tokens))
+
+    def _expected_s(self, group: GroupView, spec: EngineSpec, prompt_tokens: int) -> float:
+        """Return how long a group is expected to take for the first tokens of an answer.
+
+        It reads one prompt after the other, so those that it has not read yet come first. After
+        the loss of a group many callers' prompts are read again at once, which its number of
+        requests does not show.
+        """
+        load = self._load(group.group, group.hall)
+        unread = self._unread_tokens(group.group) + prompt_tokens
+        reading_s = unread / spec.read_tokens_per_s
+        writing_s = FIRST_TOKENS * spec.token_s(min(load, spec.slots))
+        queueing_s = max(0.0, load + 1 - spec.slots) * spec.turn_s
+        return group.pace * (reading_s + writing_s + queueing_s)
+
+    def unread(self) -> Counter[str]:
+        """Return how many prompt tokens each place has yet to read for this entry."""
+        found: Counter[str] = Counter()
+        for place, running in self._under_way.items():
+            tokens = sum(each.prompt_tokens for each in running if each.heard_s is None)
+            if tokens:
+                found[place] = tokens
+        return found
+
+    def _unread_tokens(self, place: str) -> int:
+        own = sum(a.prompt_tokens for a in self._under_way.get(place, ()) if a.heard_s is None)
+        return own + sum(counts[place] for counts in self._unread_elsewhere.values())
 
     def pick_target(
         self, service: ServiceName, avoid: Collection[InstanceId]
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -70,7 +70,9 @@
         self._lease.note_alive(Holder(sender.node, heartbeat.incarnation))
         if heartbeat.holds_lease:
             self._lease.hear(heartbeat.lease_revision, now_s)
-        self._serving.fleet.set_elsewhere(sender.node, Counter(heartbeat.under_way))
+        self._serving.fleet.set_elsewhere(
+            sender.node, Counter(heartbeat.under_way), Counter(heartbeat.unread)
+        )
         if heartbeat.version > self._serving.version:
             self._fall_behind(sender, now_s)
         elif heartbeat.version == self._serving.version and heartbeat.echo_s is not None:
@@ -118,6 +120,7 @@
             stopping=self._serving.stopping,
             fleet_revision=self._view.revision,
             under_way=dict(self._serving.fleet.under_way()),
+            unread=dict(self._serving.fleet.unread()),
             offered=dict(self._meter.offered(now_s)),
             peers=(self._me, *known) if self._names_peers(known, now_s) else (),
         )
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -20,7 +20,8 @@
     ``echo_s`` returns the newest ``sent_s`` that came from the receiver, on its own clock, so
     whatever is said here was known no earlier than then. ``proof_age_s`` is the age of the
     sender's proof that its configuration is the newest. ``fleet_revision`` is the lease that its
-    newest view of the fleet came from, 0 when it has none.
+    newest view of the fleet came from, 0 when it has none. ``under_way`` counts requests at each
+    place, and ``unread`` the prompt tokens that it has yet to read for them.
     """
 
     incarnation: str
@@ -33,6 +34,7 @@
     stopping: bool
     fleet_revision: int
     under_way: dict[str, int]
+    unread: dict[str, int]
     offered: dict[ModelName, float]
     peers: tuple[Peer, ...]
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -15,6 +15,7 @@
     address: str
     hall: HallId
     place: str
+    prompt_tokens: int = 0
     lost: bool = False
     heard_s: float | None = None
     _bound: asyncio.Timeout | None = field(default=None)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -183,10 +183,12 @@
                 call.tried,
                 call.engine,
                 self._queued_at_most(call),
+                call.terms.prompt_tokens,
             )
             if group is None:
                 return None
-            return Attempt(group.leader, group.address, group.hall, group.group)
+            tokens = call.terms.prompt_tokens
+            return Attempt(group.leader, group.address, group.hall, group.group, tokens)
         target = self._fleet.pick_target(call.service, call.tried)
         if target is None and call.tried and not self._fleet.has_engines(call.service):
             target = self._fleet.pick_target(call.service, ())
--- a/packages/ochreway-wire/src/ochreway_wire/links.py
+++ b/packages/ochreway-wire/src/ochreway_wire/links.py
@@ -38,12 +38,22 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkSettings:
-    """Hold what every link of a process needs."""
+    """Hold what every link of a process needs.
+
+    Compressing pays where messages repeat each other and bytes between halls are dear; it takes
+    some 64 KB a link, so processes with many links leave it off. Both ends have to want it.
+    """
 
     key: bytes
     tick_s: float = 0.001
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
+    compressed: bool = False
+
+    @property
+    def compression(self) -> str | None:
+        """Return the name of the compression that is offered and accepted."""
+        return "deflate" if self.compressed else None
 
 
 class Links:
@@ -81,7 +91,7 @@
             port,
             ssl=self._settings.server_tls,
             max_size=BATCH_BYTES_AT_MOST,
-            compression=None,
+            compression=self._settings.compression,
             ping_interval=None,
         )
         bound: int = next(iter(self._server.sockets)).getsockname()[1]
@@ -124,7 +134,7 @@
                 f"{scheme}://{peer.address}/",
                 ssl=self._settings.client_tls,
                 max_size=BATCH_BYTES_AT_MOST,
-                compression=None,
+                compression=self._settings.compression,
                 open_timeout=HANDSHAKE_TIMEOUT_S,
                 ping_interval=None,
                 proxy=None,
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -22,6 +22,7 @@
         stopping=False,
         fleet_revision=0,
         under_way={},
+        unread={},
         offered={},
         peers=(),
     )
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -19,12 +19,16 @@
 
 
 class End:
-    def __init__(self, name: str, key: bytes = KEY) -> None:
+    def __init__(self, name: str, key: bytes = KEY, compressed: bool = False) -> None:
         self.peer = Peer(NodeId(name), f"127.0.0.1:{free_port()}")
         self.received: list[tuple[str, int, object]] = []
         self.down: list[str] = []
         self.links = Links(
-            self.peer, LinkSettings(key), lambda: Version(7), self._take, self.down.append
+            self.peer,
+            LinkSettings(key, compressed=compressed),
+            lambda: Version(7),
+            self._take,
+            self.down.append,
         )
 
     def _take(self, sender: Peer, batch: Batch) -> None:
@@ -40,9 +44,14 @@
             await asyncio.sleep(0.01)
 
 
-def run(work: Callable[[End, End], Awaitable[None]], key: bytes = KEY) -> None:
+def run(
+    work: Callable[[End, End], Awaitable[None]],
+    key: bytes = KEY,
+    compressed: tuple[bool, bool] = (False, False),
+) -> None:
     async def both() -> None:
-        one, other = End("one"), End("other", key)
+        one = End("one", compressed=compressed[0])
+        other = End("other", key, compressed[1])
         await one.listen()
         await other.listen()
         try:
@@ -67,6 +76,16 @@
 
         run(work)
 
+    def test_links_are_compressed_only_where_both_ends_want_it(self) -> None:
+        async def work(one: End, other: End) -> None:
+            for number in range(100):
+                one.links.send(other.peer, Follow(GroupId(str(number))))
+            await until(lambda: len(other.received) == 100)
+            self.assertEqual(("one", 7, Follow(GroupId("99"))), other.received[99])
+
+        for compressed in ((True, True), (True, False), (False, True)):
+            run(work, compressed=compressed)
+
     def test_order_is_kept(self) -> None:
         async def work(one: End, other: End) -> None:
             for number in range(5000):
