--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -82,6 +82,18 @@
         world.run(0.2)
         self.assertGreaterEqual(world.serving(LARGE), 2)
 
+    def test_a_new_holder_gives_up_a_group_whose_leader_leaves_the_list_unannounced(self) -> None:
+        world = settled()
+        world.take_over()
+        world.run_until(lambda: bool(world.coordinator.views()), 3.0)
+        view = world.coordinator.views()[0]
+        world.engines[view.leader].listed_s = float("inf")
+        took_s = world.run_until(
+            lambda: view.group not in {each.group for each in world.coordinator.views()}, 5.0
+        )
+        # A leaving target serves on for 2 s; the list is read here about twice a second.
+        self.assertLess(took_s, 1.9)
+
     def test_a_new_holder_begins_loads_at_once_while_few_are_under_way(self) -> None:
         world = settled()
         empty = world.add(DomainId("d0"))
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -1,9 +1,10 @@
 # SPDX-License-Identifier: Apache-2.0
 import random
+from collections import Counter
 
 import testtools
 
-from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
+from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId, NodeId
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.relay.attempt import Attempt
@@ -37,6 +38,28 @@
         self.load(busy, 4)
         self.assertEqual("idle", self.chosen())
 
+    def test_prompts_that_are_not_read_yet_count_until_an_answer_has_begun(self) -> None:
+        one, other = view("one", 1.0), view("other", 1.0)
+        self.fleet.set_groups((one, other))
+        unread = Attempt(one.leader, one.address, one.hall, one.group, prompt_tokens=4000)
+        self.fleet.begin(unread)
+        self.load(other, 4)
+        self.assertEqual("other", self.chosen())
+        self.assertEqual({"one": 4000}, self.fleet.unread())
+        unread.heard(1.0)
+        self.assertEqual("one", self.chosen())
+        self.assertEqual({}, self.fleet.unread())
+
+    def test_prompts_sent_by_other_entries_count_too(self) -> None:
+        one, other = view("one", 1.0), view("other", 1.0)
+        self.fleet.set_groups((one, other))
+        self.load(other, 2)
+        self.assertEqual("one", self.chosen())
+        self.fleet.set_elsewhere(NodeId("e2"), Counter(), Counter({"one": 4000}))
+        self.assertEqual("other", self.chosen())
+        self.fleet.forget_entry(NodeId("e2"))
+        self.assertEqual("one", self.chosen())
+
     def test_a_slow_group_is_chosen_only_when_others_would_be_slower(self) -> None:
         fast, slow = view("fast", 1.0), view("slow", 3.0)
         self.fleet.set_groups((fast, slow))
