--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -61,7 +61,8 @@
         awaited = self._form_wanted(service, spec, wanted, standing, free, now_s)
         taken = {slot.domain for slot in awaited}
         spare = {domain: records for domain, records in free.items() if domain not in taken}
-        self._spanning.step(service, spec, needs, wanted | inside, spare, now_s)
+        if self._state.tuning.spanning:
+            self._spanning.step(service, spec, needs, wanted | inside, spare, now_s)
         later = self._later.plan(spec, needs, rooms_later(spec, rooms), inside)
         return Outlook(later, frozenset(awaited))
 
@@ -83,7 +84,8 @@
             assert model is not None
             for _ in range(wanted[slot] - standing.get(slot, 0)):
                 if not self._form(service, model, free[slot.domain], slot.domain, now_s):
-                    self._trading.complete(service, model, slot, surplus, free, now_s)
+                    if self._state.tuning.trading:
+                        self._trading.complete(service, model, slot, surplus, free, now_s)
                     awaited.add(slot)
                     break
         return awaited
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -8,8 +8,10 @@
 class CoordinatorTuning:
     """Hold every duration of the coordinator, and what an idle replica is worth.
 
-    ``crowding`` says how steeply the worth of one more group of a model falls with the groups
-    it has for the work that is offered; ``keep_bonus`` by how much a standing one is preferred.
+    ``spanning`` lets groups be formed across domains, and ``trading`` lets some be given up for
+    others that are wanted more. ``crowding`` says how steeply the worth of one more group of a
+    model falls with the groups it has for the work that is offered; ``keep_bonus`` by how much a
+    standing one is preferred.
     An order is repeated after ``order_retry_s``, and after ``order_taken_retry_s`` when the engine
     has acknowledged it, as reports lag. An engine joins the model that it served last within
     ``rejoin_s``. A group that is closed has ``close_at_most_s`` to end its requests, and
@@ -31,6 +33,8 @@
     close_at_most_s: float = 2.5
     trade_close_s: float = 0.4
     silent_share_at_most: float = 0.6
+    spanning: bool = True
+    trading: bool = True
     crowding: float = 1.2
     keep_bonus: float = 1.5
     loads_window_s: float = 5.0
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -6,6 +6,7 @@
 import secrets
 from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import replace
 from typing import Any
 
 from ochreway_core.backoff import Backoff
@@ -22,6 +23,7 @@
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.leasekeeper import LeaseKeeper
 from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.mechanism import Mechanism
 from ochreway_direct.messages import (
     ConfigurationRequest,
     ConfigurationUpdate,
@@ -72,7 +74,7 @@
         self._loop = asyncio.get_running_loop()
         self._random = random.Random()
         self.me = Peer(NodeId(settings.name), settings.link_listen)
-        fleet = Fleet(HallId(settings.hall), self._random)
+        fleet = Fleet(HallId(settings.hall), self._random, settings.has(Mechanism.UNREAD_PROMPTS))
         freshness = Freshness(settings.key_trust_s, settings.key_trust)
         self.serving = Serving(fleet, freshness)
         self.health = PlatformHealth()
@@ -167,7 +169,8 @@
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
         self.timer.every(timing.heartbeat_s, lambda _: self._share_retries())
-        self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
+        if self.settings.has(Mechanism.SILENCE_SUSPECTED):
+            self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
         self.timer.every(timing.fleet_update_s, lambda _: self._publish())
         self.spawn(self.timer.run())
         self.spawn(self._configurations.run())
@@ -268,7 +271,8 @@
             self.coordination.coordinator.on_pause()
         self._ticked_s = now_s
         # Every entry follows what is offered, as it may be the next to form groups.
-        self._take_demand(now_s)
+        if self.lease.held or self.settings.has(Mechanism.FOLLOWED_DEMAND):
+            self._take_demand(now_s)
         if self.lease.held:
             self._step()
 
@@ -385,9 +389,15 @@
 
 
 def _tuning(settings: DirectSettings) -> CoordinatorTuning:
-    return CoordinatorTuning(
-        loads_window_s=settings.loads_window_s, loads_excess=settings.loads_excess
+    tuning = CoordinatorTuning(
+        loads_window_s=settings.loads_window_s,
+        loads_excess=settings.loads_excess,
+        spanning=settings.has(Mechanism.SPANNING_GROUPS),
+        trading=settings.has(Mechanism.TRADING),
     )
+    if settings.has(Mechanism.STAGING_BESIDE):
+        return tuning
+    return replace(tuning, loading_beside_share=0.0)
 
 
 __all__ = ["DirectEntry"]
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -26,9 +26,10 @@
 class Fleet:
     """Choose the least loaded place for a call."""
 
-    def __init__(self, hall: HallId, chance: random.Random) -> None:
+    def __init__(self, hall: HallId, chance: random.Random, counts_unread: bool = True) -> None:
         self._hall = hall
         self._chance = chance
+        self._counts_unread = counts_unread
         self._groups: dict[GroupId, GroupView] = {}
         self._targets: dict[InstanceId, ListedTarget] = {}
         self._leaving: frozenset[InstanceId] = frozenset()
@@ -135,7 +136,7 @@
         requests does not show.
         """
         load = self._load(group.group, group.hall)
-        unread = self._unread_tokens(group.group) + prompt_tokens
+        unread = self._unread_tokens(group.group) + prompt_tokens if self._counts_unread else 0
         reading_s = unread / spec.read_tokens_per_s
         writing_s = FIRST_TOKENS * spec.token_s(min(load, spec.slots))
         queueing_s = max(0.0, load + 1 - spec.slots) * spec.turn_s
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
@@ -13,6 +14,7 @@
 from aiohttp import web
 
 from ochreway_direct.entry import DirectEntry
+from ochreway_direct.mechanism import Mechanism
 from ochreway_direct.ports.platformservices import ADAPTERS
 from ochreway_direct.relay.callerserver import CallerServer
 from ochreway_direct.relay.relay import Relay
@@ -65,10 +67,12 @@
 @option("--grace-s", 8.0, "How long a planned stop may take.")
 @option("--loads-window-s", 5.0, "Window in which loads of weights are bounded.")
 @option("--loads-excess", 1.1, "Share of the configured rate of loads that a window may have.")
+@option("--without", "", "Mechanisms to switch off, with commas between; for measurements.")
 @click.option("--check", "only_check", is_flag=True, help="Print the settings and stop.")
 def main(only_check: bool, **given: Any) -> None:
     """Take callers' requests and send them straight to targets."""
-    given["peer"] = tuple(each for each in given["peer"].split(",") if each)
+    for name in ("peer", "without"):
+        given[name] = tuple(each for each in given[name].split(",") if each)
     settings = DirectSettings(**given)
     try:
         check(settings)
@@ -108,7 +112,7 @@
         services = ADAPTERS[settings.adapter](platform, settings.platform_url)
         entry = DirectEntry(settings, services, DirectTiming(), log, metrics)
         relay = Relay(
-            *(entry.serving, services.dialect, kept, single, entry.meter, RelayTuning()),
+            *(entry.serving, services.dialect, kept, single, entry.meter, _relay_tuning(settings)),
             *(entry.retry_budget, log, metrics),
         )
         try:
@@ -132,6 +136,17 @@
     return 0
 
 
+def _relay_tuning(settings: DirectSettings) -> RelayTuning:
+    tuning = RelayTuning()
+    if settings.has(Mechanism.RETURNING_FIRST):
+        return tuning
+    return replace(
+        tuning,
+        returning_queued_at_most=tuning.queued_at_most,
+        returning_patience_share=tuning.patience_share,
+    )
+
+
 async def _drain(entry: DirectEntry, relay: Relay) -> None:
     """Serve on until nothing is under way, within the grace that a stop has."""
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/mechanism.py
@@ -0,0 +1,26 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The mechanisms of a direct entry that can be switched off, to measure what each is worth."""
+
+from enum import Enum
+
+
+class Mechanism(Enum):
+    """Name a mechanism; each is in force unless a setting switches it off."""
+
+    UNREAD_PROMPTS = "unread-prompts"
+    """Choose groups by the prompts that they have yet to read, not only by their requests."""
+    FOLLOWED_DEMAND = "followed-demand"
+    """Follow what is offered on every entry, not only on the holder of the lease."""
+    SPANNING_GROUPS = "spanning-groups"
+    """Form groups across domains while none can be completed inside one."""
+    TRADING = "trading"
+    """Give up groups whose engines complete one that is wanted more."""
+    STAGING_BESIDE = "staging-beside"
+    """Load other models' weights beside those that engines serve, after the first request."""
+    SILENCE_SUSPECTED = "silence-suspected"
+    """Have a group's members asked at once when all its answers stand still."""
+    RETURNING_FIRST = "returning-first"
+    """Let callers that were refused once wait longer and queue deeper."""
+
+
+__all__ = ["Mechanism"]
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ochreway_direct.freshness import KeyTrust
+from ochreway_direct.mechanism import Mechanism
 from ochreway_runtime import checks
 
 KEY_TRUST_SHARE = 0.9
@@ -41,6 +42,11 @@
     grace_s: float = 8.0
     loads_window_s: float = 5.0
     loads_excess: float = 1.1
+    without: tuple[str, ...] = ()
+
+    def has(self, mechanism: Mechanism) -> bool:
+        """Tell whether a mechanism is in force."""
+        return mechanism.value not in self.without
 
     @property
     def key_trust_s(self) -> float:
@@ -74,6 +80,11 @@
     return "host:port of other entries' links, with commas between"
 
 
+def _mechanisms(values: tuple[str, ...]) -> str | None:
+    known = [each.value for each in Mechanism]
+    return None if set(values) <= set(known) else "among " + ", ".join(known)
+
+
 CHECKS: dict[str, checks.Check] = {
     "name": checks.filled,
     "hall": checks.filled,
@@ -94,6 +105,7 @@
     "grace_s": checks.positive,
     "loads_window_s": checks.positive,
     "loads_excess": checks.positive,
+    "without": _mechanisms,
 }
 
 
--- a/tests/direct/test_settings.py
+++ b/tests/direct/test_settings.py
@@ -34,9 +34,10 @@
             OCHREWAY_GRACE_S="-1",
             OCHREWAY_KEY_REVOKE_MS="0",
             OCHREWAY_LOG_LEVEL="loud",
+            OCHREWAY_WITHOUT="trading,magic",
         )
         self.assertEqual(2, code)
         flags = ("name", "adapter", "link-key", "caller-listen", "platform-url", "peer", "grace-s")
-        for flag in (*flags, "key-revoke-ms", "log-level"):
+        for flag in (*flags, "key-revoke-ms", "log-level", "without"):
             self.assertIn(f"--{flag}: ", output)
         self.assertNotIn("short", output)
