--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -6,7 +6,6 @@
 import os
 import signal
 import sys
-from dataclasses import replace
 from typing import Any
 
 import aiohttp
@@ -14,7 +13,6 @@
 from aiohttp import web
 
 from ochreway_direct.entry import DirectEntry
-from ochreway_direct.mechanism import Mechanism
 from ochreway_direct.ports.platformservices import ADAPTERS
 from ochreway_direct.relay.callerserver import CallerServer
 from ochreway_direct.relay.relay import Relay
@@ -112,7 +110,7 @@
         services = ADAPTERS[settings.adapter](platform, settings.platform_url)
         entry = DirectEntry(settings, services, DirectTiming(), log, metrics)
         relay = Relay(
-            *(entry.serving, services.dialect, kept, single, entry.meter, _relay_tuning(settings)),
+            *(entry.serving, services.dialect, kept, single, entry.meter, RelayTuning()),
             *(entry.retry_budget, log, metrics),
         )
         try:
@@ -136,17 +134,6 @@
     return 0
 
 
-def _relay_tuning(settings: DirectSettings) -> RelayTuning:
-    tuning = RelayTuning()
-    if settings.has(Mechanism.RETURNING_FIRST):
-        return tuning
-    return replace(
-        tuning,
-        returning_queued_at_most=tuning.queued_at_most,
-        returning_patience_share=tuning.patience_share,
-    )
-
-
 async def _drain(entry: DirectEntry, relay: Relay) -> None:
     """Serve on until nothing is under way, within the grace that a stop has."""
     loop = asyncio.get_running_loop()
--- a/packages/ochreway-direct/src/ochreway_direct/mechanism.py
+++ b/packages/ochreway-direct/src/ochreway_direct/mechanism.py
@@ -19,8 +19,6 @@
     """Load other models' weights beside those that engines serve, after the first request."""
     SILENCE_SUSPECTED = "silence-suspected"
     """Have a group's members asked at once when all its answers stand still."""
-    RETURNING_FIRST = "returning-first"
-    """Let callers that were refused once wait longer and queue deeper."""
 
 
 __all__ = ["Mechanism"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -10,9 +10,6 @@
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
 
-FIRST_TIME_SHARE = 0.95
-"""The share of a route's time that callers give their first try at the least."""
-
 
 @dataclass(slots=True)
 class Call:
@@ -42,12 +39,6 @@
     answer: web.StreamResponse | None = None
     first_part_s: float | None = None
 
-    @property
-    def returning(self) -> bool:
-        """Tell whether its caller seems to have come back: less time is left than its route has."""
-        given_s = self.end_s - self.started_s
-        return given_s < FIRST_TIME_SHARE * self.route.timeout_s
-
     def left_s(self, now_s: float) -> float:
         """Return the time that is left."""
         return self.end_s - now_s
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -168,15 +168,12 @@
     def _patience_s(self, call: Call) -> float:
         if call.answer is not None or call.runs:
             return self._tuning.resume_patience_s
-        tuning = self._tuning
-        share = tuning.returning_patience_share if call.returning else tuning.patience_share
-        return call.route.objective_s * share
+        return call.route.objective_s * self._tuning.patience_share
 
     def _queued_at_most(self, call: Call) -> int:
         tuning = self._tuning
-        if call.answer is not None:
-            return tuning.resuming_queued_at_most
-        return tuning.returning_queued_at_most if call.returning else tuning.queued_at_most
+        begun = call.answer is not None
+        return tuning.resuming_queued_at_most if begun else tuning.queued_at_most
 
     def _pick(self, call: Call) -> Attempt | None:
         if call.engine is not None:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -10,8 +10,7 @@
 
     A call waits for a place for ``patience_share`` of its objective and is then refused with
     the time after which a group is expected to serve again, at most ``retry_after_share`` of
-    what the caller has left. A caller that was refused and has come back waits for longer and may
-    queue where new ones may not, as it has no further try; so may an answer that has begun, as it
+    what the caller has left. An answer that has begun may queue where new calls may not, as it
     cannot be refused. A caller gives a stream up that is silent for the longest of the
     three ``caller_silence`` bounds.
     """
@@ -21,8 +20,6 @@
     place_poll_s: float = 0.01
     patience_share: float = 0.1
     queued_at_most: int = 3
-    returning_queued_at_most: int = 8
-    returning_patience_share: float = 0.2
     resuming_queued_at_most: int = 12
     resume_patience_s: float = 1.0
     retry_after_s: float = 0.3
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -4,7 +4,6 @@
 
 from ochreway_core.ids import GroupId, NodeId, OrganisationId, Version
 from ochreway_direct.configuration import Configuration, Organisation, RouteKind
-from ochreway_standins.engineworld import SPEC
 from tests.direct.relaycase import END, Headers, RelayCase, Running, event, head, stream_head, whole
 
 Writer = asyncio.StreamWriter
@@ -227,22 +226,6 @@
 
         self.relayed(work, stream)
 
-    def test_a_caller_that_comes_back_may_queue_where_new_ones_may_not(self) -> None:
-        async def stream(headers: Headers, writer: Writer) -> None:
-            writer.write(stream_head(headers) + event(1) + END)
-
-        async def work(running: Running) -> None:
-            places = Counter({"g0": SPEC.slots + running.tuning.queued_at_most})
-            running.fleet.set_elsewhere(NodeId("other"), places)
-            self.assertEqual(503, (await running.ask()).status)
-            again = await running.ask(**{"Deadline-S": "2.5"})
-            self.assertEqual(200, again.status)
-            places["g0"] += running.tuning.returning_queued_at_most
-            running.fleet.set_elsewhere(NodeId("other"), places)
-            self.assertEqual(503, (await running.ask(**{"Deadline-S": "2.5"})).status)
-
-        self.relayed(work, stream)
-
     def test_a_broken_stream_goes_on_at_another_target(self) -> None:
         async def breaks(headers: Headers, writer: Writer) -> None:
             writer.write(stream_head(headers) + event(1) + event(2)[:-9])
@@ -324,9 +307,6 @@
 
     def test_a_full_group_is_not_sent_more(self) -> None:
         async def work(running: Running) -> None:
-            from collections import Counter
-
-            from ochreway_core.ids import NodeId
 
             running.fleet.set_elsewhere(NodeId("other"), Counter({"g0": 99}))
             answer = await running.ask()
