Give a group up when a member refuses its epoch, and doubt the lease

The group is dissolved at once and its engines may join one with a newer epoch; the lease is renewed at once, as a newer epoch suggests another holder. The test fails without (the same join is given again).

--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -39,6 +39,7 @@
         tuning: CoordinatorTuning,
         spawn: Spawn,
         changed: Callable[[], None],
+        fenced: Callable[[], None],
         lag: LoopLag,
         log: EventLog,
         metrics: Metrics,
@@ -48,6 +49,7 @@
         self._timing = timing
         self._spawn = spawn
         self._changed = changed
+        self._fenced = fenced
         self._lag = lag
         self._log = log
         self._metrics = metrics
@@ -146,6 +148,9 @@
                 asyncio.get_running_loop().time(),
             )
             self._changed()
+        if outcome is OrderOutcome.FENCED:
+            self._log.event("order_fenced", instance=assignment.instance, order=assignment.order)
+            self._fenced()
         self._metrics.count(f"order_outcome.{outcome.value}")
         self._log.detail(
             "order", instance=assignment.instance, order=assignment.order, outcome=outcome.value
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -21,7 +21,7 @@
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.listing import Listing
-from ochreway_direct.order import Order, OrderOutcome, Stage
+from ochreway_direct.order import Join, Order, OrderOutcome, Stage
 from ochreway_direct.platformhealth import NEVER_S
 
 TAKEN = frozenset({OrderOutcome.HOLDS, OrderOutcome.BEGUN})
@@ -44,6 +44,7 @@
         self._staging = Staging(self._state)
         self._listing = Listing()
         self._began_s = 0.0
+        self.fenced_orders = 0
         self._started = False
 
     @property
@@ -163,9 +164,22 @@
             self._lifecycle.on_taken(record, order, now_s)
         if outcome not in UNSETTLED:
             record.probed_s = 0.0
+        if isinstance(order, Join) and outcome is OrderOutcome.FENCED:
+            self._on_fenced(order)
         if isinstance(order, Stage) and outcome is not OrderOutcome.BEGUN:
             record.staging = None
 
+    def _on_fenced(self, join: Join) -> None:
+        """Give up a group that a member refuses for its epoch; asking again would not help.
+
+        Its engines are free for a group with a newer epoch, if this process still holds the
+        lease: that an engine has seen a newer one suggests that it does not.
+        """
+        self.fenced_orders += 1
+        group = self.groups.get(join.group)
+        if group is not None and group.epoch == join.epoch:
+            group.fenced = True
+
     def suspect(self, group: GroupId) -> None:
         """Ask a group's members for their state at once."""
         found = self.groups.get(group)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
@@ -22,7 +22,10 @@
 
 @dataclass(slots=True)
 class GroupRecord:
-    """Hold a group's members, the first of which leads, and those that were seen ready."""
+    """Hold a group's members, the first of which leads, and those that were seen ready.
+
+    A ``fenced`` group was refused by a member that has seen a newer epoch.
+    """
 
     group: GroupId
     epoch: Epoch
@@ -35,6 +38,7 @@
     expected_s: float = 0.0
     close_at_most_s: float = 0.0
     serves_s: float | None = None
+    fenced: bool = False
     ready: set[InstanceId] = field(default_factory=set)
     told: set[InstanceId] = field(default_factory=set)
     released: set[InstanceId] = field(default_factory=set)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -100,7 +100,9 @@
             self._state.order(record, Leave(group, epoch), now_s)
 
     def _unfit(self, group: GroupRecord) -> bool:
-        """Tell whether a member is lost to the group."""
+        """Tell whether a member is lost to the group, or refuses to join it."""
+        if group.fenced:
+            return True
         for instance in group.members:
             record = self._state.engines.get(instance)
             if record is None or record.dead:
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -104,6 +104,7 @@
             _tuning(settings),
             self.spawn,
             self._step_soon,
+            self.lease.doubt,
             self.lag,
             log,
             metrics,
--- a/packages/ochreway-direct/src/ochreway_direct/lease.py
+++ b/packages/ochreway-direct/src/ochreway_direct/lease.py
@@ -73,6 +73,10 @@
         """Tell whether the lease has to be renewed now."""
         return self.held and now_s >= max(self._retry_s, self.renewed_s + self._renew_s)
 
+    def doubt(self) -> None:
+        """Have the lease renewed at once, as an order was refused for a newer one's sake."""
+        self.renewed_s = 0.0
+
     def allowed(self, now_s: float) -> bool:
         """Tell whether the table may be asked again after its last failure."""
         return now_s >= self._retry_s
--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -54,6 +54,7 @@
                 CoordinatorTuning(),
                 lambda work: work.close(),
                 lambda: None,
+                lambda: None,
                 lag,
                 log,
                 Metrics(None, "entry"),
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -1,9 +1,10 @@
 # SPDX-License-Identifier: Apache-2.0
 import testtools
 
-from ochreway_core.ids import DomainId
+from ochreway_core.ids import DomainId, Epoch
 from ochreway_direct.coordinator import Assignment, CoordinatorTuning
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
+from ochreway_direct.order import Join
 from ochreway_standins.engineworld import LARGE, SMALL, SPEC, STEP_S, EngineWorld
 
 
@@ -94,6 +95,25 @@
         # A leaving target serves on for 2 s; the list is read here about twice a second.
         self.assertLess(took_s, 1.9)
 
+    def test_a_join_that_is_refused_for_its_epoch_is_not_given_again(self) -> None:
+        world = settled()
+        given: list[Assignment] = []
+        give = world._give
+
+        def watch(assignment: Assignment) -> None:
+            given.append(assignment)
+            give(assignment)
+
+        world._give = watch  # type: ignore[method-assign]
+        for engine in world.engines.values():
+            engine.highest = Epoch(engine.highest + 20)
+        world.crash(world.members(LARGE)[0])
+        world.run(20.0)
+        joins = [(a.instance, a.order) for a in given if isinstance(a.order, Join)]
+        self.assertGreater(world.coordinator.fenced_orders, 0)
+        self.assertEqual([], [each for each in set(joins) if joins.count(each) > 1])
+        self.assertEqual([], world.violations)
+
     def test_a_new_holder_begins_loads_at_once_while_few_are_under_way(self) -> None:
         world = settled()
         empty = world.add(DomainId("d0"))
