--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -13,10 +13,11 @@
 from ochreway_direct.order import OrderOutcome
 from ochreway_direct.ports import EngineControl
 from ochreway_direct.timing import DirectTiming
-from ochreway_platform.errors import PlatformError, TargetUnreachable
+from ochreway_platform.errors import PlatformError, ReportUnreadable, TargetUnreachable
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import LoopLag
 from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.repeats import Repeats
 
 Spawn = Callable[[Coroutine[None, None, None]], object]
 SUMMARY_EVERY_S = 1.0
@@ -53,6 +54,7 @@
         self._lag = lag
         self._log = log
         self._metrics = metrics
+        self._unreadable = Repeats(log, "report_unreadable")
         self._phases: dict[GroupId, GroupPhase] = {}
         self._lost_s: dict[GroupId, float] = {}
         self._summary_due_s = 0.0
@@ -164,6 +166,9 @@
         try:
             state = await self._engines.state(record.listed.address, timeout_s)
         except PlatformError as fault:
+            if isinstance(fault, ReportUnreadable):
+                self._metrics.count("probe.unreadable")
+                self._unreadable.met(f"{instance}: {fault}", loop.time())
             refused = isinstance(fault, TargetUnreachable)
             stalled_s = self._lag.since(asked_s, loop.time())
             if not refused and stalled_s > STALL_SHARE * timeout_s:
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 from collections import Counter
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from typing import Any
 
@@ -23,6 +23,7 @@
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.leasekeeper import LeaseKeeper
 from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.listfollower import ListFollower
 from ochreway_direct.mechanism import Mechanism
 from ochreway_direct.messages import (
     ConfigurationRequest,
@@ -34,16 +35,14 @@
 )
 from ochreway_direct.peers import Peers
 from ochreway_direct.platformhealth import PlatformHealth
-from ochreway_direct.ports import PlatformServices
+from ochreway_direct.ports import PlatformServices, TargetReading
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
 from ochreway_direct.timing import DirectTiming
-from ochreway_platform.errors import PlatformError
 from ochreway_routing.retrybudget import RetryBudget
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import REMEMBERED_S, LoopLag
 from ochreway_runtime.metrics import Metrics
-from ochreway_runtime.repeats import Repeats
 from ochreway_runtime.timer import TimerService
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
@@ -143,8 +142,16 @@
             log,
             metrics,
         )
-        self._list_fault = Repeats(log, "list_unavailable")
-        self._target_fault = Repeats(log, "target_unreadable")
+        self._list = ListFollower(
+            services.targets,
+            self.health,
+            timing,
+            self._backoff(timing),
+            self._reads_list,
+            self._listed,
+            log,
+            metrics,
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._sequence = 0
         self._shared_s = 0.0
@@ -175,7 +182,7 @@
         self.timer.every(timing.fleet_update_s, lambda _: self._publish())
         self.spawn(self.timer.run())
         self.spawn(self._configurations.run())
-        self.spawn(self._follow_list())
+        self.spawn(self._list.run())
         self.spawn(self._lease_keeper.run())
 
     async def stop(self) -> None:
@@ -205,51 +212,17 @@
 
     # The list of targets.
 
-    async def _follow_list(self) -> None:
-        backoff = self._backoff(self._timing)
-        while True:
-            if not self._reads_list():
-                await asyncio.sleep(self._timing.list_gap_s)
-                continue
-            asked_s = self._loop.time()
-            try:
-                reading = await self._services.targets.poll(self._timing.list_wait_s)
-            except PlatformError as fault:
-                self._list_failed(fault, asked_s)
-                await asyncio.sleep(backoff.failed())
-                continue
-            backoff.succeeded()
-            self.health.answered(asked_s, self._loop.time())
-            self._list_fault.over(self._loop.time())
-            self._note_unreadable(reading.unreadable)
-            self._listed(reading.targets, reading.asked_s)
-            await asyncio.sleep(self._timing.list_gap_s)
-
-    def _list_failed(self, fault: PlatformError, asked_s: float) -> None:
-        now_s = self._loop.time()
-        self.metrics.count("list.unavailable")
-        self._list_fault.met(str(fault), now_s, listed=len(self.view.targets()))
-        self.health.failed(min(now_s, asked_s + self._timing.list_wait_s))
-
-    def _note_unreadable(self, unreadable: Mapping[str, str]) -> None:
-        now_s = self._loop.time()
-        if not unreadable:
-            self._target_fault.over(now_s)
-            return
-        self.metrics.count("list.target_unreadable")
-        entry, cause = min(unreadable.items())
-        self._target_fault.met(f"{entry}: {cause}", now_s, targets=len(unreadable))
-
     def _reads_list(self) -> bool:
         """Tell whether this entry reads the list itself: as holder, or with none to hear."""
         return self.lease.held or self.view.stale(self._loop.time())
 
-    def _listed(self, targets: tuple[ListedTarget, ...], asked_s: float) -> None:
+    def _listed(self, reading: TargetReading) -> None:
+        targets = reading.targets
         now_s = self._loop.time()
         self.coordination.listed(targets, now_s, self.health.regained_s)
         if len(targets) != len(self.view.targets()):
             self.log.event("listed", targets=len(targets), before=len(self.view.targets()))
-        self.view.list(targets, asked_s, now_s, self.health.regained_s)
+        self.view.list(targets, reading.asked_s, now_s, self.health.regained_s)
         self._show()
         self._share_list(targets)
 
--- a/packages/ochreway-platform/src/ochreway_platform/errors.py
+++ b/packages/ochreway-platform/src/ochreway_platform/errors.py
@@ -44,6 +44,10 @@
     """The target broke off after it was reached."""
 
 
+class ReportUnreadable(TargetBroke):
+    """A target's report of itself cannot be decoded."""
+
+
 __all__ = [
     "ConfigurationUnavailable",
     "ConfigurationUnreadable",
@@ -52,6 +56,7 @@
     "ObjectMissing",
     "ObjectStoreUnavailable",
     "PlatformError",
+    "ReportUnreadable",
     "TableUnavailable",
     "TargetBroke",
     "TargetUnreachable",
--- /dev/null
+++ b/tests/runtime/recordedlog.py
@@ -0,0 +1,23 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A log that keeps what would be written."""
+
+from ochreway_runtime.logs import EventLog
+
+
+class RecordedLog(EventLog):
+    """Keep the names of events with their fields."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[str, dict[str, object]]] = []
+
+    def event(self, name: str, **fields: object) -> None:
+        self.events.append((name, fields))
+
+    fault = event
+
+    @property
+    def names(self) -> list[str]:
+        return [name for name, _ in self.events]
+
+
+__all__ = ["RecordedLog"]
