--- a/packages/ochreway-core/src/ochreway_core/reading.py
+++ b/packages/ochreway-core/src/ochreway_core/reading.py
@@ -23,14 +23,14 @@
 """
 
 
-def _refuse(value: Any, wanted: str) -> CodecError:
+def _mismatch(value: Any, wanted: str) -> CodecError:
     return CodecError(f"{wanted} is needed, not {type(value).__name__}")
 
 
 def _exactly(kind: type) -> Reader:
     def read(value: Any) -> Any:
         if type(value) is not kind:
-            raise _refuse(value, kind.__name__)
+            raise _mismatch(value, kind.__name__)
         return value
 
     return read
@@ -41,7 +41,7 @@
         return value
     if type(value) is int:
         return float(value)
-    raise _refuse(value, "float")
+    raise _mismatch(value, "float")
 
 
 def _enum(kind: type[Enum]) -> Reader:
@@ -62,7 +62,7 @@
 
         def read_all(value: Any) -> tuple[Any, ...]:
             if not isinstance(value, list | tuple):
-                raise _refuse(value, "list")
+                raise _mismatch(value, "list")
             return tuple([read_item(item) for item in value])
 
         return read_all
@@ -70,7 +70,7 @@
 
     def read_each(value: Any) -> tuple[Any, ...]:
         if not isinstance(value, list | tuple) or len(value) != len(readers):
-            raise _refuse(value, f"list of {len(readers)}")
+            raise _mismatch(value, f"list of {len(readers)}")
         return tuple([read(item) for read, item in zip(readers, value, strict=True)])
 
     return read_each
@@ -81,7 +81,7 @@
 
     def read(value: Any) -> dict[Any, Any]:
         if not isinstance(value, dict):
-            raise _refuse(value, "dict")
+            raise _mismatch(value, "dict")
         return {read_key(key): read_item(item) for key, item in value.items()}
 
     return read
@@ -115,7 +115,7 @@
         if isinstance(value, kind):
             return value
         if not isinstance(value, dict):
-            raise _refuse(value, kind.__name__)
+            raise _mismatch(value, kind.__name__)
         found = {}
         for name, read_item, required in items:
             if name in value:
--- a/packages/ochreway-runtime/src/ochreway_runtime/repeats.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/repeats.py
@@ -5,6 +5,8 @@
 
 TOLD_AGAIN_S = 10.0
 """How often a lasting fault is told again, so that a page of the log always shows it."""
+CAUSES_AT_MOST = 8
+"""How many causes of one fault are told apart; a fault with more is told by time alone."""
 
 
 class Repeats:
@@ -14,30 +16,37 @@
         """Log the fault as ``name`` and its end as ``name`` with ``_over`` added."""
         self._log = log
         self._name = name
-        self._cause: str | None = None
         self._since_s = 0.0
-        self._told_s = 0.0
+        self._told_s: dict[str, float] = {}
         self._repeated = 0
 
     def met(self, cause: str, now_s: float, **fields: object) -> None:
         """Note the fault; a new cause is told at once."""
         self._repeated += 1
-        if self._cause is None:
+        if not self._told_s:
             self._since_s = now_s
-        elif cause == self._cause and now_s - self._told_s < TOLD_AGAIN_S:
+        elif not self._due(cause, now_s):
             return
-        self._cause = cause
-        self._told_s = now_s
+        if len(self._told_s) >= CAUSES_AT_MOST:
+            self._told_s.clear()
+        self._told_s[cause] = now_s
         self._log.fault(self._name, cause=cause, times=self._repeated, **fields)
 
     def over(self, now_s: float, **fields: object) -> None:
         """Note that all is well."""
-        if self._cause is None:
+        if not self._told_s:
             return
         lasted_s = round(now_s - self._since_s, 3)
         self._log.event(f"{self._name}_over", lasted_s=lasted_s, times=self._repeated, **fields)
-        self._cause = None
+        self._told_s.clear()
         self._repeated = 0
 
+    def _due(self, cause: str, now_s: float) -> bool:
+        """Tell whether a cause is new, or was told long enough ago."""
+        known = self._told_s.get(cause)
+        if known is None and len(self._told_s) < CAUSES_AT_MOST:
+            return True
+        return now_s - (known or max(self._told_s.values())) >= TOLD_AGAIN_S
+
 
 __all__ = ["TOLD_AGAIN_S", "Repeats"]
