Measure a caller's silence from what it was last given, not from its request's start

A stream of a group that was closed 2.8 s after the stream's start went on at the last target it may be sent to under a bound of 2.4 s from its start, which had passed: its caller was cut off at once (event=broken reason=target_failed at 20.0849 s, the request reached the target at 20.086 s). Ruled out: the target had not ended (its group served on), the list did not lag.

The bound counts from the last part that the caller was given. The test fails without (broken at once).

--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -16,8 +16,8 @@
     """Hold what was asked, under which route, and what became of it so far.
 
     ``runs`` counts the targets that may have begun, lost ones too: the leader of a lost group may
-    be alive. ``waited_s`` is the time spent waiting for a place, and ``first_part_s`` the time at
-    which the answer began.
+    be alive. ``waited_s`` is the time spent waiting for a place, ``first_part_s`` the time at which
+    the answer began, and ``passed_on_s`` that at which the caller was last given a part of it.
     """
 
     request: web.BaseRequest
@@ -38,6 +38,12 @@
     resume_after: str | None = None
     answer: web.StreamResponse | None = None
     first_part_s: float | None = None
+    passed_on_s: float | None = None
+
+    @property
+    def silent_since_s(self) -> float:
+        """Return since when the caller has been given nothing."""
+        return self.passed_on_s if self.passed_on_s is not None else self.started_s
 
     def left_s(self, now_s: float) -> float:
         """Return the time that is left."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -83,7 +83,7 @@
             tuning.caller_silence_objectives * route.objective_s,
             tuning.caller_silence_pauses * route.pause_s,
         )
-        return min(call.end_s, call.started_s + silence_s)
+        return min(call.end_s, call.silent_since_s + silence_s)
 
     def _alternative(self, call: Call) -> bool:
         if self._fleet.has_engines(call.service):
@@ -171,6 +171,7 @@
                 # Noted first: a write that is cancelled may have been passed on all the same.
                 call.resume_after = splitter.last_id or call.resume_after
                 await self._pass_on(call, response, whole)
+                call.passed_on_s = now_s
         if splitter.rest():
             return Ending(Outcome.UNKNOWN, Reason.ANSWER_SHORT)
         try:
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -4,6 +4,7 @@
 
 from ochreway_core.ids import GroupId, NodeId, OrganisationId, Version
 from ochreway_direct.configuration import Configuration, Organisation, RouteKind
+from ochreway_direct.relay.tuning import RelayTuning
 from tests.direct.relaycase import END, Headers, RelayCase, Running, event, head, stream_head, whole
 
 Writer = asyncio.StreamWriter
@@ -211,6 +212,35 @@
         self.relayed(work, silent)
 
 
+class LateResumptionTests(RelayCase):
+    kind = RouteKind.STREAM
+    resumable = True
+    tuning = RelayTuning(
+        caller_silence_s=0.5, caller_silence_objectives=0.0, caller_silence_pauses=0.0
+    )
+
+    def test_a_stream_that_ran_for_long_before_it_broke_goes_on_elsewhere(self) -> None:
+        async def runs_for_long(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers))
+            for number in range(1, 9):
+                writer.write(event(number))
+                await writer.drain()
+                await asyncio.sleep(0.1)
+            writer.close()
+
+        async def goes_on(headers: Headers, writer: Writer) -> None:
+            self.assertEqual("8", headers["after"])
+            await asyncio.sleep(0.1)
+            writer.write(stream_head(headers) + event(9) + END)
+
+        async def work(running: Running) -> None:
+            answer = await running.ask()
+            self.assertFalse(answer.broken)
+            self.assertEqual(9, answer.body.count(b"data:"))
+
+        self.relayed(work, runs_for_long, goes_on)
+
+
 class StreamTests(RelayCase):
     kind = RouteKind.STREAM
     resumable = True
