--- a/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -9,13 +9,18 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """Hold where a call was sent; ``abandon`` ends it when its target is lost."""
+    """Hold where a call was sent; ``abandon`` ends it when its target is lost.
+
+    The ``last`` attempt that a call may make is not abandoned: nobody else could go on with it,
+    and the rest of its answer may be on its way.
+    """
 
     instance: InstanceId
     address: str
     hall: HallId
     place: str
     prompt_tokens: int = 0
+    last: bool = False
     lost: bool = False
     heard_s: float | None = None
     _bound: asyncio.Timeout | None = field(default=None)
@@ -27,7 +32,9 @@
             self._expire()
 
     def abandon(self) -> None:
-        """End the attempt, as its target is known to be lost."""
+        """End the attempt, as its target is known to be lost, if another may follow."""
+        if self.last:
+            return
         self.lost = True
         self._expire()
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -40,6 +40,11 @@
     first_part_s: float | None = None
     passed_on_s: float | None = None
 
+    @property
+    def last_run(self) -> bool:
+        """Tell whether no further target may run this after the next one."""
+        return not self.route.repeatable or self.runs + 1 >= self.route.attempts_at_most
+
     @property
     def silent_since_s(self) -> float:
         """Return since when the caller has been given nothing."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -72,8 +72,7 @@
     def _first_bound_s(self, call: Call, now_s: float) -> float:
         """Return until when a first answer is waited for: less when another place may give one."""
         route, tuning = call.route, self._tuning
-        last = not route.repeatable or call.runs + 1 >= route.attempts_at_most
-        if not last and self._alternative(call):
+        if not call.last_run and self._alternative(call):
             patience_s = tuning.first_answer_objectives * route.objective_s
             return min(call.end_s, now_s + max(tuning.first_answer_least_s, patience_s))
         if route.kind is not RouteKind.STREAM:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -188,7 +188,9 @@
             if group is None:
                 return None
             tokens = call.terms.prompt_tokens
-            return Attempt(group.leader, group.address, group.hall, group.group, tokens)
+            return Attempt(
+                *(group.leader, group.address, group.hall, group.group, tokens, call.last_run)
+            )
         target = self._fleet.pick_target(call.service, call.tried)
         if target is None and call.tried and not self._fleet.has_engines(call.service):
             target = self._fleet.pick_target(call.service, ())
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -212,6 +212,32 @@
         self.relayed(work, silent)
 
 
+class LastAttemptTests(RelayCase):
+    kind = RouteKind.STREAM
+    resumable = True
+    attempts = 1
+
+    def test_the_last_attempt_goes_on_when_its_group_is_given_up(self) -> None:
+        begun = asyncio.Event()
+
+        async def stream(headers: Headers, writer: Writer) -> None:
+            writer.write(stream_head(headers) + event(1))
+            await writer.drain()
+            begun.set()
+            await asyncio.sleep(0.1)
+            writer.write(event(2) + END)
+
+        async def work(running: Running) -> None:
+            asking = asyncio.ensure_future(running.ask())
+            await begun.wait()
+            await asyncio.sleep(0.02)
+            running.fleet.abandon(GroupId("g0"))
+            answer = await asking
+            self.assertEqual((False, 2), (answer.broken, answer.body.count(b"data:")))
+
+        self.relayed(work, stream)
+
+
 class LateResumptionTests(RelayCase):
     kind = RouteKind.STREAM
     resumable = True
