--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -37,6 +37,7 @@
     ordered: Order | None = None
     ordered_s: float = NEVER_S
     last_model: ModelName | None = None
+    last_model_due_s: float = NEVER_S
     staging: ModelName | None = None
     staging_until_s: float = NEVER_S
     taken: bool = False
@@ -101,6 +102,14 @@
         if self.belongs_to(group, epoch):
             self.state = replace(self.state, membership=None)
 
+    def joined(self, model: ModelName, until_s: float) -> None:
+        """Take it that the engine joins a model; its reports may show the one before for a while.
+
+        It cannot go back to that one at once any more.
+        """
+        self.last_model = model
+        self.last_model_due_s = until_s
+
     def has_news(self, now_s: float) -> bool:
         """Tell whether the list showed a change that no report has shown yet."""
         return self.observed_s < self.news_due_s <= now_s
@@ -121,8 +130,9 @@
         """Take the engine's own report, but for a group that it has left since."""
         self.state = state
         self.observed_s = asked_s
-        if state.membership is not None and state.model is not None:
-            self.last_model = state.model
+        shown = state.model if state.membership is not None else None
+        if shown is not None and asked_s >= self.last_model_due_s:
+            self.last_model = shown
         if self.departure is not None and asked_s < self.departure.until_s:
             self.left(self.departure.group, self.departure.epoch, self.departure.until_s)
 
@@ -132,7 +142,7 @@
         One that is loading other weights has to finish that first, unless its last group was
         one of this model.
         """
-        return self.last_model == model or (model in self.state.staged and not self.staging)
+        return self.last_model == model or (model in self.state.staged and not self.loading)
 
 
 __all__ = ["NEVER_S", "EngineRecord"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -52,6 +52,7 @@
                 opened.serves_s = now_s + self._forming_s(record.service)
             case Join(_, _, model, _):
                 record.change_due_s = seen_s + self._joining_s(record, model)
+                record.joined(model, seen_s)
             case _:
                 pass
 
