Form groups and load weights by the work that they serve

Cause, from logs of the shifted site and the laboratory: weights are scarce (ten loads of 12 to 16 s at a time) and went to what was needed least: the larger model first, beside groups that ran at a tenth of their slots, while survivors of lost small groups waited 8 to 12 s for one engine. The worth of a further group fell so slowly that plans split the engines by work, not by what serves it.

Changed: a group is worth what it adds to the expected work served while each engine may be lost (worth.py; the rate of losses is measured, lossmeter.py); a load is worth the group that it completes or the outage that a substitute spares (loadworth.py, staging.py); groups that lack a few engines are completed where most weights are, and those engines are held back from groups that add less (missing.py, formation.py); a member is exchanged where a free engine can take its place (trading.py); first loads wait for the whole list.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -59,6 +59,7 @@
         self._probing = Probing(self._state, heard)
         self._listing = Listing()
         self._began_s = 0.0
+        self._grown_s = NEVER_S
         self._changed = True
         self._planned_s = NEVER_S
         self._phases: dict[GroupId, GroupPhase] = {}
@@ -122,11 +123,15 @@
         engines = {each.instance: each for each in targets if each.engine is not None}
         gone = self._listing.read(engines, now_s, regained_s)
         self._changed = True
+        if engines.keys() - self.engines.keys():
+            self._grown_s = now_s
         for instance, listed in engines.items():
             self._list(instance, listed, now_s)
         for instance, record in list(self.engines.items()):
             if instance in gone and record.missing_s is None:
                 record.missing_s = now_s
+                if not record.dead:
+                    self._state.losses.lost(now_s)
 
     def _list(self, instance: InstanceId, listed: ListedTarget, now_s: float) -> None:
         record = self.engines.get(instance)
@@ -166,7 +171,9 @@
         record.misses += 1
         allowed = 1 if record.suspected else self.tuning.misses_until_dead
         if refused or record.misses >= allowed:
-            self._changed |= not record.dead
+            if not record.dead:
+                self._changed = True
+                self._state.losses.lost(now_s)
             record.dead = True
 
     def on_unsettled(self, instance: InstanceId) -> None:
@@ -270,6 +277,8 @@
         self._begin_loads(now_s)
         if not self._started:
             return []
+        if self.demand.measured:
+            self._state.losses.step(len(self.engines), now_s)
         if not self._all_silent():
             self._lifecycle.step(now_s)
             if self._plan_due(now_s):
@@ -297,11 +306,19 @@
         return rested_s >= (PLAN_LEAST_GAP_S if self._changed else PLAN_AGAIN_S)
 
     def _settled(self, now_s: float) -> bool:
-        """Tell whether every listed engine was asked since this began, or long enough passed."""
-        if now_s - self._began_s >= self.tuning.settle_s:
-            return True
+        """Tell whether every listed engine was asked since this began, or long enough passed.
+
+        Where no engine has weights yet the list has to be whole too, as first loads that go by
+        half of it are begun again for the other half.
+        """
+        passed_s = now_s - self._began_s
         records = self.engines.values()
-        return bool(records) and all(r.observed_s > 0 or r.misses for r in records)
+        asked = bool(records) and all(r.observed_s > 0 or r.misses for r in records)
+        if not asked and passed_s < self.tuning.settle_s:
+            return False
+        if passed_s >= self.tuning.list_whole_at_most_s or not self._untouched():
+            return True
+        return now_s - self._grown_s >= self.tuning.list_whole_s
 
     def _untouched(self) -> bool:
         """Tell whether no engine is in a group, has weights or is about to get any."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
@@ -1,7 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
-"""How much work is offered for each model, and what one more group is worth."""
+"""How much work is offered for each model."""
 
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -11,8 +10,14 @@
 LEAST_WORK = 0.05
 """The least work, in groups kept busy, that a configured model is planned for."""
 TYPICAL_SEQUENCES = 8
-METERS_FILLED_S = 8.0
-"""How long work is measured before a plan goes by it."""
+MEASURED_AT_LEAST_S = 1.0
+"""How long work is measured before a plan goes by it.
+
+Some 90 requests a second of which 79 are for one model: after one second its share is known to 4 in
+100, which moves a plan by less than one group.
+"""
+HEAVY_SHARE = 0.8
+"""The share of the work that one model may turn out to have: on a customer's site it is 0.85."""
 UNKNOWN_USE = 0.5
 """The share of all engines that is taken to be busy before any request was seen."""
 
@@ -36,14 +41,34 @@
     measured_since_s: float | None = None
 
     def update(self, offered: Mapping[ModelName, float], now_s: float) -> None:
-        """Take what is offered; it counts once the meters have filled."""
+        """Take what is offered; it counts once enough of it was seen."""
         if sum(offered.values()) <= 0:
             return
         if self.measured_since_s is None:
             self.measured_since_s = now_s
-        if now_s - self.measured_since_s >= METERS_FILLED_S:
+        if now_s - self.measured_since_s >= MEASURED_AT_LEAST_S:
             self.offered = dict(offered)
 
+    @property
+    def measured(self) -> bool:
+        """Tell whether enough requests were seen to plan by."""
+        return sum(self.offered.values()) > 0
+
+    def scenarios(self, spec: EngineSpec, engines: int) -> tuple[dict[ModelName, float], ...]:
+        """Return the needs that have to be prepared for: until any was measured, unlike ones.
+
+        In each of them most of the work is for another model.
+        """
+        needs = self.needs(spec, engines)
+        if self.measured or len(needs) < 2:
+            return (needs,)
+        total = sum(needs.values())
+        rest = (1.0 - HEAVY_SHARE) / (len(needs) - 1)
+        return tuple(
+            {name: total * (HEAVY_SHARE if name == heavy else rest) for name in needs}
+            for heavy in needs
+        )
+
     def needs(self, spec: EngineSpec, engines: int) -> dict[ModelName, float]:
         """Return the work of each model, from its configured share until any was measured."""
         measured = {m.name: self.offered.get(m.name, 0.0) for m in spec.models}
@@ -54,14 +79,4 @@
         return {m.name: max(LEAST_WORK, m.share * busy) for m in spec.models}
 
 
-def worth(need: float, groups: int, crowding: float) -> float:
-    """Return what a number of groups is worth against the work that is offered."""
-    return need * (1.0 - math.exp(-crowding * groups / need))
-
-
-def gain(need: float, groups: int, crowding: float) -> float:
-    """Return what one more group adds."""
-    return worth(need, groups + 1, crowding) - worth(need, groups, crowding)
-
-
-__all__ = ["Demand", "gain", "work_s", "worth"]
+__all__ = ["MEASURED_AT_LEAST_S", "TYPICAL_SEQUENCES", "Demand", "work_s"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -2,33 +2,46 @@
 """Forming the groups that there should be from engines that are free."""
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from ochreway_core.ids import DomainId
+from ochreway_core.ids import DomainId, InstanceId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.census import Census, Engines, take_census
+from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import SPANNING
-from ochreway_direct.coordinator.placement import Slot
+from ochreway_direct.coordinator.missing import where_least_lacks
+from ochreway_direct.coordinator.placement import Slot, totals_of
 from ochreway_direct.coordinator.planner import Planner
 from ochreway_direct.coordinator.rooms import rooms_later, rooms_now
 from ochreway_direct.coordinator.spanning import SpanningFormation
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.coordinator.swapping import Swapping
 from ochreway_direct.coordinator.trading import Trading
+from ochreway_direct.coordinator.worth import gain
 from ochreway_direct.ids import ModelName, ServiceName
 
+LACKING_SHARE = 0.5
+"""Up to which share of its engines a group may lack for the others to be held back for it."""
+
 
 @dataclass(frozen=True, slots=True)
 class Outlook:
     """Hold the groups that engines could form with other weights, and those that come next.
 
-    ``free`` holds the engines that are left.
+    ``at_once`` holds those that they can form with the weights that they have, and ``missing`` the
+    others, each where the fewest weights are lacking.
+    ``scenarios`` is the work that may be asked for, ``free`` holds the engines that are left, and
+    ``survivors`` those that groups are about to release.
     """
 
+    scenarios: tuple[Mapping[ModelName, float], ...]
+    at_once: Counter[Slot]
     wanted: Counter[Slot]
+    missing: Counter[Slot]
     awaited: frozenset[Slot]
     free: Engines
+    survivors: Engines
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,17 +73,56 @@
         free, standing = census.free, census.standing
         inside = Counter({slot: n for slot, n in standing.items() if slot.domain != SPANNING})
         rooms = rooms_now(self._state, spec, census)
-        needs = self._state.demand.needs(spec, sum(room.total for room in rooms.values()))
-        wanted = self._now.plan(spec, needs, rooms, inside)
+        engines = sum(room.total for room in rooms.values())
+        needs = self._state.demand.needs(spec, engines)
+        wanted = self._now.plan(spec, needs, rooms, inside, self._state.down)
         self.plans[service] = PlanSummary(needs, wanted, inside)
-        awaited = self._form_wanted(service, spec, wanted, census, now_s)
+        later = self._later.plan(spec, needs, rooms_later(spec, rooms), inside, self._state.down)
+        missing = where_least_lacks(spec, wanted, later, census)
+        held_back = self._held_back(spec, needs, wanted, missing, census)
+        awaited = self._form_wanted(service, spec, wanted, census, held_back, now_s)
         taken = {slot.domain for slot in awaited}
         spare: Engines = defaultdict(list)
         spare.update({domain: found for domain, found in free.items() if domain not in taken})
         if self._state.tuning.spanning:
             self._spanning.step(service, spec, needs, wanted | inside, census, spare, now_s)
-        later = self._later.plan(spec, needs, rooms_later(spec, rooms), inside)
-        return Outlook(later, frozenset(awaited), free)
+        scenarios = self._state.demand.scenarios(spec, engines)
+        return Outlook(
+            scenarios, wanted, later, missing, frozenset(awaited), free, census.survivors
+        )
+
+    def _held_back(
+        self,
+        spec: EngineSpec,
+        needs: Mapping[ModelName, float],
+        wanted: Mapping[Slot, int],
+        missing: Mapping[Slot, int],
+        census: Census,
+    ) -> dict[Slot, set[InstanceId]]:
+        """Return the engines that must not be used up at each place.
+
+        A group that lacks a few engines is completed by as many loads. Were the others taken for a
+        group of another model that adds less, their weights would be lost and all be loaded again.
+        """
+        totals = totals_of(wanted)
+        found: dict[Slot, set[InstanceId]] = defaultdict(set)
+        for slot in missing:
+            model = spec.model(slot.model)
+            assert model is not None
+            able = [r for r in census.free[slot.domain] if r.quick(slot.model)]
+            if model.size - len(able) > model.size * LACKING_SHARE:
+                continue
+            added = self._gain(spec, model, needs, totals[model.name]) / model.size
+            for other in spec.models:
+                last = self._gain(spec, other, needs, totals[other.name] - 1) / other.size
+                if other is not model and last < added:
+                    found[Slot(slot.domain, other.name)].update(r.instance for r in able)
+        return found
+
+    def _gain(
+        self, spec: EngineSpec, model: ModelSpec, needs: Mapping[ModelName, float], groups: int
+    ) -> float:
+        return gain(spec, model, needs[model.name], max(0, groups), self._state.down)
 
     def _form_wanted(
         self,
@@ -78,6 +130,7 @@
         spec: EngineSpec,
         wanted: Mapping[Slot, int],
         census: Census,
+        held_back: Mapping[Slot, Collection[InstanceId]],
         now_s: float,
     ) -> set[Slot]:
         """Form the groups that are wanted; return the places whose engines are still awaited."""
@@ -88,7 +141,8 @@
             model = spec.model(slot.model)
             assert model is not None
             for _ in range(wanted[slot] - census.standing[slot]):
-                if not self._form(service, model, census, slot.domain, now_s):
+                kept = held_back.get(slot, ())
+                if not self._form(service, spec, model, census, slot.domain, kept, now_s):
                     if self._state.tuning.trading:
                         self._trading.complete(service, model, slot, surplus, census, now_s)
                     awaited.add(slot)
@@ -98,9 +152,11 @@
     def _form(
         self,
         service: ServiceName,
+        spec: EngineSpec,
         model: ModelSpec,
         census: Census,
         domain: DomainId,
+        kept: Collection[InstanceId],
         now_s: float,
     ) -> bool:
         """Form a group; return whether there were engines enough.
@@ -108,7 +164,7 @@
         They have to have the weights, unless no engine of the domain has any yet.
         """
         free = census.free[domain]
-        quick = [record for record in free if record.quick(model.name)]
+        quick = [r for r in free if r.quick(model.name) and r.instance not in kept]
         cold = not quick and domain not in census.warm
         if cold and len(free) >= model.size:
             if not self._begin_loads(service, model, now_s):
@@ -116,8 +172,7 @@
             quick = list(free)
         if len(quick) < model.size:
             return False
-        fit_pace = self._state.tuning.fit_pace
-        quick.sort(key=lambda r: (r.state.pace > fit_pace, r.last_model != model.name))
+        quick.sort(key=lambda record: self._preference(spec, model, record))
         chosen = quick[: model.size]
         for record in chosen:
             free.remove(record)
@@ -128,11 +183,22 @@
         self._state.begin_group(service, model, domain, chosen, expected_s, now_s)
         return True
 
+    def _preference(
+        self, spec: EngineSpec, model: ModelSpec, record: EngineRecord
+    ) -> tuple[bool, int, bool]:
+        """Return a key that is the least for the engine to take first.
+
+        Slow ones come last, and those before that can serve other models too.
+        """
+        others = sum(record.quick(m.name) for m in spec.models if m.name != model.name)
+        slow = record.state.pace > self._state.tuning.fit_pace
+        return slow, others, record.last_model != model.name
+
     def _begin_loads(self, service: ServiceName, model: ModelSpec, now_s: float) -> bool:
         share = self._state.tuning.loading_share
         if self._state.loads_allowed(service, share, now_s) < model.size:
             return False
-        return self._state.limits[service].take(now_s, model.size)
+        return self._state.begin_loads(service, model.size, now_s)
 
 
 __all__ = ["Formation", "Outlook", "PlanSummary"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -6,10 +6,10 @@
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
-from ochreway_direct.coordinator.demand import gain
 from ochreway_direct.coordinator.placement import Placement, Slot
 from ochreway_direct.coordinator.room import Room
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
+from ochreway_direct.coordinator.worth import gain
 from ochreway_direct.ids import ModelName
 
 
@@ -18,6 +18,7 @@
     needs: Mapping[ModelName, float],
     rooms: Mapping[DomainId, Room],
     standing: Mapping[Slot, int],
+    down: float,
     tuning: CoordinatorTuning,
 ) -> Counter[Slot]:
     """Return the number of groups for each place.
@@ -30,6 +31,7 @@
         needs: the work offered for each model, in groups kept busy.
         rooms: the usable engines of each domain, by the models whose groups they can join.
         standing: the groups there are, which are preferred to new ones.
+        down: the share of the time for which one engine's loss takes its group down.
         tuning: the weights.
     """
     stand: Counter[ModelName] = Counter()
@@ -38,14 +40,17 @@
     totals: Counter[ModelName] = Counter()
 
     def value(model: ModelSpec) -> float:
-        added = gain(needs[model.name], totals[model.name], tuning.crowding) / model.size
-        return added * (tuning.keep_bonus if totals[model.name] < stand[model.name] else 1.0)
+        need, groups = needs[model.name], totals[model.name]
+        added = gain(spec, model, need, groups, down) / model.size
+        return added * (tuning.keep_bonus if groups < stand[model.name] else 1.0)
 
     placement = Placement(rooms, standing)
     # What finds no room for one more group finds none once there are more of others.
     possible = list(spec.models)
     while possible:
         model = max(possible, key=value)
+        if value(model) < tuning.least_gain:
+            break
         found = _with_one_more(spec, model, totals, placement)
         if found is None:
             possible.remove(model)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/loadlimit.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/loadlimit.py
@@ -19,6 +19,14 @@
         self._begun_s.extend([now_s] * loads)
         return True
 
+    def note(self, now_s: float, loads: int = 1) -> None:
+        """Count loads that begin whatever the bound says."""
+        self._begun_s.extend([now_s] * loads)
+
+    def left_within(self, window_s: float, now_s: float) -> int:
+        """Return how many may begin now if only those of a shorter window counted."""
+        return self._at_most - sum(begun_s > now_s - window_s for begun_s in self._begun_s)
+
     def left(self, now_s: float) -> int:
         """Return how many loads may begin now."""
         while self._begun_s and self._begun_s[0] <= now_s - self._window_s:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/placement.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/placement.py
@@ -80,4 +80,12 @@
         return falls, placed, -self._left[slot.domain], self._order[slot.domain]
 
 
-__all__ = ["Placement", "Slot"]
+def totals_of(groups: Mapping[Slot, int]) -> Counter[ModelName]:
+    """Return how many groups of each model there are."""
+    found: Counter[ModelName] = Counter()
+    for slot, number in groups.items():
+        found[slot.model] += number
+    return found
+
+
+__all__ = ["Placement", "Slot", "totals_of"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
@@ -25,6 +25,7 @@
     needs: Mapping[ModelName, float]
     rooms: Mapping[DomainId, Room]
     standing: Mapping[Slot, int]
+    down: float
 
 
 class Planner:
@@ -41,13 +42,14 @@
         needs: Mapping[ModelName, float],
         rooms: Mapping[DomainId, Room],
         standing: Mapping[Slot, int],
+        down: float,
     ) -> Counter[Slot]:
         """Return the number of groups for each place."""
         rounded = {model: self._rounded(model, need) for model, need in needs.items()}
-        inputs = _Inputs(spec, rounded, rooms, standing)
+        inputs = _Inputs(spec, rounded, rooms, standing, down)
         if inputs != self._inputs:
             self._inputs = inputs
-            self._plan = plan(spec, rounded, rooms, standing, self._tuning)
+            self._plan = plan(spec, rounded, rooms, standing, down, self._tuning)
         return self._plan
 
     def _rounded(self, model: ModelName, need: float) -> float:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/spanning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/spanning.py
@@ -10,6 +10,7 @@
 from ochreway_direct.coordinator.grouprecord import SPANNING
 from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.coordinator.worth import groups_needed
 from ochreway_direct.ids import ModelName, ServiceName
 
 
@@ -37,7 +38,8 @@
         for model in sorted(spec.models, key=lambda each: -each.size):
             inside = sum(number for slot, number in wanted.items() if slot.model == model.name)
             across = census.standing[Slot(SPANNING, model.name)]
-            while inside + across / spec.far_factor < needs[model.name]:
+            groups = groups_needed(spec, needs[model.name])
+            while inside + across / spec.far_factor < groups:
                 if not self._form(service, model, spare, now_s):
                     break
                 across += 1
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -1,224 +1,243 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Loading weights ahead of need, onto free engines first and then beside what engines serve."""
+"""Loading weights where they let the most work be served."""
 
-from collections import Counter
-from collections.abc import Mapping
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from enum import IntEnum
 
-from ochreway_core.ids import DomainId
+from ochreway_core.ids import InstanceId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.formation import Outlook
-from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
-from ochreway_direct.coordinator.placement import Slot
+from ochreway_direct.coordinator.grouprecord import GroupPhase
+from ochreway_direct.coordinator.loadworth import LoadWorth, Stock
+from ochreway_direct.coordinator.placement import Slot, totals_of
 from ochreway_direct.coordinator.state import STANDING, CoordinatorState
-from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.ids import ServiceName
 from ochreway_direct.order import Stage
 
+LEAST_WORTH = 0.02
+"""Below which worth, in groups kept busy times seconds, a load is not begun."""
+URGENT_WORTH = 2.0
+"""From which worth on a load may use the whole rate of the weight store.
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Pair an engine with the model whose weights it should get."""
+A load goes on for 12 to 16 s, so what is worth little must leave room for what comes meanwhile.
+"""
+HEDGE_WORTH = 0.001
+"""What weights beside a group are worth while it is not known which model will be asked for."""
+
+
+class Use(IntEnum):
+    """Say what an engine is doing, in the order in which engines are given weights."""
+
+    EMPTY = 0
+    """It is free and can serve nothing."""
+    KEEPING = 1
+    """It is free, and can serve its last model whatever is loaded."""
+    SURPLUS = 2
+    """Its group is one too many."""
+    STOCKED = 3
+    """It is free, and other weights would push out those that it has."""
+    SERVING = 4
 
-    engine: EngineRecord
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    record: EngineRecord
     model: ModelSpec
+    use: Use
+    worth: float
 
 
 class Staging:
-    """Give an engine the weights that would be missed most.
-
-    An engine joins a group of the model that it served last without its weights being staged,
-    so what is staged beside it should be another model's: then it can serve either.
-    """
+    """Begin the loads that are worth most, one after the other."""
 
     def __init__(self, state: CoordinatorState) -> None:
         self._state = state
 
-    def step(
-        self,
-        service: ServiceName,
-        spec: EngineSpec,
-        outlook: Outlook,
-        now_s: float,
-    ) -> None:
-        """Order the loads that the bound on loads allows."""
-        missing = self._missing(service, outlook.wanted)
-        first = [
-            load
-            for domain, records in outlook.free.items()
-            for load in self._for_free(spec, domain, records, missing)
-            if not _awaited(load.engine, outlook)
+    def step(self, service: ServiceName, spec: EngineSpec, outlook: Outlook, now_s: float) -> None:
+        """Order as many loads as the bound on loads allows."""
+        allowed = self._state.loads_allowed(service, self._state.tuning.loading_share, now_s)
+        if allowed <= 0:
+            return
+        uses = self._uses(service, outlook)
+        worth = self._worth(service, spec, outlook, uses)
+        open_ = [
+            record
+            for record in self._records(uses)
+            if self._free_to_load(record, now_s) and not _awaited(record, outlook)
         ]
-        tuning = self._state.tuning
-        self._load_each(service, first, tuning.loading_share, now_s)
-        if self._state.demand.measured_since_s is not None:
-            converting = self._converting(service, spec, outlook.wanted)
-            self._load_each(service, converting, tuning.loading_share, now_s)
-        if self._state.loads_allowed(service, tuning.loading_beside_share, now_s):
-            beside = self._beside(service, spec)
-            self._load_each(service, beside, tuning.loading_beside_share, now_s)
-
-    def _for_free(
-        self,
-        spec: EngineSpec,
-        domain: DomainId,
-        records: list[EngineRecord],
-        missing: Mapping[Slot, int],
-    ) -> list[Load]:
-        """Pair free engines with the models that the domain lacks engines for."""
-        lacking = self._lacking(spec, domain, records, missing)
-        loads = []
-        for record in records:
-            useful = any(record.quick(name) and lacking[name] >= 0 for name in lacking)
-            if record.staging or (useful and max(lacking.values()) <= 0):
-                continue
-            model = max(spec.models, key=lambda each: lacking[each.name])
-            if record.quick(model.name) or (useful and lacking[model.name] <= 0):
-                continue
-            lacking[model.name] -= 1
-            loads.append(Load(record, model))
-        return loads
-
-    def _lacking(
-        self,
-        spec: EngineSpec,
-        domain: DomainId,
-        records: list[EngineRecord],
-        missing: Mapping[Slot, int],
-    ) -> dict[ModelName, int]:
-        """Return by how many engines the groups that are still to be formed fall short."""
-        short = {}
-        for model in spec.models:
-            groups = missing.get(Slot(domain, model.name), 0)
-            have = sum(r.quick(model.name) or r.staging == model.name for r in records)
-            short[model.name] = groups * model.size - have
-        return short
-
-    def _missing(self, service: ServiceName, wanted: Mapping[Slot, int]) -> Counter[Slot]:
-        """Return the wanted groups that neither serve nor are being formed."""
-        standing = Counter(
-            Slot(group.domain, group.model)
-            for group in self._state.of_service(service)
-            if group.phase in STANDING
-        )
-        return Counter(wanted) - standing
+        while allowed > 0:
+            best = self._best(spec, worth, open_, uses)
+            if best is None or not self._room(service, best, now_s):
+                return
+            if not self._load(service, best, now_s):
+                return
+            self._count(worth, best)
+            open_.remove(best.record)
+            allowed -= 1
+
+    def _room(self, service: ServiceName, load: _Candidate, now_s: float) -> bool:
+        """Tell whether the weight store has room for a load of such worth."""
+        if load.worth >= URGENT_WORTH or self._state.loads_uncounted:
+            return True
+        share = self._state.tuning.loading_beside_share
+        return self._state.loads_allowed(service, share, now_s) > 0
+
+    def _records(self, uses: Mapping[InstanceId, Use]) -> list[EngineRecord]:
+        return [self._state.engines[instance] for instance in uses]
+
+    def _free_to_load(self, record: EngineRecord, now_s: float) -> bool:
+        if record.loading or record.pending is not None or not record.usable:
+            return False
+        return now_s - record.ordered_s >= self._state.tuning.order_retry_s
 
-    def _converting(
-        self, service: ServiceName, spec: EngineSpec, wanted: Mapping[Slot, int]
-    ) -> list[Load]:
-        """Pair all members of groups that are too many with the weights of what is too little.
+    # What there is.
 
-        With them beside, such a group's engines form others without a gap for loading.
-        """
-        standing = Counter(group.model for group in self._state.of_service(service))
-        planned: Counter[ModelName] = Counter()
-        for slot, number in wanted.items():
-            planned[slot.model] += number
-        short = [m for m in spec.models if planned[m.name] > standing[m.name]]
-        if not short:
-            return []
-        model = max(short, key=lambda each: planned[each.name] - standing[each.name])
-        surplus = Counter({n: standing[n] - planned[n] for n in standing})
-        loads = []
+    def _uses(self, service: ServiceName, outlook: Outlook) -> dict[InstanceId, Use]:
+        found: dict[InstanceId, Use] = {}
+        for records in (*outlook.free.values(), *outlook.survivors.values()):
+            found.update({record.instance: _free_use(record) for record in records})
+        surplus = self._surplus(service, outlook.wanted)
         for group in self._state.of_service(service):
-            if surplus[group.model] <= 0 or group.phase is not GroupPhase.SERVING:
+            if group.phase not in STANDING:
                 continue
-            surplus[group.model] -= 1
-            members = self._members(group)
-            loads += [Load(e, model) for e in members if model.name not in e.state.staged]
-        return loads
-
-    def _beside(self, service: ServiceName, spec: EngineSpec) -> list[Load]:
-        """Pair members with other models, those with the fewest substitutes first.
-
-        Every member of a smaller group gets a larger model's weights, as large groups are the
-        harder to complete. Half of a larger group's members get a smaller one's: more would
-        leave too few with the larger model's after a restart, which forgets what was served.
-        """
-        substitutes = self._substitutes(service, spec)
-        loads = []
-        for group in self._state.of_service(service):
-            own = spec.model(group.model)
-            if group.phase in STANDING and own is not None:
-                loads += self._larger(spec, own, group) or self._smaller(spec, own, group)
-
-        def urgency(load: Load) -> tuple[int, int]:
-            place = Slot(load.engine.domain, load.model.name)
-            return -load.model.size, substitutes[place]
-
-        return sorted(loads, key=urgency)
-
-    def _larger(self, spec: EngineSpec, own: ModelSpec, group: GroupRecord) -> list[Load]:
-        larger = [model for model in spec.models if model.size > own.size]
-        if not larger:
-            return []
-        model = max(larger, key=lambda each: each.size)
-        return [
-            Load(engine, model)
-            for engine in self._members(group)
-            if model.name not in engine.state.staged
-        ]
-
-    def _smaller(self, spec: EngineSpec, own: ModelSpec, group: GroupRecord) -> list[Load]:
-        smaller = [model for model in spec.models if model.size < own.size]
-        if not smaller or group.phase is not GroupPhase.SERVING:
-            return []
-        model = max(smaller, key=lambda each: each.size)
-        members = self._members(group)
-        have = sum(1 for each in members if each.staging or own.name not in each.state.staged)
-        rest = [each for each in members if not each.staging and own.name in each.state.staged]
-        return [Load(engine, model) for engine in rest[: max(0, own.size // 2 - have)]]
-
-    def _members(self, group: GroupRecord) -> list[EngineRecord]:
-        members = [self._state.engines[each] for each in group.members]
-        return [each for each in members if not each.leaving and not each.dead]
-
-    def _substitutes(self, service: ServiceName, spec: EngineSpec) -> Counter[Slot]:
-        """Count the engines of each domain that could replace a lost member of a model."""
-        serving = {
-            instance: group.model
+            place = Slot(group.domain, group.model)
+            too_many = surplus[place] > 0 and group.phase is GroupPhase.SERVING
+            surplus[place] -= too_many
+            use = Use.SURPLUS if too_many else Use.SERVING
+            found.update({each: use for each in group.members if each in self._state.engines})
+        return found
+
+    def _surplus(self, service: ServiceName, wanted: Mapping[Slot, int]) -> Counter[Slot]:
+        surplus = self._standing(service)
+        surplus.subtract(wanted)
+        return surplus
+
+    def _standing(self, service: ServiceName) -> Counter[Slot]:
+        return Counter(
+            Slot(group.domain, group.model)
             for group in self._state.of_service(service)
             if group.phase in STANDING
-            for instance in group.members
-        }
-        return Counter(
-            Slot(record.domain, model.name)
-            for record in self._state.engines.values()
-            for model in spec.models
-            if record.usable and serving.get(record.instance) != model.name
-            if record.quick(model.name) or record.staging == model.name
         )
 
-    def _load_each(
-        self, service: ServiceName, loads: list[Load], share: float, now_s: float
-    ) -> None:
-        """Begin loads in their order, as many as a share of the store's rate allows."""
-        allowed = self._state.loads_allowed(service, share, now_s)
-        for load in loads:
-            if allowed <= 0:
-                return
-            allowed -= self._load(service, load, now_s)
-
-    def _load(self, service: ServiceName, load: Load, now_s: float) -> bool:
-        """Order a load unless the engine is occupied; return whether it was ordered."""
-        engine = load.engine
-        if engine.staging or engine.pending or engine.state.busy:
-            return False
-        if now_s - engine.ordered_s < self._state.tuning.order_retry_s:
+    def _worth(
+        self,
+        service: ServiceName,
+        spec: EngineSpec,
+        outlook: Outlook,
+        uses: Mapping[InstanceId, Use],
+    ) -> LoadWorth:
+        standing = outlook.at_once
+        stocks: dict[Slot, Stock] = defaultdict(Stock)
+        for slot, number in standing.items():
+            stocks[slot].standing = number
+        for slot, number in outlook.missing.items():
+            stocks[slot].missing = number
+        for record in self._records(uses):
+            for model in spec.models:
+                stock = stocks[Slot(record.domain, model.name)]
+                self._add(stock, record, model, uses[record.instance])
+        totals = totals_of(standing)
+        rate, down = self._state.losses.per_engine_s, self._state.down
+        return LoadWorth(spec, outlook.scenarios, totals, rate, down, stocks)
+
+    def _add(self, stock: Stock, record: EngineRecord, model: ModelSpec, use: Use) -> None:
+        able = record.quick(model.name) or record.staging == model.name
+        if not able or (record.membership is not None and record.state.model == model.name):
+            return
+        _note(stock, use, 1)
+
+    # What is loaded.
+
+    def _best(
+        self,
+        spec: EngineSpec,
+        worth: LoadWorth,
+        records: Iterable[EngineRecord],
+        uses: Mapping[InstanceId, Use],
+    ) -> _Candidate | None:
+        found = [
+            candidate
+            for record in records
+            for model in spec.models
+            if (candidate := self._candidate(worth, record, model, uses[record.instance]))
+        ]
+        best = min(found, key=lambda each: (-round(each.worth, 3), each.use), default=None)
+        least = LEAST_WORTH if self._state.demand.measured else 0.0
+        return best if best is not None and best.worth > least else None
+
+    def _candidate(
+        self, worth: LoadWorth, record: EngineRecord, model: ModelSpec, use: Use
+    ) -> _Candidate | None:
+        if record.quick(model.name) or record.state.model == model.name:
+            return None
+        if use is Use.SERVING and not self._beside(worth, record, model):
+            return None
+        slot = Slot(record.domain, model.name)
+        is_free = use not in (Use.SERVING, Use.SURPLUS)
+        value = worth.of(slot, is_free, completes=use is not Use.SERVING)
+        if use is Use.SERVING and not self._state.demand.measured:
+            value = max(value, HEDGE_WORTH)
+        if use is Use.STOCKED:
+            value -= sum(worth.of_last(Slot(record.domain, m)) for m in record.state.staged)
+        return _Candidate(record, model, use, value)
+
+    def _beside(self, worth: LoadWorth, record: EngineRecord, model: ModelSpec) -> bool:
+        """Tell whether weights may be loaded beside those of a group that is wanted.
+
+        They push out the copy that an engine would start again with. While nothing was measured,
+        the smaller model's are loaded beside the larger one's: should the work turn out to be for
+        the smaller, each engine counts twice as much as it would the other way round.
+        """
+        served = worth.spec.model(record.state.model) if record.state.model else None
+        if served is None:
             return False
-        if not self._state.limits[service].take(now_s):
+        if not self._state.demand.measured:
+            return model.size < served.size
+        return worth.breaks_for(served.name, model.name)
+
+    def _count(self, worth: LoadWorth, load: _Candidate) -> None:
+        """Take a load that was begun into account for the next one."""
+        domain = load.record.domain
+        _note(worth.stock(Slot(domain, load.model.name)), load.use, 1)
+        if load.use is Use.STOCKED:
+            for lost in load.record.state.staged:
+                _note(worth.stock(Slot(domain, lost)), load.use, -1)
+
+    def _load(self, service: ServiceName, load: _Candidate, now_s: float) -> bool:
+        if not self._state.begin_loads(service, 1, now_s):
             return False
-        if not self._state.order(engine, Stage(load.model.name), now_s):
+        if not self._state.order(load.record, Stage(load.model.name), now_s):
             return False
-        engine.stage(load.model.name, now_s + 2 * load.model.load_s)
+        load.record.stage(load.model.name, now_s + 2 * load.model.load_s)
         return True
 
 
-def _awaited(engine: EngineRecord, outlook: Outlook) -> bool:
+def _note(stock: Stock, use: Use, number: int) -> None:
+    """Count engines by what they are doing."""
+    match use:
+        case Use.SERVING:
+            stock.beside += number
+        case Use.SURPLUS:
+            stock.surplus += number
+        case _:
+            stock.free += number
+
+
+def _awaited(record: EngineRecord, outlook: Outlook) -> bool:
     """Tell whether a group that comes next may need the engine with the weights it has."""
-    return any(
-        slot.domain == engine.domain and engine.quick(slot.model) for slot in outlook.awaited
+    return record.membership is None and any(
+        slot.domain == record.domain and slot.model in record.state.staged
+        for slot in outlook.awaited
     )
 
 
-__all__ = ["Load", "Staging"]
+def _free_use(record: EngineRecord) -> Use:
+    if record.last_model is not None:
+        return Use.KEEPING
+    return Use.STOCKED if record.state.staged else Use.EMPTY
+
+
+__all__ = ["Use", "Staging"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -11,10 +11,13 @@
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
 from ochreway_direct.coordinator.loadlimit import LoadLimit
+from ochreway_direct.coordinator.lossmeter import LossMeter
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.order import Order
 
+FIRST_REQUEST_TOLD_S = 0.5
+"""How late the first request of another entry may be known: a heartbeat and some delay."""
 STANDING = frozenset({GroupPhase.FORMING, GroupPhase.SERVING})
 
 
@@ -28,9 +31,15 @@
     specs: dict[ServiceName, EngineSpec] = field(default_factory=dict)
     limits: dict[ServiceName, LoadLimit] = field(default_factory=dict)
     demand: Demand = field(default_factory=Demand)
+    losses: LossMeter = field(default_factory=LossMeter)
     epoch: Epoch = NO_EPOCH
     out: list[Assignment] = field(default_factory=list)
 
+    @property
+    def down(self) -> float:
+        """Return the share of the time for which one engine's loss takes its group down."""
+        return self.losses.per_engine_s * self.tuning.repair_s
+
     def next_epoch(self) -> Epoch:
         """Return an epoch above all that were given."""
         self.epoch = Epoch(self.epoch + 1)
@@ -111,12 +120,32 @@
         More at once would all end later. Before the first request loads are short, and what
         counts is that the store is never idle.
         """
+        if self.loads_uncounted:
+            return self.limits[service].left_within(FIRST_REQUEST_TOLD_S, now_s)
         left = self.limits[service].left(now_s)
         if self.demand.measured_since_s is None:
             return left
         at_once = int(share * self.specs[service].loads_at_once)
         return min(left, at_once - self.loading(service))
 
+    @property
+    def loads_uncounted(self) -> bool:
+        """Tell whether loads are quick and not bounded: the site starts, and nobody asks yet.
+
+        As others' requests are heard of late, what begins within that time stays bounded.
+        """
+        return self.tuning.first_start and self.demand.measured_since_s is None
+
+    def begin_loads(self, service: ServiceName, loads: int, now_s: float) -> bool:
+        """Count loads that are to begin now, all or none; return whether they may."""
+        limit = self.limits[service]
+        if not self.loads_uncounted:
+            return limit.take(now_s, loads)
+        if loads > limit.left_within(FIRST_REQUEST_TOLD_S, now_s):
+            return False
+        limit.note(now_s, loads)
+        return True
+
     def loading(self, service: ServiceName) -> int:
         """Return how many engines of a service are getting weights."""
         return sum(
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
@@ -53,12 +53,45 @@
                 left[place] -= 1
                 lacking -= able
         if lacking > 0:
-            return
+            given_up = self._exchanged(service, model, slot, census)
         for group in given_up:
             group.enter(GroupPhase.CLOSING, now_s, PhaseCause.TRADED)
         for group in given_up:
             group.close_at_most_s = self._state.time_to_end_s(group, tuning.trade_close_s)
 
+    def _exchanged(
+        self,
+        service: ServiceName,
+        model: ModelSpec,
+        slot: Slot,
+        census: Census,
+    ) -> list[GroupRecord]:
+        """Return a group of another model whose members a wanted one lacks, if it can replace them.
+
+        It is formed anew from the rest of its members and free engines within about two seconds;
+        to wait until a free engine has the weights that are lacking takes a load of 12 s or more.
+        """
+        free, survivors = census.free[slot.domain], census.survivors[slot.domain]
+        lacking = model.size - sum(r.quick(model.name) for r in (*free, *survivors))
+        if survivors:
+            return []
+        for group in self._state.of_service(service):
+            if group.phase is not GroupPhase.SERVING or group.domain != slot.domain:
+                continue
+            if group.model == model.name or self._able(group, model, slot) < lacking:
+                continue
+            spares = [r for r in free if r.quick(group.model) and not r.quick(model.name)]
+            if len(spares) >= lacking and self._carried(service, group):
+                return [group]
+        return []
+
+    def _carried(self, service: ServiceName, group: GroupRecord) -> bool:
+        """Tell whether another group of the same model serves meanwhile."""
+        return any(
+            each is not group and each.model == group.model and each.phase is GroupPhase.SERVING
+            for each in self._state.of_service(service)
+        )
+
     def _able(self, group: GroupRecord, model: ModelSpec, slot: Slot) -> int:
         """Count the members that could join a group of a model in a place's domain."""
         members = [self._state.engines[each] for each in group.members]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -12,9 +12,9 @@
     than usual, which slow all of it, where its domain has others of at most ``fit_pace``; a group
     anew takes a second or two, and at that pace loses more than half of its answers' time.
     ``spanning`` lets groups be formed across domains, and ``trading`` lets some be given up for
-    others that are wanted more. ``crowding`` says how steeply the worth of one more group of a
-    model falls with the groups it has for the work that is offered; ``keep_bonus`` by how much a
-    standing one is preferred.
+    others that are wanted more. A group that has lost a member is taken to be down for
+    ``repair_s``; one more that adds less than ``least_gain`` for each of its engines, in groups
+    kept busy, is not planned, and one that stands is preferred to a new one by ``keep_bonus``.
     Members of a group whose answers entries hear are asked each ``probe_heard_s`` only, as silence
     there is noticed at once; free engines each ``probe_free_s``, as their list tells of changes.
     All together at most ``probes_per_s`` are asked, at some 0.3 ms of processor each.
@@ -23,11 +23,16 @@
     engines change at once, only after ``order_unseen_retry_s``. An engine joins the model that it
     served last within ``rejoin_s``. A group that is closed has ``close_at_most_s`` to end its
     requests, and ``trade_close_s`` when it is given up while a further group of its model serves.
-    A new holder of the lease keeps ``loads_unseen_share`` of the bound on loads for those that it
-    cannot see.
+    At the ``first_start`` of a whole site weights come quickly and their loads are not bounded
+    before the first request; they begin once the list has not grown for ``list_whole_s``, or after
+    ``list_whole_at_most_s``. A new holder of the lease keeps ``loads_unseen_share`` of the bound
+    on loads for those that it cannot see.
     """
 
+    first_start: bool = False
     settle_s: float = 1.5
+    list_whole_s: float = 1.0
+    list_whole_at_most_s: float = 4.0
     probes_per_s: float = 800.0
     probe_heard_s: float = 1.0
     probe_changing_s: float = 0.1
@@ -50,8 +55,9 @@
     swapping: bool = True
     swap_pace: float = 2.5
     fit_pace: float = 1.5
-    crowding: float = 1.2
-    keep_bonus: float = 1.5
+    repair_s: float = 5.0
+    least_gain: float = 0.0005
+    keep_bonus: float = 2.0
     loads_window_s: float = 5.0
     loads_excess: float = 1.1
     loading_share: float = 1.0
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/worth.py
@@ -0,0 +1,60 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What one more group of a model is worth."""
+
+import math
+from functools import lru_cache
+from statistics import NormalDist
+
+from ochreway_direct.configuration import EngineSpec, ModelSpec
+from ochreway_direct.coordinator.demand import TYPICAL_SEQUENCES
+
+CAPACITY_SHARE = 0.7
+"""The share of a group's slots that may be busy without requests having to wait."""
+DOWN_AT_MOST = 0.5
+EXACT_GROUPS = 60
+"""Up to how many groups a chance is computed exactly."""
+
+
+def groups_needed(spec: EngineSpec, need: float) -> float:
+    """Return how many groups carry so much work without requests having to wait."""
+    return need * TYPICAL_SEQUENCES / (CAPACITY_SHARE * spec.slots)
+
+
+def gain(spec: EngineSpec, model: ModelSpec, need: float, groups: int, down: float) -> float:
+    """Return what one more group adds to the work that is served, in groups kept busy.
+
+    Each group is down for a part of the time, as any of its engines may be lost, so what is
+    served is an expectation: the first groups of a model carry its work, a few more stand in for
+    those that are down, and any further one adds next to nothing.
+
+    Args:
+        spec: the figures of the engines.
+        model: the model of the group.
+        need: the work that is offered for it, in groups kept busy.
+        groups: how many groups there are.
+        down: the share of the time for which one engine's loss takes its group down.
+    """
+    up = 1.0 - min(DOWN_AT_MOST, model.size * down)
+    enough = groups_needed(spec, need)
+    whole = math.floor(enough)
+    short = _at_most(whole - 1, groups, up) + (enough - whole) * (
+        _at_most(whole, groups, up) - _at_most(whole - 1, groups, up)
+    )
+    return up * short * need / enough
+
+
+@lru_cache(maxsize=4096)
+def _at_most(number: int, groups: int, up: float) -> float:
+    """Return the chance that at most a number of groups are up."""
+    if number < 0:
+        return 0.0
+    if number >= groups:
+        return 1.0
+    if groups > EXACT_GROUPS:
+        spread = math.sqrt(groups * up * (1.0 - up))
+        return NormalDist(groups * up, spread).cdf(number + 0.5)
+    chances = (math.comb(groups, k) * up**k * (1.0 - up) ** (groups - k) for k in range(number + 1))
+    return sum(chances)
+
+
+__all__ = ["gain", "groups_needed"]
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -163,7 +163,9 @@
         self.assertEqual([], world.violations)
 
     def test_a_group_spans_domains_while_none_can_be_completed_inside_one(self) -> None:
-        world = EngineWorld(domains=0)
+        # Without loads, or the engines that are left over would get the small model's weights.
+        no_loads = CoordinatorTuning(loading_share=0.0, loading_beside_share=0.0)
+        world = EngineWorld(domains=0, tuning=no_loads)
         near, far = DomainId("near"), DomainId("far")
         for domain in (near, near, near, far, far, far):
             world.add(domain, LARGE.name)
--- /dev/null
+++ b/tests/direct/test_staging.py
@@ -0,0 +1,78 @@
+# SPDX-License-Identifier: Apache-2.0
+import testtools
+
+from ochreway_core.ids import DomainId
+from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_standins.engineworld import LARGE, SMALL, SPEC, EngineWorld
+
+NEAR = DomainId("near")
+
+
+class EarlyLoadTests(testtools.TestCase):
+    """What is loaded before anybody asks, at the first start of a site and at a later one."""
+
+    def loads_begun(self, first_start: bool) -> int:
+        """Return how many engines got weights within the window of the bound."""
+        tuning = CoordinatorTuning(first_start=first_start, loads_window_s=30.0, loads_excess=0.1)
+        world = EngineWorld(domains=3, engines=8, lag_s=0.1, tuning=tuning)
+        world.load_speed = 10.0
+        world.run(8.0)
+        return sum(each.staged is not None for each in world.engines.values())
+
+    def test_all_engines_get_weights_at_a_first_start(self) -> None:
+        self.assertEqual(24, self.loads_begun(first_start=True))
+
+    def test_loads_are_bounded_at_a_start_that_is_not_the_first(self) -> None:
+        # Groups join by loading, all members or none, so the bound is not always used up.
+        at_most = CoordinatorTuning(loads_window_s=30.0, loads_excess=0.1).loads_at_most(
+            SPEC.loads_per_s
+        )
+        self.assertLessEqual(self.loads_begun(first_start=False), at_most)
+
+    def test_first_loads_wait_until_the_list_is_whole(self) -> None:
+        world = EngineWorld(domains=0, lag_s=0.1)
+        for number in range(6):
+            world.add(NEAR).listed_s = world.now_s + 0.4 * number
+        world.run(2.0)
+        self.assertFalse(any(each.loading for each in world.engines.values()))
+        world.run_until(lambda: any(each.loading for each in world.engines.values()), 3.0)
+
+    def test_the_small_models_weights_stand_beside_large_groups_before_the_work_is_known(
+        self,
+    ) -> None:
+        world = EngineWorld(
+            domains=2, engines=10, lag_s=0.1, tuning=CoordinatorTuning(first_start=True)
+        )
+        world.load_speed = 10.0
+        world.run(12.0)
+        serving = [each for each in world.engines.values() if each.model == LARGE.name]
+        self.assertGreater(len(serving), 0)
+        self.assertEqual({SMALL.name}, {each.staged for each in serving})
+
+
+class StagingTests(testtools.TestCase):
+    def test_an_engine_that_loads_is_not_taken_for_one_that_can_join(self) -> None:
+        """Joining waits for the load, which may push out what it needs: six seconds lost."""
+        world = EngineWorld(domains=0)
+        for _ in range(LARGE.size):
+            world.add(NEAR, LARGE.name)
+        world.run_until(lambda: world.serving(LARGE) == 1, 10.0)
+        lost, *rest = world.members(LARGE)
+        world.crash(lost)
+        added = world.add(NEAR, LARGE.name)
+        added.loading, added.load_left_s = SMALL.name, 6.0
+        world.take_over()
+        world.run(4.0)
+        self.assertEqual(
+            [], [g for g in world.coordinator.groups.values() if g.model == LARGE.name]
+        )
+        self.assertNotIn(added.instance, [i for each in rest for i in world.engines[each].members])
+
+    def test_weights_that_an_awaited_group_needs_are_not_pushed_out(self) -> None:
+        world = EngineWorld(domains=0)
+        for staged in (LARGE,) * 3 + (SMALL,) * 6:
+            world.add(NEAR, staged.name)
+        world.run_until(lambda: world.serving(SMALL) == 3, 10.0)
+        for engine in world.engines.values():
+            engine.staged = LARGE.name
+        world.run_until(lambda: world.serving(LARGE) == 1, 6.0)
