Do not bound loads before the first request of a site's first start

Weights that come before the first request take a tenth of the time and are not counted, and the platform says at a process's start whether the whole site starts for the first time.

--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -338,6 +338,7 @@
     tuning = CoordinatorTuning(
         loads_window_s=settings.loads_window_s,
         loads_excess=settings.loads_excess,
+        first_start=settings.first_start,
         spanning=settings.has(Mechanism.SPANNING_GROUPS),
         trading=settings.has(Mechanism.TRADING),
         swapping=settings.has(Mechanism.SWAPPING),
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -66,6 +66,12 @@
 @option("--grace-s", 8.0, "How long a planned stop may take.")
 @option("--loads-window-s", 5.0, "Window in which loads of weights are bounded.")
 @option("--loads-excess", 1.1, "Share of the configured rate of loads that a window may have.")
+@option(
+    "--first-start",
+    False,
+    "This is the first start of the whole site: loads are not bounded before the first request.",
+    type=bool,
+)
 @option("--processor-share", 1.0, "Share of a core that this process may use.")
 @option("--processor-speed", 1.0, "How fast that core is, against a usual one.")
 @option("--without", "", "Mechanisms to switch off, with commas between; for measurements.")
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -42,6 +42,7 @@
     grace_s: float = 8.0
     loads_window_s: float = 5.0
     loads_excess: float = 1.1
+    first_start: bool = False
     processor_share: float = 1.0
     processor_speed: float = 1.0
     without: tuple[str, ...] = ()
