--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -19,11 +19,6 @@
 
 LEAST_WORTH = 0.02
 """Below which worth, in groups kept busy times seconds, a load is not begun."""
-URGENT_WORTH = 2.0
-"""From which worth on a load may use the whole rate of the weight store.
-
-A load goes on for 12 to 16 s, so what is worth little must leave room for what comes meanwhile.
-"""
 HEDGE_WORTH = 0.001
 """What weights beside a group are worth while it is not known which model will be asked for."""
 
@@ -70,21 +65,12 @@
         ]
         while allowed > 0:
             best = self._best(spec, worth, open_, uses)
-            if best is None or not self._room(service, best, now_s):
-                return
-            if not self._load(service, best, now_s):
+            if best is None or not self._load(service, best, now_s):
                 return
             self._count(worth, best)
             open_.remove(best.record)
             allowed -= 1
 
-    def _room(self, service: ServiceName, load: _Candidate, now_s: float) -> bool:
-        """Tell whether the weight store has room for a load of such worth."""
-        if load.worth >= URGENT_WORTH or self._state.loads_uncounted:
-            return True
-        share = self._state.tuning.loading_beside_share
-        return self._state.loads_allowed(service, share, now_s) > 0
-
     def _records(self, uses: Mapping[InstanceId, Use]) -> list[EngineRecord]:
         return [self._state.engines[instance] for instance in uses]
 
