Tell a new holder which model each engine served last

The list shows each engine's model while it is in a group; entries now remember it.

The stand-in's list shows groups, as the platform's does. A new holder waits for reports asked for after that lag before it begins any.

--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -9,6 +9,7 @@
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import GroupPhase
 from ochreway_direct.coordinator.placement import Slot
+from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.order import OrderOutcome
 from ochreway_direct.ports import EngineControl
@@ -61,10 +62,15 @@
         self._summary_due_s = 0.0
 
     def begin(
-        self, epoch: Epoch, targets: Iterable[ListedTarget], now_s: float, regained_s: float
+        self,
+        epoch: Epoch,
+        targets: Iterable[ListedTarget],
+        last_models: LastModels,
+        now_s: float,
+        regained_s: float,
     ) -> None:
-        """Start with epochs above the one given and the targets known so far."""
-        self.coordinator.begin(epoch, now_s)
+        """Start with epochs above the one given and what is known of targets so far."""
+        self.coordinator.begin(epoch, now_s, last_models)
         self.coordinator.on_listing(targets, now_s, regained_s)
         self._phases.clear()
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -20,6 +20,7 @@
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.ids import ServiceName
+from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.listing import Listing
 from ochreway_direct.order import Join, Order, OrderOutcome, Stage
@@ -58,6 +59,7 @@
         self._staging = Staging(self._state)
         self._probing = Probing(self._state, heard)
         self._listing = Listing()
+        self._last_models = LastModels()
         self._began_s = 0.0
         self._grown_s = NEVER_S
         self._changed = True
@@ -65,6 +67,7 @@
         self._phases: dict[GroupId, GroupPhase] = {}
         self.fenced_orders = 0
         self._started = False
+        self._asked_again = False
 
     @property
     def engines(self) -> dict[InstanceId, EngineRecord]:
@@ -88,12 +91,14 @@
 
     # What is learned.
 
-    def begin(self, epoch: Epoch, now_s: float) -> None:
-        """Start from nothing, with epochs above the one given."""
+    def begin(self, epoch: Epoch, now_s: float, last_models: LastModels | None = None) -> None:
+        """Start with epochs above the one given, and what is known of engines from before."""
+        self._last_models = last_models or LastModels()
         self._state.epoch = epoch
         self._began_s = now_s
         self._changed = True
         self._started = False
+        self._state.loads_seen = self._asked_again = False
         self.groups.clear()
         self.engines.clear()
         self._listing = Listing()
@@ -137,7 +142,8 @@
         record = self.engines.get(instance)
         if record is None:
             assert listed.engine is not None
-            self.engines[instance] = EngineRecord(listed, listed.engine)
+            last_model = self._last_models.of(instance)
+            self.engines[instance] = EngineRecord(listed, listed.engine, last_model=last_model)
             return
         if listed.engine != record.listed.engine:
             record.news_due_s = now_s + self._lifecycle.report_lag_s(record.service)
@@ -279,6 +285,7 @@
             return []
         if self.demand.measured:
             self._state.losses.step(len(self.engines), now_s)
+        self._see_loads(now_s)
         if not self._all_silent():
             self._lifecycle.step(now_s)
             if self._plan_due(now_s):
@@ -292,6 +299,26 @@
             outlook = self._formation.step(service, spec, now_s)
             self._staging.step(service, spec, outlook, now_s)
 
+    def _see_loads(self, now_s: float) -> None:
+        """Find out whether the loads that the holder before this one began have been seen.
+
+        Reports lag, so those of its last moment are shown only by what is asked a while later.
+        """
+        if self._state.loads_seen:
+            return
+        lag_s = max(spec.report_lag_s for spec in self._state.specs.values())
+        seen_from_s = self._began_s + lag_s
+        if now_s < seen_from_s:
+            return
+        if not self._asked_again:
+            self._asked_again = True
+            for record in self.engines.values():
+                record.probed_s = NEVER_S
+        self._state.loads_seen = now_s - self._began_s >= self.tuning.settle_s or all(
+            record.dead or record.misses or record.observed_s >= seen_from_s
+            for record in self.engines.values()
+        )
+
     def _plan_due(self, now_s: float) -> bool:
         """Tell whether to look at what could be formed and loaded.
 
@@ -336,7 +363,9 @@
         if self._started or not self._settled(now_s):
             return
         self._started = True
-        if not self._untouched():
+        untouched = self._untouched()
+        self._state.loads_seen = untouched
+        if not untouched:
             for service, limit in self._state.limits.items():
                 unseen = int(limit.left(now_s) * self.tuning.loads_unseen_share)
                 begun = self._state.loading(service) + unseen
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -23,7 +23,10 @@
 
 @dataclass(slots=True)
 class CoordinatorState:
-    """Hold engines, groups, the figures of services, and the orders of one step."""
+    """Hold engines, groups, the figures of services, and the orders of one step.
+
+    No load begins before the ones are ``loads_seen`` that a former holder began.
+    """
 
     tuning: CoordinatorTuning
     engines: dict[InstanceId, EngineRecord] = field(default_factory=dict)
@@ -32,6 +35,7 @@
     limits: dict[ServiceName, LoadLimit] = field(default_factory=dict)
     demand: Demand = field(default_factory=Demand)
     losses: LossMeter = field(default_factory=LossMeter)
+    loads_seen: bool = False
     epoch: Epoch = NO_EPOCH
     out: list[Assignment] = field(default_factory=list)
 
@@ -120,6 +124,8 @@
         More at once would all end later. Before the first request loads are short, and what
         counts is that the store is never idle.
         """
+        if not self.loads_seen:
+            return 0
         if self.loads_uncounted:
             return self.limits[service].left_within(FIRST_REQUEST_TOLD_S, now_s)
         left = self.limits[service].left(now_s)
--- a/packages/ochreway-direct/src/ochreway_direct/fleetsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetsharing.py
@@ -105,7 +105,9 @@
     def begin(self, epoch: Epoch) -> None:
         """Form groups from now on, with epochs above the one given."""
         now_s = self._loop.time()
-        self._coordination.begin(epoch, self._view.targets(), now_s, self._health.regained_s)
+        self._coordination.begin(
+            epoch, self._view.targets(), self._view.last_models, now_s, self._health.regained_s
+        )
 
     def publish(self) -> None:
         """Tell the other entries what is new of the fleet, as its holder."""
--- a/packages/ochreway-direct/src/ochreway_direct/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetview.py
@@ -6,6 +6,7 @@
 from ochreway_core.ids import InstanceId
 from ochreway_direct.enginestate import MemberPhase
 from ochreway_direct.groupview import GroupView
+from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.listing import LAPSE_RETURN_S, Listing
 from ochreway_direct.messages import FleetChange, FleetMark, FleetUpdate
@@ -27,6 +28,7 @@
         self._listed_s = NEVER_S
         self._leaving: frozenset[InstanceId] = frozenset()
         self._listing = Listing()
+        self.last_models = LastModels()
 
     @property
     def leaving(self) -> frozenset[InstanceId]:
@@ -141,6 +143,7 @@
             self._targets |= found
         else:
             self._targets = found
+        self.last_models.note(self._targets.values())
         self._leaving = frozenset(gone | announced)
         self._listed_s = max(self._listed_s, asked_s)
 
@@ -149,6 +152,7 @@
         plain = {i: t for i, t in self._targets.items() if t.engine is None}
         engines = {each.instance: each for each in targets if each.engine is not None}
         self._targets = plain | engines
+        self.last_models.note(targets)
 
     def stale(self, now_s: float) -> bool:
         """Tell whether the list has to be read by this entry itself."""
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -12,6 +12,7 @@
 from ochreway_direct.coordinator.grouprecord import GroupPhase
 from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
 from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.order import Close, Join, Leave, Open, Order, OrderOutcome, Stage
 
@@ -127,7 +128,7 @@
             HallId(self.domain),
             self.leaving,
             24,
-            EngineState(self.domain),
+            EngineState(self.domain, self.model, (), self.membership),
         )
 
 
@@ -154,6 +155,7 @@
         self.lost_share = 0.0
         self.load_speed = 1.0
         self.coordinator = Coordinator(self.tuning)
+        self.last_models = LastModels()
         self.terms = 0
         self.measured = lag_s == 0.0
         self.made = 0
@@ -188,7 +190,7 @@
         if self.measured:
             for measured_s in (self.now_s - 60.0, self.now_s):
                 self.coordinator.demand.update(OFFERED, measured_s)
-        self.coordinator.begin(Epoch(self.terms * 100_000), self.now_s)
+        self.coordinator.begin(Epoch(self.terms * 100_000), self.now_s, self.last_models)
         self.former = before
         self._list()
 
@@ -259,6 +261,7 @@
             for each in self.engines.values()
             if each.alive and each.listed_s <= self.now_s
         ]
+        self.last_models.note(listed)
         self.coordinator.on_listing(listed, self.now_s)
 
     def _probe(self) -> None:
