--- a/packages/ochreway-standins/src/ochreway_standins/grouplab/__main__.py
+++ b/packages/ochreway-standins/src/ochreway_standins/grouplab/__main__.py
@@ -98,6 +98,8 @@
             click.echo(_line(f"{experiment.name} (seed {seed}, {runs} days)", COLUMNS))
             standing = _played(pool, experiment, STANDING, seeds)
             click.echo(_line(STANDING, [_mean(standing, column) for column in COLUMNS]))
+            instant = _played(pool, experiment.with_instant_weights(), STANDING, seeds)
+            click.echo(_line("with weights at once", [_mean(instant, c) for c in COLUMNS]))
             for way in ways:
                 results = _played(pool, experiment, way, seeds)
                 differences = [_difference(results, standing, column) for column in COLUMNS]
--- a/packages/ochreway-standins/src/ochreway_standins/grouplab/experiment.py
+++ b/packages/ochreway-standins/src/ochreway_standins/grouplab/experiment.py
@@ -1,11 +1,14 @@
 # SPDX-License-Identifier: Apache-2.0
 """The description of a day: engines, models, requests and what goes wrong."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.ids import ModelName
 
+INSTANT_S = 0.05
+"""How long a load takes that is to cost nothing: a step of the laboratory."""
+
 
 @dataclass(frozen=True, slots=True)
 class FleetFigures:
@@ -107,6 +110,17 @@
     losses: Losses
     bursts: tuple[Burst, ...] = ()
 
+    def with_instant_weights(self) -> "Experiment":
+        """Return the same day as if every engine had all weights at once.
+
+        What is lost then is lost by engines that are gone and callers that are moved; what is lost
+        beside it is the price of weights that have to be read. It is no strict bound, as the same
+        decisions are taken.
+        """
+        models = tuple(replace(m, load_s=INSTANT_S, warm_s=INSTANT_S) for m in self.models)
+        loads = replace(self.loads, per_s=self.loads.per_s * 100, at_once=self.loads.at_once * 100)
+        return replace(self, models=models, loads=loads)
+
     def spec(self) -> EngineSpec:
         """Return the figures as a configuration gives them to a coordinator."""
         fleet = self.fleet
--- a/tests/standins/test_grouplab.py
+++ b/tests/standins/test_grouplab.py
@@ -43,6 +43,11 @@
         experiment = read_experiment("two-models-even")
         self.assertEqual(play(experiment, 5, HEAVY), play(experiment, 5, HEAVY))
 
+    def test_instant_weights_leave_little_to_lose(self) -> None:
+        experiment = read_experiment("small-model-heavy")
+        instant = play(experiment.with_instant_weights(), 1, HEAVY)
+        self.assertGreater(instant.worth, play(experiment, 1, HEAVY).worth)
+
 
 class ReaderTests(testtools.TestCase):
     def fault(self, old: str, new: str) -> ExperimentError:
