Look at the domain of the last load only when the next one is chosen

What a load is worth depends on its own domain's engines, so the best of each domain is kept; where groups are missing is counted once a step; what began lately is counted from its end.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/loadlimit.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/loadlimit.py
@@ -2,6 +2,7 @@
 """A bound on how many loads of weights may begin."""
 
 from collections import deque
+from itertools import takewhile
 
 
 class LoadLimit:
@@ -25,7 +26,8 @@
 
     def left_within(self, window_s: float, now_s: float) -> int:
         """Return how many may begin now if only those of a shorter window counted."""
-        return self._at_most - sum(begun_s > now_s - window_s for begun_s in self._begun_s)
+        recent = takewhile(lambda begun_s: begun_s > now_s - window_s, reversed(self._begun_s))
+        return self._at_most - sum(1 for _ in recent)
 
     def left(self, now_s: float) -> int:
         """Return how many loads may begin now."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/missing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/missing.py
@@ -29,8 +29,9 @@
     short.subtract(totals_of(at_once))
     found: Counter[Slot] = Counter()
     for model in sorted(spec.models, key=lambda each: -each.size):
+        able = _able(model, census) if short[model.name] > 0 else {}
         for _ in range(max(0, short[model.name])):
-            domain = _fullest(model, census, found)
+            domain = _take_fullest(model, able)
             slots = [slot for slot in missing if slot.model == model.name and missing[slot] > 0]
             if domain is not None:
                 found[Slot(domain, model.name)] += 1
@@ -40,16 +41,21 @@
     return found
 
 
-def _fullest(model: ModelSpec, census: Census, found: Mapping[Slot, int]) -> DomainId | None:
-    """Return the domain that has most free engines for one more group, if half of one at least."""
-    able = {
+def _able(model: ModelSpec, census: Census) -> dict[DomainId, int]:
+    """Count the free engines of each domain that could join a group of a model at once."""
+    return {
         domain: sum(record.quick(model.name) for record in records)
-        - model.size * found.get(Slot(domain, model.name), 0)
         for domain, records in census.free.items()
-        if len(records) >= model.size / 2
     }
+
+
+def _take_fullest(model: ModelSpec, able: dict[DomainId, int]) -> DomainId | None:
+    """Return the domain that has most engines for one more group, if half of one at least."""
     best = max(able, key=lambda domain: (able[domain], domain), default=None)
-    return best if best is not None and able[best] >= model.size / 2 else None
+    if best is None or able[best] < model.size / 2:
+        return None
+    able[best] -= model.size
+    return best
 
 
 __all__ = ["where_least_lacks"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -2,12 +2,11 @@
 """Loading weights where they let the most work be served."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
-from enum import IntEnum
+from collections.abc import Hashable, Iterable, Mapping
 
 from ochreway_core.ids import InstanceId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
+from ochreway_direct.coordinator.candidates import Candidates, Load, Use
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.formation import Outlook
 from ochreway_direct.coordinator.grouprecord import GroupPhase
@@ -23,28 +22,6 @@
 """What weights beside a group are worth while it is not known which model will be asked for."""
 
 
-class Use(IntEnum):
-    """Say what an engine is doing, in the order in which engines are given weights."""
-
-    EMPTY = 0
-    """It is free and can serve nothing."""
-    KEEPING = 1
-    """It is free, and can serve its last model whatever is loaded."""
-    SURPLUS = 2
-    """Its group is one too many."""
-    STOCKED = 3
-    """It is free, and other weights would push out those that it has."""
-    SERVING = 4
-
-
-@dataclass(frozen=True, slots=True)
-class _Candidate:
-    record: EngineRecord
-    model: ModelSpec
-    use: Use
-    worth: float
-
-
 class Staging:
     """Begin the loads that are worth most, one after the other."""
 
@@ -63,12 +40,17 @@
             for record in self._records(uses)
             if self._free_to_load(record, now_s) and not _awaited(record, outlook)
         ]
-        while allowed > 0:
-            best = self._best(spec, worth, open_, uses)
-            if best is None or not self._load(service, best, now_s):
+
+        def alike(record: EngineRecord) -> Hashable:
+            able = tuple(record.quick(model.name) for model in spec.models)
+            return uses[record.instance], able, record.state.staged, record.state.model
+
+        candidates = Candidates(open_, alike, lambda some: self._best(spec, worth, some, uses))
+        while allowed > 0 and (load := candidates.first()) is not None:
+            if not self._load(service, load, now_s):
                 return
-            self._count(worth, best)
-            open_.remove(best.record)
+            self._count(worth, load)
+            candidates.begun(load)
             allowed -= 1
 
     def _records(self, uses: Mapping[InstanceId, Use]) -> list[EngineRecord]:
@@ -143,20 +125,20 @@
         worth: LoadWorth,
         records: Iterable[EngineRecord],
         uses: Mapping[InstanceId, Use],
-    ) -> _Candidate | None:
+    ) -> Load | None:
         found = [
             candidate
             for record in records
             for model in spec.models
             if (candidate := self._candidate(worth, record, model, uses[record.instance]))
         ]
-        best = min(found, key=lambda each: (-round(each.worth, 3), each.use), default=None)
+        best = min(found, key=lambda each: each.rank, default=None)
         least = LEAST_WORTH if self._state.demand.measured else 0.0
         return best if best is not None and best.worth > least else None
 
     def _candidate(
         self, worth: LoadWorth, record: EngineRecord, model: ModelSpec, use: Use
-    ) -> _Candidate | None:
+    ) -> Load | None:
         if record.quick(model.name) or record.state.model == model.name:
             return None
         if use is Use.SERVING and not self._beside(worth, record, model):
@@ -168,7 +150,7 @@
             value = max(value, HEDGE_WORTH)
         if use is Use.STOCKED:
             value -= sum(worth.of_last(Slot(record.domain, m)) for m in record.state.staged)
-        return _Candidate(record, model, use, value)
+        return Load(record, model, use, value)
 
     def _beside(self, worth: LoadWorth, record: EngineRecord, model: ModelSpec) -> bool:
         """Tell whether weights may be loaded beside those of a group that is wanted.
@@ -184,7 +166,7 @@
             return model.size < served.size
         return worth.breaks_for(served.name, model.name)
 
-    def _count(self, worth: LoadWorth, load: _Candidate) -> None:
+    def _count(self, worth: LoadWorth, load: Load) -> None:
         """Take a load that was begun into account for the next one."""
         domain = load.record.domain
         _note(worth.stock(Slot(domain, load.model.name)), load.use, 1)
@@ -192,7 +174,7 @@
             for lost in load.record.state.staged:
                 _note(worth.stock(Slot(domain, lost)), load.use, -1)
 
-    def _load(self, service: ServiceName, load: _Candidate, now_s: float) -> bool:
+    def _load(self, service: ServiceName, load: Load, now_s: float) -> bool:
         if not self._state.begin_loads(service, 1, now_s):
             return False
         if not self._state.order(load.record, Stage(load.model.name), now_s):
@@ -226,4 +208,4 @@
     return Use.STOCKED if record.state.staged else Use.EMPTY
 
 
-__all__ = ["Use", "Staging"]
+__all__ = ["Staging"]
