--- a/tests/direct/test_candidates.py
+++ b/tests/direct/test_candidates.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-"""The pattern: 3,000 engines in a hundred domains want weights at once, as at a site's first start."""
+"""The pattern: 3,000 engines in a hundred domains want weights at once, at a first start."""
 
 from collections.abc import Iterable
 
