Keep what is held back in a module of its own, and let staging-beside switch something again

`--without staging-beside` set a share that nothing read any more since loads go by worth. It now keeps weights from being loaded beside groups that are wanted.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -10,20 +10,17 @@
 from ochreway_direct.coordinator.census import Census, Engines, take_census
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import SPANNING
+from ochreway_direct.coordinator.heldback import held_back
 from ochreway_direct.coordinator.missing import where_least_lacks
-from ochreway_direct.coordinator.placement import Slot, totals_of
+from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.coordinator.planner import Planner
 from ochreway_direct.coordinator.rooms import rooms_later, rooms_now
 from ochreway_direct.coordinator.spanning import SpanningFormation
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.coordinator.swapping import Swapping
 from ochreway_direct.coordinator.trading import Trading
-from ochreway_direct.coordinator.worth import gain
 from ochreway_direct.ids import ModelName, ServiceName
 
-LACKING_SHARE = 0.5
-"""Up to which share of its engines a group may lack for the others to be held back for it."""
-
 
 @dataclass(frozen=True, slots=True)
 class Outlook:
@@ -79,8 +76,8 @@
         self.plans[service] = PlanSummary(needs, wanted, inside)
         later = self._later.plan(spec, needs, rooms_later(spec, rooms), inside, self._state.down)
         missing = where_least_lacks(spec, wanted, later, census)
-        held_back = self._held_back(spec, needs, wanted, missing, census)
-        awaited = self._form_wanted(service, spec, wanted, census, held_back, now_s)
+        kept = held_back(spec, needs, wanted, missing, census, self._state.down)
+        awaited = self._form_wanted(service, spec, wanted, census, kept, now_s)
         taken = {slot.domain for slot in awaited}
         spare: Engines = defaultdict(list)
         spare.update({domain: found for domain, found in free.items() if domain not in taken})
@@ -91,46 +88,13 @@
             scenarios, wanted, later, missing, frozenset(awaited), free, census.survivors
         )
 
-    def _held_back(
-        self,
-        spec: EngineSpec,
-        needs: Mapping[ModelName, float],
-        wanted: Mapping[Slot, int],
-        missing: Mapping[Slot, int],
-        census: Census,
-    ) -> dict[Slot, set[InstanceId]]:
-        """Return the engines that must not be used up at each place.
-
-        A group that lacks a few engines is completed by as many loads. Were the others taken for a
-        group of another model that adds less, their weights would be lost and all be loaded again.
-        """
-        totals = totals_of(wanted)
-        found: dict[Slot, set[InstanceId]] = defaultdict(set)
-        for slot in missing:
-            model = spec.model(slot.model)
-            assert model is not None
-            able = [r for r in census.free[slot.domain] if r.quick(slot.model)]
-            if model.size - len(able) > model.size * LACKING_SHARE:
-                continue
-            added = self._gain(spec, model, needs, totals[model.name]) / model.size
-            for other in spec.models:
-                last = self._gain(spec, other, needs, totals[other.name] - 1) / other.size
-                if other is not model and last < added:
-                    found[Slot(slot.domain, other.name)].update(r.instance for r in able)
-        return found
-
-    def _gain(
-        self, spec: EngineSpec, model: ModelSpec, needs: Mapping[ModelName, float], groups: int
-    ) -> float:
-        return gain(spec, model, needs[model.name], max(0, groups), self._state.down)
-
     def _form_wanted(
         self,
         service: ServiceName,
         spec: EngineSpec,
         wanted: Mapping[Slot, int],
         census: Census,
-        held_back: Mapping[Slot, Collection[InstanceId]],
+        kept: Mapping[Slot, Collection[InstanceId]],
         now_s: float,
     ) -> set[Slot]:
         """Form the groups that are wanted; return the places whose engines are still awaited."""
@@ -141,8 +105,8 @@
             model = spec.model(slot.model)
             assert model is not None
             for _ in range(wanted[slot] - census.standing[slot]):
-                kept = held_back.get(slot, ())
-                if not self._form(service, spec, model, census, slot.domain, kept, now_s):
+                others = kept.get(slot, ())
+                if not self._form(service, spec, model, census, slot.domain, others, now_s):
                     if self._state.tuning.trading:
                         self._trading.complete(service, model, slot, surplus, census, now_s)
                     awaited.add(slot)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -160,7 +160,7 @@
         the smaller, each engine counts twice as much as it would the other way round.
         """
         served = worth.spec.model(record.state.model) if record.state.model else None
-        if served is None:
+        if served is None or not self._state.tuning.staging_beside:
             return False
         if not self._state.demand.measured:
             return model.size < served.size
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -11,6 +11,7 @@
     ``swapping`` lets a group be formed anew without members that are ``swap_pace`` times slower
     than usual, which slow all of it, where its domain has others of at most ``fit_pace``; a group
     anew takes a second or two, and at that pace loses more than half of its answers' time.
+    ``staging_beside`` lets weights be loaded beside those of groups that are wanted, and
     ``spanning`` lets groups be formed across domains, and ``trading`` lets some be given up for
     others that are wanted more. A group that has lost a member is taken to be down for
     ``repair_s``; one more that adds less than ``least_gain`` for each of its engines, in groups
@@ -50,6 +51,7 @@
     trade_close_s: float = 0.4
     swap_close_s: float = 0.4
     silent_share_at_most: float = 0.6
+    staging_beside: bool = True
     spanning: bool = True
     trading: bool = True
     swapping: bool = True
@@ -61,7 +63,6 @@
     loads_window_s: float = 5.0
     loads_excess: float = 1.1
     loading_share: float = 1.0
-    loading_beside_share: float = 0.5
     loads_slack_s: float = 0.3
     loads_spare: int = 2
     loads_unseen_share: float = 0.5
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
 from typing import Any
 
 from ochreway_core.backoff import Backoff
@@ -335,17 +334,15 @@
 
 
 def _tuning(settings: DirectSettings) -> CoordinatorTuning:
-    tuning = CoordinatorTuning(
+    return CoordinatorTuning(
         loads_window_s=settings.loads_window_s,
         loads_excess=settings.loads_excess,
         first_start=settings.first_start,
+        staging_beside=settings.has(Mechanism.STAGING_BESIDE),
         spanning=settings.has(Mechanism.SPANNING_GROUPS),
         trading=settings.has(Mechanism.TRADING),
         swapping=settings.has(Mechanism.SWAPPING),
     )
-    if settings.has(Mechanism.STAGING_BESIDE):
-        return tuning
-    return replace(tuning, loading_beside_share=0.0)
 
 
 __all__ = ["DirectEntry"]
--- a/packages/ochreway-direct/src/ochreway_direct/mechanism.py
+++ b/packages/ochreway-direct/src/ochreway_direct/mechanism.py
@@ -20,7 +20,7 @@
     SWAPPING = "swapping"
     """Form a group anew without members that have turned slow."""
     STAGING_BESIDE = "staging-beside"
-    """Load other models' weights beside those that engines serve, after the first request."""
+    """Load other models' weights beside those of groups that are wanted."""
     SILENCE_SUSPECTED = "silence-suspected"
     """Have a group's members asked at once when all its answers stand still."""
 
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -164,7 +164,7 @@
 
     def test_a_group_spans_domains_while_none_can_be_completed_inside_one(self) -> None:
         # Without loads, or the engines that are left over would get the small model's weights.
-        no_loads = CoordinatorTuning(loading_share=0.0, loading_beside_share=0.0)
+        no_loads = CoordinatorTuning(loading_share=0.0)
         world = EngineWorld(domains=0, tuning=no_loads)
         near, far = DomainId("near"), DomainId("far")
         for domain in (near, near, near, far, far, far):
@@ -180,7 +180,7 @@
         self.assertEqual([], world.violations)
 
     def test_the_last_group_of_a_model_ends_its_requests_before_it_is_given_up(self) -> None:
-        no_loads = CoordinatorTuning(loading_share=0.0, loading_beside_share=0.0)
+        no_loads = CoordinatorTuning(loading_share=0.0)
         world = EngineWorld(domains=0, tuning=no_loads)
         near, far = DomainId("near"), DomainId("far")
         for domain in (near, near, near, far, far, far):
--- a/tests/direct/test_exchange.py
+++ b/tests/direct/test_exchange.py
@@ -14,7 +14,7 @@
 NEAR, FAR = DomainId("near"), DomainId("far")
 OFFERED = {LARGE.name: 3.0, SMALL.name: 1.5}
 """Work for two large groups and one small one."""
-NO_LOADS = CoordinatorTuning(loading_share=0.0, loading_beside_share=0.0)
+NO_LOADS = CoordinatorTuning(loading_share=0.0)
 
 
 class ExchangeTests(testtools.TestCase):
