--- a/packages/ochreway-direct/src/ochreway_direct/cells.py
+++ b/packages/ochreway-direct/src/ochreway_direct/cells.py
@@ -20,10 +20,12 @@
 CELL_ENTRIES = 16
 """How many entries a cell has on average at most; a head's messages grow with it."""
 READERS = 2
-"""How many entries ask the store for a newer configuration on behalf of the others.
+"""How many entries ask the store for a newer configuration on behalf of the others, above a mesh.
 
-A question stays open for about a second, so each of them asks some 50 times a minute. While each
-of 16 entries asked, 736 of the 938 calls to the store within 50 s were such questions.
+In a mesh each asks itself. With two readers of five, both cut off in the same moment, the others used
+a key for 2.0 s after it was taken away, the whole bound of such a site: whoever does not read asks
+only once its newest proof is older than proofs usually are, 2.7 s. All asking costs 0.009 of worth
+among 16 entries, as calls to the store.
 """
 HEADS = 2
 """How many entries speak for a cell, so that one may be lost or frozen unnoticed by users."""
@@ -52,7 +54,6 @@
         self._cells = _meshed(known) if self.meshed else _by_hall(known)
         self._cell_of = {e.node: cell for cell, found in self._cells.items() for e in found}
         self._heads = {cell: _heads(found) for cell, found in self._cells.items()}
-        self._mesh_readers = _first_trusted(known, READERS)
 
     def cell(self, node: NodeId) -> CellId:
         """Return the cell of an entry that is known."""
@@ -71,9 +72,9 @@
         return tuple(node for heads in self._heads.values() for node in heads)
 
     def readers(self) -> tuple[NodeId, ...]:
-        """Return those that ask the store for all: a few of a mesh, or heads of a few cells."""
+        """Return the entries that ask the store for all: the first heads of a few cells."""
         if self.meshed:
-            return self._mesh_readers
+            return tuple(self._cell_of)
         cells = sorted(self._heads)[:READERS]
         return tuple(self._heads[cell][0] for cell in cells)
 
@@ -108,12 +109,8 @@
 
 
 def _heads(entries: list[Candidate]) -> tuple[NodeId, ...]:
-    return _first_trusted(entries, HEADS)
-
-
-def _first_trusted(entries: list[Candidate], number: int) -> tuple[NodeId, ...]:
     trusted = [entry for entry in entries if entry.trusted] or entries
-    return tuple(entry.node for entry in trusted[:number])
+    return tuple(entry.node for entry in trusted[:HEADS])
 
 
 __all__ = ["CELL_ENTRIES", "HEADS", "MESH_ENTRIES", "Candidate", "Cells"]
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -110,15 +110,6 @@
         """Tell whether this entry asks the store for others too."""
         return self._me.peer.node in self._cells.readers()
 
-    @property
-    def tells_versions(self) -> bool:
-        """Tell whether others hear of a newer configuration from this entry."""
-        return self.reader if self.meshed else self.head
-
-    def told_of_versions(self) -> list[Peer]:
-        """Return the entries that hear of a newer configuration from this one."""
-        return self._peers.of(self._contacts) if self.meshed else self.members()
-
     def members(self) -> list[Peer]:
         """Return the entries that hear from others only through this one."""
         if not self.head:
--- a/packages/ochreway-direct/src/ochreway_direct/versionsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/versionsharing.py
@@ -40,7 +40,7 @@
     def question_s(self) -> float | None:
         """Return for how long a question to the store may stay open, None for not asking at all."""
         timing = self._timing
-        if self._serving.routes is None:
+        if self._serving.routes is None or self._heartbeats.meshed:
             return timing.configuration_wait_s
         if self._heartbeats.reader:
             return timing.configuration_read_wait_s
@@ -51,11 +51,11 @@
     def applied(self, configuration: Configuration) -> None:
         """Have groups formed by a new version, and tell those who do not read it themselves."""
         self._coordinator.configure(configuration)
-        if not self._heartbeats.tells_versions:
+        if self._heartbeats.meshed or not self._heartbeats.head:
             return
         if len(configuration.routes) <= ROUTES_HANDED_ON:
-            audience = self._heartbeats.told_of_versions()
-            self._links.send_all(audience, ConfigurationUpdate(configuration))
+            members = self._heartbeats.members()
+            self._links.send_all(members, ConfigurationUpdate(configuration))
         self._heartbeats.send(self._loop.time())
 
     def on_request(self, sender: Peer, request: ConfigurationRequest) -> None:
--- a/tests/direct/test_cells.py
+++ b/tests/direct/test_cells.py
@@ -46,13 +46,7 @@
         cells = Cells(entries(100))
         readers = cells.readers()
         self.assertEqual(READERS, len({cells.cell(node) for node in readers}))
-
-    def test_the_strongest_of_few_entries_read_for_all_but_not_what_is_not_trusted(self) -> None:
-        strong = Candidate(NodeId("z"), HallId("h0"), 2.0)
-        silent = Candidate(NodeId("a"), HallId("h0"), 3.0, trusted=False)
-        readers = Cells([*entries(5), strong, silent]).readers()
-        self.assertEqual((NodeId("z"), NodeId("e000")), readers)
-        self.assertEqual((NodeId("e000"),), Cells(entries(1)).readers())
+        self.assertEqual(5, len(Cells(entries(5)).readers()))
 
     def test_an_entry_more_moves_few_others(self) -> None:
         before, after = Cells(entries(300)), Cells(entries(303))
--- a/tests/direct/test_sharing.py
+++ b/tests/direct/test_sharing.py
@@ -7,7 +7,6 @@
 
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId, Version
 from ochreway_core.peer import Peer
-from ochreway_direct.cells import READERS
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
@@ -82,29 +81,27 @@
         coordinator: Any = type("None_", (), {"configure": lambda *_: None})()
         return VersionSharing(entry.serving, entry.heartbeats, links, coordinator, TIMING)
 
-    def test_a_few_entries_ask_for_all(self) -> None:
+    def test_few_entries_all_ask_and_of_many_a_few(self) -> None:
         def work(world: SpreadWorld) -> None:
             for entry in world.entries.values():
                 entry.serving.freshness.prove(world.now_s)
             asking = [self.versions(e).question_s() for e in world.entries.values()]
-            self.assertEqual(READERS, sum(each is not None for each in asking))
+            many = len(world.entries) > 24
+            self.assertEqual(2 if many else len(asking), sum(each is not None for each in asking))
 
-        for entries in (5, 16, 36):
+        for entries in (5, 36):
             self.on_world(entries, work)
 
-    def test_a_reader_among_few_entries_hands_a_version_on_to_all_others(self) -> None:
+    def test_few_entries_do_not_wait_for_readers_that_may_be_cut_off_together(self) -> None:
+        """Two of five entries read for all, both were cut, and a key was used 2.0 s too long."""
+
         def work(world: SpreadWorld) -> None:
-            reader = next(e for e in world.entries.values() if e.heartbeats.reader)
-            self.versions(reader).applied(Configuration(Version(9)))
-            told = {peer for peer, each in self.links.sent if isinstance(each, ConfigurationUpdate)}
-            others = {e.me.peer for e in world.entries.values()} - {reader.me.peer}
-            self.assertEqual(others, told)
-            self.links.sent.clear()
-            other = next(e for e in world.entries.values() if not e.heartbeats.reader)
-            self.versions(other).applied(Configuration(Version(10)))
-            self.assertEqual([], self.links.sent)
+            for entry in world.entries.values():
+                entry.serving.freshness.prove(world.now_s)
+                self.assertEqual(TIMING.configuration_wait_s, self.versions(entry).question_s())
 
-        self.on_world(16, work)
+        for entries in (5, 16):
+            self.on_world(entries, work)
 
     def test_an_entry_asks_itself_after_hearing_of_a_newer_version_or_of_none_for_long(
         self,
