--- a/packages/ochreway-direct/src/ochreway_direct/cells.py
+++ b/packages/ochreway-direct/src/ochreway_direct/cells.py
@@ -22,10 +22,10 @@
 READERS = 2
 """How many entries ask the store for a newer configuration on behalf of the others, above a mesh.
 
-In a mesh each asks itself. With two readers of five, both cut off in the same moment, the others used
-a key for 2.0 s after it was taken away, the whole bound of such a site: whoever does not read asks
-only once its newest proof is older than proofs usually are, 2.7 s. All asking costs 0.009 of worth
-among 16 entries, as calls to the store.
+In a mesh each asks itself. With two readers of five, both cut off in the same moment, the others
+used a key for 2.0 s after it was taken away, the whole bound of such a site: whoever does not read
+asks only once its newest proof is older than proofs usually are, 2.7 s. All asking costs 0.009 of
+worth among 16 entries, as calls to the store.
 """
 HEADS = 2
 """How many entries speak for a cell, so that one may be lost or frozen unnoticed by users."""
