--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/grouplab/day.py
@@ -0,0 +1,373 @@
+# SPDX-License-Identifier: Apache-2.0
+"""One day of an experiment: requests meet the groups that the coordinator forms."""
+
+import math
+import random
+import statistics
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ochreway_core.ids import DomainId, GroupId, InstanceId
+from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_direct.coordinator.demand import work_s
+from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.ids import ModelName
+from ochreway_standins.engineworld import STEP_S, EngineWorld, FakeEngine
+from ochreway_standins.grouplab.experiment import Experiment, RequestFigures
+from ochreway_standins.grouplab.groupserver import GroupServer
+from ochreway_standins.grouplab.request import Outcome, Request
+
+NOTICED_S = 0.45
+"""How long callers of a lost group wait: silence of 0.3 s and a probe, as on played days."""
+QUEUED_AT_MOST = 3
+"""How many requests may wait beside a group's slots (the relay's bound)."""
+PATIENCE_SHARE = 0.1
+"""For which share of its objective a request waits for a place (the relay's bound)."""
+RETURNS_S = 0.8
+"""After how long a refused caller comes back, once."""
+FIRST_PART_TOKENS = 5.0
+LISTED_LATE_S = 0.8
+BACK_WITHIN_S = (0.2, 1.0)
+WINDOW_S = 2.0
+WORST_WINDOWS = 2
+LEAST_TOKENS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class DayResult:
+    """Hold what a day was worth, as shares of all that was offered, and what it took.
+
+    ``stranded`` is the share of live engines' time in no group that serves.
+    """
+
+    worth: float
+    worst: float
+    in_time: float
+    late: float
+    refused: float
+    stranded: float
+    loads: float
+    traded: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Returning:
+    request: Request
+    at_s: float
+
+
+class Day:
+    """Play one day; the coordinator's decisions are the product's own."""
+
+    def __init__(self, experiment: Experiment, seed: int, tuning: CoordinatorTuning) -> None:
+        self._experiment = experiment
+        self._spec = experiment.spec()
+        self.world = EngineWorld(
+            domains=experiment.fleet.domains,
+            engines=experiment.fleet.engines_per_domain,
+            seed=seed,
+            lag_s=experiment.fleet.listed_within_s,
+            tuning=tuning,
+            spec=self._spec,
+        )
+        self.world.load_speed = experiment.loads.early_speed
+        self._chance = random.Random(seed)
+        self._meter = DemandMeter()
+        self._servers: dict[GroupId, GroupServer] = {}
+        self._waiting: list[Request] = []
+        self._returning: list[_Returning] = []
+        self._outcomes: list[tuple[Request, Outcome]] = []
+        self._begin_s = self.world.now_s + experiment.lead_s
+        self._dark: list[FakeEngine] = []
+        self._without_holder_s = 0.0
+        self._stranded: list[float] = []
+        self._loads = 0
+        self._loading: set[tuple[InstanceId, ModelName]] = set()
+        self._traded: set[GroupId] = set()
+
+    def play(self) -> DayResult:
+        """Return what was served."""
+        self.world.run(self._experiment.lead_s)
+        self.world.load_speed = 1.0
+        events = self._events()
+        while self.world.now_s < self._begin_s + self._experiment.day_s:
+            while events and events[0][0] <= self.world.now_s:
+                events.pop(0)[1]()
+            self._step()
+        self._end_rest()
+        return self._result()
+
+    # What goes wrong.
+
+    def _events(self) -> list[tuple[float, Callable[[], None]]]:
+        losses, day_s = self._experiment.losses, self._experiment.day_s
+        events: list[tuple[float, Callable[[], None]]] = []
+        if losses.domain_for_s:
+            events.append((losses.domain_at_s, self._go_dark))
+            events.append((losses.domain_at_s + losses.domain_for_s, self._come_back))
+        if losses.holder_for_s:
+            events.append((losses.holder_at_s, self._lose_holder))
+        if losses.leaving_share:
+            events.append((losses.leaving_at_s, self._leave))
+        events += [(at, self._lose) for at in self._times(2.0, losses.engine_every_s, day_s - 4.0)]
+        added = self._times(losses.added_from_s, losses.added_every_s, day_s)
+        events += [(at, self._add) for at in added]
+        timed = [(self._begin_s + at, call) for at, call in events]
+        return sorted(timed, key=lambda event: event[0])
+
+    def _times(self, from_s: float, every_s: float, until_s: float) -> list[float]:
+        found: list[float] = []
+        at_s = from_s + every_s * self._chance.uniform(0.0, 0.5)
+        while every_s and at_s < until_s:
+            found.append(at_s)
+            at_s += every_s * self._chance.uniform(0.7, 1.3)
+        return found
+
+    def _alive(self) -> list[FakeEngine]:
+        return [each for each in self.world.engines.values() if each.alive]
+
+    def _any_domain(self) -> DomainId:
+        return DomainId(f"d{self._chance.randrange(self._experiment.fleet.domains)}")
+
+    def _lose(self) -> None:
+        domain = self._any_domain()
+        alive = [each for each in self._alive() if each.domain == domain] or self._alive()
+        joined = [each for each in alive if each.membership is not None]
+        self._chance.choice(joined or alive).alive = False
+
+    def _add(self) -> None:
+        self.world.add(self._any_domain()).listed_s = self.world.now_s + LISTED_LATE_S
+
+    def _go_dark(self) -> None:
+        domain = self._any_domain()
+        self._dark = [each for each in self._alive() if each.domain == domain]
+        for engine in self._dark:
+            engine.alive = False
+
+    def _come_back(self) -> None:
+        for engine in self._dark:
+            again = self.world.add(engine.domain, engine.staged)
+            again.listed_s = self.world.now_s + self._chance.uniform(*BACK_WITHIN_S)
+
+    def _leave(self) -> None:
+        alive = self._alive()
+        number = int(self._experiment.losses.leaving_share * len(alive))
+        for engine in self._chance.sample(alive, number):
+            engine.leaving = True
+
+    def _lose_holder(self) -> None:
+        self._without_holder_s = self._experiment.losses.holder_for_s
+
+    # A step.
+
+    def _step(self) -> None:
+        if self._without_holder_s <= 0.0:
+            self.world.step()
+        else:
+            self.world.pass_time(STEP_S)
+            self._without_holder_s -= STEP_S
+            if self._without_holder_s <= 0.0:
+                self._take_over()
+        now_s = self.world.now_s
+        self._arrive(now_s)
+        self._update_servers()
+        self._place(now_s)
+        for server in self._servers.values():
+            self._outcomes += [(each, _outcome(each)) for each in server.step(now_s, STEP_S)]
+        self.world.coordinator.demand.update(self._meter.offered(now_s), now_s)
+        self._note()
+
+    def _take_over(self) -> None:
+        """Let another process go on, which has followed what is offered all the time."""
+        followed = self.world.coordinator.demand
+        self.world.take_over()
+        demand = self.world.coordinator.demand
+        demand.offered, demand.measured_since_s = followed.offered, followed.measured_since_s
+
+    def _arrive(self, now_s: float) -> None:
+        for figures in self._experiment.requests:
+            expected = self._rate(figures, now_s - self._begin_s) * STEP_S
+            for _ in range(_poisson(self._chance, expected)):
+                self._waiting.append(self._request(figures, now_s))
+        back = [each.request for each in self._returning if each.at_s <= now_s]
+        self._returning = [each for each in self._returning if each.at_s > now_s]
+        for request in back:
+            request.due_s = now_s + PATIENCE_SHARE * request.figures.objective_ms / 1000
+        self._waiting += back
+
+    def _rate(self, figures: RequestFigures, at_s: float) -> float:
+        wave = self._experiment.wave
+        rate = figures.per_s
+        if wave.period_s:
+            rate *= 1.0 + wave.swing * math.sin(2 * math.pi * at_s / wave.period_s)
+        for burst in self._experiment.bursts:
+            if burst.request == figures.name and burst.at_s <= at_s < burst.at_s + burst.for_s:
+                rate *= burst.factor
+        return rate
+
+    def _request(self, figures: RequestFigures, now_s: float) -> Request:
+        size = _lognormal(self._chance, figures.spread)
+        answer = max(LEAST_TOKENS, figures.answer_tokens * _lognormal(self._chance, figures.spread))
+        prompt = figures.prompt_tokens * size
+        model = ModelName(figures.model)
+        guess = int(figures.answer_tokens)
+        self._meter.note(model, work_s(self._spec, model, int(prompt), guess), now_s)
+        due_s = now_s + PATIENCE_SHARE * figures.objective_ms / 1000
+        return Request(figures, now_s, prompt, answer, FIRST_PART_TOKENS, due_s)
+
+    def _update_servers(self) -> None:
+        """Open servers for whole groups; requests of those that are broken go elsewhere."""
+        found: dict[GroupId, GroupServer] = {}
+        shown = {view.group: view for view in self.world.coordinator.views()}
+        for engine in self.world.engines.values():
+            membership = engine.membership
+            if membership is None or not self._leads(engine):
+                continue
+            group = membership.group
+            server = self._servers.get(group)
+            if server is None and group in shown:
+                server = GroupServer(self._spec, self._pace(engine))
+            if server is not None:
+                found[group] = server
+        for group, server in self._servers.items():
+            if group not in found:
+                self._break(server)
+        self._servers = found
+
+    def _break(self, server: GroupServer) -> None:
+        again_s = self.world.now_s + NOTICED_S
+        for request in server.running:
+            request.broke = request.broke or request.first_s is not None
+            request.prompt_left = request.figures.prompt_tokens
+            self._returning.append(_Returning(request, again_s))
+
+    def _leads(self, engine: FakeEngine) -> bool:
+        """Tell whether an engine leads a group that is whole and works on requests."""
+        membership = engine.membership
+        if not engine.alive or membership is None or membership.rank != 0:
+            return False
+        whole = all(self._stands(engine, each) for each in engine.members)
+        return whole and membership.phase.value in ("open", "closing")
+
+    def _stands(self, leader: FakeEngine, instance: InstanceId) -> bool:
+        member = self.world.engines[instance]
+        return member.alive and member.members == leader.members and member.membership is not None
+
+    def _pace(self, leader: FakeEngine) -> float:
+        model = self._spec.model(leader.model) if leader.model is not None else None
+        domains = {self.world.engines[each].domain for each in leader.members}
+        far = 1.0 if len(domains) == 1 else self._spec.far_factor
+        return far * (model.pace if model is not None else 1.0)
+
+    def _place(self, now_s: float) -> None:
+        shown = {view.group: view.model for view in self.world.coordinator.views()}
+        left = []
+        for request in self._waiting:
+            open_ = [
+                server
+                for group, server in self._servers.items()
+                if shown.get(group) == request.figures.model
+                and server.load < self._spec.slots + QUEUED_AT_MOST
+            ]
+            if open_:
+                least = min(open_, key=lambda each: each.pace * (1 + each.load))
+                least.running.append(request)
+            elif now_s < request.due_s:
+                left.append(request)
+            else:
+                self._refuse(request, now_s)
+        self._waiting = left
+
+    def _refuse(self, request: Request, now_s: float) -> None:
+        if request.refused:
+            self._outcomes.append((request, Outcome.REFUSED))
+            return
+        request.refused = True
+        self._returning.append(_Returning(request, now_s + RETURNS_S))
+
+    def _note(self) -> None:
+        alive = self._alive()
+        used = sum(
+            len(each.members)
+            for each in alive
+            if each.membership is not None and each.membership.group in self._servers
+            if each.membership.rank == 0
+        )
+        self._stranded.append(1.0 - used / max(1, len(alive)))
+        loading = {(e.instance, e.loading) for e in alive if e.loading is not None}
+        self._loads += len(loading - self._loading)
+        self._loading = loading
+        self._traded |= {
+            name
+            for name, group in self.world.coordinator.groups.items()
+            if group.cause.value == "traded"
+        }
+
+    # What came of it.
+
+    def _end_rest(self) -> None:
+        """Count what is under way by what has become of it so far."""
+        for server in self._servers.values():
+            self._outcomes += [(each, _outcome(each)) for each in server.running if each.first_s]
+
+    def _result(self) -> DayResult:
+        offered = sum(request.figures.worth for request, _ in self._outcomes) or 1.0
+        numbers = Counter(outcome for _, outcome in self._outcomes)
+        total = max(1, len(self._outcomes))
+        return DayResult(
+            worth=sum(_worth(*each) for each in self._outcomes) / offered,
+            worst=self._worst(),
+            in_time=numbers[Outcome.IN_TIME] / total,
+            late=numbers[Outcome.LATE] / total,
+            refused=numbers[Outcome.REFUSED] / total,
+            stranded=statistics.fmean(self._stranded),
+            loads=float(self._loads),
+            traded=float(len(self._traded)),
+        )
+
+    def _worst(self) -> float:
+        windows: dict[int, list[tuple[Request, Outcome]]] = {}
+        for request, outcome in self._outcomes:
+            window = int((request.arrived_s - self._begin_s) / WINDOW_S)
+            windows.setdefault(window, []).append((request, outcome))
+        shares = sorted(
+            sum(_worth(*each) for each in found) / sum(r.figures.worth for r, _ in found)
+            for found in windows.values()
+        )
+        return statistics.fmean(shares[:WORST_WINDOWS])
+
+
+def _outcome(request: Request) -> Outcome:
+    return Outcome.IN_TIME if request.in_time else Outcome.LATE
+
+
+def _worth(request: Request, outcome: Outcome) -> float:
+    return {
+        Outcome.IN_TIME: request.figures.worth,
+        Outcome.LATE: request.figures.late_worth,
+        Outcome.REFUSED: 0.0,
+    }[outcome]
+
+
+def _poisson(chance: random.Random, expected: float) -> int:
+    """Draw how many requests arrive in a step."""
+    limit, product, number = math.exp(-expected), chance.random(), 0
+    while product > limit:
+        product *= chance.random()
+        number += 1
+    return number
+
+
+def _lognormal(chance: random.Random, spread: float) -> float:
+    """Draw a factor with mean 1."""
+    sigma = math.sqrt(math.log(1.0 + spread * spread))
+    return chance.lognormvariate(-sigma * sigma / 2, sigma)
+
+
+def play(experiment: Experiment, seed: int, tuning: CoordinatorTuning) -> DayResult:
+    """Play the day of a seed."""
+    return Day(experiment, seed, tuning).play()
+
+
+__all__ = ["Day", "DayResult", "play"]
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/grouplab/groupserver.py
@@ -0,0 +1,43 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A group that answers requests, one prompt after the other and all answers together."""
+
+from ochreway_direct.configuration import EngineSpec
+from ochreway_standins.grouplab.request import Request
+
+
+class GroupServer:
+    """Hold the requests of one group; more than its slots wait."""
+
+    def __init__(self, spec: EngineSpec, pace: float) -> None:
+        self._spec = spec
+        self.pace = pace
+        self.running: list[Request] = []
+
+    @property
+    def load(self) -> int:
+        """Return how many requests run or wait here."""
+        return len(self.running)
+
+    def step(self, now_s: float, duration_s: float) -> list[Request]:
+        """Let time pass; return the requests whose answers have ended."""
+        active = self.running[: self._spec.slots]
+        reading = duration_s * self._spec.read_tokens_per_s / self.pace
+        writing = [each for each in active if each.prompt_left <= 0]
+        for each in active:
+            read = min(reading, each.prompt_left)
+            each.prompt_left -= read
+            reading -= read
+        tokens = duration_s / (self.pace * self._spec.token_s(max(1, len(writing))))
+        for each in writing:
+            each.answer_left -= tokens
+            each.first_part_tokens -= tokens
+            if each.first_s is None and each.first_part_tokens <= 0:
+                each.first_s = now_s
+        ended = [each for each in writing if each.answer_left <= 0]
+        for each in ended:
+            each.first_s = each.first_s if each.first_s is not None else now_s
+        self.running = [each for each in self.running if each not in ended]
+        return ended
+
+
+__all__ = ["GroupServer"]
--- /dev/null
+++ b/tests/standins/test_grouplab.py
@@ -0,0 +1,88 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The laboratory, and the heavy days that decisions were chosen by.
+
+Worth is the share of what all requests were worth; an experiment's ``pattern`` names the load and
+where its figures are from. The floors are the means of 32 days of the way that was given up, plus
+half of what the way in force won over it; three seeds are played here.
+"""
+
+import pathlib
+import statistics
+import tempfile
+
+import testtools
+
+from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_standins.grouplab.__main__ import tuning_of
+from ochreway_standins.grouplab.day import play
+from ochreway_standins.grouplab.errors import ExperimentError
+from ochreway_standins.grouplab.reader import EXPERIMENTS, experiment_names, read_experiment
+
+SEEDS = (1, 2, 3)
+HEAVY = CoordinatorTuning(first_start=True)
+
+
+class HeavyDayTests(testtools.TestCase):
+    def worth(self, name: str) -> float:
+        """Return the mean worth of an experiment's days."""
+        experiment = read_experiment(name)
+        return statistics.fmean(play(experiment, seed, HEAVY).worth for seed in SEEDS)
+
+    def test_most_work_for_the_small_model_with_engines_and_a_domain_lost(self) -> None:
+        self.assertGreater(self.worth("small-model-heavy"), 0.86)
+
+    def test_work_that_turns_from_one_model_to_the_other(self) -> None:
+        self.assertGreater(self.worth("mix-turns"), 0.80)
+
+    def test_a_burst_while_a_quarter_of_the_engines_leaves(self) -> None:
+        self.assertGreater(self.worth("burst-while-shrinking"), 0.76)
+
+
+class DayTests(testtools.TestCase):
+    def test_a_seed_gives_the_same_day_again(self) -> None:
+        experiment = read_experiment("two-models-even")
+        self.assertEqual(play(experiment, 5, HEAVY), play(experiment, 5, HEAVY))
+
+
+class ReaderTests(testtools.TestCase):
+    def fault(self, old: str, new: str) -> ExperimentError:
+        """Return the error for an experiment in which some text is replaced."""
+        content = (EXPERIMENTS / "burst-while-shrinking.toml").read_text()
+        assert old in content
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "changed.toml"
+            path.write_text(content.replace(old, new, 1))
+            return self.assertRaises(ExperimentError, read_experiment, str(path))
+
+    def test_every_experiment_can_be_read(self) -> None:
+        self.assertGreaterEqual(len(experiment_names()), 5)
+        for name in experiment_names():
+            self.assertEqual(name, read_experiment(name).name)
+
+    def test_a_wrong_field_is_named(self) -> None:
+        for old, new, field in (
+            ("slots = 24", 'slots = "many"', "fleet.slots"),
+            ("slots = 24", "slots = true", "fleet.slots"),
+            ("slots = 24", "slot = 24", "fleet.slot"),
+            ("per_s = 6.8", "per_s = -1.0", "loads.per_s"),
+            ('model = "large"', 'model = "huge"', "requests[0].model"),
+            ('request = "note"', 'request = "nothing"', "bursts[0].request"),
+            ("size = 12", "size = 28", "models[0].size"),
+            ("swing = 0.2", "", "wave.swing"),
+            ("lead_s = 16.0", "lead_s = ", "changed.toml"),
+        ):
+            self.assertIn(field, self.fault(old, new).field)
+
+    def test_an_unknown_experiment_is_an_error(self) -> None:
+        self.assertRaises(ExperimentError, read_experiment, "no-such-day")
+
+
+class WayTests(testtools.TestCase):
+    def test_a_way_changes_the_settings_that_it_names(self) -> None:
+        found = tuning_of("trading=false,keep_bonus=1.5")
+        self.assertEqual((False, 1.5), (found.trading, found.keep_bonus))
+
+    def test_a_wrong_way_is_an_error_that_names_the_setting(self) -> None:
+        for way in ("no_such=1", "trading=maybe", "keep_bonus=much"):
+            fault = self.assertRaises(ExperimentError, tuning_of, way)
+            self.assertEqual(way.split("=")[0], fault.field)
