--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
@@ -0,0 +1,99 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Learning which halls are drained, telling it on, and having this entry go by it."""
+
+import asyncio
+from collections.abc import Callable
+
+from ochreway_core.drainedhalls import DrainedHalls
+from ochreway_core.ids import HallId
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.halldrains import HallDrains
+from ochreway_direct.messages import DrainNews
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+
+
+class DrainKeeper:
+    """Have the fleet close halls in time, and groups formed elsewhere from the first moment."""
+
+    def __init__(
+        self,
+        drains: HallDrains,
+        fleet: Fleet,
+        planned: Callable[[frozenset[HallId]], None],
+        changed: Callable[[], None],
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Start with the parts given.
+
+        ``planned`` is told which halls nothing is to be planned for; ``changed`` is called after
+        that, so that others hear of it at once.
+        """
+        self._drains = drains
+        self._fleet = fleet
+        self._planned = planned
+        self._changed = changed
+        self._log = log
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        self._closed: frozenset[HallId] = frozenset()
+
+    @property
+    def known(self) -> bool:
+        """Tell whether this entry has learned which halls are drained, if any."""
+        return self._drains.known
+
+    def read(self, word: DrainedHalls, asked_s: float) -> None:
+        """Take what the store said to a question that was asked at a time."""
+        before = self._drains.draining()
+        if self._drains.read(word, asked_s):
+            self._note_change(before)
+
+    def hear(self, news: DrainNews, echo_s: float | None) -> None:
+        """Take what another entry tells, which was known no earlier than what it echoes."""
+        before = self._drains.draining()
+        ages_s = news.unseen_age_s if echo_s is not None else {}
+        unseen_s = {hall: (echo_s or 0.0) - age_s for hall, age_s in ages_s.items()}
+        if self._drains.hear(news.drained, unseen_s):
+            self._note_change(before)
+
+    def news(self, now_s: float) -> DrainNews:
+        """Return what to tell other entries."""
+        return DrainNews(self._drains.newest, self._drains.unseen_age_s(now_s))
+
+    def tick(self, now_s: float) -> None:
+        """Close the halls whose time has passed, and open those that were given back."""
+        closed = self._drains.closed(now_s)
+        if closed == self._closed:
+            return
+        version = self._drains.newest.version
+        for hall in sorted(closed - self._closed):
+            self._metrics.count("hall.closed")
+            self._log.event("hall_closed", hall=hall, version=version)
+        self._closed = closed
+        self._fleet.set_closed_halls(closed)
+
+    def gauges(self) -> dict[str, float]:
+        """Return how many halls are drained, and how many of them get nothing any more."""
+        draining = self._drains.draining()
+        return {"halls_draining": float(len(draining)), "halls_closed": float(len(self._closed))}
+
+    def _note_change(self, before: frozenset[HallId]) -> None:
+        """Tell of halls that were drained or given back, and act on it."""
+        now_s = self._loop.time()
+        version = self._drains.newest.version
+        draining = self._drains.draining()
+        for hall in sorted(draining - before):
+            left_s = round(self._drains.left_s(hall, now_s), 3)
+            self._metrics.count("hall.draining")
+            self._log.event("hall_draining", hall=hall, version=version, left_s=left_s)
+        for hall in sorted(before - draining):
+            self._metrics.count("hall.restored")
+            self._log.event("hall_restored", hall=hall, version=version)
+        self._planned(draining)
+        self.tick(now_s)
+        self._changed()
+
+
+__all__ = ["DrainKeeper"]
--- a/packages/ochreway-direct/src/ochreway_direct/halldrains.py
+++ b/packages/ochreway-direct/src/ochreway_direct/halldrains.py
@@ -6,6 +6,13 @@
 from ochreway_core.drainedhalls import UNREAD_HALLS, DrainedHalls
 from ochreway_core.ids import HallId
 
+SENT_LATE_S = 1.0
+"""How long before the bound a hall is closed.
+
+A request for which a target was chosen just before may wait 0.6 s for a connection, and on a link
+that loses packets its first part is sent again after some 0.2 s.
+"""
+
 
 class HallDrains:
     """Hold the newest word on drained halls, and the time that each has left.
@@ -16,39 +23,77 @@
     """
 
     def __init__(self, bound_s: float) -> None:
-        self._bound_s = bound_s
+        """Start without any word; drains are bounded by so many seconds."""
+        self._open_s = max(0.0, bound_s - SENT_LATE_S)
         self._newest = UNREAD_HALLS
-        self._close_s: dict[HallId, float] = {}
+        self._asked_s: float | None = None
+        self._unseen_s: dict[HallId, float] = {}
 
     @property
     def newest(self) -> DrainedHalls:
         """Return the newest word, to be told to others."""
         return self._newest
 
+    @property
+    def known(self) -> bool:
+        """Tell whether any word was learned."""
+        return self._newest.newer_than(UNREAD_HALLS)
+
     def draining(self) -> frozenset[HallId]:
         """Return the halls that nothing new is to be planned for."""
         return frozenset(self._newest.halls)
 
     def closed(self, now_s: float) -> frozenset[HallId]:
         """Return the halls that get no further request."""
-        return frozenset(h for h in self._newest.halls if now_s >= self._close_s.get(h, now_s))
+        return frozenset(hall for hall in self._newest.halls if self.left_s(hall, now_s) <= 0.0)
 
-    def unseen_age_s(self, now_s: float) -> Mapping[HallId, float]:
-        """Return for each hall how long ago the last word without it was asked for."""
-        return {h: now_s - (close_s - self._bound_s) for h, close_s in self._close_s.items()}
+    def left_s(self, hall: HallId, now_s: float) -> float:
+        """Return for how much longer a drained hall may be sent to."""
+        unseen_s = self._unseen_s.get(hall)
+        return max(0.0, unseen_s + self._open_s - now_s) if unseen_s is not None else 0.0
 
-    def learn(
-        self, word: DrainedHalls, asked_s: float, unseen_s: Mapping[HallId, float] | None = None
-    ) -> bool:
-        """Take a word that is newer than what is known; return whether the halls changed.
+    def unseen_age_s(self, now_s: float) -> dict[HallId, float]:
+        """Return for each hall how long ago the last word without it was asked for, if known."""
+        return {hall: now_s - unseen_s for hall, unseen_s in self._unseen_s.items()}
+
+    def read(self, word: DrainedHalls, asked_s: float) -> bool:
+        """Take what the store said to a question of this entry; return whether halls changed.
 
         Args:
             word: the drained halls as of a reading of the store.
             asked_s: when that reading was asked for, on this process's steady clock.
-            unseen_s: for halls that another entry told of, when the last word without each was
-                asked for, at the earliest.
         """
-        raise NotImplementedError
+        changed = self._take(word, {})
+        if word.newer_than(UNREAD_HALLS):
+            self._asked_s = max(asked_s, self._asked_s) if self._asked_s is not None else asked_s
+        return changed
+
+    def hear(self, word: DrainedHalls, unseen_s: Mapping[HallId, float]) -> bool:
+        """Take another entry's word; return whether halls changed.
+
+        Args:
+            word: the drained halls as of a reading of the store.
+            unseen_s: for each hall when the last word without it was asked for, at the earliest,
+                on this process's steady clock; halls of which that is not known are left out.
+        """
+        return self._take(word, unseen_s)
+
+    def _take(self, word: DrainedHalls, unseen_s: Mapping[HallId, float]) -> bool:
+        """Take a newer word as a whole; the time that a hall has left is set when it comes in.
+
+        Every reading before this one is without the halls that it adds, or from before they were
+        drained anew, so the last question of this entry bounds their time too.
+        """
+        if not word.newer_than(self._newest):
+            return False
+        before, self._newest = self._newest, word
+        known_s = {hall: at_s for hall, at_s in self._unseen_s.items() if hall in word.halls}
+        for hall in set(word.halls) - set(before.halls):
+            bounds_s = [at_s for at_s in (self._asked_s, unseen_s.get(hall)) if at_s is not None]
+            if bounds_s:
+                known_s[hall] = max(bounds_s)
+        self._unseen_s = known_s
+        return set(word.halls) != set(before.halls)
 
 
-__all__ = ["HallDrains"]
+__all__ = ["SENT_LATE_S", "HallDrains"]
