Drained halls: learned, told with heartbeats, closed in time, planned without

Cause: `op` rows that drain a hall were decoded and dropped; entries sent there for good.

The follower hands every reading's halls on, also one whose configuration cannot be decoded: the error carries them. Heartbeats carry the newest set; an entry takes no configuration of another's before it knows any. Entries close a hall at the bound from the last reading without it, less 1 s. The coordinator counts no engine, load or standing group there and gives no order there; its groups stay in view. A request whose every place is in a closed hall is refused at once.

Ruled out: treating silence of engines of a drained hall as any other, which would stop all planning once two of three halls are dark, and count planned work on a hall as losses to expect.

--- a/packages/ochreway-core/src/ochreway_core/reason.py
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -18,6 +18,7 @@
     GROUP_LOADING = "group_loading"
     DRAINING = "draining"
     LEAVING = "leaving"
+    HALL_DRAINED = "hall_drained"
     STALE_VERSION = "stale_version"
     STALE_EPOCH = "stale_epoch"
     HAND_OVER_LATE = "hand_over_late"
--- a/packages/ochreway-direct/src/ochreway_direct/configurationfollower.py
+++ b/packages/ochreway-direct/src/ochreway_direct/configurationfollower.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ochreway_core.backoff import Backoff
+from ochreway_core.drainedhalls import DrainedHalls
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import ConfigurationReading, ConfigurationSource
@@ -37,13 +38,15 @@
         backoff: Backoff,
         question_s: Callable[[], float | None],
         applied: Callable[[Configuration], None],
+        drained: Callable[[DrainedHalls, float], None],
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         """Start with the parts given.
 
         ``question_s`` tells for how long a question to the store may stay open now, or None when
-        this entry hears of versions from others; ``applied`` is told of each new one.
+        this entry hears of versions from others; ``applied`` is told of each new one, and
+        ``drained`` of the halls that each reading shows, with when it was asked for.
         """
         self._source = source
         self._serving = serving
@@ -52,6 +55,7 @@
         self._backoff = backoff
         self._question_s = question_s
         self._applied = applied
+        self._drained = drained
         self._log = log
         self._metrics = metrics
         self._fault = Repeats(log, "configuration_unavailable")
@@ -84,6 +88,9 @@
         self._metrics.count("configuration.asked" if wait_s else "configuration.asked_late")
         try:
             reading = await self._source.poll(wait_s)
+        except ConfigurationUnreadable as fault:
+            self._drained(fault.drained, asked_s)
+            return self._failed(fault, asked_s + wait_s)
         except PlatformError as fault:
             return self._failed(fault, asked_s + wait_s)
         self._backoff.succeeded()
@@ -101,6 +108,7 @@
         return self._backoff.failed()
 
     def _take(self, reading: ConfigurationReading) -> float:
+        self._drained(reading.drained, reading.asked_s)
         if reading.configuration is None:
             return self._timing.configuration_gap_s
         begun_s = self._loop.time()
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/census.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/census.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Census:
-    """Hold a service's engines and groups by domain.
+    """Hold a service's engines and groups by domain, without halls that are drained.
 
     ``free`` engines can become members, and whoever forms a group takes its members out of it.
     ``survivors`` are usable engines that groups are about to release. A domain is ``warm`` when
@@ -41,7 +41,7 @@
     free: Engines = defaultdict(list)
     warm = set()
     for record in state.engines.values():
-        if record.service != service or record.instance in held:
+        if record.service != service or record.instance in held or state.drains(record):
             continue
         if record.state.staged or record.staging or record.last_model:
             warm.add(record.domain)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -3,7 +3,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from ochreway_core.ids import Epoch, GroupId, InstanceId
+from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.coordinator.assignment import Assignment
 from ochreway_direct.coordinator.demand import Demand
@@ -117,6 +117,18 @@
                     self.tuning.loads_window_s + self.tuning.loads_slack_s,
                 )
 
+    def drain(self, halls: frozenset[HallId]) -> None:
+        """Plan without some halls from now on, and with others that were given back.
+
+        Engines of these are asked at once, as they were asked rarely meanwhile.
+        """
+        restored = self._state.draining - halls
+        self._state.draining = halls
+        self._changed = True
+        for record in self.engines.values():
+            if record.listed.hall in restored:
+                record.probed_s = NEVER_S
+
     def on_listing(
         self, targets: Iterable[ListedTarget], now_s: float, regained_s: float = NEVER_S
     ) -> None:
@@ -136,7 +148,7 @@
             if instance in gone and record.missing_s is None:
                 record.missing_s = now_s
                 if not record.dead:
-                    self._state.losses.lost(now_s)
+                    self._count_loss(record, now_s)
 
     def _list(self, instance: InstanceId, listed: ListedTarget, now_s: float) -> None:
         record = self.engines.get(instance)
@@ -179,9 +191,14 @@
         if refused or record.misses >= allowed:
             if not record.dead:
                 self._changed = True
-                self._state.losses.lost(now_s)
+                self._count_loss(record, now_s)
             record.dead = True
 
+    def _count_loss(self, record: EngineRecord, now_s: float) -> None:
+        """Count a loss to be expected again; engines of a drained hall may be switched off."""
+        if not self._state.drains(record):
+            self._state.losses.lost(now_s)
+
     def on_unsettled(self, instance: InstanceId) -> None:
         """Note that nothing was learned from a probe; the engine is asked again."""
         record = self.engines.get(instance)
@@ -263,10 +280,14 @@
                     listed.address,
                     listed.hall,
                     round(pace, PACE_DIGITS),
+                    self._halls(group),
                 )
             )
         return tuple(found)
 
+    def _halls(self, group: GroupRecord) -> tuple[HallId, ...]:
+        return tuple(sorted({self.engines[each].listed.hall for each in group.members}))
+
     def summaries(self) -> tuple[DomainSummary, ...]:
         """Return what the engines of each domain are doing."""
         return summaries(self.engines.values(), frozenset(self._state.held()))
@@ -368,12 +389,19 @@
         if not untouched:
             for service, limit in self._state.limits.items():
                 unseen = int(limit.left(now_s) * self.tuning.loads_unseen_share)
-                begun = self._state.loading(service) + unseen
+                begun = self._state.loading_anywhere(service) + unseen
                 limit.take(now_s, min(begun, limit.left(now_s)))
 
     def _all_silent(self) -> bool:
-        """Tell whether so many engines are silent that the fault must be nearer home."""
-        answering = [each for each in self.engines.values() if not each.leaving]
+        """Tell whether so many engines are silent that the fault must be nearer home.
+
+        Those of drained halls may have been switched off.
+        """
+        answering = [
+            each
+            for each in self.engines.values()
+            if not each.leaving and not self._state.drains(each)
+        ]
         silent = [each for each in answering if each.misses or each.dead]
         return len(silent) > self.tuning.silent_share_at_most * max(1, len(answering))
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
@@ -31,6 +31,8 @@
     MEMBER_LEFT = "member_left"
     MEMBER_BROKEN = "member_broken"
     MEMBER_LEAVING = "member_leaving"
+    HALL_DRAINED = "hall_drained"
+    """A member's hall is drained, and the others are of use elsewhere."""
     FENCED = "fenced"
     TOO_LATE = "too_late"
     SHUT = "shut"
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -136,10 +136,22 @@
                 return Loss(PhaseCause.MEMBER_LEAVING, instance)
         return None
 
+    def _torn(self, group: GroupRecord) -> Loss | None:
+        """Return why a group that is begun gives its engines up: some cannot be told to join."""
+        if group.cause is not PhaseCause.BEGUN:
+            return None
+        records = [self._state.engines[instance] for instance in group.members]
+        drained = [record for record in records if self._state.drains(record)]
+        if not drained or len(drained) == len(records):
+            return None
+        return Loss(PhaseCause.HALL_DRAINED, drained[0].instance)
+
     def _step_forming(self, group: GroupRecord, now_s: float) -> None:
+        if self._state.drains_group(group):
+            group.since_s = now_s
         late = now_s - group.since_s > group.expected_s + self._state.tuning.form_slack_s
         too_late = Loss(PhaseCause.TOO_LATE) if late else None
-        loss = self._unfit(group) or self._leaving(group) or too_late
+        loss = self._unfit(group) or self._leaving(group) or self._torn(group) or too_late
         if loss is not None:
             group.enter(GroupPhase.DISSOLVING, now_s, loss.cause, loss.blamed)
             return
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/probing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/probing.py
@@ -30,6 +30,8 @@
     IDLE = "idle"
     """Its group serves, and nobody is asking anything of it."""
     FREE = "free"
+    DRAINED = "drained"
+    """Its hall is drained, and nothing may be done there."""
 
 
 PROBES_SAVED_S = 0.5
@@ -47,6 +49,7 @@
         ProbeCause.HEARD: tuning.probe_heard_s,
         ProbeCause.IDLE: tuning.probe_serving_s,
         ProbeCause.FREE: tuning.probe_free_s,
+        ProbeCause.DRAINED: tuning.probe_drained_s,
     }
 
 
@@ -108,11 +111,13 @@
     def _of(self, record: EngineRecord, now_s: float) -> ProbeCause | None:
         """Return why an engine is asked for its own sake, if it is."""
         if record.dead:
-            return ProbeCause.DEAD
+            return ProbeCause.DRAINED if self._state.drains(record) else ProbeCause.DEAD
         if record.suspected:
             return ProbeCause.SUSPECTED
         if record.misses or record.observed_s < 0:
             return ProbeCause.UNSETTLED
+        if self._state.drains(record):
+            return ProbeCause.DRAINED
         if record.has_news(now_s):
             return ProbeCause.NEWS
         if record.staging and not self._asked:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from ochreway_core.ids import NO_EPOCH, DomainId, Epoch, GroupId, InstanceId
+from ochreway_core.ids import NO_EPOCH, DomainId, Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.assignment import Assignment
 from ochreway_direct.coordinator.demand import Demand
@@ -25,7 +25,9 @@
 class CoordinatorState:
     """Hold engines, groups, the figures of services, and the orders of one step.
 
-    No load begins before the ones are ``loads_seen`` that a former holder began.
+    No load begins before the ones are ``loads_seen`` that a former holder began. Nothing is planned
+    or ordered in ``draining`` halls: their engines are no room, and their groups are kept as they
+    are without counting as standing.
     """
 
     tuning: CoordinatorTuning
@@ -36,6 +38,7 @@
     demand: Demand = field(default_factory=Demand)
     losses: LossMeter = field(default_factory=LossMeter)
     loads_seen: bool = False
+    draining: frozenset[HallId] = frozenset()
     epoch: Epoch = NO_EPOCH
     out: list[Assignment] = field(default_factory=list)
 
@@ -70,7 +73,12 @@
         )
 
     def order(self, record: EngineRecord, order: Order, now_s: float) -> bool:
-        """Give an order unless one is under way or the same was given just now."""
+        """Give an order unless one is under way or the same was given just now.
+
+        An engine of a hall that is drained gets none.
+        """
+        if self.drains(record):
+            return False
         wait_s = self._repeat_after_s(record)
         again = order == record.ordered and now_s - record.ordered_s < wait_s
         if record.pending is not None or again:
@@ -87,6 +95,17 @@
         unseen = record.observed_s <= record.ordered_s
         return self.tuning.order_unseen_retry_s if unseen else self.tuning.order_taken_retry_s
 
+    def drains(self, record: EngineRecord) -> bool:
+        """Tell whether an engine is in a hall that is drained."""
+        return record.listed.hall in self.draining
+
+    def drains_group(self, group: GroupRecord) -> bool:
+        """Tell whether any member of a group is in a hall that is drained."""
+        if not self.draining:
+            return False
+        records = (self.engines.get(instance) for instance in group.members)
+        return any(record is not None and self.drains(record) for record in records)
+
     def held(self) -> set[InstanceId]:
         """Return the engines that some group has not released."""
         return {
@@ -97,8 +116,12 @@
         }
 
     def of_service(self, service: ServiceName) -> Iterable[GroupRecord]:
-        """Return the groups of a service."""
-        return [group for group in self.groups.values() if group.service == service]
+        """Return the groups of a service that need no hall that is drained."""
+        return [
+            group
+            for group in self.groups.values()
+            if group.service == service and not self.drains_group(group)
+        ]
 
     def closing(self, domain: DomainId) -> bool:
         """Tell whether a group of a domain is being closed."""
@@ -153,12 +176,19 @@
         return True
 
     def loading(self, service: ServiceName) -> int:
-        """Return how many engines of a service are getting weights."""
-        return sum(
-            1
+        """Return how many engines of a service get weights, outside drained halls."""
+        return sum(not self.drains(record) for record in self._loading(service))
+
+    def loading_anywhere(self, service: ServiceName) -> int:
+        """Return how many engines of a service get weights, in any hall."""
+        return len(self._loading(service))
+
+    def _loading(self, service: ServiceName) -> list[EngineRecord]:
+        return [
+            record
             for record in self.engines.values()
             if record.service == service and not record.dead and record.loading
-        )
+        ]
 
 
 __all__ = ["STANDING", "CoordinatorState"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -18,6 +18,7 @@
     kept busy, is not planned, and one that stands is preferred to a new one by ``keep_bonus``.
     Members of a group whose answers entries hear are asked each ``probe_heard_s`` only, as silence
     there is noticed at once; free engines each ``probe_free_s``, as their list tells of changes.
+    Engines of a hall that is drained are asked each ``probe_drained_s``, as nothing is done there.
     All together at most ``probes_per_s`` are asked, at some 0.3 ms of processor each.
     An order is repeated after ``order_retry_s``, and after ``order_taken_retry_s`` when the engine
     has acknowledged it, as reports lag; while no report has come since, which happens where many
@@ -42,6 +43,7 @@
     probe_staging_s: float = 0.25
     misses_until_dead: int = 2
     dead_probe_s: float = 1.0
+    probe_drained_s: float = 2.0
     order_retry_s: float = 0.25
     order_taken_retry_s: float = 0.9
     order_unseen_retry_s: float = 4.0
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -15,10 +15,12 @@
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.dependencies import Dependencies
+from ochreway_direct.drainkeeper import DrainKeeper
 from ochreway_direct.fleet import SAMPLED_GROUPS, Fleet
 from ochreway_direct.fleetsharing import FleetSharing
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.freshness import Freshness
+from ochreway_direct.halldrains import HallDrains
 from ochreway_direct.heartbeats import Heartbeats
 from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.lease import Holder, Lease
@@ -124,6 +126,14 @@
             metrics,
         )
         self.view = FleetView(settings.list_trust_s)
+        self._drains = DrainKeeper(
+            HallDrains(settings.hall_drain_s),
+            fleet,
+            self.coordination.coordinator.drain,
+            self._halls_changed,
+            log,
+            metrics,
+        )
         self._heartbeats = Heartbeats(
             incarnation,
             known,
@@ -134,6 +144,7 @@
             self.view,
             self.lease,
             self.meter,
+            self._drains,
             lambda: self._sharing.show(),
         )
         self._sharing = FleetSharing(
@@ -167,6 +178,7 @@
             self._backoff(timing),
             self._versions.question_s,
             self._versions.applied,
+            self._drains.read,
             log,
             metrics,
         )
@@ -253,6 +265,7 @@
             "lease_held": float(self.lease.held),
             "groups": float(len(self.view.groups(now_s))),
             "entries_heard": float(len(self.peers.alive(now_s))),
+            **self._drains.gauges(),
         }
 
     def _share_retries(self) -> None:
@@ -266,6 +279,7 @@
         if now_s - self._ticked_s > self._timing.pause_noticed_s:
             self.coordination.coordinator.on_pause()
         self._ticked_s = now_s
+        self._drains.tick(now_s)
         # Every entry follows what is offered, as it may be the next to form groups.
         if self.lease.held or self.settings.has(Mechanism.FOLLOWED_DEMAND):
             self._take_demand(now_s)
@@ -322,8 +336,17 @@
                 handler(sender, message)
 
     def _on_configuration_update(self, _: Peer, update: ConfigurationUpdate) -> None:
+        if not self._drains.known:
+            # Its sender's heartbeats tell of the halls; this entry then asks for the version.
+            self.metrics.count("configuration.without_halls")
+            return
         self._configurations.apply(update.configuration)
 
+    def _halls_changed(self) -> None:
+        """Have others hear at once that a hall is drained or given back, and groups planned."""
+        self._heartbeats.send(self._loop.time())
+        self._step_soon()
+
     def _on_link_down(self, node: NodeId) -> None:
         self.peers.lost_link(node, self._loop.time())
         self._lease_keeper.on_link_down(node)
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -144,6 +144,24 @@
         """Tell whether all of some halls may be sent to."""
         return not halls & self._closed_halls and (within is None or halls <= within)
 
+    def all_closed(
+        self,
+        service: ServiceName,
+        model: ModelName | None,
+        within: frozenset[HallId] | None = None,
+    ) -> bool:
+        """Tell whether there are places for a model, all of them in halls that are closed."""
+        if not self._closed_halls:
+            return False
+        needed = [
+            halls_of(each)
+            for each in self._by_service.get(service, ())
+            if model is None or each.model == model
+        ]
+        needed += [frozenset((t.hall,)) for t in self._targets.values() if t.service == service]
+        reached = [halls for halls in needed if within is None or halls <= within]
+        return bool(reached) and all(halls & self._closed_halls for halls in reached)
+
     def has_group(
         self,
         service: ServiceName,
--- a/packages/ochreway-direct/src/ochreway_direct/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetview.py
@@ -1,9 +1,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an entry believes the fleet to be, from the holder of the lease or from the list."""
 
+from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import replace
 
-from ochreway_core.ids import InstanceId
+from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.enginestate import MemberPhase
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.lastmodels import LastModels
@@ -174,15 +176,28 @@
         """Return the groups that serve."""
         if self._update is not None and now_s - self._updated_s < UPDATE_TRUSTED_S:
             return self._update.groups
-        listed = tuple(filter(None, map(_listed_group, self._targets.values())))
+        halls = self._halls_of_members()
+        groups = (_listed_group(target, halls) for target in self._targets.values())
+        listed = tuple(filter(None, groups))
         return listed or (self._update.groups if self._update is not None else ())
 
+    def _halls_of_members(self) -> dict[tuple[GroupId, Epoch], set[HallId]]:
+        """Return the halls of each group's members, as far as they are listed."""
+        found: dict[tuple[GroupId, Epoch], set[HallId]] = defaultdict(set)
+        for target in self._targets.values():
+            membership = target.engine.membership if target.engine is not None else None
+            if membership is not None:
+                found[membership.group, membership.epoch].add(target.hall)
+        return found
+
 
 def _order(update: FleetUpdate | FleetChange | None, later: int = 0) -> tuple[int, int]:
     return (update.lease_revision, update.sequence + later) if update is not None else (0, 0)
 
 
-def _listed_group(target: ListedTarget) -> GroupView | None:
+def _listed_group(
+    target: ListedTarget, halls: Mapping[tuple[GroupId, Epoch], set[HallId]]
+) -> GroupView | None:
     """Return the group that a listed engine leads and has open, if any."""
     state = target.engine
     if state is None or state.membership is None or state.model is None or target.leaving:
@@ -198,6 +213,7 @@
         target.instance,
         target.address,
         target.hall,
+        halls=tuple(sorted(halls[membership.group, membership.epoch])),
     )
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -9,6 +9,7 @@
 from ochreway_direct.cells import MESH_ENTRIES, Cells
 from ochreway_direct.coverage import Coverage
 from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.drainkeeper import DrainKeeper
 from ochreway_direct.elsewhere import Elsewhere
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.ids import CellId
@@ -60,6 +61,7 @@
         view: FleetView,
         lease: Lease,
         meter: DemandMeter,
+        drains: DrainKeeper,
         listed: Callable[[], None],
         mesh_entries: int = MESH_ENTRIES,
     ) -> None:
@@ -73,6 +75,7 @@
         self._view = view
         self._lease = lease
         self._meter = meter
+        self._drains = drains
         self._listed = listed
         self._mesh_entries = mesh_entries
         self._began_s = asyncio.get_running_loop().time()
@@ -182,6 +185,7 @@
             coverage=coverage,
             work=self._work_for(peer.node, coverage, own),
             entries=entries,
+            drains=self._drains.news(now_s),
         )
 
     def _sighting(self, now_s: float) -> LeaseSighting | None:
@@ -241,6 +245,8 @@
             self.elsewhere.take(
                 *(sender.node, heartbeat.coverage, heartbeat.cell, covered, heartbeat.work, now_s)
             )
+        # A version may not be gone by before it is known which halls are drained.
+        self._drains.hear(heartbeat.drains, self._own_echo_s(heartbeat, now_s))
         self._take_version(sender, heartbeat, now_s)
         self._compare_views(sender, heartbeat, now_s)
         if heartbeat.wanted and sender.node not in self._contacts:
@@ -267,12 +273,20 @@
         if heartbeat.version > self._serving.version:
             self._fall_behind(sender, now_s)
             return
-        echo_s = heartbeat.echo_s
-        # What a former life of this process sent may be echoed, by a clock that began anew since.
-        echoed = echo_s is not None and self._began_s <= echo_s <= now_s
-        if echo_s is not None and echoed and heartbeat.version == self._serving.version:
+        echo_s = self._own_echo_s(heartbeat, now_s)
+        if echo_s is not None and heartbeat.version == self._serving.version:
             self._serving.freshness.prove(echo_s - heartbeat.proof_age_s)
 
+    def _own_echo_s(self, heartbeat: Heartbeat, now_s: float) -> float | None:
+        """Return when this process sent what is echoed, or None when it did not.
+
+        What a former life of it sent may be echoed, by a clock that began anew since.
+        """
+        echo_s = heartbeat.echo_s
+        if echo_s is None or not self._began_s <= echo_s <= now_s:
+            return None
+        return echo_s
+
     def _fall_behind(self, ahead: Peer, now_s: float) -> None:
         """Ask another entry for its newer version, once the store has had time to bring it.
 
--- a/packages/ochreway-direct/src/ochreway_direct/ports/configurationsource.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/configurationsource.py
@@ -35,7 +35,8 @@
 
         Raises:
             ConfigurationUnavailable: when the source does not answer.
-            ConfigurationUnreadable: when a version cannot be decoded.
+            ConfigurationUnreadable: when a version cannot be decoded; it names the halls that
+                the same reading shows as drained.
         """
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -49,6 +49,11 @@
         """Tell whether no further target may run this after the next one."""
         return not self.route.repeatable or self.runs + 1 >= self.route.attempts_at_most
 
+    @property
+    def begun(self) -> bool:
+        """Tell whether a target may have begun this, so that it is not simply refused."""
+        return self.answer is not None or self.runs > 0
+
     @property
     def silent_since_s(self) -> float:
         """Return since when the caller has been given nothing."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -145,6 +145,8 @@
             if found is not None:
                 call.waited_s += loop.time() - begun_s
                 return found
+            if not call.begun and self._all_closed(call):
+                raise self._give_up(call, Reason.HALL_DRAINED, self._tuning.regroup_after_s)
             if loop.time() >= until_s:
                 break
             await asyncio.sleep(self._tuning.place_poll_s)
@@ -152,8 +154,11 @@
         reason = Reason.QUEUE_FULL if full else Reason.NO_GROUP
         raise self._give_up(call, reason, self._tuning.regroup_after_s)
 
+    def _all_closed(self, call: Call) -> bool:
+        return self._fleet.all_closed(call.service, call.terms.model, call.within)
+
     def _patience_s(self, call: Call) -> float:
-        if call.answer is not None or call.runs:
+        if call.begun:
             return self._tuning.resume_patience_s
         return call.route.objective_s * self._tuning.patience_share
 
--- a/packages/ochreway-platform/src/ochreway_platform/errors.py
+++ b/packages/ochreway-platform/src/ochreway_platform/errors.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Errors of the platform layer."""
 
+from ochreway_core.drainedhalls import UNREAD_HALLS, DrainedHalls
 from ochreway_core.errors import OchrewayError
 
 
@@ -25,7 +26,14 @@
 
 
 class ConfigurationUnreadable(ConfigurationUnavailable):
-    """A version of the configuration cannot be decoded."""
+    """A version of the configuration cannot be decoded.
+
+    ``drained`` names the drained halls as of the same reading, which hold all the same.
+    """
+
+    def __init__(self, cause: str, drained: DrainedHalls = UNREAD_HALLS) -> None:
+        super().__init__(cause)
+        self.drained = drained
 
 
 class ListUnavailable(PlatformError):
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -13,9 +13,11 @@
 from ochreway_direct.cells import MESH_ENTRIES
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.drainkeeper import DrainKeeper
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.freshness import Freshness
+from ochreway_direct.halldrains import HallDrains
 from ochreway_direct.heartbeats import Heartbeats
 from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.lease import Holder, Lease
@@ -25,12 +27,15 @@
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.memorytable import MemoryTable
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
 from ochreway_wire.batch import Prepared, encode_batch
 
 STEP_S = 0.05
 SEEDS = 3
 KEY_TRUST_S = 4.5
 LIST_TRUST_S = 1.4
+HALL_DRAIN_S = 5.0
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -87,11 +92,18 @@
         self.lease = Lease(MemoryTable(), Holder(name, "1"), timing.lease_renew_s, backoff)
         links: Any = FakeLinks(world, me.peer)
         self.view = FleetView(LIST_TRUST_S)
+        self.drains = DrainKeeper(
+            *(HallDrains(HALL_DRAIN_S), self.fleet, lambda halls: None, self._halls_changed),
+            *(EventLog("entry", name, "error"), Metrics(None, "entry")),
+        )
         self.heartbeats = Heartbeats(
             *("1", me, seeds, self.peers, links, self.serving, self.view, self.lease),
-            *(DemandMeter(), lambda: None, mesh_entries),
+            *(DemandMeter(), self.drains, lambda: None, mesh_entries),
         )
 
+    def _halls_changed(self) -> None:
+        self.heartbeats.send(asyncio.get_running_loop().time())
+
     def begin(self, place: str) -> None:
         """Begin a request at a place."""
         attempt: Any = Attempt(NodeId(place), "x:1", self.me.hall, place)  # type: ignore[arg-type]
@@ -163,6 +175,8 @@
             self._steps += 1
             self._beat()
             self._deliver()
+            for entry in self.entries.values():
+                entry.drains.tick(self.now_s)
 
     def _beat(self) -> None:
         """Have each entry send its heartbeat when it is due; they are out of step."""
