--- /dev/null
+++ b/tests/direct/test_halldrains.py
@@ -0,0 +1,206 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Which word on drained halls counts, and how long each hall may still be sent to."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import testtools
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from ochreway_core.drainedhalls import DrainedHalls
+from ochreway_core.ids import HallId
+from ochreway_direct.drainkeeper import DrainKeeper
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.halldrains import SENT_LATE_S, HallDrains
+from ochreway_direct.messages import DrainNews
+from ochreway_runtime.metrics import Metrics
+from tests.runtime.recordedlog import RecordedLog
+
+BOUND_S = 5.0
+OPEN_S = BOUND_S - SENT_LATE_S
+ONE, OTHER = HallId("one"), HallId("other")
+
+
+def word(version: int, *halls: HallId) -> DrainedHalls:
+    return DrainedHalls(version, halls)
+
+
+class OrderTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.drains = HallDrains(BOUND_S)
+
+    def test_before_any_reading_nothing_is_known(self) -> None:
+        self.assertFalse(self.drains.known)
+        self.drains.read(word(0), 1.0)
+        self.assertFalse(self.drains.known)
+        self.drains.read(word(1), 2.0)
+        self.assertTrue(self.drains.known)
+
+    def test_a_late_word_brings_no_hall_back_that_was_given_back(self) -> None:
+        self.drains.read(word(5, ONE), 1.0)
+        self.drains.read(word(7), 2.0)
+        self.assertFalse(self.drains.hear(word(6, ONE), {ONE: 0.0}))
+        self.assertEqual(frozenset(), self.drains.draining())
+
+    def test_a_late_word_opens_no_hall_that_was_drained_since(self) -> None:
+        self.drains.read(word(7, ONE), 1.0)
+        self.assertFalse(self.drains.hear(word(6), {}))
+        self.assertEqual({ONE}, self.drains.closed(1.0))
+
+    def test_halls_that_are_drained_and_taken_back_in_another_order(self) -> None:
+        self.drains.read(word(1), 1.0)
+        self.drains.read(word(2, ONE), 2.0)
+        self.drains.read(word(3, ONE, OTHER), 3.0)
+        self.drains.read(word(4, OTHER), 4.0)
+        self.assertEqual({OTHER}, self.drains.draining())
+        self.drains.read(word(5, ONE, OTHER), 5.0)
+        # Drained anew, the first hall has its time from the last reading without it.
+        self.assertEqual(4.0 + OPEN_S - 5.0, self.drains.left_s(ONE, 5.0))
+        self.assertEqual(2.0 + OPEN_S - 5.0, self.drains.left_s(OTHER, 5.0))
+
+    def test_a_hall_drained_anew_while_this_entry_was_cut_off_stays_closed(self) -> None:
+        self.drains.read(word(1), 1.0)
+        self.drains.read(word(2, ONE), 2.0)
+        self.assertEqual({ONE}, self.drains.closed(9.0))
+        self.drains.hear(word(8, ONE), {ONE: 9.0})
+        self.assertEqual({ONE}, self.drains.closed(9.0))
+
+    @seed(1)
+    @settings(max_examples=300, deadline=None)
+    @given(st.lists(st.integers(0, 8), max_size=30), st.integers(0, 2**32))
+    def test_whatever_the_order_of_words_the_newest_counts(
+        self, order: list[int], chance: int
+    ) -> None:
+        random_ = random.Random(chance)
+        words = [word(v, *(h for h in (ONE, OTHER) if random_.random() < 0.5)) for v in range(9)]
+        drains = HallDrains(BOUND_S)
+        for at_s, version in enumerate(order):
+            if random_.random() < 0.5:
+                drains.read(words[version], float(at_s))
+            else:
+                drains.hear(words[version], {})
+        newest = max(order, default=0)
+        expected = frozenset(words[newest].halls) if newest else frozenset()
+        self.assertEqual(expected, drains.draining())
+
+
+class TimeTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.drains = HallDrains(BOUND_S)
+
+    def test_a_hall_is_open_until_the_bound_from_the_last_reading_without_it(self) -> None:
+        self.drains.read(word(1), 10.0)
+        self.drains.read(word(1), 11.0)
+        self.drains.read(word(2, ONE), 12.5)
+        self.assertEqual({ONE}, self.drains.draining())
+        self.assertEqual(frozenset(), self.drains.closed(11.0 + OPEN_S - 0.01))
+        self.assertEqual({ONE}, self.drains.closed(11.0 + OPEN_S))
+
+    def test_later_readings_with_the_hall_give_it_no_more_time(self) -> None:
+        self.drains.read(word(1), 10.0)
+        for version in range(2, 9):
+            self.drains.read(word(version, ONE), 10.0 + version)
+        self.assertEqual({ONE}, self.drains.closed(10.0 + OPEN_S))
+
+    def test_a_hall_that_the_first_reading_shows_is_closed_at_once(self) -> None:
+        self.drains.read(word(4, ONE), 10.0)
+        self.assertEqual({ONE}, self.drains.closed(10.0))
+
+    def test_what_is_heard_without_an_echo_closes_a_hall_at_once(self) -> None:
+        self.drains.hear(word(4, ONE), {})
+        self.assertEqual({ONE}, self.drains.closed(10.0))
+
+    def test_what_is_heard_counts_from_when_the_hall_was_last_not_there(self) -> None:
+        self.drains.hear(word(4, ONE), {ONE: 9.0})
+        self.assertEqual(frozenset(), self.drains.closed(9.0 + OPEN_S - 0.01))
+        self.assertEqual({ONE}, self.drains.closed(9.0 + OPEN_S))
+
+    def test_the_later_of_the_own_and_the_other_entrys_bound_holds(self) -> None:
+        for heard_s, expected_s in ((8.0, 10.0), (12.0, 12.0)):
+            drains = HallDrains(BOUND_S)
+            drains.read(word(1), 10.0)
+            drains.hear(word(4, ONE), {ONE: heard_s})
+            self.assertEqual(expected_s + OPEN_S - 13.0, drains.left_s(ONE, 13.0))
+
+    def test_a_bound_that_is_shorter_than_the_margin_closes_at_once(self) -> None:
+        drains = HallDrains(SENT_LATE_S / 2)
+        drains.read(word(1), 10.0)
+        drains.read(word(2, ONE), 10.1)
+        self.assertEqual({ONE}, drains.closed(10.1))
+
+
+class KeeperTests(testtools.TestCase):
+    def keeping(self, work: Callable[["KeeperTests"], None]) -> None:
+        async def run() -> None:
+            self.log = RecordedLog()
+            self.metrics = Metrics(None, "entry")
+            self.planned: list[frozenset[HallId]] = []
+            self.told = 0
+            self.now_s = asyncio.get_running_loop().time()
+            self.keeper = DrainKeeper(
+                HallDrains(BOUND_S),
+                Fleet(ONE, random.Random(1)),
+                self.planned.append,
+                self._tell,
+                self.log,
+                self.metrics,
+            )
+            work(self)
+
+        asyncio.run(run())
+
+    def _tell(self) -> None:
+        self.told += 1
+
+    def test_planning_ends_at_once_and_sending_with_a_tick_of_the_timer(self) -> None:
+        def work(case: KeeperTests) -> None:
+            case.keeper.read(word(1), case.now_s)
+            case.keeper.read(word(2, ONE), case.now_s)
+            self.assertEqual([frozenset({ONE})], case.planned)
+            self.assertEqual({"halls_draining": 1.0, "halls_closed": 0.0}, case.keeper.gauges())
+            case.keeper.tick(case.now_s + OPEN_S)
+            self.assertEqual({"halls_draining": 1.0, "halls_closed": 1.0}, case.keeper.gauges())
+            self.assertEqual({ONE}, case.keeper._fleet._closed_halls)
+
+        self.keeping(work)
+
+    def test_a_hall_that_is_given_back_is_open_at_once(self) -> None:
+        def work(case: KeeperTests) -> None:
+            case.keeper.read(word(2, ONE), case.now_s)
+            case.keeper.read(word(3), case.now_s)
+            self.assertEqual([frozenset({ONE}), frozenset()], case.planned)
+            self.assertEqual(frozenset(), case.keeper._fleet._closed_halls)
+
+        self.keeping(work)
+
+    def test_others_hear_of_each_change_once_and_operators_read_of_it(self) -> None:
+        def work(case: KeeperTests) -> None:
+            case.keeper.read(word(1), case.now_s)
+            case.keeper.read(word(2, ONE), case.now_s)
+            case.keeper.read(word(3, ONE), case.now_s)
+            case.keeper.tick(case.now_s + OPEN_S)
+            case.keeper.read(word(4), case.now_s)
+            self.assertEqual(2, case.told)
+            expected = ["hall_draining", "hall_closed", "hall_restored"]
+            self.assertEqual(expected, case.log.names)
+            counted = {f"hall.{each}" for each in ("draining", "closed", "restored")}
+            self.assertEqual(dict.fromkeys(counted, 1), dict(case.metrics.counters))
+            self.assertEqual(
+                ("one", 2), tuple(case.log.events[0][1][k] for k in ("hall", "version"))
+            )
+
+        self.keeping(work)
+
+    def test_what_is_told_on_gives_no_more_time_than_there_was(self) -> None:
+        def work(case: KeeperTests) -> None:
+            news = DrainNews(word(2, ONE), {ONE: 1.5})
+            case.keeper.hear(news, case.now_s - 0.4)
+            told = case.keeper.news(case.now_s)
+            self.assertAlmostEqual(1.9, told.unseen_age_s[ONE], 6)
+            self.assertEqual(news.drained, told.drained)
+
+        self.keeping(work)
