--- /dev/null
+++ b/tests/direct/test_closedhalls.py
@@ -0,0 +1,159 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Nothing further goes to a closed hall, and where there is no other callers hear at once."""
+
+import asyncio
+import random
+from dataclasses import replace
+
+import testtools
+
+from ochreway_core.ids import DomainId, Epoch, GroupId, HallId, InstanceId
+from ochreway_direct.configuration import RouteKind
+from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.fleetview import FleetView
+from ochreway_direct.groupview import GroupView
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.platformhealth import NEVER_S
+from ochreway_direct.relay.tuning import RelayTuning
+from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
+from tests.direct.relaycase import (
+    END,
+    PLAIN,
+    Headers,
+    RelayCase,
+    Running,
+    event,
+    stream_head,
+    whole,
+)
+
+CLOSED, OPEN = HallId("closed"), HallId("open")
+BREAKS_S = 0.3
+
+
+def group(name: str, hall: HallId, *members_in: HallId) -> GroupView:
+    leader = InstanceId(f"{name}-leader")
+    view = GroupView(GroupId(name), Epoch(1), SERVICE, LARGE.name, leader, "x:1", hall)
+    return replace(view, halls=members_in)
+
+
+def plain(name: str, hall: HallId) -> ListedTarget:
+    return ListedTarget(InstanceId(name), PLAIN, "x:1", hall)
+
+
+class ClosedFleetTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Fleet(OPEN, random.Random(1))
+        self.fleet.set_closed_halls(frozenset({CLOSED}))
+
+    def picked(self) -> str | None:
+        found = self.fleet.pick_group(SERVICE, LARGE.name, (), SPEC, 3)
+        return found.group if found is not None else None
+
+    def test_a_group_with_any_member_in_the_hall_gets_nothing(self) -> None:
+        self.fleet.set_groups((group("there", CLOSED), group("partly", OPEN, OPEN, CLOSED)))
+        self.assertIsNone(self.picked())
+        self.fleet.set_groups((*self.fleet._groups.values(), group("here", OPEN, OPEN)))
+        self.assertEqual({"here"}, {self.picked() for _ in range(20)})
+
+    def test_a_plain_target_in_the_hall_gets_nothing(self) -> None:
+        self.fleet.set_targets((plain("there", CLOSED), plain("here", OPEN)))
+        chosen = {self.fleet.pick_target(PLAIN, ()) for _ in range(20)}
+        self.assertEqual({"here"}, {each.instance for each in chosen if each is not None})
+        self.assertIsNone(self.fleet.pick_target(PLAIN, (InstanceId("here"),)))
+
+    def test_a_hall_that_is_open_again_is_used_at_once(self) -> None:
+        self.fleet.set_groups((group("there", CLOSED),))
+        self.fleet.set_closed_halls(frozenset())
+        self.assertEqual("there", self.picked())
+
+    def test_all_is_closed_only_where_there_is_a_place_and_none_outside(self) -> None:
+        self.assertFalse(self.fleet.all_closed(SERVICE, LARGE.name))
+        self.fleet.set_groups((group("there", CLOSED),))
+        self.assertTrue(self.fleet.all_closed(SERVICE, LARGE.name))
+        self.assertFalse(self.fleet.all_closed(PLAIN, None))
+        self.fleet.set_groups((group("there", CLOSED), group("here", OPEN)))
+        self.assertFalse(self.fleet.all_closed(SERVICE, LARGE.name))
+        self.assertTrue(self.fleet.all_closed(SERVICE, LARGE.name, frozenset({CLOSED})))
+
+
+class ListedGroupTests(testtools.TestCase):
+    def test_a_group_known_from_the_list_names_the_halls_of_all_members(self) -> None:
+        def member(rank: int, hall: HallId) -> ListedTarget:
+            phase = MemberPhase.READY if rank else MemberPhase.OPEN
+            membership = Membership(GroupId("g"), Epoch(1), rank, phase)
+            state = EngineState(DomainId("d"), LARGE.name, (), membership)
+            return ListedTarget(InstanceId(f"e{rank}"), SERVICE, "x:1", hall, engine=state)
+
+        view = FleetView(1.4)
+        view.list((member(0, OPEN), member(1, CLOSED)), 10.0, 10.0, NEVER_S)
+        (found,) = view.groups(10.0)
+        self.assertEqual({OPEN, CLOSED}, set(found.halls))
+
+
+class ClosedRelayTests(RelayCase):
+    tuning = RelayTuning(patience_share=5.0)
+
+    def test_with_every_place_in_a_closed_hall_a_caller_is_refused_at_once_as_not_run(self) -> None:
+        async def work(running: Running) -> None:
+            (target,) = running.fleet._targets.values()
+            running.fleet.set_closed_halls(frozenset({target.hall}))
+            begun_s = asyncio.get_running_loop().time()
+            answer = await running.ask()
+            self.assertLess(asyncio.get_running_loop().time() - begun_s, 0.5)
+            self.assertEqual((503, b"hall_drained\n"), (answer.status, answer.body))
+            self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
+            self.assertEqual([], running.targets[0].seen)
+
+        async def good(headers: Headers, writer: asyncio.StreamWriter) -> None:
+            writer.write(whole(headers, "fine"))
+
+        self.relayed(work, good)
+
+
+class ClosedStreamTests(RelayCase):
+    kind = RouteKind.STREAM
+    resumable = True
+
+    def closing(self, breaks: bool) -> tuple[bytes, list[int]]:
+        """Close the hall of the first target while it answers; return the answer and who ran."""
+        found: list[tuple[bytes, list[int]]] = []
+
+        async def first(headers: Headers, writer: asyncio.StreamWriter) -> None:
+            writer.write(stream_head(headers) + event(1))
+            await writer.drain()
+            await asyncio.sleep(BREAKS_S)
+            if breaks:
+                writer.close()
+                return
+            writer.write(event(2) + event(3) + END)
+
+        async def other(headers: Headers, writer: asyncio.StreamWriter) -> None:
+            begin = int(headers["after"]) + 1
+            pieces = b"".join(event(number) for number in range(begin, 4))
+            writer.write(stream_head(headers) + pieces + END)
+
+        async def work(running: Running) -> None:
+            groups = list(running.fleet._groups.values())
+            halls = (CLOSED, CLOSED, OPEN)
+            moved = [replace(each, hall=hall) for each, hall in zip(groups, halls, strict=True)]
+            running.fleet.set_groups(moved)
+            asking = asyncio.ensure_future(running.ask())
+            await asyncio.sleep(BREAKS_S / 2)
+            running.fleet.set_closed_halls(frozenset({CLOSED}))
+            answer = await asking
+            self.assertFalse(answer.broken)
+            found.append((answer.body, [len(target.seen) for target in running.targets]))
+
+        self.relayed(work, first, other, other)
+        return found[0]
+
+    def test_what_is_under_way_there_ends_in_peace(self) -> None:
+        body, runs = self.closing(breaks=False)
+        self.assertEqual(([1, 0, 0], 3), (runs, body.count(b"data:")))
+
+    def test_what_breaks_there_goes_on_outside_the_hall(self) -> None:
+        body, runs = self.closing(breaks=True)
+        self.assertEqual(([1, 0, 1], 3), (runs, body.count(b"data:")))
--- /dev/null
+++ b/tests/direct/test_configurationfollower.py
@@ -0,0 +1,89 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Every reading tells which halls are drained, whatever becomes of its configuration."""
+
+import asyncio
+import random
+
+import testtools
+
+from ochreway_core.backoff import Backoff
+from ochreway_core.drainedhalls import DrainedHalls
+from ochreway_core.ids import HallId, Version
+from ochreway_direct.configuration import Configuration
+from ochreway_direct.configurationfollower import ConfigurationFollower
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.freshness import Freshness
+from ochreway_direct.platformhealth import PlatformHealth
+from ochreway_direct.ports import ConfigurationReading, ConfigurationSource
+from ochreway_direct.serving import Serving
+from ochreway_direct.timing import DirectTiming
+from ochreway_platform.errors import ConfigurationUnavailable, ConfigurationUnreadable
+from ochreway_runtime.metrics import Metrics
+from tests.runtime.recordedlog import RecordedLog
+
+HALL = HallId("h")
+DRAINED = DrainedHalls(6, (HALL,))
+
+Step = ConfigurationReading | Exception
+
+
+class ScriptedSource(ConfigurationSource):
+    """Give one reading or error after another."""
+
+    def __init__(self, *steps: Step) -> None:
+        self._steps = list(steps)
+
+    async def poll(self, wait_s: float) -> ConfigurationReading:
+        step = self._steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+
+class FollowerTests(testtools.TestCase):
+    def learned(self, *steps: Step) -> list[DrainedHalls]:
+        """Return the words of readings in order; the version in force stands at each of them."""
+        words: list[DrainedHalls] = []
+        self.versions: list[int] = []
+
+        async def run() -> None:
+            serving = Serving(Fleet(HALL, random.Random(1)), Freshness(4.5))
+
+            def drained(word: DrainedHalls, asked_s: float) -> None:
+                self.assertLessEqual(asked_s, asyncio.get_running_loop().time())
+                words.append(word)
+                self.versions.append(serving.version)
+
+            follower = ConfigurationFollower(
+                *(ScriptedSource(*steps), serving, PlatformHealth(), DirectTiming()),
+                Backoff(0.1, 1.0, random.Random(1)),
+                lambda: 1.0,
+                lambda _: None,
+                drained,
+                RecordedLog(),
+                Metrics(None, "entry"),
+            )
+            for _ in steps:
+                await follower._ask(1.0)
+
+        asyncio.run(run())
+        return words
+
+    def test_halls_are_learned_before_the_configuration_is_in_force(self) -> None:
+        reading = ConfigurationReading(Configuration(Version(3)), 1.0, drained=DRAINED)
+        self.assertEqual([DRAINED], self.learned(reading))
+        self.assertEqual([0], self.versions)
+
+    def test_a_reading_without_a_new_configuration_tells_of_halls_too(self) -> None:
+        known = Configuration(Version(3))
+        first = ConfigurationReading(known, 1.0, drained=DrainedHalls(5))
+        again = ConfigurationReading(known, 2.0, drained=DRAINED)
+        none = ConfigurationReading(None, 3.0, drained=DrainedHalls(7))
+        expected = [DrainedHalls(5), DRAINED, DrainedHalls(7)]
+        self.assertEqual(expected, self.learned(first, again, none))
+
+    def test_a_configuration_that_cannot_be_read_hides_no_drain(self) -> None:
+        self.assertEqual([DRAINED], self.learned(ConfigurationUnreadable("broken", DRAINED)))
+
+    def test_an_outage_tells_nothing_of_halls(self) -> None:
+        self.assertEqual([], self.learned(ConfigurationUnavailable("away")))
