--- a/tests/direct/test_configurationfollower.py
+++ b/tests/direct/test_configurationfollower.py
@@ -3,16 +3,21 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
+from typing import Any
 
 import testtools
 
 from ochreway_core.backoff import Backoff
 from ochreway_core.drainedhalls import DrainedHalls
-from ochreway_core.ids import HallId, Version
+from ochreway_core.ids import HallId, NodeId, Version
+from ochreway_core.peer import Peer
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.configurationfollower import ConfigurationFollower
+from ochreway_direct.entry import DirectEntry
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.freshness import Freshness
+from ochreway_direct.messages import ConfigurationUpdate
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import ConfigurationReading, ConfigurationSource
 from ochreway_direct.serving import Serving
@@ -87,3 +92,24 @@
 
     def test_an_outage_tells_nothing_of_halls(self) -> None:
         self.assertEqual([], self.learned(ConfigurationUnavailable("away")))
+
+
+class HandedOverTests(testtools.TestCase):
+    def test_a_version_of_another_entry_waits_until_it_is_known_which_halls_are_drained(
+        self,
+    ) -> None:
+        applied: list[Configuration] = []
+        keeper = SimpleNamespace(known=False)
+        entry: Any = SimpleNamespace(
+            _drains=keeper,
+            _configurations=SimpleNamespace(apply=applied.append),
+            metrics=Metrics(None, "entry"),
+        )
+        sender = Peer(NodeId("e2"), "e2:1")
+        update = ConfigurationUpdate(Configuration(Version(3)))
+        DirectEntry._on_configuration_update(entry, sender, update)
+        self.assertEqual([], applied)
+        self.assertEqual(1, entry.metrics.counters["configuration.without_halls"])
+        keeper.known = True
+        DirectEntry._on_configuration_update(entry, sender, update)
+        self.assertEqual([update.configuration], applied)
--- a/tests/direct/test_drainplanning.py
+++ b/tests/direct/test_drainplanning.py
@@ -7,6 +7,7 @@
 
 from ochreway_core.ids import DomainId, Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.coordinator import Assignment, CoordinatorTuning
+from ochreway_direct.coordinator.census import take_census
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord, PhaseCause
 from ochreway_direct.coordinator.state import CoordinatorState
@@ -89,6 +90,22 @@
         self.assertEqual([], world.forbidden)
         self.assertEqual([], world.violations)
 
+    def test_the_plan_has_neither_groups_nor_engines_of_the_hall(self) -> None:
+        world = settled()
+        for _ in range(4):
+            world.add(DomainId(DRAINED), LARGE.name)
+        world.drain(DRAINED)
+        known = set(world.coordinator.groups)
+        world.run(10.0)
+        plan = world.coordinator.plans[SERVICE]
+        self.assertNotIn(DRAINED, {slot.domain for slot in (*plan.wanted, *plan.standing)})
+        self.assertTrue(plan.standing)
+        census = take_census(world.coordinator._state, SERVICE)
+        self.assertEqual([], census.free[DomainId(DRAINED)])
+        begun = [g for name, g in world.coordinator.groups.items() if name not in known]
+        halls = {world.hall(instance) for group in begun for instance in group.members}
+        self.assertNotIn(DRAINED, halls)
+
     def test_free_engines_elsewhere_take_over_within_seconds(self) -> None:
         world = settled(domains=2)
         outside = len(world.coordinator.views()) - len(world.views_of(DRAINED))
