Close a drained hall before any request that came while the process stood still

Cause: after a pause the timer's tick is a task, and tasks of requests that arrived meanwhile come before it. A callback of the loop runs before both. Without it the new test's request finds the hall open.

--- a/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
@@ -74,6 +74,9 @@
         self._closed = closed
         self._fleet.set_closed_halls(closed)
 
+    def _close_due(self) -> None:
+        self.tick(self._loop.time())
+
     def gauges(self) -> dict[str, float]:
         """Return how many halls are drained, and how many of them get nothing any more."""
         draining = self._drains.draining()
@@ -85,9 +88,11 @@
         version = self._drains.newest.version
         draining = self._drains.draining()
         for hall in sorted(draining - before):
-            left_s = round(self._drains.left_s(hall, now_s), 3)
+            left_s = self._drains.left_s(hall, now_s)
             self._metrics.count("hall.draining")
-            self._log.event("hall_draining", hall=hall, version=version, left_s=left_s)
+            self._log.event("hall_draining", hall=hall, version=version, left_s=round(left_s, 3))
+            # After a pause of this process a tick of the timer may come after the first requests.
+            self._loop.call_at(now_s + left_s, self._close_due)
         for hall in sorted(before - draining):
             self._metrics.count("hall.restored")
             self._log.event("hall_restored", hall=hall, version=version)
--- a/tests/direct/test_halldrains.py
+++ b/tests/direct/test_halldrains.py
@@ -3,6 +3,8 @@
 
 import asyncio
 import random
+import socket
+import time
 from collections.abc import Callable
 
 import testtools
@@ -195,6 +197,40 @@
 
         self.keeping(work)
 
+    def test_after_a_pause_of_the_process_the_hall_is_closed_before_any_request_is_taken(
+        self,
+    ) -> None:
+        seen: list[dict[str, float]] = []
+
+        async def request(keeper: DrainKeeper) -> None:
+            seen.append(keeper.gauges())
+
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            keeper = DrainKeeper(
+                HallDrains(SENT_LATE_S + 0.05),
+                Fleet(ONE, random.Random(1)),
+                lambda halls: None,
+                lambda: None,
+                RecordedLog(),
+                Metrics(None, "entry"),
+            )
+            keeper.read(word(1), loop.time())
+            keeper.read(word(2, ONE), loop.time())
+            arrived, entry = socket.socketpair()
+            arrived.setblocking(False)
+            entry.setblocking(False)
+            loop.add_reader(entry, lambda: [entry.recv(1), loop.create_task(request(keeper))])
+            time.sleep(0.2)
+            arrived.send(b"r")
+            await asyncio.sleep(0.05)
+            loop.remove_reader(entry)
+            arrived.close()
+            entry.close()
+
+        asyncio.run(run())
+        self.assertEqual([{"halls_draining": 1.0, "halls_closed": 1.0}], seen)
+
     def test_what_is_told_on_gives_no_more_time_than_there_was(self) -> None:
         def work(case: KeeperTests) -> None:
             news = DrainNews(word(2, ONE), {ONE: 1.5})
