--- a/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
@@ -57,6 +57,13 @@
     return f"{told}; the last one, {last[-1].get('group')}, ended{_of(last[-1])}" if last else told
 
 
+@cause("no_home")
+def _no_home(story: Story, line: LogLine) -> str:
+    told = f"version {line.get('version')} binds it to regions in which no hall is known"
+    empty = story.before("home_without_hall", line)
+    return f"{told}; {empty.get('region')} has none" if empty else told
+
+
 @cause("queue_full")
 def _queue_full(story: Story, line: LogLine) -> str:
     if line.event == "attempt":
--- a/packages/ochreway-core/src/ochreway_core/reason.py
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -14,6 +14,7 @@
     TOO_LARGE = "too_large"
     NO_CONFIGURATION = "no_configuration"
     NO_GROUP = "no_group"
+    NO_HOME = "no_home"
     GROUP_INCOMPLETE = "group_incomplete"
     GROUP_LOADING = "group_loading"
     DRAINING = "draining"
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -263,6 +263,7 @@
                     listed.address,
                     listed.hall,
                     round(pace, PACE_DIGITS),
+                    tuple(sorted({self.engines[each].listed.hall for each in group.members})),
                 )
             )
         return tuple(found)
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -20,6 +20,8 @@
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.freshness import Freshness
 from ochreway_direct.heartbeats import Heartbeats
+from ochreway_direct.homecheck import HomeCheck
+from ochreway_direct.homes import Homes
 from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.leasekeeper import LeaseKeeper
@@ -88,7 +90,7 @@
             sampled=SAMPLED_GROUPS if settings.has(Mechanism.SAMPLED_CHOICE) else None,
         )
         freshness = Freshness(settings.key_trust_s, settings.key_trust)
-        self.serving = Serving(fleet, freshness)
+        self.serving = Serving(fleet, freshness, homes=Homes(settings.region_of))
         self.health = PlatformHealth()
         self.meter = DemandMeter()
         self.retry_budget = RetryBudget(settings.retries_per_request)
@@ -147,6 +149,7 @@
         self._dependencies = Dependencies(
             self.serving, self.peers, lambda: self._heartbeats.head, log
         )
+        self._home_check = HomeCheck(self.serving, self.view.targets, log)
         self._lease_keeper = LeaseKeeper(
             self.lease,
             self.peers,
@@ -215,6 +218,7 @@
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
         self.timer.every(timing.heartbeat_s, self._dependencies.check)
+        self.timer.every(timing.heartbeat_s, self._home_check.check)
         self.timer.every(timing.heartbeat_s, lambda _: self._share_retries())
         if self.settings.has(Mechanism.SILENCE_SUSPECTED):
             self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
@@ -253,6 +257,7 @@
             "lease_held": float(self.lease.held),
             "groups": float(len(self.view.groups(now_s))),
             "entries_heard": float(len(self.peers.alive(now_s))),
+            "halls_without_region": float(len(self._home_check.unknown_halls)),
         }
 
     def _share_retries(self) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -132,12 +132,13 @@
         within: frozenset[HallId] | None = None,
     ) -> list[GroupView]:
         """Return the groups that may be given requests for a model, in some halls or in any."""
+        anywhere = within is None and not self._closed_halls
         return [
             each
             for each in self._by_service.get(service, ())
             if (model is None or each.model == model)
             and each.leader not in self._leaving
-            and self._in_reach(halls_of(each), within)
+            and (anywhere or self._in_reach(halls_of(each), within))
         ]
 
     def _in_reach(self, halls: frozenset[HallId], within: frozenset[HallId] | None) -> bool:
--- a/packages/ochreway-direct/src/ochreway_direct/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetview.py
@@ -1,9 +1,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an entry believes the fleet to be, from the holder of the lease or from the list."""
 
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
-from ochreway_core.ids import InstanceId
+from ochreway_core.ids import GroupId, HallId, InstanceId
 from ochreway_direct.enginestate import MemberPhase
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.lastmodels import LastModels
@@ -174,7 +176,10 @@
         """Return the groups that serve."""
         if self._update is not None and now_s - self._updated_s < UPDATE_TRUSTED_S:
             return self._update.groups
-        listed = tuple(filter(None, map(_listed_group, self._targets.values())))
+        halls = _halls_by_group(self._targets.values())
+        listed = tuple(
+            filter(None, (_listed_group(each, halls) for each in self._targets.values()))
+        )
         return listed or (self._update.groups if self._update is not None else ())
 
 
@@ -182,7 +187,16 @@
     return (update.lease_revision, update.sequence + later) if update is not None else (0, 0)
 
 
-def _listed_group(target: ListedTarget) -> GroupView | None:
+def _halls_by_group(targets: Iterable[ListedTarget]) -> Mapping[GroupId, set[HallId]]:
+    """Return the halls of the listed members of each group."""
+    found: dict[GroupId, set[HallId]] = defaultdict(set)
+    for each in targets:
+        if each.engine is not None and each.engine.membership is not None:
+            found[each.engine.membership.group].add(each.hall)
+    return found
+
+
+def _listed_group(target: ListedTarget, halls: Mapping[GroupId, set[HallId]]) -> GroupView | None:
     """Return the group that a listed engine leads and has open, if any."""
     state = target.engine
     if state is None or state.membership is None or state.model is None or target.leaving:
@@ -198,6 +212,7 @@
         target.instance,
         target.address,
         target.hall,
+        halls=tuple(sorted(halls[membership.group])),
     )
 
 
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/homecheck.py
@@ -0,0 +1,43 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Telling in the log which homes cannot be kept to by what is known."""
+
+from collections.abc import Callable, Iterable
+
+from ochreway_core.ids import HallId, RegionId
+from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.serving import Serving
+from ochreway_runtime.logs import EventLog
+
+
+class HomeCheck:
+    """Name each hall without a region and each home without a hall once.
+
+    Nothing is looked at while the configuration in force names no homes.
+    """
+
+    def __init__(
+        self, serving: Serving, targets: Callable[[], Iterable[ListedTarget]], log: EventLog
+    ) -> None:
+        self._serving = serving
+        self._targets = targets
+        self._log = log
+        self.unknown_halls: frozenset[HallId] = frozenset()
+        self._told_regions: frozenset[RegionId] = frozenset()
+
+    def check(self, _: float) -> None:
+        """Compare the homes in force and the halls listed with the regions that are known."""
+        routes = self._serving.routes
+        if routes is None or not routes.homes:
+            return
+        homes = self._serving.homes
+        empty = homes.without_halls(routes.homes)
+        for region in sorted(empty - self._told_regions):
+            self._log.event("home_without_hall", region=region, version=routes.version)
+        self._told_regions |= empty
+        unknown = frozenset(each.hall for each in self._targets()) - homes.known
+        for hall in sorted(unknown - self.unknown_halls):
+            self._log.event("hall_region_unknown", hall=hall, version=routes.version)
+        self.unknown_halls |= unknown
+
+
+__all__ = ["HomeCheck"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from ochreway_core.reason import Reason
-from ochreway_direct.configuration import Route
+from ochreway_direct.configuration import Organisation, Route
 from ochreway_direct.coordinator.demand import work_s
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.ids import ServiceName
@@ -35,7 +35,7 @@
         """Return the call that a request makes.
 
         Raises:
-            Refused: when it is not acceptable, or keys cannot be trusted now.
+            Refused: when it is not acceptable, keys cannot be trusted now, or no home is left.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -64,7 +64,8 @@
             work_s=0.0,
             resume_after=terms.resume_after,
         )
-        self._identify(call, routes)
+        organisation = self._identify(call, routes)
+        self._bind(call, organisation)
         self._weigh(call, routes)
         return call
 
@@ -82,10 +83,10 @@
         except TimeoutError as fault:
             raise Refused(408, Reason.DEADLINE_PASSED) from fault
 
-    def _identify(self, call: Call, routes: RouteTable) -> None:
+    def _identify(self, call: Call, routes: RouteTable) -> Organisation | None:
         """Name the organisation that calls; its keys are trusted only while they are fresh."""
         if call.route.public or not routes.asks_for_keys:
-            return
+            return None
         if not self._serving.keys_trusted():
             raise Refused(NOT_RUN_STATUS, Reason.STALE_VERSION, self._tuning.stale_after_s)
         organisation = routes.organisation(call.terms.key)
@@ -94,6 +95,16 @@
         call.organisation = organisation.name
         if organisation.priority is not None:
             call.priority = organisation.priority
+        return organisation
+
+    def _bind(self, call: Call, organisation: Organisation | None) -> None:
+        """Bind a call to the homes of its route and organisation, where these have any."""
+        theirs = organisation.homes if organisation is not None else ()
+        if not call.route.homes and not theirs:
+            return
+        call.within = self._serving.homes.halls(call.route.homes, theirs)
+        if not call.within:
+            raise Refused(NOT_RUN_STATUS, Reason.NO_HOME, self._tuning.stale_after_s)
 
     def _unknown(self, status: int, reason: Reason) -> Refused:
         """Refuse what the configuration lacks; a newer one that is not known yet may have it."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
@@ -60,7 +60,7 @@
         }
         if call is not None:
             fields |= self._of_call(call, now_s)
-            fields["places"] = len(self._fleet.places(call.service, call.terms.model))
+            fields["places"] = len(self._fleet.places(call.service, call.terms.model, call.within))
         self._log.failure("refused", **fields)
 
     def broken(self, call: Call | None, request: str, broken: AnswerBroken) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -87,7 +87,7 @@
 
     def _alternative(self, call: Call) -> bool:
         if self._fleet.has_engines(call.service):
-            return len(self._fleet.places(call.service, call.terms.model)) > 1
+            return len(self._fleet.places(call.service, call.terms.model, call.within)) > 1
         return True
 
     async def _exchange(self, call: Call, attempt: Attempt) -> Ending:
--- a/packages/ochreway-direct/src/ochreway_direct/routetable.py
+++ b/packages/ochreway-direct/src/ochreway_direct/routetable.py
@@ -3,7 +3,7 @@
 
 from collections import defaultdict
 
-from ochreway_core.ids import Version
+from ochreway_core.ids import RegionId, Version
 from ochreway_direct.configuration import Configuration, Organisation, Route, Service
 from ochreway_direct.ids import ServiceName
 
@@ -22,6 +22,9 @@
             for organisation in configuration.organisations
             for key in organisation.keys
         }
+        bound = [each.homes for each in configuration.routes]
+        bound += [each.homes for each in configuration.organisations]
+        self.homes: frozenset[RegionId] = frozenset().union(*bound)
 
     @property
     def version(self) -> Version:
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -8,6 +8,7 @@
 from ochreway_direct.configuration import CallerLimits, Configuration
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.freshness import Freshness
+from ochreway_direct.homes import Homes
 from ochreway_direct.routetable import RouteTable
 
 
@@ -23,6 +24,7 @@
     stopping: bool = False
     closed: bool = False
     routes: RouteTable | None = field(default=None)
+    homes: Homes = field(default_factory=lambda: Homes({}))
 
     @property
     def version(self) -> Version:
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -74,7 +74,10 @@
     def region_of(self) -> dict[HallId, RegionId]:
         """Return the region of each hall that is known."""
         pairs = (each.partition("=") for each in self.hall_regions)
-        return {HallId(hall): RegionId(region) for hall, _, region in pairs}
+        known = {HallId(hall): RegionId(region) for hall, _, region in pairs}
+        if self.region:
+            known.setdefault(HallId(self.hall), RegionId(self.region))
+        return known
 
     @property
     def key_trust_s(self) -> float:
@@ -110,9 +113,10 @@
 
 def _hall_regions(values: tuple[str, ...]) -> str | None:
     pairs = [each.partition("=") for each in values]
-    if all(hall and region for hall, _, region in pairs):
+    once = len({hall for hall, _, _ in pairs}) == len(pairs)
+    if once and all(hall and region for hall, _, region in pairs):
         return None
-    return "hall=region pairs, with commas between"
+    return "hall=region pairs, each hall once, with commas between"
 
 
 def _mechanisms(values: tuple[str, ...]) -> str | None:
--- a/tests/direct/test_settings.py
+++ b/tests/direct/test_settings.py
@@ -35,9 +35,18 @@
             OCHREWAY_KEY_REVOKE_MS="0",
             OCHREWAY_LOG_LEVEL="loud",
             OCHREWAY_WITHOUT="trading,magic",
+            OCHREWAY_HALL_REGIONS="h1=r1,h2",
         )
         self.assertEqual(2, code)
         flags = ("name", "adapter", "link-key", "caller-listen", "platform-url", "peer", "grace-s")
-        for flag in (*flags, "key-revoke-ms", "log-level", "without"):
+        for flag in (*flags, "key-revoke-ms", "log-level", "without", "hall-regions"):
             self.assertIn(f"--{flag}: ", output)
         self.assertNotIn("short", output)
+
+    def test_each_hall_is_given_one_region(self) -> None:
+        for bad in ("h1", "=r1", "h1=", "h1=r1,,h2", "h1=r1,h1=r2", "h1=r1,h1=r1"):
+            code, output = self.run_with(OCHREWAY_HALL_REGIONS=bad)
+            self.assertEqual(2, code, bad)
+            self.assertIn("--hall-regions: ", output)
+        for good in ("", "h1=r1", "h1=r1,h2=r1,h3=r2"):
+            self.assertEqual(0, self.run_with(OCHREWAY_HALL_REGIONS=good)[0], good)
