--- a/tests/direct/test_homes.py
+++ b/tests/direct/test_homes.py
@@ -8,6 +8,7 @@
 import testtools
 
 from ochreway_core.ids import (
+    DomainId,
     Epoch,
     GroupId,
     HallId,
@@ -17,7 +18,7 @@
     Version,
 )
 from ochreway_direct.configuration import Configuration, Organisation, RouteKind
-from ochreway_direct.enginestate import EngineState
+from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.freshness import Freshness
@@ -127,14 +128,9 @@
 
 
 class GroupHallsTests(testtools.TestCase):
-    def world(self) -> EngineWorld:
-        """Return a group whose members are in two halls, the leader's and another."""
+    def test_the_holder_names_the_halls_of_all_members(self) -> None:
         world = EngineWorld(domains=1)
         world.run_until(lambda: bool(world.coordinator.views()), 60.0)
-        return world
-
-    def test_the_holder_names_the_halls_of_all_members(self) -> None:
-        world = self.world()
         members = {each.instance: each for each in world.coordinator.engines.values()}
         for view in world.coordinator.views():
             group = world.coordinator.groups[view.group]
@@ -145,17 +141,22 @@
             self.assertEqual((2, halls), (len(view.halls), set(view.halls)))
 
     def test_without_a_holder_the_list_names_the_halls_of_listed_members(self) -> None:
-        world = self.world()
-        listed = []
-        for engine in world.coordinator.engines.values():
-            hall = E1 if engine.state.membership and not engine.state.membership.rank else W1
-            listed.append(replace(engine.listed, hall=hall, engine=engine.state))
         view = FleetView(1.0)
-        view.know_engines(tuple(listed))
-        groups = view.groups(0.0)
-        self.assertNotEqual((), groups)
-        self.assertEqual({(E1, (E1, W1))}, {(each.hall, each.halls) for each in groups})
-        self.assertIsInstance(listed[0].engine, EngineState)
+        view.know_engines(
+            (
+                self.member("g", 0, E1, MemberPhase.OPEN),
+                self.member("g", 1, W1, MemberPhase.READY),
+                self.member("h", 0, E2, MemberPhase.OPEN),
+                self.member("i", 0, NOWHERE, MemberPhase.READY),
+            )
+        )
+        halls = {each.group: (each.hall, each.halls) for each in view.groups(0.0)}
+        self.assertEqual({"g": (E1, (E1, W1)), "h": (E2, (E2,))}, halls)
+
+    def member(self, group: str, rank: int, hall: HallId, phase: MemberPhase) -> ListedTarget:
+        membership = Membership(GroupId(group), Epoch(1), rank, phase)
+        state = EngineState(DomainId("d"), LARGE.name, (), membership)
+        return ListedTarget(InstanceId(f"{group}{rank}"), SERVICE, "x:1", hall, engine=state)
 
 
 class BoundCase(RelayCase):
