--- /dev/null
+++ b/packages/ochreway-cli/src/ochreway_cli/context.py
@@ -0,0 +1,92 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The options that every command shares, and what it works with."""
+
+import asyncio
+import dataclasses
+import json
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any, NoReturn, TypeVar
+
+import aiohttp
+import click
+
+from ochreway_cli.entries import Entries
+from ochreway_cli.errors import CommandError
+from ochreway_cli.halls import Halls
+from ochreway_cli.porcelain import Porcelain
+from ochreway_core.ids import ScopeId
+from ochreway_platform.httpobjectstore import HttpObjectStore
+from ochreway_platform.httptable import HttpTable
+from ochreway_platform.instancelist import HttpInstanceList
+
+TIMEOUT_S = 3.0
+WATCH_EVERY_S = 0.5
+EXIT_NOT_COMPLETE = 9
+
+T = TypeVar("T")
+Content = dict[str, Any]
+
+
+@dataclasses.dataclass(slots=True)
+class Context:
+    """Hold the options that every command shares."""
+
+    platform_url: str
+    entries: tuple[str, ...]
+    operator_token: str
+    operator: str
+    scope: str
+    as_json: bool
+
+    def show(self, content: Content, text: str) -> None:
+        """Print content, as JSON or as text."""
+        click.echo(json.dumps(content, sort_keys=True) if self.as_json else text)
+
+    def run(self, work: Callable[[Porcelain, Entries], Coroutine[None, None, T]]) -> T:
+        """Run a coroutine with the platform and the entries at hand."""
+        try:
+            return asyncio.run(self._run(work))
+        except CommandError as fault:
+            self.fail(fault)
+
+    async def _run(self, work: Callable[[Porcelain, Entries], Coroutine[None, None, T]]) -> T:
+        async with aiohttp.ClientSession() as session:
+            table = HttpTable(session, self.platform_url, TIMEOUT_S)
+            objects = HttpObjectStore(session, self.platform_url, TIMEOUT_S)
+            porcelain = Porcelain(table, objects, ScopeId(self.scope))
+            return await work(porcelain, Entries(session, self.entries, self.operator_token))
+
+    def run_with_halls(self, work: Callable[[Halls, Entries], Coroutine[None, None, T]]) -> T:
+        """Run a coroutine with the drained halls and the entries at hand."""
+        try:
+            return asyncio.run(self._run_with_halls(work))
+        except CommandError as fault:
+            self.fail(fault)
+
+    async def _run_with_halls(
+        self, work: Callable[[Halls, Entries], Coroutine[None, None, T]]
+    ) -> T:
+        async with aiohttp.ClientSession() as session:
+            table = HttpTable(session, self.platform_url, TIMEOUT_S)
+            instances = HttpInstanceList(session, self.platform_url, TIMEOUT_S)
+            halls = Halls(table, instances, ScopeId(self.scope))
+            return await work(halls, Entries(session, self.entries, self.operator_token))
+
+    def fail(self, fault: CommandError) -> NoReturn:
+        """Print a fault and leave with its exit code."""
+        if self.as_json:
+            click.echo(json.dumps({"error": type(fault).__name__, "message": str(fault)}))
+        else:
+            click.echo(f"{type(fault).__name__}: {fault}", err=True)
+        sys.exit(fault.exit_code)
+
+
+def named(context: Context) -> str:
+    """Return the operator's name, which some commands need."""
+    if not context.operator:
+        raise click.UsageError("give your name with --operator or OCHREWAY_OPERATOR")
+    return context.operator
+
+
+__all__ = ["EXIT_NOT_COMPLETE", "WATCH_EVERY_S", "Content", "Context", "named"]
--- a/packages/ochreway-cli/src/ochreway_cli/main.py
+++ b/packages/ochreway-cli/src/ochreway_cli/main.py
@@ -1,78 +1,27 @@
 # SPDX-License-Identifier: Apache-2.0
 """The ochreway binary: the operators' command."""
 
-import asyncio
 import dataclasses
-import json
 import sys
 import time
-from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any, NoReturn, TypeVar
 
-import aiohttp
 import click
 
+from ochreway_cli.context import EXIT_NOT_COMPLETE, WATCH_EVERY_S, Content, Context, named
 from ochreway_cli.entries import Entries
 from ochreway_cli.errors import CommandError
 from ochreway_cli.explain import explain
+from ochreway_cli.hallcommands import hall
 from ochreway_cli.porcelain import Porcelain, check_bundle, load_key, new_keys
 from ochreway_cli.rollprogress import progress
 from ochreway_core.bundle import bundle_hash
-from ochreway_core.ids import ScopeId
-from ochreway_platform.httpobjectstore import HttpObjectStore
-from ochreway_platform.httptable import HttpTable
 from ochreway_runtime.option import option
 
-TIMEOUT_S = 3.0
-WATCH_EVERY_S = 0.5
-EXIT_NOT_COMPLETE = 9
-
-T = TypeVar("T")
-Content = dict[str, Any]
-
-
-@dataclasses.dataclass(slots=True)
-class Context:
-    """Hold the options that every command shares."""
-
-    platform_url: str
-    entries: tuple[str, ...]
-    operator_token: str
-    operator: str
-    scope: str
-    as_json: bool
-
-    def show(self, content: Content, text: str) -> None:
-        """Print content, as JSON or as text."""
-        click.echo(json.dumps(content, sort_keys=True) if self.as_json else text)
-
-    def run(self, work: Callable[[Porcelain, Entries], Coroutine[None, None, T]]) -> T:
-        """Run a coroutine with the platform and the entries at hand."""
-        try:
-            return asyncio.run(self._run(work))
-        except CommandError as fault:
-            self.fail(fault)
-
-    async def _run(self, work: Callable[[Porcelain, Entries], Coroutine[None, None, T]]) -> T:
-        async with aiohttp.ClientSession() as session:
-            table = HttpTable(session, self.platform_url, TIMEOUT_S)
-            objects = HttpObjectStore(session, self.platform_url, TIMEOUT_S)
-            porcelain = Porcelain(table, objects, ScopeId(self.scope))
-            return await work(porcelain, Entries(session, self.entries, self.operator_token))
-
-    def fail(self, fault: CommandError) -> NoReturn:
-        """Print a fault and leave with its exit code."""
-        if self.as_json:
-            click.echo(json.dumps({"error": type(fault).__name__, "message": str(fault)}))
-        else:
-            click.echo(f"{type(fault).__name__}: {fault}", err=True)
-        sys.exit(fault.exit_code)
-
 
 @click.group(
     epilog="Exit codes: 0 done, 1 failed, 2 usage, 3 bundle refused, 4 not found, "
-    "5 race lost, 6 not approved, 7 platform down, 8 fate unknown, 9 roll not complete."
+    "5 race lost, 6 not approved, 7 platform down, 8 fate unknown, 9 roll or drain not complete."
 )
 @option("--platform-url", "http://127.0.0.1:7000", "Base URL of the platform's services.")
 @option("--entry", (), "Base URL of an entry; give several.", multiple=True)
@@ -95,12 +44,7 @@
 
 
 main.add_command(explain)
-
-
-def _named(context: Context) -> str:
-    if not context.operator:
-        raise click.UsageError("give your name with --operator or OCHREWAY_OPERATOR")
-    return context.operator
+main.add_command(hall)
 
 
 @main.group()
@@ -129,7 +73,7 @@
 @click.pass_obj
 def bundle_submit(context: Context, path: Path) -> None:
     """Submit a bundle for sign-off by someone else."""
-    author = _named(context)
+    author = named(context)
     row = context.run(lambda porcelain, _: porcelain.submit(path.read_bytes(), author))
     context.show({"bundle": row.bundle, "author": row.author}, f"{row.bundle} by {row.author}")
 
@@ -169,7 +113,7 @@
 @click.pass_obj
 def bundle_approve(context: Context, digest: str, key_file: Path) -> None:
     """Sign off a bundle that someone else wrote."""
-    approver = _named(context)
+    approver = named(context)
     try:
         key = load_key(key_file)
     except CommandError as fault:
@@ -201,7 +145,7 @@
 @click.pass_obj
 def roll_start(context: Context, digest: str, seen: int | None) -> None:
     """Put a signed-off bundle in force as the next version."""
-    operator = _named(context)
+    operator = named(context)
 
     async def work(porcelain: Porcelain, entries: Entries) -> Content:
         snapshot = await porcelain.roll(digest, operator, seen)
@@ -305,7 +249,7 @@
 @click.pass_obj
 def keys_new(context: Context, out: Path | None) -> None:
     """Make a key pair; give the public half to the daemons as --operator-key."""
-    name = _named(context)
+    name = named(context)
     pair = new_keys()
     content: Content = {"operator_key": f"{name}={pair.public}"}
     if out is None:
--- a/packages/ochreway-core/src/ochreway_core/messages/__init__.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/__init__.py
@@ -5,6 +5,7 @@
 from ochreway_core.messages.configuration import (
     FollowView,
     GroupsUpdate,
+    HallsUpdate,
     LeaveNotice,
     ListingUpdate,
     ViewDelta,
@@ -48,6 +49,7 @@
     "Grant",
     "GrantRefusal",
     "GroupsUpdate",
+    "HallsUpdate",
     "Heartbeat",
     "LeaveNotice",
     "ListingUpdate",
--- a/packages/ochreway-core/src/ochreway_core/messages/configuration.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/configuration.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ochreway_core.bodydelta import BodyDelta
+from ochreway_core.drainedhalls import DrainedHalls
 from ochreway_core.ids import BundleHash, DomainId, Epoch, GroupId, NodeId
 from ochreway_core.listing import ListedInstance
 from ochreway_core.message import message
@@ -95,9 +96,18 @@
     node: NodeId
 
 
+@message(68)
+@dataclass(frozen=True, slots=True)
+class HallsUpdate:
+    """Carry the drained halls to those who follow."""
+
+    drained: DrainedHalls
+
+
 __all__ = [
     "FollowView",
     "GroupsUpdate",
+    "HallsUpdate",
     "LeaveNotice",
     "ListingUpdate",
     "ViewDelta",
--- a/packages/ochreway-core/src/ochreway_core/rows.py
+++ b/packages/ochreway-core/src/ochreway_core/rows.py
@@ -3,6 +3,7 @@
 
 from dataclasses import dataclass
 
+from ochreway_core.drainedhalls import DrainedHalls
 from ochreway_core.ids import (
     BundleHash,
     ChangeId,
@@ -126,6 +127,16 @@
     former: tuple[tuple[NodeId, ...], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class HallsRow:
+    """Hold a scope's drained halls and the change that made it so."""
+
+    scope: ScopeId
+    drained: DrainedHalls
+    operator: str
+    change: ChangeId
+
+
 def lease_key(domain: str) -> str:
     """Return the key of a domain's lease row."""
     return f"controller/{domain}"
@@ -161,9 +172,20 @@
     return f"roll/{scope}/{version:010d}"
 
 
+def halls_key(scope: str) -> str:
+    """Return the key of the row that holds the drained halls."""
+    return f"halls/{scope}"
+
+
+def halls_change_key(scope: str, version: int) -> str:
+    """Return the key of the record of one change to the drained halls."""
+    return f"halls-change/{scope}/{version:010d}"
+
+
 __all__ = [
     "BundleRow",
     "GroupRow",
+    "HallsRow",
     "InstanceRow",
     "LeaseRow",
     "RollRow",
@@ -171,6 +193,8 @@
     "fence_of",
     "bundle_key",
     "group_key",
+    "halls_change_key",
+    "halls_key",
     "head_key",
     "instance_key",
     "lease_key",
--- a/packages/ochreway-core/src/ochreway_core/timing.py
+++ b/packages/ochreway-core/src/ochreway_core/timing.py
@@ -9,7 +9,8 @@
     """Hold every protocol duration.
 
     A leader counts a grant for ``grant_ttl_s`` less ``clock_margin``, a share that covers the
-    difference between two monotonic clocks' rates.
+    difference between two monotonic clocks' rates. A drained hall may serve on for ``hall_drain_s``
+    while replacements load elsewhere, which engines take some 10 to 20 s for.
     """
 
     tick_s: float = 0.1
@@ -36,6 +37,7 @@
     standby_after_s: float = 1.0
     leave_notice_s: float = 3.0
     leader_silent_s: float = 60.0
+    hall_drain_s: float = 20.0
 
     @property
     def leader_grant_ttl_s(self) -> float:
--- a/packages/ochreway-daemon/src/ochreway_daemon/api/status.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/status.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an entry knows of the system, for the operators' command."""
 
+from collections import Counter
 from typing import Any
 
 from ochreway_core.reason import Reason
@@ -28,6 +29,7 @@
             }
             for replica in node.router.replicas.values()
         ],
+        "halls": _halls_status(node, now_s),
         "domains": [
             _domain_status(node, controller, now_s)
             for controller in node.controllers.values()
@@ -36,6 +38,26 @@
     }
 
 
+def _halls_status(node: EntryNode, now_s: float) -> dict[str, Any]:
+    """Return the drained halls, and for each hall the groups and the requests that need it."""
+    groups: Counter[str] = Counter()
+    in_flight: Counter[str] = Counter()
+    for row in node.keeper.groups():
+        replica = node.router.replicas.get(row.group)
+        for hall in {
+            node.listing[peer.node].hall for peer in row.members if peer.node in node.listing
+        }:
+            groups[hall] += 1
+            in_flight[hall] += replica.in_flight if replica is not None else 0
+    return {
+        "version": node.drains.newest.version,
+        "drained": list(node.drains.newest.halls),
+        "closed": sorted(node.drains.closed(now_s)),
+        "groups": dict(groups),
+        "in_flight": dict(in_flight),
+    }
+
+
 def _domain_status(node: EntryNode, controller: Controller, now_s: float) -> dict[str, Any]:
     rows = controller.rows
     return {
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
@@ -9,7 +9,7 @@
 from ochreway_core.backoff import Backoff
 from ochreway_core.bundle import Bundle
 from ochreway_core.effects import TableCommit, TableRead, TableUse
-from ochreway_core.ids import ChangeId, DomainId, Epoch, GroupId, NodeId, Term, Version
+from ochreway_core.ids import ChangeId, DomainId, Epoch, GroupId, HallId, NodeId, Term, Version
 from ochreway_core.listing import ListedInstance
 from ochreway_core.messages import Dismiss, LeaveNotice, Order, Probe, Report, Warm
 from ochreway_core.peer import Peer
@@ -17,11 +17,13 @@
 from ochreway_core.table import CommitReply, CommitStatus, ReadReply
 from ochreway_core.timing import Timing
 from ochreway_nodes.controller.domainrows import DomainRows
+from ochreway_nodes.controller.evacuation import replacements_to_warm
 from ochreway_nodes.controller.groupchange import GroupChange
 from ochreway_nodes.controller.health import Health
-from ochreway_nodes.controller.planner import Situation, plan
+from ochreway_nodes.controller.planner import plan
 from ochreway_nodes.controller.repair import RepairPolicy
 from ochreway_nodes.controller.rowwrites import RowWrites, SpecSource, writes_for
+from ochreway_nodes.controller.situation import Situation
 from ochreway_nodes.controller.tally import Tally
 from ochreway_nodes.outbox import Outbox
 
@@ -96,6 +98,8 @@
         self._fresh = False
         self._observed = _Observed(None, now_s)
         self._draining_since_s: dict[GroupId, float] = {}
+        self._drained_halls: frozenset[HallId] = frozenset()
+        self._closed_halls: frozenset[HallId] = frozenset()
         self._bundle: Bundle | None = None
         self._version = Version(0)
 
@@ -116,6 +120,12 @@
             health.leaving = listed is not None and listed.leaving
             if listed is not None:
                 health.peer = Peer(node, listed.address)
+                health.hall = listed.hall
+
+    def drain_halls(self, drained: frozenset[HallId], closed: frozenset[HallId]) -> None:
+        """Use no instance in drained halls any more; in closed ones no group serves on."""
+        self._drained_halls = drained
+        self._closed_halls = closed
 
     def _named(self) -> set[NodeId]:
         if self._bundle is None:
@@ -339,6 +349,8 @@
             return
         self._warmed_s = now_s
         situation = self._situation(self._bundle, rows, now_s)
+        for peer, artifact in replacements_to_warm(situation):
+            self._outbox.send(peer, Warm(self.domain, rows.lease.counter, artifact))
         if situation.loading():
             return
         for peer, artifact in situation.to_warm()[:WARM_AT_ONCE]:
@@ -366,6 +378,8 @@
             lost_after_s=self._timing.member_lost_s,
             draining_since_s=self._draining_since_s,
             now_s=now_s,
+            drained_halls=self._drained_halls,
+            closed_halls=self._closed_halls,
         )
 
     def _log_change(self, change: GroupChange) -> None:
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/health.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/health.py
@@ -3,6 +3,7 @@
 
 from dataclasses import dataclass
 
+from ochreway_core.ids import HallId
 from ochreway_core.messages import Report
 from ochreway_core.peer import Peer
 
@@ -14,6 +15,7 @@
     peer: Peer | None = None
     listed: bool = False
     leaving: bool = False
+    hall: HallId = HallId("")
     heard_s: float = -1.0e9
     report: Report | None = None
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
@@ -1,15 +1,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """The next change that brings a domain's groups closer to the bundle."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-
-from ochreway_core.bundle import Bundle, Group
-from ochreway_core.ids import GroupId, NodeId
+from ochreway_core.bundle import Group
+from ochreway_core.ids import GroupId
 from ochreway_core.peer import Peer
-from ochreway_core.reason import Reason
 from ochreway_core.rows import GroupRow
-from ochreway_nodes.controller.domainrows import DomainRows
+from ochreway_nodes.controller.evacuation import evacuated
 from ochreway_nodes.controller.groupchange import (
     DissolveGroup,
     DrainGroup,
@@ -19,125 +15,18 @@
     RefreshGroup,
     ReleaseStandbys,
 )
-from ochreway_nodes.controller.health import Health
 from ochreway_nodes.controller.repair import Damage, Repair, RepairPolicy
+from ochreway_nodes.controller.situation import DRAIN_AT_MOST_S, Situation
 
-DRAIN_AT_MOST_S = 900.0
 LOADS_AT_ONCE = 4
 
 
-@dataclass(frozen=True, slots=True)
-class Situation:
-    """Hold all that a plan depends on."""
-
-    bundle: Bundle
-    rows: DomainRows
-    health: Mapping[NodeId, Health]
-    lost_after_s: float
-    draining_since_s: Mapping[GroupId, float]
-    now_s: float
-
-    def specs(self) -> dict[GroupId, Group]:
-        """Return the group section of each replica that the bundle wants in the domain."""
-        return {
-            replica: group
-            for group in self.bundle.group
-            if group.domain == self.rows.domain
-            for replica in group.replica_ids()
-        }
-
-    def is_lost(self, node: str) -> bool:
-        """Tell whether the instance has not been heard of for long."""
-        health = self.health.get(NodeId(node))
-        return health is None or health.lost_for_s(self.now_s) > self.lost_after_s
-
-    def is_leaving(self, node: str) -> bool:
-        """Tell whether the instance is about to go."""
-        health = self.health.get(NodeId(node))
-        if health is None:
-            return False
-        return health.leaving or (health.report is not None and health.report.leaving)
-
-    def usable(self, node: str) -> bool:
-        """Tell whether the instance may join a group."""
-        return not self.is_lost(node) and not self.is_leaving(node)
-
-    def peer_now(self, peer: Peer) -> Peer:
-        """Return the instance at the address that the platform lists now."""
-        health = self.health.get(peer.node)
-        return health.peer if health is not None and health.peer is not None else peer
-
-    def lost_members(self, row: GroupRow) -> list[Peer]:
-        """Return the members that are lost, unless the leader still hears all of them."""
-        lost = [peer for peer in row.members if self.is_lost(peer.node)]
-        return [] if lost and self._still_serving(row) else lost
-
-    def _still_serving(self, row: GroupRow) -> bool:
-        leader = self.health.get(row.leader.node)
-        if leader is not None and not self.is_lost(row.leader.node) and leader.report is not None:
-            report = leader.report
-            return report.epoch == row.epoch and report.gate is Reason.NONE
-        return any(self._grants_afresh(peer, row) for peer in row.members)
-
-    def _grants_afresh(self, peer: Peer, row: GroupRow) -> bool:
-        health = self.health.get(peer.node)
-        if health is None or health.report is None or self.is_lost(peer.node):
-            return False
-        return health.report.granting and health.report.epoch == row.epoch
-
-    def drained(self, row: GroupRow) -> bool:
-        """Tell whether the draining group has nothing left to finish."""
-        health = self.health.get(row.leader.node)
-        report = health.report if health else None
-        if report is None or report.epoch != row.epoch or report.step != row.step:
-            return self.is_lost(row.leader.node)
-        since_s = self.draining_since_s.get(row.group, self.now_s)
-        return report.drained or self.now_s - since_s > DRAIN_AT_MOST_S
-
-    def serves(self, row: GroupRow) -> bool:
-        """Tell whether the group's leader last said that it takes work."""
-        health = self.health.get(row.leader.node)
-        report = health.report if health else None
-        if report is None or self.is_lost(row.leader.node):
-            return False
-        return report.epoch == row.epoch and report.gate is Reason.NONE
-
-    def free(self, spec: Group) -> list[Peer]:
-        """Return the section's usable instances that are in no group."""
-        free = []
-        for name in spec.instances:
-            health = self.health.get(NodeId(name))
-            grouped = self.rows.group_of(name) is not None
-            if health is not None and health.peer is not None and not grouped and self.usable(name):
-                free.append(health.peer)
-        # Those that have the weights already come first.
-        return sorted(free, key=lambda peer: not self.is_warm(peer.node, spec))
-
-    def is_warm(self, node: NodeId, spec: Group) -> bool:
-        """Tell whether the instance has loaded what the section serves."""
-        health = self.health.get(node)
-        report = health.report if health else None
-        return report is not None and report.artifact == self.bundle.artifact(spec)
-
-    def loading(self) -> int:
-        """Return how many groups are neither serving nor draining."""
-        rows = self.rows.groups.values()
-        return sum(not row.draining and not self.serves(row) for row in rows)
-
-    def to_warm(self) -> list[tuple[Peer, str]]:
-        """Return the spares that lack the weights of what they may serve, with its artifact."""
-        return [
-            (peer, self.bundle.artifact(spec))
-            for spec in self.bundle.group
-            if spec.domain == self.rows.domain and spec.model and spec.warm_spares
-            for peer in self.free(spec)
-            if not self.is_warm(peer.node, spec)
-        ]
-
-
 def plan(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
     """Return the most pressing change, or nothing when all is as the bundle wants it."""
-    steps = (_reformed, _unwanted, _readdressed, _broken, _leaving, _missing, _standbys, _outdated)
+    steps = (
+        *(_reformed, _unwanted, _readdressed, _broken, _leaving, evacuated),
+        *(_missing, _standbys, _outdated),
+    )
     for step in steps:
         change = step(situation, policy)
         if change is not None:
@@ -185,7 +74,8 @@
         members = tuple(situation.peer_now(peer) for peer in row.members)
         back = all(situation.usable(peer.node) for peer in members)
         if row.group in specs and members != row.members and back:
-            standbys = tuple(situation.peer_now(peer) for peer in row.standbys)
+            kept = [peer for peer in row.standbys if not situation.is_drained(peer.node)]
+            standbys = tuple(situation.peer_now(peer) for peer in kept)
             return FormGroup(row.group, members, "a member has a new address", (), standbys)
     return None
 
@@ -279,7 +169,9 @@
     specs = situation.specs()
     for row in situation.rows.groups.values():
         staying = [peer for peer in row.members if not situation.is_leaving(peer.node)]
-        if len(staying) == len(row.members) or situation.lost_members(row):
+        none_leaves = len(staying) == len(row.members)
+        staying = [peer for peer in staying if not situation.is_drained(peer.node)]
+        if none_leaves or situation.lost_members(row):
             continue
         if row.group not in specs:
             continue
@@ -322,6 +214,7 @@
         if spec is None or not row.standbys:
             continue
         missing = any(each not in situation.rows.groups for each in spec.replica_ids())
+        missing = missing or any(situation.is_drained(peer.node) for peer in row.standbys)
         if len(row.standbys) > spec.standbys or missing:
             return ReleaseStandbys(row.group, "not wanted, or wanted more elsewhere")
     return None
@@ -345,7 +238,9 @@
 
 def _refresh(situation: Situation, row: GroupRow, spec: Group) -> GroupChange | None:
     """Reopen a group that drains for nothing, and let new limits take effect."""
-    leaving = any(situation.is_leaving(peer.node) for peer in row.members)
+    leaving = any(
+        situation.is_leaving(peer.node) or situation.is_drained(peer.node) for peer in row.members
+    )
     limits = (situation.bundle.slots(spec), spec.priority)
     if (row.draining and not leaving) or limits != (row.slots, row.priority):
         return RefreshGroup(row.group, "nothing to drain for, or new limits")
@@ -366,7 +261,8 @@
 
 def _form_anew(situation: Situation, row: GroupRow, spec: Group) -> GroupChange:
     size = spec.instances_per_replica
-    staying = [peer for peer in row.everyone if peer.node in spec.instances]
+    named = [peer for peer in row.everyone if peer.node in spec.instances]
+    staying = [peer for peer in named if not situation.is_drained(peer.node)]
     able = staying + situation.free(spec)
     if len(able) < size:
         return DissolveGroup(row.group, "new version, and too few instances")
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/tally.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/tally.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ochreway_core.ids import GroupId
-from ochreway_nodes.controller.planner import Situation
+from ochreway_nodes.controller.situation import Situation
 
 
 @dataclass(slots=True)
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -25,6 +25,7 @@
     FollowView,
     Frame,
     GroupsUpdate,
+    HallsUpdate,
     ListingUpdate,
     LoadReport,
     Refusal,
@@ -50,6 +51,7 @@
 from ochreway_nodes.entry.spreadtree import PARENTS, parents_of, reads_table
 from ochreway_nodes.entry.subset import entries_of, followed_groups
 from ochreway_nodes.entry.viewkeeper import ViewKeeper
+from ochreway_nodes.halldrains import HallDrains
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
 from ochreway_routing.limits import Limits
@@ -91,7 +93,11 @@
         self._repair = REPAIR_POLICIES[repair_policy](repair_tuning or RepairTuning())
         self._follow_s = -1.0e9
         self.spread = ViewSpread(View(operator_keys, timing.key_memory_s), self._outbox)
-        self.keeper = ViewKeeper(scope, timing, self.spread, self._outbox, rng, self._next_call)
+        self.drains = HallDrains(timing.hall_drain_s, now_s)
+        self._closed_halls: frozenset[HallId] = frozenset()
+        self.keeper = ViewKeeper(
+            *(scope, timing, self.spread, self.drains, self._outbox, rng, self._next_call)
+        )
         self.keeper.follow(list(first_peers))
         self.router = Router(hall, rng, policy=routing_policy)
         self.limits = Limits()
@@ -118,6 +124,7 @@
             ViewNotice: self.keeper.on_view_notice,
             FollowView: self.keeper.on_follow_view,
             GroupsUpdate: self.keeper.on_groups_update,
+            HallsUpdate: self.keeper.on_halls_update,
             ListingUpdate: self._on_listing_update,
         }
 
@@ -239,6 +246,7 @@
     def on_tick(self, now_s: float) -> None:
         """Do what is due."""
         self.keeper.tick(now_s)
+        self._close_halls(now_s)
         for domain, controller in self.controllers.items():
             controller.observe(self.keeper.leases.get(domain), now_s)
             controller.tick(now_s)
@@ -266,12 +274,24 @@
         # Leaders hear of the version from these messages at once.
         self._follow_s = -1.0e9
         bundle = self.spread.view.bundle
+        self._close_halls(now_s)
         if bundle is not None:
             self._set_controllers(now_s)
             self.calls.on_view_changed(now_s)
         self._configure_limits()
         self._set_replicas()
 
+    def _close_halls(self, now_s: float) -> None:
+        """Send nothing more to halls whose time is over, and to those given back again."""
+        closed = self.drains.closed(now_s)
+        if closed == self._closed_halls:
+            return
+        self._outbox.log("halls_closed", halls=",".join(sorted(closed)))
+        self._closed_halls = closed
+        for controller in self.controllers.values():
+            controller.drain_halls(self.drains.halls, closed)
+        self._set_replicas()
+
     def _set_controllers(self, now_s: float) -> None:
         """Watch the leases of those domains that this entry is a candidate for."""
         bundle = self.spread.view.bundle
@@ -299,6 +319,7 @@
             controller.rank = place
             controller.configure(bundle, self.version)
             controller.on_listing(self.listing)
+            controller.drain_halls(self.drains.halls, self._closed_halls)
 
     def _take_own_groups(self) -> None:
         for domain, controller in self.controllers.items():
@@ -329,13 +350,14 @@
             leader=row.leader,
             hall=listed.hall if listed else HallId(""),
             slots=row.slots,
-            leaving=any(self._is_leaving(peer.node) for peer in row.members),
+            leaving=any(self._gets_nothing(peer.node) for peer in row.members),
             adapters=frozenset(model.adapters if model else ()),
         )
 
-    def _is_leaving(self, node: NodeId) -> bool:
+    def _gets_nothing(self, node: NodeId) -> bool:
+        """Tell whether an instance is leaving, or stands in a hall that gets nothing new."""
         listed = self.listing.get(node)
-        return listed is not None and listed.leaving
+        return listed is not None and (listed.leaving or listed.hall in self._closed_halls)
 
     def _follow_leaders(self) -> None:
         for group, replica in self.router.replicas.items():
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -8,11 +8,13 @@
 
 from ochreway_core.backoff import Backoff
 from ochreway_core.codec import decode
+from ochreway_core.drainedhalls import DrainedHalls
 from ochreway_core.effects import FetchBody, TableRead, TableUse
 from ochreway_core.ids import BundleHash, DomainId, Epoch, NodeId, ScopeId
 from ochreway_core.messages import (
     FollowView,
     GroupsUpdate,
+    HallsUpdate,
     ListingUpdate,
     ViewDelta,
     ViewNotice,
@@ -21,10 +23,12 @@
 from ochreway_core.peer import Peer
 from ochreway_core.rows import (
     GroupRow,
+    HallsRow,
     LeaseRow,
     RollRow,
     approval_key,
     group_key,
+    halls_key,
     head_key,
     lease_key,
 )
@@ -39,6 +43,7 @@
     groups_update,
 )
 from ochreway_nodes.entry.listing import Listing, applied, difference, digest_of
+from ochreway_nodes.halldrains import HallDrains
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
 
@@ -66,6 +71,7 @@
         scope: ScopeId,
         timing: Timing,
         spread: ViewSpread,
+        drains: HallDrains,
         outbox: Outbox,
         rng: random.Random,
         next_call: Callable[[], int],
@@ -77,6 +83,7 @@
         self._scope = scope
         self._timing = timing
         self._spread = spread
+        self._drains = drains
         self._outbox = outbox
         self._backoff = Backoff(BACKOFF_BASE_S, timing.backoff_max_s, rng)
         self._next_call = next_call
@@ -138,7 +145,7 @@
 
     def _poll(self, now_s: float) -> None:
         """Read the head, and now and then the leases, whose counters tell of changed groups."""
-        prefixes = [head_key(self._scope)]
+        prefixes = [head_key(self._scope), halls_key(self._scope)]
         self._polled_s = now_s
         if now_s - self._leases_s >= self._timing.lease_poll_s:
             self._leases_s = now_s
@@ -181,10 +188,29 @@
         self._call = None
         self._failing = False
         self._backoff.succeeded()
+        self._take_halls(reply.rows, now_s)
         self._take_head(reply.rows, now_s)
         self._take_domains(reply.rows, now_s)
         self._take_approvals(reply.rows, now_s)
 
+    def _take_halls(self, rows: Mapping[str, Row], now_s: float) -> None:
+        row = rows.get(halls_key(self._scope))
+        if row is not None:
+            self._take_drained(decode(HallsRow, row.content).drained, now_s)
+        elif head_key(self._scope) in rows:
+            self._drains.read_none()
+
+    def _take_drained(self, drained: DrainedHalls, now_s: float) -> None:
+        """Take drained halls that are newer than what is known, and pass them on."""
+        if not self._drains.take(drained, now_s):
+            return
+        self._changed = True
+        self._outbox.count("halls.drained_changed")
+        halls = ",".join(drained.halls)
+        self._outbox.log("halls_drained", version=drained.version, halls=halls)
+        for follower in self._followers.values():
+            self._outbox.send(follower.peer, HallsUpdate(drained))
+
     def _take_head(self, rows: Mapping[str, Row], now_s: float) -> None:
         head = rows.get(head_key(self._scope))
         if head is None:
@@ -275,6 +301,10 @@
         """Take in a version from another process."""
         self.apply(update.snapshot, now_s)
 
+    def on_halls_update(self, sender: Peer, update: HallsUpdate, now_s: float) -> None:
+        """Take in the drained halls from another entry."""
+        self._take_drained(update.drained, now_s)
+
     def on_follow_view(self, sender: Peer, message: FollowView, now_s: float) -> None:
         """Count an entry among the followers for a while."""
         follower = self._followers.get(sender.node)
@@ -282,6 +312,8 @@
             follower = _Follower(sender, 0.0, {}, {})
             self._followers[sender.node] = follower
         follower.until_s = now_s + FOLLOW_FOR_S
+        if self._drains.newest.version:
+            self._outbox.send(sender, HallsUpdate(self._drains.newest))
         if message.digest != counters_digest(follower.told):
             follower.told = {}
         if message.listing != follower.listing_digest:
--- /dev/null
+++ b/packages/ochreway-nodes/src/ochreway_nodes/halldrains.py
@@ -0,0 +1,46 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Which halls are drained, and from when on nothing new is sent there."""
+
+from ochreway_core.drainedhalls import UNREAD_HALLS, DrainedHalls
+from ochreway_core.ids import HallId
+
+
+class HallDrains:
+    """Hold the newest word on drained halls, and until when each may serve on.
+
+    A word heard soon after the start may be old already; its halls have no time left.
+    """
+
+    def __init__(self, serves_on_s: float, now_s: float) -> None:
+        """Start without a word; a hall serves on for so long after it was heard to be drained."""
+        self.newest = UNREAD_HALLS
+        self._serves_on_s = serves_on_s
+        self._told_by_s = now_s + serves_on_s
+        self._close_s: dict[HallId, float] = {}
+
+    @property
+    def halls(self) -> frozenset[HallId]:
+        """Return the halls that nothing new is planned for."""
+        return frozenset(self.newest.halls)
+
+    def closed(self, now_s: float) -> frozenset[HallId]:
+        """Return the halls that get nothing new."""
+        return frozenset(hall for hall, close_s in self._close_s.items() if now_s >= close_s)
+
+    def read_none(self) -> None:
+        """Note that the table was read and no hall was ever drained."""
+        self._told_by_s = 0.0
+
+    def take(self, word: DrainedHalls, now_s: float) -> bool:
+        """Take a word that is newer than what is known; return whether it was."""
+        if not word.newer_than(self.newest):
+            return False
+        old = now_s < self._told_by_s
+        close_s = now_s if old else now_s + self._serves_on_s
+        self.newest = word
+        self._close_s = {hall: self._close_s.get(hall, close_s) for hall in word.halls}
+        self._told_by_s = 0.0
+        return True
+
+
+__all__ = ["HallDrains"]
