--- a/packages/ochreway-cli/src/ochreway_cli/hallcommands.py
+++ b/packages/ochreway-cli/src/ochreway_cli/hallcommands.py
@@ -9,7 +9,8 @@
 import click
 
 from ochreway_cli.context import EXIT_NOT_COMPLETE, WATCH_EVERY_S, Context, named
-from ochreway_cli.halls import HallProgress, hall_progress
+from ochreway_cli.entries import Entries
+from ochreway_cli.halls import HallProgress, Halls, hall_progress
 from ochreway_core.drainedhalls import DrainedHalls
 from ochreway_core.ids import HallId
 
@@ -47,7 +48,7 @@
 def hall_list(context: Context) -> None:
     """List the halls that instances are in or that are drained, and what runs there."""
 
-    async def work(halls: Any, entries: Any) -> tuple[DrainedHalls, list[HallProgress]]:
+    async def work(halls: Halls, entries: Entries) -> tuple[DrainedHalls, list[HallProgress]]:
         drained = await halls.drained()
         names = sorted({*await halls.known(), *drained.halls})
         statuses = await entries.statuses()
--- a/packages/ochreway-cli/src/ochreway_cli/halls.py
+++ b/packages/ochreway-cli/src/ochreway_cli/halls.py
@@ -36,15 +36,18 @@
 
 
 def hall_progress(hall: HallId, version: int, statuses: list[dict[str, Any]]) -> HallProgress:
-    """Return how far a hall's drain has come, by the entry that knows of most."""
-    halls = [status["halls"] for status in statuses]
+    """Return how far a hall's drain has come, by the entry that knows of most.
+
+    An entry that says nothing of halls, as older builds do, counts as one not told.
+    """
+    halls = [status["halls"] for status in statuses if "halls" in status]
     return HallProgress(
         hall=hall,
         version=version,
         groups=max((each["groups"].get(hall, 0) for each in halls), default=0),
         in_flight=max((each["in_flight"].get(hall, 0) for each in halls), default=0),
         entries_told=sum(each["version"] >= version for each in halls),
-        entries=len(halls),
+        entries=len(statuses),
     )
 
 
--- a/packages/ochreway-core/src/ochreway_core/invariants.py
+++ b/packages/ochreway-core/src/ochreway_core/invariants.py
@@ -24,6 +24,7 @@
     LEAVING_QUIET = "leaving_quiet"
     STOP_CUTS_NOTHING = "stop_cuts_nothing"
     VERSION_FORWARD = "version_forward"
+    DRAINED_QUIET = "drained_quiet"
 
 
 def _raise(invariant: Invariant, detail: str) -> None:
--- a/packages/ochreway-daemon/src/ochreway_daemon/api/status.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/status.py
@@ -44,9 +44,8 @@
     in_flight: Counter[str] = Counter()
     for row in node.keeper.groups():
         replica = node.router.replicas.get(row.group)
-        for hall in {
-            node.listing[peer.node].hall for peer in row.members if peer.node in node.listing
-        }:
+        listed = [node.listing[peer.node] for peer in row.members if peer.node in node.listing]
+        for hall in {each.hall for each in listed}:
             groups[hall] += 1
             in_flight[hall] += replica.in_flight if replica is not None else 0
     return {
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -154,6 +154,7 @@
 
     def on_message(self, sender: Peer, version: Version, message: object, now_s: float) -> None:
         """Handle a message that showed its sender's version."""
+        self._close_halls(now_s)
         self.spread.seen(sender, version, now_s)
         handler = self._handlers.get(type(message))
         if handler is None:
@@ -164,6 +165,7 @@
 
     def on_request(self, request: Request, now_s: float) -> None:
         """Begin a request."""
+        self._close_halls(now_s)
         self.calls.start(request, now_s)
 
     def on_caller_gone(self, request: RequestId) -> None:
@@ -355,9 +357,14 @@
         )
 
     def _gets_nothing(self, node: NodeId) -> bool:
-        """Tell whether an instance is leaving, or stands in a hall that gets nothing new."""
+        """Tell whether an instance is leaving, or stands in a hall that gets nothing new.
+
+        While a hall gets nothing, one whose hall is not known might stand there.
+        """
         listed = self.listing.get(node)
-        return listed is not None and (listed.leaving or listed.hall in self._closed_halls)
+        if listed is None:
+            return bool(self._closed_halls)
+        return listed.leaving or listed.hall in self._closed_halls
 
     def _follow_leaders(self) -> None:
         for group, replica in self.router.replicas.items():
--- a/packages/ochreway-nodes/src/ochreway_nodes/halldrains.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/halldrains.py
@@ -4,6 +4,8 @@
 from ochreway_core.drainedhalls import UNREAD_HALLS, DrainedHalls
 from ochreway_core.ids import HallId
 
+NEVER_S = float("-inf")
+
 
 class HallDrains:
     """Hold the newest word on drained halls, and until when each may serve on.
@@ -29,7 +31,7 @@
 
     def read_none(self) -> None:
         """Note that the table was read and no hall was ever drained."""
-        self._told_by_s = 0.0
+        self._told_by_s = NEVER_S
 
     def take(self, word: DrainedHalls, now_s: float) -> bool:
         """Take a word that is newer than what is known; return whether it was."""
@@ -39,7 +41,7 @@
         close_s = now_s if old else now_s + self._serves_on_s
         self.newest = word
         self._close_s = {hall: self._close_s.get(hall, close_s) for hall in word.halls}
-        self._told_by_s = 0.0
+        self._told_by_s = NEVER_S
         return True
 
 
--- a/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
@@ -12,16 +12,20 @@
 from ochreway_nodes.controller.groupchange import FormGroup
 from ochreway_nodes.entry import EntryNode
 from ochreway_standins.soak.callers import Callers
+from ochreway_standins.soak.halloperator import HallOperator
 from ochreway_standins.soak.operator import Operator, bundle_body
 from ochreway_standins.soak.process import Process
 from ochreway_standins.soak.simplatform import Mode
 from ochreway_standins.soak.truth import AGENT_LEAVE_S, LIST_LAG_MOST_S, LIST_LEAVE_S, Truth
-from ochreway_standins.soak.world import World
+from ochreway_standins.soak.world import HALL, OTHER_HALL, World
 
 Fault = Callable[["Faults"], None]
 
 FAULTS: dict[str, Fault] = {}
 STOP_POLL_S = 0.2
+OWN_HALL_SHARE = 0.2
+"""How often the hall is drained that most instances are in; few can then stand in for them."""
+HALL_DRAINED_S = (2.0, 14.0)
 STOP_GIVE_UP_S = 14.0
 REPLACED_AFTER_STOP_S = (0.2, 3.0)
 """Short enough that every fault has ended when progress is judged."""
@@ -46,6 +50,7 @@
         self.truth = truth
         self.rolls = 1
         self.count = 0
+        self.halls = HallOperator(world)
         self.accepted: list[tuple[int, float]] = []
 
     def draw(self, kinds: list[str], pairs: int, begin_s: float, end_s: float) -> None:
@@ -440,6 +445,15 @@
     faults.stop_entry(faults.some(faults.world.entries()))
 
 
+@fault("drain_hall")
+def _drain_hall(faults: Faults) -> None:
+    """Drain a hall for a while; another drain meanwhile goes on in its place."""
+    hall = HALL if faults.world.random.random() < OWN_HALL_SHARE else OTHER_HALL
+    faults.halls.want(hall)
+    lasting_s = faults.lasting_s(*HALL_DRAINED_S)
+    faults.world.clock.after(lasting_s, faults.halls.want)
+
+
 @fault("list_leaving")
 def _list_leaving(faults: Faults) -> None:
     faults.list_leaving(faults.some_leader())
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/halloperator.py
@@ -0,0 +1,53 @@
+# SPDX-License-Identifier: Apache-2.0
+"""An operator under virtual time who drains halls and gives them back."""
+
+from ochreway_core.codec import decode, encode
+from ochreway_core.drainedhalls import UNREAD_HALLS, DrainedHalls
+from ochreway_core.ids import ChangeId, HallId
+from ochreway_core.rows import HallsRow, halls_change_key, halls_key
+from ochreway_core.table import ABSENT, Condition, ReadReply, Transaction
+from ochreway_standins.soak.world import SCOPE, World
+
+AGAIN_S = 0.5
+
+
+class HallOperator:
+    """Write the wanted set on the condition that it stands as read, until a reading shows it."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._wanted: tuple[HallId, ...] = ()
+        self._changes = 0
+        self._begun = False
+
+    def want(self, *halls: HallId) -> None:
+        """Have these halls drained and no others, from now on."""
+        self._wanted = halls
+        if not self._begun:
+            self._begun = True
+            self._look()
+
+    def _look(self) -> None:
+        self._world.platform.read((halls_key(SCOPE),), self._follow)
+        self._world.clock.after(AGAIN_S, self._look)
+
+    def _follow(self, reply: ReadReply) -> None:
+        if reply.rows is None:
+            return
+        row = reply.rows.get(halls_key(SCOPE))
+        standing = decode(HallsRow, row.content).drained if row else UNREAD_HALLS
+        if standing.halls != self._wanted:
+            self._write(standing, row.revision if row else ABSENT)
+
+    def _write(self, standing: DrainedHalls, revision: int) -> None:
+        self._changes += 1
+        drained = DrainedHalls(standing.version + 1, self._wanted)
+        change = ChangeId(f"hal.{self._changes}")
+        content = encode(HallsRow(SCOPE, drained, "hal", change))
+        key, record = halls_key(SCOPE), halls_change_key(SCOPE, drained.version)
+        conditions = (Condition(key, revision), Condition(record, ABSENT))
+        transaction = Transaction(change, conditions, {key: content, record: content})
+        self._world.platform.commit(transaction, lambda reply: None)
+
+
+__all__ = ["HallOperator"]
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/halltruth.py
@@ -0,0 +1,53 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Since when each entry has known of drained halls, to judge what it sends there."""
+
+from dataclasses import dataclass, field
+
+from ochreway_core.ids import HallId, NodeId
+from ochreway_nodes.entry import EntryNode
+from ochreway_standins.soak.process import Process
+from ochreway_standins.soak.world import World
+
+
+@dataclass(slots=True)
+class _Heard:
+    """Hold the word that one process was seen to have, and since when it names each hall."""
+
+    process: Process
+    version: int = 0
+    since_s: dict[HallId, float] = field(default_factory=dict)
+
+
+class HallTruth:
+    """Look at every entry's word now and then; a time that is noted is never too early."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._heard: dict[NodeId, _Heard] = {}
+
+    def look(self) -> None:
+        """Note which halls each entry knows to be drained."""
+        for process in self._world.entries():
+            node = process.node
+            assert isinstance(node, EntryNode)
+            heard = self._heard.get(process.peer.node)
+            if heard is None or heard.process is not process:
+                heard = self._heard[process.peer.node] = _Heard(process)
+            word = node.drains.newest
+            if word.version > heard.version + 1:
+                # A hall may have been given back and drained again between two looks.
+                heard.since_s = {}
+            now_s = self._world.clock.now_s
+            heard.version = word.version
+            heard.since_s = {hall: heard.since_s.get(hall, now_s) for hall in word.halls}
+
+    def known_for_s(self, entry: NodeId, hall: HallId, at_s: float) -> float:
+        """Return for how long an entry had known at a time that a hall is drained."""
+        heard = self._heard.get(entry)
+        if heard is None or heard.process is not self._world.processes.get(entry):
+            return 0.0
+        since_s = heard.since_s.get(hall)
+        return at_s - since_s if since_s is not None else 0.0
+
+
+__all__ = ["HallTruth"]
--- a/packages/ochreway-standins/src/ochreway_standins/soak/run.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/run.py
@@ -8,6 +8,7 @@
 from ochreway_core.outcome import Outcome
 from ochreway_core.reason import Reason
 from ochreway_nodes.agent import AgentNode
+from ochreway_nodes.entry import EntryNode
 from ochreway_standins.soak.callers import Callers
 from ochreway_standins.soak.faults import FAULTS, Faults
 from ochreway_standins.soak.operator import Operator, bundle_body
@@ -96,6 +97,7 @@
 
     def _heal(self) -> None:
         self.world.platform.mode = Mode.UP
+        self.faults.halls.want()
         self.world.network.heal_all()
         self.world.hand_over_pause = lambda: 0.0
         self.world.around_hand_over = lambda node, moment: None
@@ -123,6 +125,7 @@
             self._no_progress(f"{len(rows)} groups, fewer than {wanted}")
         self._check_requests_ended()
         self._check_versions()
+        self._check_halls()
 
     def _closed(self, agent: AgentNode | None) -> Reason:
         if agent is None:
@@ -148,6 +151,15 @@
             shown = ", ".join(f"{each.peer.node}={each.node.version}" for each in named)
             self._no_progress(f"versions differ: {shown}")
 
+    def _check_halls(self) -> None:
+        """Check that every entry knows that all halls were given back."""
+        for process in self.world.entries():
+            node = process.node
+            if process.running and isinstance(node, EntryNode) and node.drains.halls:
+                self._no_progress(
+                    f"{process.peer.node} takes {sorted(node.drains.halls)} for drained"
+                )
+
     def _is_named(self, node: str) -> bool:
         """Leave out instances that the last bundle may not name."""
         kind, _, index = node.partition("-")
--- a/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
@@ -12,9 +12,10 @@
 from ochreway_core.rows import GroupRow, InstanceRow
 from ochreway_nodes.agent import AgentNode
 from ochreway_standins.soak.callers import Callers
+from ochreway_standins.soak.halltruth import HallTruth
 from ochreway_standins.soak.process import Process
 from ochreway_standins.soak.simtarget import expected_answer
-from ochreway_standins.soak.world import World
+from ochreway_standins.soak.world import World, hall_of
 
 AGENT_LEAVE_S = 2.0
 TICKS_S = 0.5
@@ -30,8 +31,12 @@
     callers: Callers
     violations: list[str] = field(default_factory=list)
     quiet_from_s: dict[NodeId, float] = field(default_factory=dict)
+    halls: HallTruth = field(init=False)
     _versions: dict[tuple[NodeId, float], int] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.halls = HallTruth(self.world)
+
     def watch(self) -> None:
         """Look on from now on."""
         self.world.on_hand_over = self._on_hand_over
@@ -55,6 +60,7 @@
         for peer in row.members:
             self._check_member(process, row, peer.node)
             self._check_quiet(process, row, peer.node)
+            self._check_drained(order, row, peer.node)
 
     def _check_member(self, leader: Process, row: GroupRow, node: NodeId) -> None:
         member = self.world.processes[node]
@@ -87,6 +93,17 @@
         if self.world.clock.now_s > quiet_s:
             self.violate(Invariant.LEAVING_QUIET, f"{row.group}: {node} is leaving")
 
+    def _check_drained(self, order: HandOver, row: GroupRow, node: NodeId) -> None:
+        """Check that no entry has sent a request where it has long known not to."""
+        asked = self.callers.asked.get(order.submit.request)
+        if asked is None:
+            return
+        entry = order.submit.attempt.entry
+        known_s = self.halls.known_for_s(entry, hall_of(node), asked.asked_s)
+        if known_s > self.world.shape.timing.hall_drain_s + TICKS_S:
+            detail = f"{row.group}: {node} stands in a hall drained for {known_s:.1f} s at {entry}"
+            self.violate(Invariant.DRAINED_QUIET, detail)
+
     def _can_tell(self, node: NodeId, leader: NodeId) -> bool:
         network = self.world.network
         cut = network.is_cut(node, leader) or network.is_cut(leader, node)
@@ -101,6 +118,7 @@
 
     def check_table(self) -> None:
         """Check that the table puts each instance into one group at most."""
+        self.halls.look()
         groups: dict[str, str] = {}
         rows = self.world.platform.table.rows
         for key, row in rows.items():
--- a/packages/ochreway-standins/src/ochreway_standins/soak/world.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/world.py
@@ -40,6 +40,9 @@
 KEY = Ed25519PrivateKey.from_private_bytes(bytes(range(32)))
 KEYS = {"bo": KEY.public_key()}
 HALL = HallId("h1")
+OTHER_HALL = HallId("h2")
+IN_OTHER_HALL = frozenset({"engine-1", "engine-4", "service-0"})
+"""One of each replica's first members, so that a drain concerns every group."""
 DOMAIN = DomainId("d1")
 SCOPE = ScopeId("main")
 CLOCK_DRIFT = 0.002
@@ -56,7 +59,9 @@
     services: int = 2
     load_s: float = 1.0
     timing: Timing = field(
-        default_factory=lambda: Timing(tick_s=0.2, key_memory_s=20.0, leader_silent_s=30.0)
+        default_factory=lambda: Timing(
+            tick_s=0.2, key_memory_s=20.0, leader_silent_s=30.0, hall_drain_s=4.0
+        )
     )
     repair_policy: str = "expected_cost"
     repair: RepairTuning = field(default_factory=lambda: RepairTuning(load_s=1.0, replace_s=10.0))
@@ -123,7 +128,7 @@
         process = Process(peer, made, self.clock.now_s, offset_s, drift)
         self.processes[node] = process
         kind = InstanceKind.ENTRY if entry else InstanceKind.TARGET
-        self.platform.listed[node] = ListedInstance(node, peer.address, kind, HALL, DOMAIN)
+        self.platform.listed[node] = ListedInstance(node, peer.address, kind, hall_of(node), DOMAIN)
         self.clock.after(rng.random() * self.shape.timing.tick_s, partial(self._tick, process))
         if entry:
             self._poll_list(process)
@@ -342,9 +347,14 @@
         return [each for each in self.processes.values() if isinstance(each.node, EntryNode)]
 
 
+def hall_of(node: NodeId) -> HallId:
+    """Return the hall that an instance stands in."""
+    return OTHER_HALL if node in IN_OTHER_HALL else HALL
+
+
 def _link_down(process: Process, node: NodeId, now_s: float) -> None:
     if isinstance(process.node, EntryNode):
         process.node.on_link_down(node, now_s)
 
 
-__all__ = ["DOMAIN", "HALL", "KEY", "SCOPE", "WALL_S", "Shape", "World"]
+__all__ = ["DOMAIN", "HALL", "KEY", "OTHER_HALL", "SCOPE", "WALL_S", "Shape", "World", "hall_of"]
