--- a/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
@@ -98,6 +98,8 @@
         asked = self.callers.asked.get(order.submit.request)
         if asked is None:
             return
+        # A word that has just come may have given the hall back.
+        self.halls.look()
         entry = order.submit.attempt.entry
         known_s = self.halls.known_for_s(entry, hall_of(node), asked.asked_s)
         if known_s > self.world.shape.timing.hall_drain_s + TICKS_S:
