--- /dev/null
+++ b/tests/nodes/test_evacuation.py
@@ -0,0 +1,139 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What a controller does with groups in a drained hall: replaced first, then drained."""
+
+from dataclasses import replace
+
+from ochreway_core.bundle import Bundle
+from ochreway_core.ids import HallId, NodeId
+from ochreway_core.reason import Reason
+from ochreway_nodes.controller.evacuation import replacements_to_warm
+from ochreway_nodes.controller.groupchange import (
+    DissolveGroup,
+    DrainGroup,
+    FormGroup,
+    GroupChange,
+    RefreshGroup,
+    ReleaseStandbys,
+)
+from ochreway_nodes.controller.planner import plan
+from ochreway_nodes.controller.repair import ExpectedCost, RepairTuning
+from ochreway_nodes.controller.situation import Situation
+from tests.nodes.test_planner import PlannerCase, bundle
+
+HERE, THERE = HallId("here"), HallId("there")
+
+
+class EvacuationTests(PlannerCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.drained: frozenset[HallId] = frozenset()
+        self.closed: frozenset[HallId] = frozenset()
+        for health in self.health.values():
+            health.hall = HERE
+
+    def situation(self, wanted: Bundle | None = None) -> Situation:
+        plain = super().situation(wanted)
+        return replace(plain, drained_halls=self.drained, closed_halls=self.closed)
+
+    def drain(self, names: str, time_is_over: bool = False) -> None:
+        """Put instances into a hall that is drained."""
+        for name in names:
+            self.health[NodeId(name)].hall = THERE
+        self.drained = frozenset((THERE,))
+        self.closed = self.drained if time_is_over else frozenset()
+
+    def warm(self, names: str) -> None:
+        """Let instances have loaded what the groups serve."""
+        row = next(iter(self.rows.groups.values()))
+        report = self.health[row.leader.node].report
+        assert report is not None
+        for name in names:
+            self.health[NodeId(name)].report = replace(
+                report, node=NodeId(name), group="", artifact=row.artifact
+            )
+
+    def members(self, change: GroupChange | None) -> set[str]:
+        assert isinstance(change, FormGroup), change
+        return {each.node for each in change.members}
+
+    def test_no_group_forms_with_instances_there(self) -> None:
+        self.drain("abc")
+        self.assertEqual({"d", "e", "f"}, self.members(self.planned()))
+        self.drain("abcdef")
+        self.assertIsNone(self.planned())
+
+    def test_a_group_serves_on_while_its_replacement_loads(self) -> None:
+        self.both()
+        self.drain("b")
+        self.assertIsNone(self.planned())
+        found = replacements_to_warm(self.situation())
+        self.assertEqual(["g"], [peer.node for peer, _ in found])
+        self.warm("g")
+        self.assertIsInstance(self.planned(), DrainGroup)
+        self.assertEqual([], replacements_to_warm(self.situation()))
+
+    def test_two_groups_load_different_instances_and_go_down_in_turn(self) -> None:
+        first, _ = self.both()
+        self.drain("ad")
+        found = replacements_to_warm(self.situation())
+        self.assertEqual(["g", "h"], [peer.node for peer, _ in found])
+        self.warm("gh")
+        change = self.planned()
+        self.assertIsInstance(change, DrainGroup)
+        self.add_group("care-0", "abc", 1, draining=True)
+        self.report(first, Reason.DRAINING)
+        self.assertIsNone(self.planned())
+
+    def test_a_drained_group_is_formed_elsewhere(self) -> None:
+        first, _ = self.both(draining=True)
+        self.drain("b")
+        self.assertIsNone(self.planned())
+        self.report(first, Reason.DRAINING, drained=True)
+        self.assertEqual({"a", "c", "g"}, self.members(self.planned()))
+
+    def test_once_its_time_is_over_it_is_drained_ready_or_not(self) -> None:
+        self.both()
+        self.drain("bgh", time_is_over=True)
+        self.assertIsInstance(self.planned(), DrainGroup)
+        first, _ = self.both(draining=True)
+        self.report(first, Reason.DRAINING, drained=True)
+        self.assertIsInstance(self.planned(), DissolveGroup)
+
+    def test_without_enough_elsewhere_it_serves_until_its_time_is_over(self) -> None:
+        self.both()
+        self.drain("bgh")
+        self.assertIsNone(self.planned())
+        self.assertEqual([], replacements_to_warm(self.situation()))
+
+    def test_given_back_a_group_that_drains_opens_again(self) -> None:
+        self.both(draining=True)
+        self.drain("b")
+        self.assertIsNone(self.planned())
+        self.drained = frozenset()
+        self.assertIsInstance(self.planned(), RefreshGroup)
+
+    def test_a_dead_member_there_is_replaced_together_with_the_others_there(self) -> None:
+        first, _ = self.both()
+        self.drain("ab")
+        self.lose("b", 20.0)
+        self.report(first, Reason.GROUP_INCOMPLETE)
+        self.assertEqual({"c", "g", "h"}, self.members(self.planned()))
+
+    def test_a_standby_there_is_released(self) -> None:
+        self.both(standbys="g")
+        self.drain("g")
+        self.assertIsInstance(self.planned(bundle(standbys=1)), ReleaseStandbys)
+
+    def test_a_leaving_members_place_is_not_filled_beside_one_there(self) -> None:
+        first, _ = self.both(draining=True)
+        self.report(first, Reason.DRAINING, drained=True)
+        self.health[NodeId("a")].leaving = True
+        self.drain("b")
+        change = plan(self.situation(), ExpectedCost(RepairTuning()))
+        self.assertNotIn("b", self.members(change))
+
+    def test_a_new_version_uses_no_instance_there(self) -> None:
+        first, _ = self.both(draining=True)
+        self.report(first, Reason.DRAINING, drained=True)
+        self.drain("b", time_is_over=True)
+        self.assertNotIn("b", self.members(self.planned(bundle(version="2"))))
--- a/tests/nodes/test_planner.py
+++ b/tests/nodes/test_planner.py
@@ -49,7 +49,7 @@
     )
 
 
-class PlannerTests(testtools.TestCase):
+class PlannerCase(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.rows = DomainRows(DOMAIN)
@@ -98,14 +98,19 @@
     def lose(self, name: str, for_s: float) -> None:
         self.health[NodeId(name)].heard_s = NOW_S - for_s
 
+    def situation(self, wanted: Bundle | None = None) -> Situation:
+        return Situation(wanted or bundle(), self.rows, self.health, 4.0, {}, NOW_S)
+
     def planned(self, wanted: Bundle | None = None, baseline: bool = False) -> GroupChange | None:
-        situation = Situation(wanted or bundle(), self.rows, self.health, 4.0, {}, NOW_S)
+        situation = self.situation(wanted)
         policy = WaitThenSpare if baseline else ExpectedCost
         return plan(situation, policy(RepairTuning()))
 
     def both(self, **more: object) -> tuple[GroupRow, GroupRow]:
         return self.add_group("care-0", "abc", 1, **more), self.add_group("care-1", "def", 2)
 
+
+class PlannerTests(PlannerCase):
     def test_missing_group_is_formed(self) -> None:
         change = self.planned()
         assert isinstance(change, FormGroup)
