--- a/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
@@ -59,9 +59,10 @@
 
 @cause("no_home")
 def _no_home(story: Story, line: LogLine) -> str:
-    told = f"version {line.get('version')} binds it to regions in which no hall is known"
-    empty = story.before("home_without_hall", line)
-    return f"{told}; {empty.get('region')} has none" if empty else told
+    return (
+        f"by version {line.get('version')} no hall that the entry knows is in a region"
+        " that its route and its organisation allow"
+    )
 
 
 @cause("queue_full")
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -118,6 +118,12 @@
         self.assertIn("version 7 is in force was 4.7 s old", told)
         self.assertIn("the store did not answer (feed: status 503)", told)
 
+    def test_a_request_without_a_home_names_the_version_that_left_it_none(self) -> None:
+        refusal = text("e", 4.0, "refused", request="r4", status=503, reason="no_home", version=7)
+        story = self.story("r4", entry=(refusal,))
+        assert story.end is not None
+        self.assertIn("by version 7 no hall that the entry knows", why(story, story.end))
+
     def test_a_lack_of_groups_names_the_last_one_of_the_model(self) -> None:
         refusal = text(
             *("e", 4.0, "refused"),
