--- a/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
@@ -57,6 +57,14 @@
     return f"{told}; the last one, {last[-1].get('group')}, ended{_of(last[-1])}" if last else told
 
 
+@cause("no_home")
+def _no_home(story: Story, line: LogLine) -> str:
+    return (
+        f"by version {line.get('version')} no hall that the entry knows is in a region"
+        " that its route and its organisation allow"
+    )
+
+
 @cause("queue_full")
 def _queue_full(story: Story, line: LogLine) -> str:
     if line.event == "attempt":
