--- a/tests/direct/test_drainplanning.py
+++ b/tests/direct/test_drainplanning.py
@@ -200,6 +200,14 @@
         self.assertTrue(all(set(view.halls) <= {HallId("d2")} for view in views), views)
         self.assertEqual([], world.forbidden)
 
+    def test_engines_that_are_listed_and_silent_there_are_no_fault_nearer_home(self) -> None:
+        world = settled()
+        for record in world.coordinator.engines.values():
+            record.dead = record.listed.hall in (DRAINED, KEPT)
+        self.assertTrue(world.coordinator._all_silent())
+        world.drain(DRAINED)
+        self.assertFalse(world.coordinator._all_silent())
+
     def test_engines_of_the_hall_are_asked_rarely_and_their_silence_is_no_loss_to_plan_for(
         self,
     ) -> None:
@@ -261,6 +269,23 @@
             world.coordinator._lifecycle._step_forming(group, world.now_s)
             self.assertIs(phase, group.phase)
 
+    def test_a_group_being_formed_there_waits_for_the_hall_to_be_back(self) -> None:
+        world = settled()
+        state = world.coordinator._state
+        inside = [r for r in world.coordinator.engines.values() if r.listed.hall == DRAINED][:2]
+        members = tuple(record.instance for record in inside)
+        group = GroupRecord(
+            *(GroupId("g"), Epoch(9), SERVICE, inside[0].domain, SMALL.name, members),
+            phase=GroupPhase.FORMING,
+            since_s=world.now_s - 60.0,
+        )
+        world.drain(DRAINED)
+        state.groups = {group.group: group}
+        world.coordinator._lifecycle._step_forming(group, world.now_s)
+        world.drain()
+        world.coordinator._lifecycle._step_forming(group, world.now_s)
+        self.assertIs(GroupPhase.FORMING, group.phase)
+
     def test_with_every_hall_drained_nothing_is_ordered_and_all_is_kept(self) -> None:
         world = settled()
         before = {view.group for view in world.coordinator.views()}
