--- a/tests/direct/test_drainplanning.py
+++ b/tests/direct/test_drainplanning.py
@@ -234,6 +234,16 @@
         world.run(6.0)
         self.assertLessEqual(losses.per_engine_s, rate)
 
+    def test_engines_of_a_hall_that_is_given_back_are_asked_at_once(self) -> None:
+        world = settled()
+        world.drain(DRAINED)
+        world.run(5.0)
+        world.drain()
+        due = world.coordinator.due_probes(world.now_s)
+        asked = {probe.record.instance for probe in due}
+        inside = {i for i in world.engines if world.hall(i) == DRAINED}
+        self.assertEqual(inside, asked & inside)
+
     def test_weights_being_loaded_there_leave_their_place_to_loads_elsewhere(self) -> None:
         world = settled()
         state = world.coordinator._state
