Drained halls: a group whose replacements are gone opens again while it may serve

It was dissolved although its hall had time left. Found by reading; a case of test_evacuation.py fails without it. Plain targets are not looked at by hall while nothing binds or closes halls.

--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -231,13 +231,14 @@
         now_s: float = 0.0,
     ) -> ListedTarget | None:
         """Return the plain target with the least work, failing ones last, or None."""
+        anywhere = within is None and not self._closed_halls
         found = [
             each
             for each in self._targets.values()
             if each.service == service
             and not each.leaving
             and each.instance not in avoid
-            and self._in_reach(frozenset((each.hall,)), within)
+            and (anywhere or self._in_reach(frozenset((each.hall,)), within))
             and self._limit.allows(service, each.instance, now_s)
         ]
         if not found:
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/evacuation.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/evacuation.py
@@ -9,6 +9,7 @@
     DrainGroup,
     FormGroup,
     GroupChange,
+    RefreshGroup,
 )
 from ochreway_nodes.controller.repair import RepairPolicy
 from ochreway_nodes.controller.situation import Situation
@@ -83,12 +84,17 @@
 
 
 def _replaced(situation: Situation, row: GroupRow, spec: Group) -> GroupChange | None:
-    """Form a drained group with instances elsewhere, or give it up for want of them."""
+    """Form a drained group with instances elsewhere, or give it up for want of them.
+
+    While it may serve on, one whose replacements are gone again is opened instead.
+    """
     if not situation.drained(row):
         return None
     able = _staying(situation, row) + _spares(situation, row, spec)
     size = spec.instances_per_replica
     if len(able) < size:
+        if not any(situation.is_closed(peer.node) for peer in row.members):
+            return RefreshGroup(row.group, "its replacements are gone")
         return DissolveGroup(row.group, WHY + " and there is no spare")
     standbys = tuple(able[size : size + spec.standbys])
     return FormGroup(row.group, tuple(able[:size]), WHY, (), standbys)
--- a/tests/nodes/test_evacuation.py
+++ b/tests/nodes/test_evacuation.py
@@ -105,6 +105,16 @@
         self.assertIsNone(self.planned())
         self.assertEqual([], replacements_to_warm(self.situation()))
 
+    def test_with_its_replacement_gone_again_a_drained_group_opens_until_its_time_is_over(
+        self,
+    ) -> None:
+        first, _ = self.both(draining=True)
+        self.report(first, Reason.DRAINING, drained=True)
+        self.drain("bgh")
+        self.assertIsInstance(self.planned(), RefreshGroup)
+        self.drain("bgh", time_is_over=True)
+        self.assertIsInstance(self.planned(), DissolveGroup)
+
     def test_given_back_a_group_that_drains_opens_again(self) -> None:
         self.both(draining=True)
         self.drain("b")
