Limit what all entries send to a target that may be cold

Cause: a cold target bears a stated rate over all entries, and entries hear late or never that it is cold.

Each entry has a standing share of every such target by the entries it knows; the holder of the lease lends the rest by name with an end in time.

--- a/packages/ochreway-core/src/ochreway_core/reason.py
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -25,6 +25,7 @@
     AGENT_RESTARTED = "agent_restarted"
     QUEUE_FULL = "queue_full"
     OVER_SHARE = "over_share"
+    SEND_LIMIT = "send_limit"
     ORGANISATION_IN_FLIGHT = "organisation_in_flight"
     ORGANISATION_RATE = "organisation_rate"
     DEADLINE_TOO_SHORT = "deadline_too_short"
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -143,12 +143,15 @@
         if record is None:
             assert listed.engine is not None
             last_model = self._last_models.of(instance)
-            self.engines[instance] = EngineRecord(listed, listed.engine, last_model=last_model)
+            self.engines[instance] = EngineRecord(
+                *(listed, listed.engine),
+                last_model=last_model,
+                cold_until_s=now_s + listed.cold_s,
+            )
             return
         if listed.engine != record.listed.engine:
             record.news_due_s = now_s + self._lifecycle.report_lag_s(record.service)
-        record.listed = listed
-        record.missing_s = None
+        record.list(listed, now_s)
 
     def on_state(self, instance: InstanceId, state: EngineState, now_s: float) -> None:
         """Take an engine's own report."""
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -44,6 +44,7 @@
     change_due_s: float = NEVER_S
     departure: Departure | None = None
     news_due_s: float = NEVER_S
+    cold_until_s: float = NEVER_S
     probing: bool = field(default=False)
 
     @property
@@ -110,6 +111,13 @@
         self.last_model = model
         self.last_model_due_s = until_s
 
+    def list(self, listed: ListedTarget, now_s: float) -> None:
+        """Take the engine's row; one that says anew for how long it is cold is so from now on."""
+        if listed.cold_s > 0.0 and listed.cold_s != self.listed.cold_s:
+            self.cold_until_s = now_s + listed.cold_s
+        self.listed = listed
+        self.missing_s = None
+
     def has_news(self, now_s: float) -> bool:
         """Tell whether the list showed a change that no report has shown yet."""
         return self.observed_s < self.news_due_s <= now_s
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -58,7 +58,8 @@
         expected_s: float,
         now_s: float,
     ) -> None:
-        """Begin to form a group of engines, the first of which is to lead."""
+        """Begin to form a group of engines, the first warm one of which is to lead."""
+        chosen = sorted(chosen, key=lambda record: now_s < record.cold_until_s)
         epoch = self.next_epoch()
         group = GroupId(f"{model.name}-{epoch}")
         members = tuple(record.instance for record in chosen)
--- a/packages/ochreway-direct/src/ochreway_direct/elsewhere.py
+++ b/packages/ochreway-direct/src/ochreway_direct/elsewhere.py
@@ -99,6 +99,17 @@
         report = self._reports.get(_key(node, Coverage.OWN, CellId("")))
         return report.work if report is not None else NO_WORK
 
+    def asked_by_source(self) -> Counter[NodeId]:
+        """Return the work that arrives at each entry that reports, and where it speaks for others.
+
+        It is in groups kept busy.
+        """
+        found: Counter[NodeId] = Counter()
+        for report in self._reports.values():
+            if report.coverage is not Coverage.REST:
+                found[report.source] += sum(report.work.offered.values())  # type: ignore[assignment]
+        return found
+
     def everything(self) -> Work:
         """Return all work but the own."""
         return total(report.work for report in self._reports.values())
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -38,6 +38,10 @@
 from ochreway_direct.peers import Peers
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import PlatformServices
+from ochreway_direct.sendlimits.coldtargets import ColdTargets
+from ochreway_direct.sendlimits.fleetlimit import FleetLimit
+from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.standingshare import StandingShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
 from ochreway_direct.timing import DirectTiming
@@ -81,11 +85,14 @@
         self._loop = asyncio.get_running_loop()
         self._random = random.Random()
         self.me = Peer(NodeId(settings.name), settings.link_listen)
+        self._cold = ColdTargets(log)
+        self._limit = self._fleet_limit()
         fleet = Fleet(
             HallId(settings.hall),
             self._random,
             counts_unread=settings.has(Mechanism.UNREAD_PROMPTS),
             sampled=SAMPLED_GROUPS if settings.has(Mechanism.SAMPLED_CHOICE) else None,
+            limit=self._limit,
         )
         freshness = Freshness(settings.key_trust_s, settings.key_trust)
         self.serving = Serving(fleet, freshness)
@@ -124,6 +131,7 @@
             metrics,
         )
         self.view = FleetView(settings.list_trust_s)
+        self._loans = Loans(self.me.node, self._limit, self.lease, self._asked)
         self._heartbeats = Heartbeats(
             incarnation,
             known,
@@ -135,10 +143,11 @@
             self.lease,
             self.meter,
             lambda: self._sharing.show(),
+            loans=self._loans,
         )
         self._sharing = FleetSharing(
             *(self.view, self.serving, self.lease, self.peers, self.links),
-            *(self.coordination, self._heartbeats, self.health, log),
+            *(self.coordination, self._heartbeats, self.health, log, self._cold),
         )
         self._versions = VersionSharing(
             *(self.serving, self._heartbeats, self.links),
@@ -199,6 +208,22 @@
     def _backoff(self, timing: DirectTiming) -> Backoff:
         return Backoff(timing.backoff_base_s, timing.backoff_max_s, self._random)
 
+    def _fleet_limit(self) -> FleetLimit:
+        began_s = self._loop.time()
+        return FleetLimit(
+            lambda: self.serving.services,
+            self.settings.cold_excess,
+            self.settings.cold_slack,
+            StandingShare(self.me.node, len(self.settings.peer), began_s),
+            self._cold,
+            *(began_s, self.log, self.metrics),
+        )
+
+    def _asked(self, now_s: float) -> dict[NodeId, float]:
+        """Return what each entry in touch is asked for, in groups kept busy."""
+        own = sum(self.meter.offered(now_s).values())
+        return {**self._heartbeats.elsewhere.asked_by_source(), self.me.node: own}
+
     def spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run a task of this process until it ends or the process stops."""
         task = asyncio.create_task(work)
@@ -253,6 +278,9 @@
             "lease_held": float(self.lease.held),
             "groups": float(len(self.view.groups(now_s))),
             "entries_heard": float(len(self.peers.alive(now_s))),
+            "targets_cold": float(self._cold.number(now_s)),
+            "loans_taken": float(self._limit.loans(now_s)),
+            "loans_made": float(self._loans.lent(now_s)),
         }
 
     def _share_retries(self) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -231,17 +231,38 @@
     ) -> ListedTarget | None:
         """Return the plain target with the least work, failing ones last, or None."""
         found = [
+            each
+            for each in self._open_targets(service, within)
+            if each.instance not in avoid and self._limit.allows(service, each.instance, now_s)
+        ]
+        if not found:
+            return None
+        return min(found, key=self._target_cost)
+
+    def send_wait_s(
+        self,
+        service: ServiceName,
+        model: ModelName | None,
+        within: frozenset[HallId] | None,
+        now_s: float,
+    ) -> float:
+        """Return how soon a place may be sent to again that the limit withholds; 0 if one may."""
+        groups = [each.leader for each in self.places(service, model, within)]
+        plain = [each.instance for each in self._open_targets(service, within)]
+        found = groups or plain
+        return min((self._limit.wait_s(service, each, now_s) for each in found), default=0.0)
+
+    def _open_targets(
+        self, service: ServiceName, within: frozenset[HallId] | None
+    ) -> list[ListedTarget]:
+        """Return the plain targets that may be given requests, in some halls or in any."""
+        return [
             each
             for each in self._targets.values()
             if each.service == service
             and not each.leaving
-            and each.instance not in avoid
             and self._in_reach(frozenset((each.hall,)), within)
-            and self._limit.allows(service, each.instance, now_s)
         ]
-        if not found:
-            return None
-        return min(found, key=self._target_cost)
 
     def _target_cost(self, target: ListedTarget) -> float:
         load = self._load(target.instance, target.hall)
@@ -259,7 +280,7 @@
 
     def begin(self, attempt: Attempt) -> None:
         """Count an attempt at its place, as it is sent."""
-        self._limit.sent(attempt.instance, attempt.begun_s)
+        self._limit.sent(attempt)
         self._under_way[attempt.place].add(attempt)
         self._unread[attempt.place] += attempt.prompt_tokens
 
@@ -267,6 +288,8 @@
         """Note that a part of an answer came; the first shows that the prompt has been read."""
         if attempt.heard_s is None:
             self._read(attempt)
+        if attempt.written_s is None:
+            attempt.written(now_s)
         attempt.heard(now_s)
 
     def _read(self, attempt: Attempt) -> None:
@@ -274,8 +297,10 @@
         if not self._unread[attempt.place]:
             del self._unread[attempt.place]
 
-    def end(self, attempt: Attempt, failed: bool) -> None:
+    def end(self, attempt: Attempt, failed: bool, now_s: float = 0.0) -> None:
         """Stop counting an attempt, and note how it went."""
+        if attempt.written_s is None:
+            attempt.written(max(now_s, attempt.begun_s))
         running = self._under_way[attempt.place]
         running.discard(attempt)
         if attempt.heard_s is None:
--- a/packages/ochreway-direct/src/ochreway_direct/fleetsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetsharing.py
@@ -16,6 +16,7 @@
 from ochreway_direct.peers import Peers
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import TargetReading
+from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.serving import Serving
 from ochreway_runtime.logs import EventLog
 from ochreway_wire.links import Links
@@ -44,6 +45,7 @@
         heartbeats: Heartbeats,
         health: PlatformHealth,
         log: EventLog,
+        cold: ColdTargets | None = None,
     ) -> None:
         self._view = view
         self._serving = serving
@@ -54,6 +56,7 @@
         self._heartbeats = heartbeats
         self._health = health
         self._log = log
+        self._cold = cold or ColdTargets(log)
         self._publisher = FleetPublisher()
         self._loop = asyncio.get_running_loop()
         self._shared_s = 0.0
@@ -77,6 +80,7 @@
         self._share_list(targets)
 
     def _take_list(self, targets: tuple[ListedTarget, ...], asked_s: float, now_s: float) -> None:
+        self._cold.listed(targets, now_s)
         self._coordination.listed(targets, now_s, self._health.regained_s)
         self._view.list(targets, asked_s, now_s, self._health.regained_s)
 
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -23,6 +23,7 @@
     aged,
 )
 from ochreway_direct.peers import Peers
+from ochreway_direct.sendlimits.loans import Loans
 from ochreway_direct.serving import Serving
 from ochreway_direct.work import NO_WORK, Work, total, without
 from ochreway_wire.links import Links
@@ -62,6 +63,7 @@
         meter: DemandMeter,
         listed: Callable[[], None],
         mesh_entries: int = MESH_ENTRIES,
+        loans: Loans | None = None,
     ) -> None:
         """Start with the parts given; ``listed`` is told when the list of targets is newer."""
         self._incarnation = incarnation
@@ -75,6 +77,7 @@
         self._meter = meter
         self._listed = listed
         self._mesh_entries = mesh_entries
+        self._loans = loans
         self._began_s = asyncio.get_running_loop().time()
         self.elsewhere = Elsewhere(serving.fleet)
         self._cells = Cells(peers.candidates(self._began_s), mesh_entries)
@@ -147,6 +150,9 @@
         self.elsewhere.expire(now_s)
         self._lay_out(now_s)
         self._meet_seeds()
+        if self._loans is not None:
+            names = [each.node for each in self._peers.all()]
+            self._loans.beat(names, bool(self._peers.alive(now_s)), now_s)
         own = self._own_work(now_s)
         entries = self._to_name(now_s)
         for peer in (*self._peers.of(self._contacts), *self._peers.unplaced()):
@@ -182,6 +188,7 @@
             coverage=coverage,
             work=self._work_for(peer.node, coverage, own),
             entries=entries,
+            loan=self._loans.lend(peer.node, now_s) if self._loans is not None else None,
         )
 
     def _sighting(self, now_s: float) -> LeaseSighting | None:
@@ -241,6 +248,8 @@
             self.elsewhere.take(
                 *(sender.node, heartbeat.coverage, heartbeat.cell, covered, heartbeat.work, now_s)
             )
+        if self._loans is not None:
+            self._loans.borrow(heartbeat.loan, self._own_echo_s(heartbeat, now_s), now_s)
         self._take_version(sender, heartbeat, now_s)
         self._compare_views(sender, heartbeat, now_s)
         if heartbeat.wanted and sender.node not in self._contacts:
@@ -267,12 +276,18 @@
         if heartbeat.version > self._serving.version:
             self._fall_behind(sender, now_s)
             return
-        echo_s = heartbeat.echo_s
-        # What a former life of this process sent may be echoed, by a clock that began anew since.
-        echoed = echo_s is not None and self._began_s <= echo_s <= now_s
-        if echo_s is not None and echoed and heartbeat.version == self._serving.version:
+        echo_s = self._own_echo_s(heartbeat, now_s)
+        if echo_s is not None and heartbeat.version == self._serving.version:
             self._serving.freshness.prove(echo_s - heartbeat.proof_age_s)
 
+    def _own_echo_s(self, heartbeat: Heartbeat, now_s: float) -> float | None:
+        """Return when this life of the process sent what a heartbeat echoes, if it did.
+
+        What a former life sent may be echoed, by a clock that began anew since.
+        """
+        echo_s = heartbeat.echo_s
+        return echo_s if echo_s is not None and self._began_s <= echo_s <= now_s else None
+
     def _fall_behind(self, ahead: Peer, now_s: float) -> None:
         """Ask another entry for its newer version, once the store has had time to bring it.
 
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -16,6 +16,7 @@
 from ochreway_direct.ports.platformservices import ADAPTERS
 from ochreway_direct.relay.callerserver import CallerServer
 from ochreway_direct.relay.relay import Relay
+from ochreway_direct.relay.sendtrace import send_trace
 from ochreway_direct.relay.targetprotocol import TargetConnector
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.settings import DirectSettings, check
@@ -118,6 +119,7 @@
         "timeout": aiohttp.ClientTimeout(total=None, sock_connect=0.6),
         "max_line_size": ANSWER_HEADER_BYTES,
         "max_field_size": ANSWER_HEADER_BYTES,
+        "trace_configs": [send_trace()],
     }
     async with (
         aiohttp.ClientSession(connector=TargetConnector(KEPT_S), **options) as kept,
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -13,6 +13,7 @@
 from ochreway_direct.ids import CellId
 from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.sendlimits.loan import Loan
 from ochreway_direct.work import Work
 
 
@@ -61,7 +62,7 @@
     whatever is said here was known no earlier than then. ``proof_age_s`` is the age of the
     sender's proof that its configuration is the newest. ``wanted`` asks for heartbeats in return.
     ``coverage`` says whose ``work`` is counted, ``cell`` the sender's own. ``entries`` names some
-    of those that the sender knows; others come later.
+    of those that the sender knows; others come later. ``loan`` is what the receiver is lent.
     """
 
     incarnation: str
@@ -80,6 +81,7 @@
     work: Work
     entries: tuple[KnownEntry, ...]
     drains: DrainNews = field(default_factory=DrainNews)
+    loan: Loan | None = None
 
 
 @message(101)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -12,6 +12,8 @@
     """Hold where a call was sent; ``abandon`` ends it when its target is lost.
 
     ``load`` is how many requests its place had when it was chosen.
+    It is ``written`` once its last byte was handed to the connection, at the latest when
+    anything is heard or it ends.
     The ``last`` attempt that a call may make is not abandoned: nobody else could go on with it,
     and the rest of its answer may be on its way.
     """
@@ -29,6 +31,7 @@
     load: int = 0
     lost: bool = False
     heard_s: float | None = None
+    written_s: float | None = None
     _bound: asyncio.Timeout | None = field(default=None)
 
     def bind(self, bound: asyncio.Timeout) -> None:
@@ -44,6 +47,10 @@
         self.lost = True
         self._expire()
 
+    def written(self, now_s: float) -> None:
+        """Note that a part of the request was handed to the connection."""
+        self.written_s = now_s
+
     def heard(self, now_s: float) -> None:
         """Note that a part of the answer came."""
         self.heard_s = now_s
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -132,6 +132,7 @@
             skip_auto_headers=SKIPPED_HEADERS,
             data=call.body or None,
             allow_redirects=False,
+            trace_request_ctx=attempt,
         ) as response:
             yield response
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -148,9 +148,16 @@
             if loop.time() >= until_s:
                 break
             await asyncio.sleep(self._tuning.place_poll_s)
-        full = self._fleet.has_group(call.service, call.terms.model, call.within)
-        reason = Reason.QUEUE_FULL if full else Reason.NO_GROUP
-        raise self._give_up(call, reason, self._tuning.regroup_after_s)
+        raise self._without_place(call, loop.time())
+
+    def _without_place(self, call: Call, now_s: float) -> Refused | AnswerBroken:
+        """Return how to end a call that found no place, by what would have to change."""
+        model, after_s = call.terms.model, self._tuning.regroup_after_s
+        wait_s = self._fleet.send_wait_s(call.service, model, call.within, now_s)
+        if wait_s > 0.0:
+            return self._give_up(call, Reason.SEND_LIMIT, min(wait_s, after_s))
+        full = self._fleet.has_group(call.service, model, call.within)
+        return self._give_up(call, Reason.QUEUE_FULL if full else Reason.NO_GROUP, after_s)
 
     def _patience_s(self, call: Call) -> float:
         if call.answer is not None or call.runs:
@@ -206,7 +213,7 @@
             ending = await self._exchange.send(call, attempt)
             return ending
         finally:
-            self._fleet.end(attempt, ending.failed)
+            self._fleet.end(attempt, ending.failed, asyncio.get_running_loop().time())
 
 
 __all__ = ["Relay"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/sendtrace.py
@@ -0,0 +1,28 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Noting when a request was written to its target's connection."""
+
+import asyncio
+from types import SimpleNamespace
+
+import aiohttp
+
+from ochreway_direct.relay.attempt import Attempt
+
+Written = aiohttp.TraceRequestHeadersSentParams | aiohttp.TraceRequestChunkSentParams
+
+
+def send_trace() -> aiohttp.TraceConfig:
+    """Return a trace for sessions whose requests carry their attempt as context."""
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(_note)
+    trace.on_request_chunk_sent.append(_note)
+    return trace
+
+
+async def _note(_: aiohttp.ClientSession, context: SimpleNamespace, __: Written) -> None:
+    attempt = context.trace_request_ctx
+    if isinstance(attempt, Attempt):
+        attempt.written(asyncio.get_running_loop().time())
+
+
+__all__ = ["send_trace"]
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimit.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimit.py
@@ -5,6 +5,7 @@
 
 from ochreway_core.ids import InstanceId
 from ochreway_direct.ids import ServiceName
+from ochreway_direct.relay.attempt import Attempt
 
 
 class SendLimit(ABC):
@@ -15,8 +16,12 @@
         """Tell whether a target may be sent one more request now."""
 
     @abstractmethod
-    def sent(self, instance: InstanceId, now_s: float) -> None:
-        """Count a request that is sent to a target now."""
+    def wait_s(self, service: ServiceName, instance: InstanceId, now_s: float) -> float:
+        """Return how long it takes until a target may be sent one more request; 0 if it may now."""
+
+    @abstractmethod
+    def sent(self, attempt: Attempt) -> None:
+        """Count a request that is about to be sent to its target."""
 
 
 class Unlimited(SendLimit):
@@ -26,7 +31,11 @@
         """Tell that any request may be sent."""
         return True
 
-    def sent(self, instance: InstanceId, now_s: float) -> None:
+    def wait_s(self, service: ServiceName, instance: InstanceId, now_s: float) -> float:
+        """Return that there is nothing to wait for."""
+        return 0.0
+
+    def sent(self, attempt: Attempt) -> None:
         """Count nothing."""
 
 
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/fleetlimit.py
@@ -0,0 +1,148 @@
+# SPDX-License-Identifier: Apache-2.0
+"""This entry's part of what all entries together may send to targets that may be cold."""
+
+import math
+from collections.abc import Callable, Iterable, Mapping
+
+from ochreway_core.ids import InstanceId, NodeId
+from ochreway_direct.configuration import Service
+from ochreway_direct.ids import ServiceName
+from ochreway_direct.relay.attempt import Attempt
+from ochreway_direct.sendlimit import SendLimit
+from ochreway_direct.sendlimits.allowance import Allowance
+from ochreway_direct.sendlimits.coldtargets import ColdTargets
+from ochreway_direct.sendlimits.loan import LENT_S, Loan
+from ochreway_direct.sendlimits.sendwindow import HELD_S, SendWindow
+from ochreway_direct.sendlimits.standingshare import StandingShare
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+
+Services = Callable[[], Iterable[Service]]
+"""Return the services of the configuration in force."""
+
+
+class FleetLimit(SendLimit):
+    """Keep what each target gets within a standing share and a loan, cold or not.
+
+    A target may turn cold at any moment, which this entry may hear of late or never; so what the
+    shares of all entries add up to is never more than what a cold one bears.
+    """
+
+    def __init__(
+        self,
+        services: Services,
+        excess: float,
+        slack: float,
+        standing: StandingShare,
+        cold: ColdTargets,
+        began_s: float,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Start without a loan; nothing is sent at first, as a former life may just have sent."""
+        self._services = services
+        self._excess = excess
+        self._slack = slack
+        self._standing = standing
+        self._cold = cold
+        self._open_s = began_s + HELD_S
+        self._log = log
+        self._metrics = metrics
+        self._loan = Loan()
+        self._loan_end_s = -math.inf
+        self._had_loan = False
+        self._windows: dict[InstanceId, SendWindow] = {}
+
+    # What is learned.
+
+    def learn(self, names: Iterable[NodeId], heard: bool, now_s: float) -> None:
+        """Take the names of other entries, and whether any is heard; tell of a loan that lapsed."""
+        self._standing.learn(names, heard, now_s)
+        self._windows = {i: w for i, w in self._windows.items() if w.count(now_s)}
+        if self._had_loan and now_s >= self._loan_end_s:
+            self._had_loan = False
+            self._log.event("loan_lapsed")
+
+    def borrow(self, loan: Loan, echo_s: float, now_s: float) -> None:
+        """Take a loan that came with the echo of what this entry sent at a time."""
+        self._loan = loan
+        self._loan_end_s = echo_s + LENT_S
+        if loan.shares and not self._had_loan and now_s < self._loan_end_s:
+            self._had_loan = True
+            shares = ",".join(f"{name}:{share}" for name, share in sorted(loan.shares.items()))
+            self._log.event("loan", shares=shares)
+
+    # What is asked.
+
+    def allowances(self) -> Mapping[ServiceName, Allowance]:
+        """Return the allowance of each service that states what its cold targets bear."""
+        return {
+            each.name: Allowance.of(each.cold_start, self._excess, self._slack)
+            for each in self._services()
+            if each.cold_start is not None
+        }
+
+    def lendable(self) -> Mapping[ServiceName, int]:
+        """Return how much the holder of the lease may lend for each service."""
+        return {name: each.lent for name, each in self.allowances().items()}
+
+    def loan_of(self, service: ServiceName, now_s: float) -> int:
+        """Return what this entry has on loan for each target of a service."""
+        return self._loan.shares.get(service, 0) if now_s < self._loan_end_s else 0
+
+    def loans(self, now_s: float) -> int:
+        """Return the sum of what this entry has on loan."""
+        return sum(self._loan.shares.values()) if now_s < self._loan_end_s else 0
+
+    def allows(self, service: ServiceName, instance: InstanceId, now_s: float) -> bool:
+        """Tell whether a target may be sent one more request now."""
+        share = self._share(service, instance, now_s)
+        if share is None or self._count(instance, now_s) < share:
+            return True
+        cold = self._cold.is_cold(instance, now_s)
+        self._metrics.count("send_limit.cold" if cold else "send_limit.other")
+        return False
+
+    def wait_s(self, service: ServiceName, instance: InstanceId, now_s: float) -> float:
+        """Return how long it takes until a target may be sent one more request; 0 if it may now."""
+        share = self._share(service, instance, now_s)
+        if share is None:
+            return 0.0
+        if now_s < self._open_s:
+            return self._open_s - now_s
+        if not share:
+            return math.inf
+        window = self._windows.get(instance)
+        return window.free_in_s(share, now_s) if window is not None else 0.0
+
+    def sent(self, attempt: Attempt) -> None:
+        """Count a request that is about to be sent to its target."""
+        window = self._windows.get(attempt.instance)
+        if window is None:
+            if not self.allowances():
+                return
+            window = self._windows[attempt.instance] = SendWindow()
+        window.add(attempt)
+
+    def _share(self, service: ServiceName, instance: InstanceId, now_s: float) -> int | None:
+        """Return how many requests a second a target may get; None if there is no limit."""
+        allowance = self._allowance(service)
+        if allowance is None:
+            return None
+        if now_s < self._open_s:
+            return 0
+        standing = self._standing.of(allowance.standing, instance, now_s)
+        return standing + self.loan_of(service, now_s)
+
+    def _allowance(self, service: ServiceName) -> Allowance | None:
+        for each in self._services():
+            if each.name == service and each.cold_start is not None:
+                return Allowance.of(each.cold_start, self._excess, self._slack)
+        return None
+
+    def _count(self, instance: InstanceId, now_s: float) -> int:
+        window = self._windows.get(instance)
+        return window.count(now_s) if window is not None else 0
+
+
+__all__ = ["FleetLimit", "Services"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
@@ -0,0 +1,64 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Loans as heartbeats carry them: made by the holder of the lease, taken by everyone."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from ochreway_core.ids import NodeId
+from ochreway_direct.lease import Lease
+from ochreway_direct.sendlimits.fleetlimit import FleetLimit
+from ochreway_direct.sendlimits.lender import Lender
+from ochreway_direct.sendlimits.loan import Loan
+
+
+class Loans:
+    """Lend while this entry holds the lease, and borrow from whoever does.
+
+    Args:
+        weights: returns what each entry in touch is asked for, this one too.
+    """
+
+    def __init__(
+        self,
+        me: NodeId,
+        limit: FleetLimit,
+        lease: Lease,
+        weights: Callable[[float], Mapping[NodeId, float]],
+        lender: Lender | None = None,
+    ) -> None:
+        self._me = me
+        self._limit = limit
+        self._lease = lease
+        self._weights = weights
+        self._lender = lender or Lender()
+        self._taken_at = 0
+
+    def beat(self, names: Iterable[NodeId], heard: bool, now_s: float) -> None:
+        """Learn who there is, and lend to this entry itself."""
+        self._limit.learn(names, heard, now_s)
+        loan = self.lend(self._me, now_s)
+        if loan is not None:
+            self._limit.borrow(loan, now_s, now_s)
+
+    def lend(self, node: NodeId, now_s: float) -> Loan | None:
+        """Return what an entry is lent with a heartbeat that is sent now."""
+        if not self._lease.held:
+            return None
+        if self._taken_at != self._lease.taken_at:
+            self._taken_at = self._lease.taken_at
+            self._lender.begin(now_s)
+        parts = self._limit.lendable()
+        if not parts or not self._lender.lends(self._lease.renewed_s, now_s):
+            return None
+        return self._lender.lend(node, parts, self._weights(now_s), now_s)
+
+    def borrow(self, loan: Loan | None, echo_s: float | None, now_s: float) -> None:
+        """Take what a heartbeat lends, if it echoes what this life of the entry sent."""
+        if loan is not None and echo_s is not None:
+            self._limit.borrow(loan, echo_s, now_s)
+
+    def lent(self, now_s: float) -> int:
+        """Return how much this entry has lent as holder of the lease."""
+        return sum(self._lender.lent(name, now_s) for name in self._limit.lendable())
+
+
+__all__ = ["Loans"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/sendwindow.py
@@ -0,0 +1,44 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The attempts at one target that may have been written within the last second."""
+
+from ochreway_direct.relay.attempt import Attempt
+
+HELD_S = 1.1
+"""For how long an attempt counts after it was written: the second of the promise and some margin.
+
+A write is noted some turns of the event loop before or after the bytes leave.
+"""
+
+
+class SendWindow:
+    """Count attempts from when their target is chosen until a second after they were written."""
+
+    def __init__(self) -> None:
+        self._attempts: list[Attempt] = []
+
+    def add(self, attempt: Attempt) -> None:
+        """Count an attempt from now on."""
+        self._attempts.append(attempt)
+
+    def count(self, now_s: float) -> int:
+        """Return how many attempts count now."""
+        self._attempts = [each for each in self._attempts if _counts(each, now_s)]
+        return len(self._attempts)
+
+    def free_in_s(self, share: int, now_s: float) -> float:
+        """Return after what time fewer attempts than a share count, if none is added."""
+        surplus = self.count(now_s) - share
+        if surplus < 0:
+            return 0.0
+        return sorted(_left_s(each, now_s) for each in self._attempts)[surplus]
+
+
+def _counts(attempt: Attempt, now_s: float) -> bool:
+    return attempt.written_s is None or now_s - attempt.written_s < HELD_S
+
+
+def _left_s(attempt: Attempt, now_s: float) -> float:
+    return HELD_S if attempt.written_s is None else attempt.written_s + HELD_S - now_s
+
+
+__all__ = ["HELD_S", "SendWindow"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/standingshare.py
@@ -0,0 +1,83 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The share of an allowance that an entry has by itself, from the entries that it knows."""
+
+from collections.abc import Iterable
+
+from ochreway_core.ids import InstanceId, NodeId
+from ochreway_core.rendezvous import rank
+
+HEADROOM = 2
+HEADROOM_PART = 8
+"""How many entries not known yet are provided for: a few, or one for so many that are known."""
+REMEMBERED_S = 300.0
+"""For how long an entry counts that nobody hears; one that is cut off still serves its callers."""
+SETTLED_S = 10.0
+"""How long an entry hears others before it goes by their number: all names have gone round."""
+ALONE_S = 20.0
+"""For how long an entry that hears nobody goes by the number that it knew.
+
+Meanwhile others may be added unheard; the headroom is for those.
+"""
+
+
+class StandingShare:
+    """Divide the standing part of an allowance by the entries known, each entry for itself.
+
+    Entries may know of different others. The sum of their shares stays within the part while each
+    knows of all that run but as many as there is headroom for.
+    """
+
+    def __init__(self, me: NodeId, seeds: int, began_s: float) -> None:
+        """Start knowing nobody; there are at least as many entries as ``seeds``."""
+        self._me = me
+        self._seeds = seeds
+        self._known_s: dict[NodeId, float] = {}
+        self._heard_since_s = began_s
+        self._heard_s = began_s
+        self._ever_heard = seeds <= 1
+        self._ranked: dict[InstanceId, bool] = {}
+
+    def learn(self, names: Iterable[NodeId], heard: bool, now_s: float) -> None:
+        """Take the names of other entries, and whether any of them is heard now."""
+        before = self._known_s.keys() | set()
+        for name in names:
+            self._known_s[name] = now_s
+        self._known_s = {n: s for n, s in self._known_s.items() if now_s - s < REMEMBERED_S}
+        if self._known_s.keys() != before:
+            self._ranked.clear()
+        if not heard:
+            return
+        if not self._ever_heard or now_s - self._heard_s > ALONE_S:
+            self._heard_since_s = now_s
+        self._ever_heard = True
+        self._heard_s = now_s
+
+    def settled(self, now_s: float) -> bool:
+        """Tell whether the entries known are all that there are, but for a few new ones."""
+        alone = self._known_s and now_s - self._heard_s > ALONE_S
+        return self._ever_heard and not alone and now_s - self._heard_since_s >= SETTLED_S
+
+    @property
+    def known(self) -> int:
+        """Return how many entries are counted, this one too."""
+        return max(1 + len(self._known_s), self._seeds)
+
+    def of(self, part: int, instance: InstanceId, now_s: float) -> int:
+        """Return how many requests a second a target may get from this entry."""
+        headroom = max(HEADROOM, self.known // HEADROOM_PART)
+        count = self.known + headroom
+        if count <= part:
+            return part // count if self.settled(now_s) else 1
+        return int(self._named(part, headroom, instance))
+
+    def _named(self, part: int, headroom: int, instance: InstanceId) -> bool:
+        """Tell whether this entry is among the few that may send to a target."""
+        named = self._ranked.get(instance)
+        if named is None:
+            order = rank(instance, (self._me, *self._known_s))
+            named = self._me in order[: part - min(headroom, part // 2)]
+            self._ranked[instance] = named
+        return named
+
+
+__all__ = ["ALONE_S", "HEADROOM", "REMEMBERED_S", "SETTLED_S", "StandingShare"]
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ochreway_core.ids import NO_VERSION, Version
-from ochreway_direct.configuration import CallerLimits, Configuration
+from ochreway_direct.configuration import CallerLimits, Configuration, Service
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.freshness import Freshness
 from ochreway_direct.routetable import RouteTable
@@ -34,6 +34,11 @@
         """Return the bounds on what callers may send."""
         return self.routes.configuration.limits if self.routes is not None else CallerLimits()
 
+    @property
+    def services(self) -> tuple[Service, ...]:
+        """Return the services in force."""
+        return self.routes.configuration.services if self.routes is not None else ()
+
     def apply(self, configuration: Configuration) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
         if configuration.version <= self.version:
