--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/standingshare.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/standingshare.py
@@ -35,7 +35,7 @@
         self._heard_since_s = began_s
         self._heard_s = began_s
         self._ever_heard = seeds <= 1
-        self._ranked: dict[InstanceId, bool] = {}
+        self._ranks: dict[InstanceId, int] = {}
 
     def learn(self, names: Iterable[NodeId], heard: bool, now_s: float) -> None:
         """Take the names of other entries, and whether any of them is heard now."""
@@ -44,7 +44,7 @@
             self._known_s[name] = now_s
         self._known_s = {n: s for n, s in self._known_s.items() if now_s - s < REMEMBERED_S}
         if self._known_s.keys() != before:
-            self._ranked.clear()
+            self._ranks.clear()
         if not heard:
             return
         if not self._ever_heard or now_s - self._heard_s > ALONE_S:
@@ -63,21 +63,25 @@
         return max(1 + len(self._known_s), self._seeds)
 
     def of(self, part: int, instance: InstanceId, now_s: float) -> int:
-        """Return how many requests a second a target may get from this entry."""
+        """Return how many requests a second a target may get from this entry.
+
+        Each entry has the same number. Of what is left over, one each goes to the entries that
+        rank first for the target; as many as there is headroom for may take themselves to be.
+        """
         headroom = max(HEADROOM, self.known // HEADROOM_PART)
-        count = self.known + headroom
-        if count <= part:
-            return part // count if self.settled(now_s) else 1
-        return int(self._named(part, headroom, instance))
-
-    def _named(self, part: int, headroom: int, instance: InstanceId) -> bool:
-        """Tell whether this entry is among the few that may send to a target."""
-        named = self._ranked.get(instance)
-        if named is None:
-            order = rank(instance, (self._me, *self._known_s))
-            named = self._me in order[: part - min(headroom, part // 2)]
-            self._ranked[instance] = named
-        return named
+        each, left = divmod(part, self.known + headroom)
+        if each and not self.settled(now_s):
+            return 1
+        first = left - (headroom if each else min(headroom, part // 2))
+        return each + (self._rank(instance) < first)
+
+    def _rank(self, instance: InstanceId) -> int:
+        """Return how many entries come before this one for a target."""
+        found = self._ranks.get(instance)
+        if found is None:
+            found = rank(instance, (self._me, *self._known_s)).index(self._me)
+            self._ranks[instance] = found
+        return found
 
 
 __all__ = ["ALONE_S", "HEADROOM", "REMEMBERED_S", "SETTLED_S", "StandingShare"]
--- a/packages/ochreway-standins/src/ochreway_standins/choicebench.py
+++ b/packages/ochreway-standins/src/ochreway_standins/choicebench.py
@@ -74,7 +74,7 @@
         entries = list(self.world.entries.values())
         for _ in range(round(for_s / self.world.step_s)):
             self.world.run(self.world.step_s)
-            self._end_due()
+            self.end_due()
             arriving = self.random.random() < (self.per_s * self.world.step_s) % 1
             for _ in range(int(self.per_s * self.world.step_s) + arriving):
                 self._ask(self.random.choice(entries))
@@ -86,18 +86,23 @@
         if view is None:
             self.outcome.refused += 1
             return
-        now_s = self.world.now_s
-        begin_s, end_s = self.groups[view.group].take(tokens, now_s)
-        self.outcome.first_s.append(begin_s - now_s)
-        self.outcome.late += begin_s - now_s > OBJECTIVE_S
         attempt = Attempt(view.leader, view.address, view.hall, view.group, prompt_tokens=tokens)
+        self.send(entry, attempt, self.world.now_s)
+
+    def send(self, entry: SpreadEntry, attempt: Attempt, asked_s: float) -> None:
+        """Run an attempt at its group for a request that came at a time."""
+        group = self.groups[GroupId(attempt.place)]
+        begin_s, end_s = group.take(attempt.prompt_tokens, self.world.now_s)
+        self.outcome.first_s.append(begin_s - asked_s)
+        self.outcome.late += begin_s - asked_s > OBJECTIVE_S
         entry.fleet.begin(attempt)
         self._number += 1
         heappush(self._due, (begin_s, self._number, entry, attempt, False))
         self._number += 1
         heappush(self._due, (end_s, self._number, entry, attempt, True))
 
-    def _end_due(self) -> None:
+    def end_due(self) -> None:
+        """Note what has begun to be answered, or has ended, by now."""
         now_s = self.world.now_s
         while self._due and self._due[0][0] <= now_s:
             _, _, entry, attempt, ends = heappop(self._due)
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -11,7 +11,7 @@
 from ochreway_core.ids import HallId, NodeId, Version
 from ochreway_core.peer import Peer
 from ochreway_direct.cells import MESH_ENTRIES
-from ochreway_direct.configuration import Configuration
+from ochreway_direct.configuration import Configuration, Service
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.fleetview import FleetView
@@ -22,15 +22,23 @@
 from ochreway_direct.messages import Heartbeat
 from ochreway_direct.peers import Peers
 from ochreway_direct.relay.attempt import Attempt
+from ochreway_direct.sendlimits.coldtargets import ColdTargets
+from ochreway_direct.sendlimits.fleetlimit import FleetLimit
+from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.standingshare import StandingShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.memorytable import MemoryTable
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
 from ochreway_wire.batch import Prepared, encode_batch
 
 STEP_S = 0.05
 SEEDS = 3
 KEY_TRUST_S = 4.5
 LIST_TRUST_S = 1.4
+COLD_EXCESS = 1.5
+COLD_SLACK = 5.0
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -79,7 +87,17 @@
         timing = DirectTiming()
         name = me.peer.node
         self.me = me
-        self.fleet = Fleet(me.hall, random.Random(1))
+        began_s = world.now_s
+        log, metrics = EventLog("entry", name, "error"), Metrics(None, "entry")
+        self.limit = FleetLimit(
+            self._services,
+            COLD_EXCESS,
+            COLD_SLACK,
+            StandingShare(name, len(seeds), began_s),
+            ColdTargets(log),
+            *(began_s, log, metrics),
+        )
+        self.fleet = Fleet(me.hall, random.Random(1), limit=self.limit)
         self.serving = Serving(self.fleet, Freshness(KEY_TRUST_S))
         self.serving.apply(Configuration(Version(1)))
         self.peers = Peers(me, timing.peer_silent_s)
@@ -87,11 +105,20 @@
         self.lease = Lease(MemoryTable(), Holder(name, "1"), timing.lease_renew_s, backoff)
         links: Any = FakeLinks(world, me.peer)
         self.view = FleetView(LIST_TRUST_S)
+        self.meter = DemandMeter()
+        self.loans = Loans(name, self.limit, self.lease, self._asked)
         self.heartbeats = Heartbeats(
             *("1", me, seeds, self.peers, links, self.serving, self.view, self.lease),
-            *(DemandMeter(), lambda: None, mesh_entries),
+            *(self.meter, lambda: None, mesh_entries, self.loans),
         )
 
+    def _services(self) -> tuple[Service, ...]:
+        return self.serving.services
+
+    def _asked(self, now_s: float) -> dict[NodeId, float]:
+        own = sum(self.meter.offered(now_s).values())
+        return {**self.heartbeats.elsewhere.asked_by_source(), self.me.peer.node: own}
+
     def begin(self, place: str) -> None:
         """Begin a request at a place."""
         attempt: Any = Attempt(NodeId(place), "x:1", self.me.hall, place)  # type: ignore[arg-type]
