--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -74,6 +74,7 @@
     busy_for_s: float = 0.0
     pace: float = 1.0
     ends_s: float | None = None
+    cold_s: float = 0.0
     highest: Epoch = field(default=Epoch(0))
     reports: deque[Report] = field(default_factory=deque)
 
@@ -129,6 +130,7 @@
             self.leaving,
             24,
             EngineState(self.domain, self.model, (), self.membership),
+            self.cold_s,
         )
 
 
