--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -167,7 +167,7 @@
     def loans(self) -> int:
         return self.world._lent()
 
-    def test_an_allowance_is_what_the_customer_says(self) -> None:
+    def test_an_allowance_by_rate_excess_and_slack(self) -> None:
         self.assertEqual(Allowance(37, 16), Allowance.of(ColdStart(32.0, 3.0), 1.5, 5.0))
 
     def test_all_that_may_be_lent_is_lent_and_lapses_with_its_holder(self) -> None:
