--- a/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -12,8 +12,8 @@
     """Hold where a call was sent; ``abandon`` ends it when its target is lost.
 
     ``load`` is how many requests its place had when it was chosen.
-    It is ``written`` once its last byte was handed to the connection, at the latest when
-    anything is heard or it ends.
+    ``written_s`` is when the last part of the request was handed to the connection; at the latest
+    it is written when anything is heard or the attempt ends.
     The ``last`` attempt that a call may make is not abandoned: nobody else could go on with it,
     and the rest of its answer may be on its way.
     """
