--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -24,6 +24,7 @@
     aged,
 )
 from ochreway_direct.peers import Peers
+from ochreway_direct.sendlimits.loans import Loans
 from ochreway_direct.serving import Serving
 from ochreway_direct.work import NO_WORK, Work, total, without
 from ochreway_wire.links import Links
@@ -64,6 +65,7 @@
         drains: DrainKeeper,
         listed: Callable[[], None],
         mesh_entries: int = MESH_ENTRIES,
+        loans: Loans | None = None,
     ) -> None:
         """Start with the parts given; ``listed`` is told when the list of targets is newer."""
         self._incarnation = incarnation
@@ -78,6 +80,7 @@
         self._drains = drains
         self._listed = listed
         self._mesh_entries = mesh_entries
+        self._loans = loans
         self._began_s = asyncio.get_running_loop().time()
         self.elsewhere = Elsewhere(serving.fleet)
         self._cells = Cells(peers.candidates(self._began_s), mesh_entries)
@@ -150,6 +153,9 @@
         self.elsewhere.expire(now_s)
         self._lay_out(now_s)
         self._meet_seeds()
+        if self._loans is not None:
+            names = [each.node for each in self._peers.all()]
+            self._loans.beat(names, bool(self._peers.alive(now_s)), now_s)
         own = self._own_work(now_s)
         entries = self._to_name(now_s)
         for peer in (*self._peers.of(self._contacts), *self._peers.unplaced()):
@@ -186,6 +192,7 @@
             work=self._work_for(peer.node, coverage, own),
             entries=entries,
             drains=self._drains.news(now_s),
+            loan=self._loans.lend(peer.node, now_s) if self._loans is not None else None,
         )
 
     def _sighting(self, now_s: float) -> LeaseSighting | None:
@@ -247,6 +254,8 @@
             )
         # A version may not be gone by before it is known which halls are drained.
         self._drains.hear(heartbeat.drains, self._own_echo_s(heartbeat, now_s))
+        if self._loans is not None:
+            self._loans.borrow(heartbeat.loan, self._own_echo_s(heartbeat, now_s), now_s)
         self._take_version(sender, heartbeat, now_s)
         self._compare_views(sender, heartbeat, now_s)
         if heartbeat.wanted and sender.node not in self._contacts:
