--- a/tests/direct/test_drainplanning.py
+++ b/tests/direct/test_drainplanning.py
@@ -238,6 +238,8 @@
         world = settled()
         world.drain(DRAINED)
         world.run(5.0)
+        for record in world.coordinator.engines.values():
+            record.probed_s = world.now_s
         world.drain()
         due = world.coordinator.due_probes(world.now_s)
         asked = {probe.record.instance for probe in due}
