--- a/tests/direct/sendworld.py
+++ b/tests/direct/sendworld.py
@@ -89,6 +89,7 @@
     counted: bool = True
     echoed: bool = True
     held: bool = True
+    opened_late: bool = True
 
 
 class SendEntry:
@@ -179,6 +180,8 @@
         self._lives += 1
         clock_s = self._clocks_s.setdefault(name, 1000.0 * len(self._clocks_s))
         entry = SendEntry(self, name, self._lives, clock_s)
+        if not self.guards.opened_late:
+            entry.limit._open_s = entry.began_s
         self.entries[name] = entry
         return entry
 
--- a/tests/direct/test_sendlimitproperty.py
+++ b/tests/direct/test_sendlimitproperty.py
@@ -174,6 +174,13 @@
 LATE_CONNECTIONS = [step("burst_all", s=0.6, then_s=1.2), step("burst_all")]
 """Has requests that were chosen more than a second apart be written within one."""
 
+BACK_AT_ONCE = [
+    step("burst_all"),
+    *(step("restart", number) for number in range(SEEDS)),
+    step("burst_all"),
+]
+"""Has every entry start again within the second."""
+
 
 class GuardsOutTests(testtools.TestCase):
     def assert_needed(self, steps: list[Step], without: Guards) -> None:
@@ -196,5 +203,8 @@
     def test_requests_that_count_until_they_were_written(self) -> None:
         self.assert_needed(LATE_CONNECTIONS, Guards(held=False))
 
+    def test_lives_that_send_nothing_at_first(self) -> None:
+        self.assert_needed(BACK_AT_ONCE, Guards(opened_late=False))
+
 
 __all__ = ["Play", "Step", "step"]
--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -8,6 +8,7 @@
 from ochreway_core.ids import InstanceId, NodeId, Version
 from ochreway_direct.configuration import ColdStart, Configuration, Service
 from ochreway_direct.lease import LeaseState
+from ochreway_direct.sendlimits import standingshare
 from ochreway_direct.sendlimits.allowance import Allowance
 from ochreway_direct.sendlimits.lender import LAPSED_S, QUIET_S, Lender
 from ochreway_direct.sendlimits.loan import LENT_S
@@ -66,6 +67,15 @@
             for target in range(20):
                 self.assertLessEqual(total(known, PART, SETTLED_S, f"i{target}"), PART)
 
+    def test_without_headroom_entries_unheard_of_break_the_sum(self) -> None:
+        self.patch(standingshare, "HEADROOM", 0)
+        self.patch(standingshare, "HEADROOM_PART", 1000)
+        names = nodes(15)
+        known = standing(names[:13]) | {
+            name: share for name, share in standing(names).items() if name in names[13:]
+        }
+        self.assertGreater(total(known, PART, SETTLED_S), PART)
+
     def test_more_entries_than_requests_each_have_some_targets(self) -> None:
         names = nodes(60)
         shares = standing(names)
