--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -24,6 +24,8 @@
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.leasekeeper import LeaseKeeper
 from ochreway_direct.listfollower import ListFollower
+from ochreway_direct.means import means_of
+from ochreway_direct.meanswatch import CHECK_S, MeansWatch
 from ochreway_direct.mechanism import Mechanism
 from ochreway_direct.messages import (
     ConfigurationRequest,
@@ -38,6 +40,7 @@
 from ochreway_direct.peers import Peers
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import PlatformServices
+from ochreway_direct.relay.restingbounds import RestingBounds
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
 from ochreway_direct.timing import DirectTiming
@@ -72,7 +75,9 @@
         timing: DirectTiming,
         log: EventLog,
         metrics: Metrics,
+        resting: RestingBounds | None = None,
     ) -> None:
+        """Own the parts given; ``resting`` bounds idle connections to targets."""
         self.settings = settings
         self.log = log
         self.metrics = metrics
@@ -94,6 +99,9 @@
         self.retry_budget = RetryBudget(settings.retries_per_request)
         known = KnownEntry(self.me, HallId(settings.hall), settings.strength)
         self.peers = Peers(known, timing.peer_silent_s)
+        self.means = MeansWatch(
+            *(means_of(settings), self.serving, self.peers, log, metrics, resting)
+        )
         self.timer = TimerService(timing.tick_s)
         self.lag = LoopLag(timing.tick_s, log)
         self.links = Links(
@@ -216,6 +224,7 @@
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
         self.timer.every(timing.heartbeat_s, self._dependencies.check)
         self.timer.every(timing.heartbeat_s, lambda _: self._share_retries())
+        self.timer.every(CHECK_S, self.means.check)
         if self.settings.has(Mechanism.SILENCE_SUSPECTED):
             self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
         self.timer.every(timing.fleet_update_s, lambda _: self._sharing.publish())
@@ -253,6 +262,7 @@
             "lease_held": float(self.lease.held),
             "groups": float(len(self.view.groups(now_s))),
             "entries_heard": float(len(self.peers.alive(now_s))),
+            **self.means.gauges(),
         }
 
     def _share_retries(self) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -16,6 +17,8 @@
 from ochreway_direct.ports.platformservices import ADAPTERS
 from ochreway_direct.relay.callerserver import CallerServer
 from ochreway_direct.relay.relay import Relay
+from ochreway_direct.relay.restingbounds import RestingBounds
+from ochreway_direct.relay.targetconnections import TargetConnections
 from ochreway_direct.relay.targetprotocol import TargetConnector
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.settings import DirectSettings, check
@@ -29,8 +32,6 @@
 
 EXIT_SETTINGS = 2
 EXIT_LISTEN = 4
-KEPT_S = 3.0
-"""For how long an idle connection to a target is kept."""
 STOP_POLL_S = 0.1
 GRACE_SHARE = 0.85
 """The share of the grace in which requests may end; closing what is left takes up to 0.8 s."""
@@ -119,13 +120,17 @@
         "max_line_size": ANSWER_HEADER_BYTES,
         "max_field_size": ANSWER_HEADER_BYTES,
     }
+    resting = RestingBounds()
+    to_targets = TargetConnector(_counted(metrics, "target"), resting)
+    to_one = TargetConnector(_counted(metrics, "single"), keeps=False)
+    to_platform = TargetConnector(_counted(metrics, "platform"))
     async with (
-        aiohttp.ClientSession(connector=TargetConnector(KEPT_S), **options) as kept,
-        aiohttp.ClientSession(connector=TargetConnector(None), **options) as single,
-        aiohttp.ClientSession(connector=TargetConnector(KEPT_S), cookie_jar=jar) as platform,
+        aiohttp.ClientSession(connector=to_targets, **options) as kept,
+        aiohttp.ClientSession(connector=to_one, **options) as single,
+        aiohttp.ClientSession(connector=to_platform, cookie_jar=jar) as platform,
     ):
         services = ADAPTERS[settings.adapter](platform, settings.platform_url)
-        entry = DirectEntry(settings, services, DirectTiming(), log, metrics)
+        entry = DirectEntry(settings, services, DirectTiming(), log, metrics, resting)
         relay = Relay(
             *(entry.serving, services.dialect, kept, single, entry.meter, RelayTuning()),
             *(entry.retry_budget, entry.suspect, log, metrics),
@@ -134,7 +139,8 @@
             await entry.start()
             callers = await _serve_callers(settings, entry, relay)
             ready = await _serve_ready(settings, entry)
-            figures = await _serve_metrics(settings, entry, relay, metrics)
+            connections = TargetConnections((to_targets, to_one), metrics, relay)
+            figures = await _serve_metrics(settings, entry, relay, metrics, connections)
         except OSError as fault:
             log.fault("cannot_listen", cause=fault)
             await entry.stop()
@@ -149,6 +155,11 @@
     return 0
 
 
+def _counted(metrics: Metrics, kind: str) -> Callable[[], None]:
+    """Return what counts new connections of a kind."""
+    return lambda: metrics.count(f"connections.{kind}.new")
+
+
 async def _drain(entry: DirectEntry, relay: Relay) -> None:
     """Serve on until nothing is under way, within the grace that a stop has."""
     loop = asyncio.get_running_loop()
@@ -167,7 +178,7 @@
 async def _serve_callers(
     settings: DirectSettings, entry: DirectEntry, relay: Relay
 ) -> web.ServerRunner:
-    server = CallerServer(entry.serving, relay)
+    server = CallerServer(entry.serving, relay, entry.means.callers)
     return await _listen(web.ServerRunner(server, shutdown_timeout=0.5), settings.caller_listen)
 
 
@@ -181,14 +192,18 @@
 
 
 async def _serve_metrics(
-    settings: DirectSettings, entry: DirectEntry, relay: Relay, metrics: Metrics
+    settings: DirectSettings,
+    entry: DirectEntry,
+    relay: Relay,
+    metrics: Metrics,
+    connections: TargetConnections,
 ) -> web.ServerRunner | None:
     """Serve the counters as text at any path, if an address for them is set."""
     if not settings.metrics_listen:
         return None
 
     def gauges() -> dict[str, float]:
-        return {**entry.gauges(), "open_calls": relay.open_calls}
+        return {**entry.gauges(), "open_calls": relay.open_calls, **connections.gauges()}
 
     page = MetricsPage(metrics, gauges)
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -13,6 +13,7 @@
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
 from ochreway_direct.relay.call import Call
+from ochreway_direct.relay.callerprotocol import CallerProtocol
 from ochreway_direct.relay.errors import Refused
 from ochreway_direct.relay.refusal import NOT_RUN_STATUS
 from ochreway_direct.relay.tuning import RelayTuning
@@ -41,6 +42,8 @@
         started_s = loop.time()
         self._check_headers(request)
         body = await self._body(request)
+        if isinstance(request.protocol, CallerProtocol) and request.protocol.refused:
+            raise Refused(NOT_RUN_STATUS, Reason.CONNECTIONS_FULL, self._tuning.elsewhere_after_s)
         if self._serving.closed:
             raise Refused(NOT_RUN_STATUS, Reason.STOPPING, self._tuning.elsewhere_after_s)
         routes = self._serving.routes
--- a/packages/ochreway-direct/src/ochreway_direct/relay/callerprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/callerprotocol.py
@@ -8,6 +8,7 @@
 from aiohttp.http_exceptions import LineTooLong
 
 from ochreway_direct.configuration import CallerLimits
+from ochreway_direct.relay.callerconnections import Admittance, CallerConnections
 
 HEADERS_TOO_LATE = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 HEADERS_TOO_LONG = 431
@@ -16,10 +17,15 @@
 class CallerProtocol(web.RequestHandler):
     """Bound how long headers may be and may take, and how long a connection may rest."""
 
-    __slots__ = ("_headers_due", "_limits")
+    __slots__ = ("_admittance", "_bounded", "_headers_due", "_limits")
 
     def __init__(
-        self, server: web.Server, limits: CallerLimits, loop: asyncio.AbstractEventLoop, **more: Any
+        self,
+        server: web.Server,
+        limits: CallerLimits,
+        bounded: CallerConnections,
+        loop: asyncio.AbstractEventLoop,
+        **more: Any,
     ) -> None:
         super().__init__(
             server,
@@ -30,8 +36,22 @@
             **more,
         )
         self._limits = limits
+        self._bounded = bounded
+        self._admittance = Admittance.SERVED
         self._headers_due: asyncio.TimerHandle | None = None
 
+    @property
+    def refused(self) -> bool:
+        """Tell whether what comes on this connection cannot be served here."""
+        return self._admittance is not Admittance.SERVED
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection; one that is far too many is dropped before it is read."""
+        self._admittance = self._bounded.enter()
+        super().connection_made(transport)
+        if self._admittance is Admittance.DROPPED and isinstance(transport, asyncio.Transport):
+            transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Take bytes; headers that they begin have to be whole in time."""
         super().data_received(data)
@@ -45,6 +65,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
         self._stop_waiting()
+        self._bounded.leave()
         super().connection_lost(exc)
 
     def handle_error(
--- a/packages/ochreway-direct/src/ochreway_direct/relay/callerserver.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/callerserver.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from ochreway_direct.relay.callerconnections import CallerConnections
 from ochreway_direct.relay.callerprotocol import CallerProtocol
 from ochreway_direct.relay.relay import Relay
 from ochreway_direct.serving import Serving
@@ -14,7 +15,10 @@
 class CallerServer(web.Server):
     """Give each new connection the limits of the configuration in force then."""
 
-    def __init__(self, serving: Serving, relay: Relay) -> None:
+    def __init__(
+        self, serving: Serving, relay: Relay, bounded: CallerConnections | None = None
+    ) -> None:
+        """Serve the connections that ``bounded`` lets in; without it, all."""
         super().__init__(
             relay.handle,
             request_factory=self._request,
@@ -23,10 +27,12 @@
             auto_decompress=False,
         )
         self._serving = serving
+        self._bounded = bounded or CallerConnections()
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerProtocol(self, self._serving.limits, loop=self._loop, **self._kwargs)
+        limits = self._serving.limits
+        return CallerProtocol(self, limits, self._bounded, loop=self._loop, **self._kwargs)
 
     def _request(
         self, message: Any, payload: Any, protocol: Any, writer: Any, task: asyncio.Task[None]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -23,6 +23,10 @@
 
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 CONNECT_FAULTS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+HEAD_BYTES = 500
+"""About what the headers of a request or of an answer take."""
+EVENT_BYTES = 60
+"""About what the chunk and the packet of an event take beside it."""
 BREAKS = (aiohttp.ClientError, OSError, ValueError)
 
 
@@ -124,6 +128,7 @@
             priority=call.priority,
             resume_after=call.resume_after,
         )
+        self._serving.sent_bytes += len(call.body) + HEAD_BYTES
         session = self._kept if call.route.repeatable else self._single
         async with session.request(
             call.request.method,
@@ -149,6 +154,7 @@
         answer = web.Response(
             status=response.status, headers=self._dialect.answer(response.headers), body=body
         )
+        self._serving.sent_bytes += len(body) + HEAD_BYTES
         self._end_connection(answer)
         return Ending.answered(answer, failed=response.status >= 500)
 
@@ -196,9 +202,10 @@
     async def _pass_on(self, call: Call, response: aiohttp.ClientResponse, whole: bytes) -> None:
         try:
             answer = await self._begin(call, response)
+            self._serving.sent_bytes += len(whole) + EVENT_BYTES
             await answer.write(whole)
         except OSError as fault:
             raise CallerGone from fault
 
 
-__all__ = ["Exchange"]
+__all__ = ["HEAD_BYTES", "Exchange"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -18,7 +18,7 @@
 from ochreway_direct.relay.calllog import CallLog
 from ochreway_direct.relay.ending import Ending
 from ochreway_direct.relay.errors import AnswerBroken, CallerGone, Refused
-from ochreway_direct.relay.exchange import Exchange
+from ochreway_direct.relay.exchange import HEAD_BYTES, Exchange
 from ochreway_direct.relay.refusal import refusal_of
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
@@ -55,10 +55,12 @@
         self._budget = budget
         self._suspect = suspect
         self.open_calls = 0
+        self.taken_calls = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.open_calls += 1
+        self.taken_calls += 1
         try:
             return await self._answer(request)
         finally:
@@ -92,8 +94,9 @@
         answer = web.Response(
             status=refused.status, headers=headers, text=refused.reason.value + "\n"
         )
-        if self._serving.stopping:
+        if self._serving.stopping or refused.reason is Reason.CONNECTIONS_FULL:
             answer.force_close()
+        self._serving.sent_bytes += HEAD_BYTES
         return answer
 
     def _give_up(self, call: Call, reason: Reason, after_s: float) -> Refused | AnswerBroken:
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetconnections.py
@@ -0,0 +1,36 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Figures of the connections to targets."""
+
+from collections.abc import Sequence
+
+from ochreway_direct.relay.relay import Relay
+from ochreway_direct.relay.targetprotocol import TargetConnector
+from ochreway_runtime.metrics import Metrics
+
+NEW = ("connections.target.new", "connections.single.new")
+DIGITS = 3
+
+
+class TargetConnections:
+    """Say how many connections to targets are open and how many a request needed."""
+
+    def __init__(
+        self, connectors: Sequence[TargetConnector], metrics: Metrics, relay: Relay
+    ) -> None:
+        self._connectors = connectors
+        self._metrics = metrics
+        self._relay = relay
+
+    def gauges(self) -> dict[str, float]:
+        """Return the figures for an operator's page."""
+        opened = sum(self._metrics.counters.get(name, 0) for name in NEW)
+        return {
+            "target_connections": float(sum(each.open for each in self._connectors)),
+            "target_connections_resting": float(sum(each.resting for each in self._connectors)),
+            "target_connections_per_request": round(
+                opened / max(1, self._relay.taken_calls), DIGITS
+            ),
+        }
+
+
+__all__ = ["TargetConnections"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
@@ -3,14 +3,21 @@
 
 import functools
 import socket
+import time
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
 from aiohttp.tracing import Trace
 
+from ochreway_direct.relay.restingbounds import RestingBounds
+from ochreway_direct.relay.restingtime import AT_MOST_S, DEFAULT_S, resting_time_s
+
 UNANSWERED_MS = 2000
 """After how long without an acknowledgement the kernel gives a connection to a target up."""
 
@@ -18,6 +25,22 @@
 class TargetProtocol(ResponseHandler):
     """Fail an answer without a length that ends in a reset; it may not be whole."""
 
+    _rests_s = DEFAULT_S
+    _rests_until_s = 0.0
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Take the head of an answer; it may say how long the connection may rest after it."""
+        self._rests_s = resting_time_s(data[0].headers.get("Keep-Alive"))
+        super().feed_data(data, size)
+
+    def rest(self, now_s: float) -> None:
+        """Begin to rest."""
+        self._rests_until_s = now_s + self._rests_s
+
+    def usable(self, now_s: float) -> bool:
+        """Tell whether a resting connection may take a request."""
+        return not self.should_close and now_s <= self._rests_until_s
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Break the answer under way before the parser can take the end for its own."""
         payload = self._payload
@@ -29,28 +52,61 @@
 class TargetConnector(aiohttp.TCPConnector):
     """Reuse a connection only if nothing came on it after the last whole answer."""
 
-    def __init__(self, kept_s: float | None) -> None:
-        """Keep idle connections for so long, or none at all."""
-        keeping: dict[str, Any] = {"force_close": True}
-        if kept_s is not None:
-            keeping = {"keepalive_timeout": kept_s}
+    def __init__(
+        self,
+        opened: Callable[[], None] = lambda: None,
+        resting: RestingBounds | None = None,
+        keeps: bool = True,
+    ) -> None:
+        """Keep idle connections within bounds, or none at all; ``opened`` is told of new ones."""
+        keeping = {"keepalive_timeout": AT_MOST_S} if keeps else {"force_close": True}
+        more: dict[str, Any] = keeping
         super().__init__(
             limit=0,
-            **keeping,
+            **more,
             use_dns_cache=False,
             happy_eyeballs_delay=None,
-            socket_factory=_target_socket,
+            socket_factory=self._new_socket,
         )
         factory: Any = functools.partial(TargetProtocol, loop=self._loop)
         self._factory = factory
+        self._opened = opened
+        self._resting = resting or RestingBounds()
+
+    @property
+    def resting(self) -> int:
+        """Return how many connections rest."""
+        return sum(len(each) for each in self._conns.values())
+
+    @property
+    def open(self) -> int:
+        """Return how many connections are open."""
+        return len(self._acquired) + self.resting
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
         while True:
             found = await super()._get(key, traces)
-            if found is None or found.protocol is None or not found.protocol.should_close:
+            if found is None or found.protocol is None or _usable(found.protocol):
                 return found
             found.close()
 
+    def _release(
+        self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False
+    ) -> None:
+        if isinstance(protocol, TargetProtocol):
+            protocol.rest(time.monotonic())
+        at_one = len(self._conns.get(key, ()))
+        surplus = not self._resting.allow(self.resting, at_one)
+        super()._release(key, protocol, should_close=should_close or surplus)
+
+    def _new_socket(self, info: aiohttp.AddrInfoType) -> socket.socket:
+        self._opened()
+        return _target_socket(info)
+
+
+def _usable(protocol: ResponseHandler) -> bool:
+    return isinstance(protocol, TargetProtocol) and protocol.usable(time.monotonic())
+
 
 def _target_socket(info: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, _, _ = info
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -8,6 +8,7 @@
 from ochreway_direct.configuration import CallerLimits, Configuration
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.freshness import Freshness
+from ochreway_direct.resource import Resource
 from ochreway_direct.routetable import RouteTable
 
 
@@ -16,12 +17,16 @@
     """Hold the newest configuration that was learned; it never goes back.
 
     A process that is ``stopping`` still takes requests for a while; once ``closed`` it takes none.
+    ``sent_bytes`` counts what went to callers and targets; while the instance is ``short_of``
+    something, new callers are to go elsewhere.
     """
 
     fleet: Fleet
     freshness: Freshness
     stopping: bool = False
     closed: bool = False
+    sent_bytes: int = 0
+    short_of: set[Resource] = field(default_factory=set)
     routes: RouteTable | None = field(default=None)
 
     @property
@@ -52,7 +57,7 @@
     def ready(self, now_s: float) -> bool:
         """Tell whether new connections are wanted."""
         known = self.routes is not None and self.freshness.keys_trusted(now_s)
-        return known and not self.stopping
+        return known and not self.stopping and not self.short_of
 
 
 __all__ = ["Serving"]
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -27,8 +27,10 @@
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.relay.callerconnections import CallerConnections
 from ochreway_direct.relay.callerserver import CallerServer
 from ochreway_direct.relay.relay import Relay
+from ochreway_direct.relay.restingbounds import RestingBounds
 from ochreway_direct.relay.targetprotocol import TargetConnector
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
@@ -170,14 +172,17 @@
             await target.start()
         self.show()
         options = {"auto_decompress": False, "cookie_jar": aiohttp.DummyCookieJar()}
-        self.kept = aiohttp.ClientSession(connector=TargetConnector(3.0), **options)
-        self.single = aiohttp.ClientSession(connector=TargetConnector(None), **options)
+        self.resting = RestingBounds()
+        to_targets = TargetConnector(lambda: self.metrics.count("connections"), self.resting)
+        self.kept = aiohttp.ClientSession(connector=to_targets, **options)
+        self.single = aiohttp.ClientSession(connector=TargetConnector(keeps=False), **options)
         self.relay = Relay(
             *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
             *(self.tuning, self.budget, self.suspected.append),
             *(EventLog("entry", "e", "error"), self.metrics),
         )
-        server = CallerServer(self.serving, self.relay)
+        self.bounded = CallerConnections()
+        server = CallerServer(self.serving, self.relay, self.bounded)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
