--- a/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
@@ -89,6 +89,7 @@
         return {
             "service": call.service,
             "model": call.terms.model or "",
+            "given_s": call.terms.deadline_s or "",
             "took_s": round(now_s - call.started_s, DIGITS),
             "waited_s": round(call.waited_s, DIGITS),
             "sends": call.sends,
