--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -43,6 +43,7 @@
 from ochreway_direct.relay.restingbounds import RestingBounds
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
+from ochreway_direct.startsteps import StartSteps
 from ochreway_direct.timing import DirectTiming
 from ochreway_direct.versionsharing import VersionSharing
 from ochreway_routing.retrybudget import RetryBudget
@@ -199,6 +200,7 @@
             Suspicion: self._on_suspicion,
         }
         self._tasks: set[asyncio.Task[None]] = set()
+        self._start = StartSteps(self._start_checks(), self._loop.time(), log)
         self._ticked_s = 0.0
         self._step_planned = False
         self._step_due_s = 0.0
@@ -272,7 +274,19 @@
 
     # Groups.
 
+    def _start_checks(self) -> dict[str, Callable[[float], bool]]:
+        """Return what this entry needs before it serves, and the holder of the lease."""
+        serving, view = self.serving, self.view
+        return {
+            "configuration": lambda _: serving.routes is not None,
+            "keys": serving.freshness.keys_trusted,
+            "list": lambda now_s: view.listed_age_s(now_s) is not None,
+            "groups": lambda now_s: bool(view.groups(now_s)),
+            "holder": lambda now_s: self.lease.held or self.peers.holder(now_s) is not None,
+        }
+
     def _tick(self, now_s: float) -> None:
+        self._start.check(now_s)
         if now_s - self._ticked_s > self._timing.pause_noticed_s:
             self.coordination.coordinator.on_pause()
         self._ticked_s = now_s
--- /dev/null
+++ b/tests/direct/test_startsteps.py
@@ -0,0 +1,38 @@
+# SPDX-License-Identifier: Apache-2.0
+from typing import Any
+
+import testtools
+
+from ochreway_direct.startsteps import StartSteps
+from ochreway_runtime.logs import EventLog
+
+
+class Lines(EventLog):
+    """Keep events in place of writing them."""
+
+    def __init__(self) -> None:
+        super().__init__("entry", "e", "error")
+        self.told: list[tuple[str, dict[str, Any]]] = []
+
+    def event(self, name: str, **fields: object) -> None:
+        self.told.append((name, fields))
+
+
+class StartStepsTests(testtools.TestCase):
+    def test_one_line_tells_when_each_step_was_reached(self) -> None:
+        log = Lines()
+        done: set[str] = set()
+        names = ("list", "groups")
+        steps = {name: lambda _, name=name: name in done for name in names}
+        start = StartSteps(steps, 10.0, log)
+        start.check(10.1)
+        done.add("groups")
+        start.check(10.25)
+        self.assertEqual([], log.told)
+        done.add("list")
+        start.check(10.5)
+        start.check(10.6)
+        ((name, fields),) = log.told
+        self.assertEqual("start_steps", name)
+        self.assertGreaterEqual(fields.pop("processor_ms"), 0)
+        self.assertEqual({"groups_ms": 250, "list_ms": 500}, fields)
