--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -3,6 +3,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -41,6 +43,7 @@
 from tests.direct.plaindialect import PlainDialect
 
 HALL = HallId("h")
+RESET_AT_ONCE = struct.pack("ii", 1, 0)
 PLAIN = ServiceName("roster")
 Headers = dict[str, str]
 Script = Callable[[Headers, asyncio.StreamWriter], Awaitable[None]]
@@ -79,12 +82,22 @@
     seen: list[Headers] = field(default_factory=list)
     address: str = ""
     server: asyncio.Server | None = None
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
+    def reset(self) -> None:
+        """Reset every connection, as a link that lost its state does."""
+        for writer in self.writers:
+            made = writer.transport.get_extra_info("socket")
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_ONCE)
+            writer.transport.abort()
+        self.writers.clear()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
         try:
             while True:
                 lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
