--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -130,7 +130,32 @@
         self.relayed(work, full, full)
 
 
+class BeginningTests(RelayCase):
+    tuning = RelayTuning(begins_s=20.0)
+
+    def test_callers_of_an_entry_that_just_began_wait_for_its_configuration(self) -> None:
+        async def work(running: Running) -> None:
+            routes, running.serving.routes = running.serving.routes, None
+            asking = asyncio.ensure_future(running.ask())
+            while not running.relay.open_calls:
+                await asyncio.sleep(0.005)
+            running.serving.routes = routes
+            self.assertEqual(200, (await asking).status)
+
+        self.relayed(work, good)
+
+
 class AdmissionTests(RelayCase):
+    def test_later_and_without_a_configuration_they_are_refused(self) -> None:
+        async def work(running: Running) -> None:
+            running.serving.routes = None
+            answer = await running.ask()
+            self.assertEqual((503, b"no_configuration\n"), (answer.status, answer.body))
+            self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
+            self.assertEqual([], running.targets[0].seen)
+
+        self.relayed(work, good)
+
     def test_unknown_routes_and_keys_have_their_own_answers(self) -> None:
         async def work(running: Running) -> None:
             self.assertEqual(404, (await running.ask("/b/x")).status)
