Take callers' connections while an entry still loads its code

Ruled out: configuration, keys, list, groups, which are there within 0.12 s of the loop's start, and the lease, which nothing of this waits for.

--- a/packages/ochreway-direct/src/ochreway_direct/__main__.py
+++ b/packages/ochreway-direct/src/ochreway_direct/__main__.py
@@ -7,6 +7,10 @@
 # for which a restarted entry is missing.
 gc.disable()
 
+from ochreway_direct.earlylistener import listen_early  # noqa: E402
+
+listen_early()
+
 from ochreway_direct.main import main  # noqa: E402
 
 gc.freeze()
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/earlylistener.py
@@ -0,0 +1,45 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Taking callers' connections while the process still loads its code.
+
+Nothing but the standard library's ``socket`` is imported here, as this runs before all else.
+"""
+
+import os
+import socket
+
+VARIABLE = "OCHREWAY_CALLER_LISTEN"
+BACKLOG = 1024
+"""How many connections may wait to be accepted: more than come in a second to one entry."""
+
+_open: dict[str, socket.socket] = {}
+
+
+def listen_early() -> None:
+    """Listen for callers at the address that the environment gives, if it does.
+
+    Loading takes half a second and more. Callers that connect meanwhile wait for it, where all
+    entries were killed at once, in place of being turned away by each of them. An address that
+    cannot be had is left to the usual way, which tells why.
+    """
+    address = os.environ.get(VARIABLE, "")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        return
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.bind((host, int(port)))
+        made.listen(BACKLOG)
+    except (OSError, OverflowError):
+        made.close()
+        return
+    made.setblocking(False)
+    _open[address] = made
+
+
+def take(address: str) -> socket.socket | None:
+    """Return the socket that listens at an address, if there is one; it is the caller's then."""
+    return _open.pop(address, None)
+
+
+__all__ = ["BACKLOG", "listen_early", "take"]
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -13,6 +13,8 @@
 import click
 from aiohttp import web
 
+from ochreway_direct import earlylistener
+from ochreway_direct.earlylistener import BACKLOG
 from ochreway_direct.entry import DirectEntry
 from ochreway_direct.lazymetricspage import LazyMetricsPage
 from ochreway_direct.ports.platformservices import ADAPTERS
@@ -211,8 +213,12 @@
 
 async def _listen(runner: web.ServerRunner, address: str) -> web.ServerRunner:
     await runner.setup()
+    listening = earlylistener.take(address)
+    if listening is not None:
+        await web.SockSite(runner, listening, backlog=BACKLOG).start()
+        return runner
     host, _, port = address.rpartition(":")
-    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
     return runner
 
 
--- /dev/null
+++ b/tests/direct/test_earlylistener.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: Apache-2.0
+import os
+import socket
+import subprocess
+import sys
+from unittest import mock
+
+import testtools
+
+from ochreway_direct import earlylistener
+
+
+class EarlyListenerTests(testtools.TestCase):
+    def free_address(self) -> str:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            return f"127.0.0.1:{probe.getsockname()[1]}"
+
+    def listen(self, address: str) -> None:
+        with mock.patch.dict(os.environ, {earlylistener.VARIABLE: address}):
+            earlylistener.listen_early()
+
+    def test_callers_can_connect_before_anybody_accepts(self) -> None:
+        address = self.free_address()
+        self.listen(address)
+        host, _, port = address.partition(":")
+        with socket.create_connection((host, int(port)), timeout=10) as caller:
+            listening = earlylistener.take(address)
+            assert listening is not None
+            accepted, _ = listening.accept()
+            accepted.sendall(b"here")
+            self.assertEqual(b"here", caller.recv(4))
+            accepted.close()
+            listening.close()
+        self.assertIsNone(earlylistener.take(address))
+
+    def test_an_address_that_is_taken_is_left_to_the_usual_way(self) -> None:
+        with socket.socket() as other:
+            other.bind(("127.0.0.1", 0))
+            other.listen()
+            address = f"127.0.0.1:{other.getsockname()[1]}"
+            self.listen(address)
+            self.assertIsNone(earlylistener.take(address))
+
+    def test_what_is_no_address_is_passed_over(self) -> None:
+        for address in ("", "x", "127.0.0.1:", "127.0.0.1:x", ":80", "127.0.0.1:99999999"):
+            self.listen(address)
+            self.assertIsNone(earlylistener.take(address), address)
+
+    def test_it_needs_nothing_that_takes_long_to_load(self) -> None:
+        code = (
+            "import sys, ochreway_direct.earlylistener;"
+            "print([name for name in ('asyncio', 'aiohttp', 'ssl') if name in sys.modules])"
+        )
+        done = subprocess.run(
+            [sys.executable, "-S", "-c", code],
+            capture_output=True,
+            check=False,
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+        )
+        self.assertEqual(b"[]", done.stdout.strip(), done.stderr)
