Merge an entry's means, its start after a kill, and resets

Counters of new connections are written where they are counted, so that the check of the operators' page sees each. The test that traces writes makes its connector as the merged code does.

--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -28,6 +28,8 @@
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.leasekeeper import LeaseKeeper
 from ochreway_direct.listfollower import ListFollower
+from ochreway_direct.means import means_of
+from ochreway_direct.meanswatch import CHECK_S, MeansWatch
 from ochreway_direct.mechanism import Mechanism
 from ochreway_direct.messages import (
     ConfigurationRequest,
@@ -42,12 +44,14 @@
 from ochreway_direct.peers import Peers
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import PlatformServices
+from ochreway_direct.relay.restingbounds import RestingBounds
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.loans import Loans
 from ochreway_direct.sendlimits.standingshare import StandingShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
+from ochreway_direct.startsteps import StartSteps
 from ochreway_direct.timing import DirectTiming
 from ochreway_direct.versionsharing import VersionSharing
 from ochreway_routing.retrybudget import RetryBudget
@@ -80,7 +84,9 @@
         timing: DirectTiming,
         log: EventLog,
         metrics: Metrics,
+        resting: RestingBounds | None = None,
     ) -> None:
+        """Own the parts given; ``resting`` bounds idle connections to targets."""
         self.settings = settings
         self.log = log
         self.metrics = metrics
@@ -105,6 +111,9 @@
         self.retry_budget = RetryBudget(settings.retries_per_request)
         known = KnownEntry(self.me, HallId(settings.hall), settings.strength)
         self.peers = Peers(known, timing.peer_silent_s)
+        self.means = MeansWatch(
+            *(means_of(settings), self.serving, self.peers, log, metrics, resting)
+        )
         self.timer = TimerService(timing.tick_s)
         self.lag = LoopLag(timing.tick_s, log)
         self.links = Links(
@@ -215,6 +224,7 @@
             Suspicion: self._on_suspicion,
         }
         self._tasks: set[asyncio.Task[None]] = set()
+        self._start = StartSteps(self._start_checks(), self._loop.time(), log)
         self._ticked_s = 0.0
         self._step_planned = False
         self._step_due_s = 0.0
@@ -257,6 +267,7 @@
         self.timer.every(timing.heartbeat_s, self._dependencies.check)
         self.timer.every(timing.heartbeat_s, self._home_check.check)
         self.timer.every(timing.heartbeat_s, lambda _: self._share_retries())
+        self.timer.every(CHECK_S, self.means.check)
         if self.settings.has(Mechanism.SILENCE_SUSPECTED):
             self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
         self.timer.every(timing.fleet_update_s, lambda _: self._sharing.publish())
@@ -299,6 +310,7 @@
             "targets_cold": float(self._cold.number(now_s)),
             "loans_taken": float(self._limit.loans(now_s)),
             "loans_made": float(self._loans.lent(now_s)),
+            **self.means.gauges(),
         }
 
     def _share_retries(self) -> None:
@@ -308,7 +320,19 @@
 
     # Groups.
 
+    def _start_checks(self) -> dict[str, Callable[[float], bool]]:
+        """Return what this entry needs before it serves, and the holder of the lease."""
+        serving, view = self.serving, self.view
+        return {
+            "configuration": lambda _: serving.routes is not None,
+            "keys": serving.freshness.keys_trusted,
+            "list": lambda now_s: view.listed_age_s(now_s) is not None,
+            "groups": lambda now_s: bool(view.groups(now_s)),
+            "holder": lambda now_s: self.lease.held or self.peers.holder(now_s) is not None,
+        }
+
     def _tick(self, now_s: float) -> None:
+        self._start.check(now_s)
         if now_s - self._ticked_s > self._timing.pause_noticed_s:
             self.coordination.coordinator.on_pause()
         self._ticked_s = now_s
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -12,11 +12,16 @@
 import click
 from aiohttp import web
 
+from ochreway_direct import earlylistener
+from ochreway_direct.earlylistener import BACKLOG
 from ochreway_direct.entry import DirectEntry
+from ochreway_direct.lazymetricspage import LazyMetricsPage
 from ochreway_direct.ports.platformservices import ADAPTERS
 from ochreway_direct.relay.callerserver import CallerServer
 from ochreway_direct.relay.relay import Relay
+from ochreway_direct.relay.restingbounds import RestingBounds
 from ochreway_direct.relay.sendtrace import send_trace
+from ochreway_direct.relay.targetconnections import TargetConnections
 from ochreway_direct.relay.targetprotocol import TargetConnector
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.settings import DirectSettings, check
@@ -25,13 +30,10 @@
 from ochreway_runtime.errors import SettingsInvalid
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
-from ochreway_runtime.metricspage import CONTENT_TYPE, MetricsPage
 from ochreway_runtime.option import option
 
 EXIT_SETTINGS = 2
 EXIT_LISTEN = 4
-KEPT_S = 3.0
-"""For how long an idle connection to a target is kept."""
 STOP_POLL_S = 0.1
 GRACE_SHARE = 0.85
 """The share of the grace in which requests may end; closing what is left takes up to 0.8 s."""
@@ -121,13 +123,17 @@
         "max_field_size": ANSWER_HEADER_BYTES,
         "trace_configs": [send_trace()],
     }
+    resting = RestingBounds()
+    to_targets = TargetConnector(lambda: metrics.count("connections.target"), resting)
+    to_one = TargetConnector(lambda: metrics.count("connections.single"), keeps=False)
+    to_platform = TargetConnector(lambda: metrics.count("connections.platform"))
     async with (
-        aiohttp.ClientSession(connector=TargetConnector(KEPT_S), **options) as kept,
-        aiohttp.ClientSession(connector=TargetConnector(None), **options) as single,
-        aiohttp.ClientSession(connector=TargetConnector(KEPT_S), cookie_jar=jar) as platform,
+        aiohttp.ClientSession(connector=to_targets, **options) as kept,
+        aiohttp.ClientSession(connector=to_one, **options) as single,
+        aiohttp.ClientSession(connector=to_platform, cookie_jar=jar) as platform,
     ):
         services = ADAPTERS[settings.adapter](platform, settings.platform_url)
-        entry = DirectEntry(settings, services, DirectTiming(), log, metrics)
+        entry = DirectEntry(settings, services, DirectTiming(), log, metrics, resting)
         relay = Relay(
             *(entry.serving, services.dialect, kept, single, entry.meter, RelayTuning()),
             *(entry.retry_budget, entry.suspect, log, metrics),
@@ -136,7 +142,8 @@
             await entry.start()
             callers = await _serve_callers(settings, entry, relay)
             ready = await _serve_ready(settings, entry)
-            figures = await _serve_metrics(settings, entry, relay, metrics)
+            connections = TargetConnections((to_targets, to_one), metrics, relay)
+            figures = await _serve_metrics(settings, entry, relay, metrics, connections)
         except OSError as fault:
             log.fault("cannot_listen", cause=fault)
             await entry.stop()
@@ -169,7 +176,7 @@
 async def _serve_callers(
     settings: DirectSettings, entry: DirectEntry, relay: Relay
 ) -> web.ServerRunner:
-    server = CallerServer(entry.serving, relay)
+    server = CallerServer(entry.serving, relay, entry.means.callers)
     return await _listen(web.ServerRunner(server, shutdown_timeout=0.5), settings.caller_listen)
 
 
@@ -183,28 +190,31 @@
 
 
 async def _serve_metrics(
-    settings: DirectSettings, entry: DirectEntry, relay: Relay, metrics: Metrics
+    settings: DirectSettings,
+    entry: DirectEntry,
+    relay: Relay,
+    metrics: Metrics,
+    connections: TargetConnections,
 ) -> web.ServerRunner | None:
     """Serve the counters as text at any path, if an address for them is set."""
     if not settings.metrics_listen:
         return None
 
     def gauges() -> dict[str, float]:
-        return {**entry.gauges(), "open_calls": relay.open_calls}
+        return {**entry.gauges(), "open_calls": relay.open_calls, **connections.gauges()}
 
-    page = MetricsPage(metrics, gauges)
-
-    async def answer(_: web.BaseRequest) -> web.Response:
-        return web.Response(body=page.render(), headers={"Content-Type": CONTENT_TYPE})
-
-    server = web.Server(answer, access_log=None)
+    server = web.Server(LazyMetricsPage(metrics, gauges).answer, access_log=None)
     return await _listen(web.ServerRunner(server, shutdown_timeout=0.1), settings.metrics_listen)
 
 
 async def _listen(runner: web.ServerRunner, address: str) -> web.ServerRunner:
     await runner.setup()
+    listening = earlylistener.take(address)
+    if listening is not None:
+        await web.SockSite(runner, listening, backlog=BACKLOG).start()
+        return runner
     host, _, port = address.rpartition(":")
-    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
     return runner
 
 
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/startsteps.py
@@ -0,0 +1,32 @@
+# SPDX-License-Identifier: Apache-2.0
+"""How long each step takes from the start of a process until it can serve."""
+
+from collections.abc import Callable, Mapping
+
+from ochreway_runtime.logs import EventLog
+
+Check = Callable[[float], bool]
+
+
+class StartSteps:
+    """Write one line once every step was reached, with the ms that each took since the start."""
+
+    def __init__(self, steps: Mapping[str, Check], began_s: float, log: EventLog) -> None:
+        self._steps = dict(steps)
+        self._began_s = began_s
+        self._log = log
+        self._reached_ms: dict[str, int] = {}
+
+    def check(self, now_s: float) -> None:
+        """Note which steps were reached by now."""
+        if not self._steps:
+            return
+        for name, reached in list(self._steps.items()):
+            if reached(now_s):
+                del self._steps[name]
+                self._reached_ms[f"{name}_ms"] = round((now_s - self._began_s) * 1000)
+        if not self._steps:
+            self._log.event("start_steps", **self._reached_ms)
+
+
+__all__ = ["StartSteps"]
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -3,6 +3,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -27,8 +29,10 @@
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.relay.callerconnections import CallerConnections
 from ochreway_direct.relay.callerserver import CallerServer
 from ochreway_direct.relay.relay import Relay
+from ochreway_direct.relay.restingbounds import RestingBounds
 from ochreway_direct.relay.targetprotocol import TargetConnector
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
@@ -39,6 +43,7 @@
 from tests.direct.plaindialect import PlainDialect
 
 HALL = HallId("h")
+RESET_AT_ONCE = struct.pack("ii", 1, 0)
 PLAIN = ServiceName("roster")
 Headers = dict[str, str]
 Script = Callable[[Headers, asyncio.StreamWriter], Awaitable[None]]
@@ -77,12 +82,22 @@
     seen: list[Headers] = field(default_factory=list)
     address: str = ""
     server: asyncio.Server | None = None
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
+    def reset(self) -> None:
+        """Reset every connection, as a link that lost its state does."""
+        for writer in self.writers:
+            made = writer.transport.get_extra_info("socket")
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_ONCE)
+            writer.transport.abort()
+        self.writers.clear()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
         try:
             while True:
                 lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -170,14 +185,17 @@
             await target.start()
         self.show()
         options = {"auto_decompress": False, "cookie_jar": aiohttp.DummyCookieJar()}
-        self.kept = aiohttp.ClientSession(connector=TargetConnector(3.0), **options)
-        self.single = aiohttp.ClientSession(connector=TargetConnector(None), **options)
+        self.resting = RestingBounds()
+        to_targets = TargetConnector(lambda: self.metrics.count("connections"), self.resting)
+        self.kept = aiohttp.ClientSession(connector=to_targets, **options)
+        self.single = aiohttp.ClientSession(connector=TargetConnector(keeps=False), **options)
         self.relay = Relay(
             *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
             *(self.tuning, self.budget, self.suspected.append),
             *(EventLog("entry", "e", "error"), self.metrics),
         )
-        server = CallerServer(self.serving, self.relay)
+        self.bounded = CallerConnections()
+        server = CallerServer(self.serving, self.relay, self.bounded)
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
--- a/tests/direct/test_sendlimitrelay.py
+++ b/tests/direct/test_sendlimitrelay.py
@@ -73,7 +73,7 @@
         async def work(running: Running) -> None:
             limit = running.fleet._limit = ScriptedLimit("t0")
             traced = aiohttp.ClientSession(
-                connector=TargetConnector(3.0),
+                connector=TargetConnector(),
                 auto_decompress=False,
                 trace_configs=[send_trace()],
             )
