--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -19,10 +19,8 @@
 from ochreway_direct.relay.ending import Ending
 from ochreway_direct.relay.errors import AnswerBroken, CallerGone, Refused
 from ochreway_direct.relay.exchange import HEAD_BYTES, Exchange
-from ochreway_direct.relay.patience import Patience
 from ochreway_direct.relay.refusal import refusal_of
 from ochreway_direct.relay.tuning import RelayTuning
-from ochreway_direct.relay.waitingcalls import waiting_key
 from ochreway_direct.serving import Serving
 from ochreway_routing.retrybudget import RetryBudget
 from ochreway_runtime.logs import EventLog
@@ -52,7 +50,6 @@
         self._admission = Admission(serving, meter, tuning)
         self._exchange = Exchange(serving, dialect, kept, single, tuning)
         self._tuning = tuning
-        self._patience = Patience(tuning, serving.fleet)
         self._calls = CallLog(log, serving)
         self._metrics = metrics
         self._budget = budget
@@ -75,7 +72,6 @@
         try:
             call = await self._admission.admit(request, terms)
             self._budget.requested()
-            self._patience.usual.note(call)
             answer = await self._run(call)
             self._calls.answered(call, answer.status)
             return answer
@@ -146,24 +142,23 @@
         """Choose where to send a call, waiting a little while nothing can take it."""
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
-        with self._patience.waiting.entered(call):
-            while True:
-                found = self._pick(call) if self._is_next(call) else None
-                if found is not None:
-                    call.waited_s += loop.time() - begun_s
-                    return found
-                now_s = loop.time()
-                if now_s >= self._patience.until_s(call, begun_s, now_s):
-                    break
-                await asyncio.sleep(self._tuning.place_poll_s)
-        call.waited_s += loop.time() - begun_s
+        until_s = min(begun_s + self._patience_s(call), call.end_s)
+        while True:
+            found = self._pick(call)
+            if found is not None:
+                call.waited_s += loop.time() - begun_s
+                return found
+            if loop.time() >= until_s:
+                break
+            await asyncio.sleep(self._tuning.place_poll_s)
         full = self._fleet.has_group(call.service, call.terms.model, call.within)
         reason = Reason.QUEUE_FULL if full else Reason.NO_GROUP
         raise self._give_up(call, reason, self._tuning.regroup_after_s)
 
-    def _is_next(self, call: Call) -> bool:
-        """Tell whether a call may choose now; one that was sent before may at any time."""
-        return bool(call.sends) or not self._patience.waiting.ahead(call)
+    def _patience_s(self, call: Call) -> float:
+        if call.answer is not None or call.runs:
+            return self._tuning.resume_patience_s
+        return call.route.objective_s * self._tuning.patience_share
 
     def _queued_at_most(self, call: Call) -> int:
         tuning = self._tuning
@@ -215,7 +210,6 @@
             return ending
         finally:
             self._fleet.end(attempt, ending.failed)
-            self._patience.freed.note(waiting_key(call), asyncio.get_running_loop().time())
 
 
 __all__ = ["Relay"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -10,10 +10,9 @@
 
     A call waits for a place for ``patience_share`` of its objective and is then refused with
     the time after which a group is expected to serve again, at most ``retry_after_share`` of
-    what the caller has left. One that came back may wait for ``returned_patience_share`` of what
-    it has left where a place is expected in that time. An answer that has begun may queue where
-    new calls may not, as it cannot be refused. A caller gives a stream up that is silent for the
-    longest of the three ``caller_silence`` bounds.
+    what the caller has left. An answer that has begun may queue where new calls may not, as it
+    cannot be refused. A caller gives a stream up that is silent for the longest of the
+    three ``caller_silence`` bounds.
 
     A process that began less than ``begins_s`` ago has callers wait for its first configuration,
     which takes it some 60 ms, as a refusal then may be the last of a caller who was cut off.
@@ -23,7 +22,6 @@
     least_left_s: float = 0.05
     place_poll_s: float = 0.01
     patience_share: float = 0.1
-    returned_patience_share: float = 0.4
     queued_at_most: int = 3
     resuming_queued_at_most: int = 12
     resume_patience_s: float = 1.0
