--- a/packages/ochreway-standins/src/ochreway_standins/grouplab/day.py
+++ b/packages/ochreway-standins/src/ochreway_standins/grouplab/day.py
@@ -5,16 +5,17 @@
 import random
 import statistics
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 
 from ochreway_core.ids import DomainId, GroupId, InstanceId
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.coordinator.demand import work_s
 from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.enginestate import MemberPhase
 from ochreway_direct.ids import ModelName
-from ochreway_standins.engineworld import STEP_S, EngineWorld, FakeEngine
-from ochreway_standins.grouplab.experiment import Experiment, RequestFigures
+from ochreway_standins.engineworld import FOREVER_S, STEP_S, EngineWorld, FakeEngine
+from ochreway_standins.grouplab.experiment import Burst, Experiment, RequestFigures
 from ochreway_standins.grouplab.groupserver import GroupServer
 from ochreway_standins.grouplab.request import Outcome, Request
 
@@ -73,8 +74,9 @@
         )
         self.world.load_speed = experiment.loads.early_speed
         self._chance = random.Random(seed)
+        self._turns = random.Random(seed)
         self._meter = DemandMeter()
-        self._servers: dict[GroupId, GroupServer] = {}
+        self.servers: dict[GroupId, GroupServer] = {}
         self._waiting: list[Request] = []
         self._returning: list[_Returning] = []
         self._outcomes: list[tuple[Request, Outcome]] = []
@@ -85,22 +87,40 @@
         self._loads = 0
         self._loading: set[tuple[InstanceId, ModelName]] = set()
         self._traded: set[GroupId] = set()
+        self.bursts = self._drawn(experiment.bursts)
+        self._events: list[tuple[float, Callable[[], None]]] | None = None
 
     def play(self) -> DayResult:
         """Return what was served."""
-        self.world.run(self._experiment.lead_s)
-        self.world.load_speed = 1.0
-        events = self._events()
-        while self.world.now_s < self._begin_s + self._experiment.day_s:
+        self.play_until(self._experiment.day_s)
+        self._end_rest()
+        return self._result()
+
+    @property
+    def played_s(self) -> float:
+        """Return for how long requests have come."""
+        return self.world.now_s - self._begin_s
+
+    def play_until(self, until_s: float) -> None:
+        """Go on until requests have come for some time."""
+        if self._events is None:
+            self.world.run(self._experiment.lead_s)
+            self.world.load_speed = 1.0
+            self._events = self._all_events()
+        events = self._events
+        while self.played_s < until_s:
             while events and events[0][0] <= self.world.now_s:
                 events.pop(0)[1]()
             self._step()
-        self._end_rest()
-        return self._result()
+
+    def _drawn(self, bursts: Iterable[Burst]) -> tuple[Burst, ...]:
+        """Return bursts at the moments of this day; those of one time come together."""
+        shift_s = self._turns.uniform(0.0, 1.0)
+        return tuple(replace(each, at_s=each.at_s + shift_s * each.spread_s) for each in bursts)
 
     # What goes wrong.
 
-    def _events(self) -> list[tuple[float, Callable[[], None]]]:
+    def _all_events(self) -> list[tuple[float, Callable[[], None]]]:
         losses, day_s = self._experiment.losses, self._experiment.day_s
         events: list[tuple[float, Callable[[], None]]] = []
         if losses.domain_for_s:
@@ -173,7 +193,7 @@
         self._arrive(now_s)
         self._update_servers()
         self._place(now_s)
-        for server in self._servers.values():
+        for server in self.servers.values():
             self._outcomes += [(each, _outcome(each)) for each in server.step(now_s, STEP_S)]
         self.world.coordinator.demand.update(self._meter.offered(now_s), now_s)
         self._note()
@@ -201,7 +221,7 @@
         rate = figures.per_s
         if wave.period_s:
             rate *= 1.0 + wave.swing * math.sin(2 * math.pi * at_s / wave.period_s)
-        for burst in self._experiment.bursts:
+        for burst in self.bursts:
             if burst.request == figures.name and burst.at_s <= at_s < burst.at_s + burst.for_s:
                 rate *= burst.factor
         return rate
@@ -225,15 +245,27 @@
             if membership is None or not self._leads(engine):
                 continue
             group = membership.group
-            server = self._servers.get(group)
+            server = self.servers.get(group)
             if server is None and group in shown:
                 server = GroupServer(self._spec, self._pace(engine))
             if server is not None:
                 found[group] = server
-        for group, server in self._servers.items():
+        for group, server in self.servers.items():
             if group not in found:
                 self._break(server)
-        self._servers = found
+        self.servers = found
+        self._end_closed()
+
+    def _end_closed(self) -> None:
+        """Let groups that take nothing more go on until their requests have ended."""
+        for engine in self.world.engines.values():
+            membership = engine.membership
+            server = self.servers.get(membership.group) if membership is not None else None
+            if membership is None or server is None or membership.rank != 0:
+                continue
+            engine.busy_for_s = FOREVER_S if server.load else 0.0
+            if membership.phase is MemberPhase.CLOSING and not server.load:
+                engine.ends_s = self.world.now_s
 
     def _break(self, server: GroupServer) -> None:
         again_s = self.world.now_s + NOTICED_S
@@ -266,7 +298,7 @@
         for request in self._waiting:
             open_ = [
                 server
-                for group, server in self._servers.items()
+                for group, server in self.servers.items()
                 if shown.get(group) == request.figures.model
                 and server.load < self._spec.slots + QUEUED_AT_MOST
             ]
@@ -291,7 +323,7 @@
         used = sum(
             len(each.members)
             for each in alive
-            if each.membership is not None and each.membership.group in self._servers
+            if each.membership is not None and each.membership.group in self.servers
             if each.membership.rank == 0
         )
         self._stranded.append(1.0 - used / max(1, len(alive)))
@@ -308,7 +340,7 @@
 
     def _end_rest(self) -> None:
         """Count what is under way by what has become of it so far."""
-        for server in self._servers.values():
+        for server in self.servers.values():
             self._outcomes += [(each, _outcome(each)) for each in server.running if each.first_s]
 
     def _result(self) -> DayResult:
--- a/packages/ochreway-standins/src/ochreway_standins/grouplab/experiment.py
+++ b/packages/ochreway-standins/src/ochreway_standins/grouplab/experiment.py
@@ -71,12 +71,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Burst:
-    """Hold a time in which one kind of request comes more or less often."""
+    """Hold a time in which one kind of request comes more or less often.
+
+    It begins up to ``spread_s`` after ``at_s``, on each day at another moment.
+    """
 
     request: str
     at_s: float
     for_s: float
     factor: float
+    spread_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/standins/test_grouplab.py
+++ b/tests/standins/test_grouplab.py
@@ -13,8 +13,10 @@
 import testtools
 
 from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_direct.coordinator.grouprecord import GroupPhase, PhaseCause
+from ochreway_standins.engineworld import STEP_S
 from ochreway_standins.grouplab.__main__ import tuning_of
-from ochreway_standins.grouplab.day import play
+from ochreway_standins.grouplab.day import Day, play
 from ochreway_standins.grouplab.errors import ExperimentError
 from ochreway_standins.grouplab.reader import EXPERIMENTS, experiment_names, read_experiment
 
@@ -43,6 +45,34 @@
         experiment = read_experiment("two-models-even")
         self.assertEqual(play(experiment, 5, HEAVY), play(experiment, 5, HEAVY))
 
+    def test_a_burst_begins_at_another_moment_of_each_day(self) -> None:
+        experiment = read_experiment("wide-turns-large")
+        begun_s = []
+        for seed in SEEDS:
+            moments = {burst.at_s for burst in Day(experiment, seed, HEAVY).bursts}
+            self.assertEqual(1, len(moments), "bursts of one time come together")
+            begun_s += moments
+        self.assertEqual(len(SEEDS), len(set(begun_s)))
+        for at_s, burst in zip(begun_s, experiment.bursts, strict=False):
+            self.assertTrue(burst.at_s <= at_s <= burst.at_s + burst.spread_s)
+
+    def test_requests_of_a_closed_group_end_there(self) -> None:
+        day = Day(read_experiment("dense-engines"), 1, HEAVY)
+        day.play_until(2.0)
+        coordinator = day.world.coordinator
+        group = next(
+            group
+            for group in coordinator.groups.values()
+            if group.phase is GroupPhase.SERVING and day.servers[group.group].running
+        )
+        under_way = list(day.servers[group.group].running)
+        group.close_at_most_s = 30.0
+        group.enter(GroupPhase.CLOSING, day.world.now_s, PhaseCause.TRADED)
+        while group.cause is PhaseCause.TRADED:
+            day.play_until(day.played_s + STEP_S)
+        self.assertIs(PhaseCause.ENDED, group.cause)
+        self.assertTrue(all(each.first_s is not None and not each.broke for each in under_way))
+
     def test_instant_weights_leave_little_to_lose(self) -> None:
         experiment = read_experiment("small-model-heavy")
         instant = play(experiment.with_instant_weights(), 1, HEAVY)
