Tell what the holder plans whenever it changes, by default

The line is info now, written when needs, groups wanted or standing, or loads under way have changed, two a second for each service at most; a new holder tells its first plan. Ruled out: a line a tick (some 20 a second while groups form), and loads told by number, which change with each load.

--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -2,16 +2,16 @@
 """Carrying out what the coordinator decides: probes and orders to engines."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable, Mapping
+from collections.abc import Callable, Coroutine, Iterable
 
 from ochreway_core.ids import Epoch, GroupId
 from ochreway_direct.coordinator import Assignment, Coordinator, CoordinatorTuning
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import GroupPhase
-from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.order import OrderOutcome
+from ochreway_direct.planlog import PlanLog
 from ochreway_direct.ports import EngineControl
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.errors import PlatformError, ReportUnreadable, TargetUnreachable
@@ -60,6 +60,7 @@
         self._phases: dict[GroupId, GroupPhase] = {}
         self._lost_s: dict[GroupId, float] = {}
         self._summary_due_s = 0.0
+        self._plan_log = PlanLog(log)
 
     def begin(
         self,
@@ -73,6 +74,7 @@
         self.coordinator.begin(epoch, now_s, last_models)
         self.coordinator.on_listing(targets, now_s, regained_s)
         self._phases.clear()
+        self._plan_log.forget()
 
     def listed(self, targets: Iterable[ListedTarget], now_s: float, regained_s: float) -> None:
         """Take the platform's list; the store's last outage ended at ``regained_s``."""
@@ -89,6 +91,7 @@
         if now_s >= self._summary_due_s:
             self._summary_due_s = now_s + SUMMARY_EVERY_S
             self._note_domains()
+        self._note_plans(now_s)
         return self._note_phases(now_s)
 
     def _note_domains(self) -> None:
@@ -105,14 +108,10 @@
                 leaving=each.leaving,
             )
 
+    def _note_plans(self, now_s: float) -> None:
         for service, plan in self.coordinator.plans.items():
-            self._log.detail(
-                "plan",
-                service=service,
-                needs=",".join(f"{model}:{need:.2f}" for model, need in plan.needs.items()),
-                wanted=_slots(plan.wanted),
-                standing=_slots(plan.standing),
-            )
+            if self._plan_log.due(service, now_s):
+                self._plan_log.step(service, plan, self.coordinator.loading(service), now_s)
 
     def lost(self, now_s: float) -> tuple[GroupId, ...]:
         """Return the groups whose requests have to be abandoned."""
@@ -200,11 +199,4 @@
             self._changed()
 
 
-def _slots(slots: Mapping[Slot, int]) -> str:
-    return ",".join(
-        f"{slot.model}@{slot.domain}:{number}"
-        for slot, number in sorted(slots.items(), key=lambda each: (each[0].domain, each[0].model))
-    )
-
-
 __all__ = ["Coordination"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -102,6 +102,7 @@
         self.groups.clear()
         self.engines.clear()
         self._listing = Listing()
+        self._formation.plans.clear()
 
     def configure(self, configuration: Configuration) -> None:
         """Take the engines' figures from a configuration."""
@@ -276,6 +277,10 @@
         """Return the newest plan of each service."""
         return self._formation.plans
 
+    def loading(self, service: ServiceName) -> int:
+        """Return how many engines of a service are getting weights."""
+        return self._state.loading(service)
+
     def tick(self, now_s: float) -> list[Assignment]:
         """Return the orders to give now."""
         self._state.out = []
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -43,8 +43,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PlanSummary:
-    """Hold what a plan was made for, what it asks for, and the groups that stand in domains."""
+    """Hold what a plan was made for, what it asks for, and the groups that stand in domains.
 
+    Needs that were not ``measured`` go by configured shares.
+    """
+
+    measured: bool
     needs: Mapping[ModelName, float]
     wanted: Mapping[Slot, int]
     standing: Mapping[Slot, int]
@@ -73,7 +77,7 @@
         engines = sum(room.total for room in rooms.values())
         needs = self._state.demand.needs(spec, engines)
         wanted = self._now.plan(spec, needs, rooms, inside, self._state.down)
-        self.plans[service] = PlanSummary(needs, wanted, inside)
+        self.plans[service] = PlanSummary(self._state.demand.measured, needs, wanted, inside)
         later = self._later.plan(spec, needs, rooms_later(spec, rooms), inside, self._state.down)
         missing = where_least_lacks(spec, wanted, later, census)
         kept = held_back(spec, needs, wanted, missing, census, self._state.down)
