Tests: a first plan for hundreds of engines

The load: 375 engines in five domains, groups of 16 and 8, four of five requests for the small model. Its first plan by configured shares left engines idle, the small model's answers were late from the first second.

--- a/tests/direct/test_layout.py
+++ b/tests/direct/test_layout.py
@@ -119,6 +119,12 @@
         self.assertGreaterEqual(totals[LARGE.name], 3)
         self.assertGreaterEqual(totals[SMALL.name], 12)
 
+    def test_hundreds_of_engines_have_groups_for_most_work_of_either_model(self) -> None:
+        # Four of five requests turned out to be for the small model, which takes 21 groups.
+        totals = totals_of(self.plan(16, 8, 5, 75))
+        self.assertGreaterEqual(totals[SMALL.name], 21)
+        self.assertGreaterEqual(totals[LARGE.name], 5)
+
     def test_no_engine_is_idle_that_a_further_group_could_have(self) -> None:
         for large, small, domains, engines in ((16, 4, 3, 37), (8, 4, 3, 19), (9, 3, 4, 31)):
             chosen = self.plan(large, small, domains, engines)
@@ -126,7 +132,14 @@
             self.assertLess(left, domains * small)
 
     def test_no_domain_has_more_than_half_of_a_models_groups(self) -> None:
-        for build in ((16, 4, 3, 37), (12, 6, 3, 27), (8, 4, 3, 19), (9, 3, 4, 31), (4, 2, 3, 14)):
+        for build in (
+            (16, 4, 3, 37),
+            (12, 6, 3, 27),
+            (8, 4, 3, 19),
+            (9, 3, 4, 31),
+            (4, 2, 3, 14),
+            (16, 8, 5, 75),
+        ):
             chosen = self.plan(*build)
             totals = totals_of(chosen)
             for slot, number in chosen.items():
