Name no group lost that ended in peace

Each dissolving group was named lost, and its calls were abandoned, also when its leader had reported that its requests had ended: what entries had sent last, and answers on their way back, were cut and sent again though nothing had failed.

A closed group's end is ENDED when its leader reports so, by a report of the time since it was closed (a stale one showed it ready before it had opened), and OVERDUE when its time was up; the second is named lost.

--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -7,7 +7,7 @@
 from ochreway_core.ids import Epoch, GroupId
 from ochreway_direct.coordinator import Assignment, Coordinator, CoordinatorTuning
 from ochreway_direct.coordinator.enginerecord import EngineRecord
-from ochreway_direct.coordinator.grouprecord import GroupPhase
+from ochreway_direct.coordinator.grouprecord import GroupPhase, PhaseCause
 from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.order import OrderOutcome
@@ -138,7 +138,9 @@
                 members=",".join(group.members),
                 domain=group.domain,
             )
-            if phase is GroupPhase.DISSOLVING:
+            # Nothing runs any more at one that ended in peace: to name it lost would only have
+            # entries abandon what they had sent there last and send it again.
+            if phase is GroupPhase.DISSOLVING and group.cause is not PhaseCause.ENDED:
                 self._lost_s[name] = now_s
         self._phases = phases
         return True
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/grouprecord.py
@@ -36,7 +36,9 @@
     SHUT = "shut"
     """Its leader reports that it takes nothing more."""
     ENDED = "ended"
-    """Its requests have ended, or had their time."""
+    """Its requests have ended."""
+    OVERDUE = "overdue"
+    """Its requests had their time, and some may still run."""
     TRADED = "traded"
     SWAPPED = "swapped"
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -173,13 +173,17 @@
             group.enter(GroupPhase.DISSOLVING, now_s, loss.cause, loss.blamed)
             return
         leader = self._state.engines[group.leader]
-        told = leader.observed_s > group.since_s + self.report_lag_s(group.service)
+        told = self._told(leader, group)
         shut = leader.membership is not None and leader.membership.phase is not MemberPhase.OPEN
         ending = self._leaving(group) or (Loss(PhaseCause.SHUT) if told and shut else None)
         if ending is not None:
             group.close_at_most_s = self._state.tuning.close_at_most_s
             group.enter(GroupPhase.CLOSING, now_s, ending.cause, ending.blamed)
 
+    def _told(self, leader: EngineRecord, group: GroupRecord) -> bool:
+        """Tell whether a leader's report is of the time since its group's phase began."""
+        return leader.observed_s > group.since_s + self.report_lag_s(group.service)
+
     def _step_closing(self, group: GroupRecord, now_s: float) -> None:
         leader = self._state.engines.get(group.leader)
         overdue = now_s - group.since_s > group.close_at_most_s
@@ -188,11 +192,11 @@
             group.enter(GroupPhase.DISSOLVING, now_s, loss.cause, loss.blamed)
             return
         if leader is None or leader.membership is None or overdue:
-            group.enter(GroupPhase.DISSOLVING, now_s, PhaseCause.ENDED)
+            group.enter(GroupPhase.DISSOLVING, now_s, PhaseCause.OVERDUE)
             return
         if leader.membership.phase is MemberPhase.OPEN:
             self._state.order(leader, Close(group.group, group.epoch), now_s)
-        elif leader.membership.phase is MemberPhase.READY:
+        elif leader.membership.phase is MemberPhase.READY and self._told(leader, group):
             group.enter(GroupPhase.DISSOLVING, now_s, PhaseCause.ENDED)
 
     def _step_dissolving(self, group: GroupRecord, now_s: float) -> None:
--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -6,12 +6,13 @@
 
 import testtools
 
-from ochreway_core.ids import DomainId, HallId, InstanceId
+from ochreway_core.ids import DomainId, Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord, PhaseCause
 from ochreway_direct.enginestate import EngineState
-from ochreway_direct.ids import ServiceName
+from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.order import Order, OrderOutcome
 from ochreway_direct.ports import EngineControl
@@ -69,6 +70,41 @@
 
         return asyncio.run(work())
 
+    def lost_after(self, cause: PhaseCause) -> tuple[GroupId, ...]:
+        """Return the groups whose calls are abandoned after one was dissolved for a cause."""
+        log = EventLog("entry", "e", "error")
+        timing = DirectTiming()
+        coordination = Coordination(
+            SilentEngines(0.0),
+            timing,
+            CoordinatorTuning(),
+            lambda work: work.close(),
+            lambda: None,
+            lambda: None,
+            LoopLag(timing.tick_s, log),
+            lambda _: False,
+            log,
+            Metrics(None, "entry"),
+        )
+        group = GroupRecord(
+            *(GroupId("g"), Epoch(1), ServiceName("s"), DomainId("d"), ModelName("m")),
+            members=(InstanceId("i"),),
+            phase=GroupPhase.SERVING,
+            since_s=0.0,
+        )
+        coordination.coordinator.groups[group.group] = group
+        coordination.step(0.5)
+        group.enter(GroupPhase.DISSOLVING, 1.0, cause)
+        coordination.step(1.0)
+        return coordination.lost(1.0)
+
+    def test_calls_of_a_group_that_ended_in_peace_are_not_abandoned(self) -> None:
+        self.assertEqual((), self.lost_after(PhaseCause.ENDED))
+
+    def test_calls_of_a_group_that_is_lost_or_had_its_time_are_abandoned(self) -> None:
+        for cause in (PhaseCause.MEMBER_SILENT, PhaseCause.OVERDUE):
+            self.assertEqual(("g",), self.lost_after(cause))
+
     def test_an_engine_that_does_not_answer_is_silent(self) -> None:
         record = self.probed(0.0)
         self.assertEqual((1, False), (record.misses, record.probing))
