Let traded groups end a usual answer before they are given up

A group that is given up while another of its model serves had 0.4 s: answers take 0.6 to 1 s, so most requests under way were cut and sent again, late, where nothing had failed. It has the time of one usual answer with all slots in use now, 0.4 s at least.

This buys callers who are not cut, and costs the wanted group the wait.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -126,6 +126,18 @@
         )
         return others_s if others else self.tuning.close_at_most_s
 
+    def time_for_answers_s(self, group: GroupRecord) -> float:
+        """Return how long a traded group may take to end the answers that it has begun.
+
+        That is some usual answers of its model with all slots in use.
+        """
+        spec = self.specs[group.service]
+        model = spec.model(group.model)
+        pace = model.pace if model is not None else 1.0
+        usual_s = pace * spec.usual_answer_tokens * spec.token_s(spec.slots)
+        bound_s = min(self.tuning.trade_answers * usual_s, self.tuning.close_at_most_s)
+        return max(self.tuning.trade_close_s, bound_s)
+
     def loads_allowed(self, service: ServiceName, share: float, now_s: float) -> int:
         """Return how many more engines may get weights, within a share of the store's rate.
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
@@ -36,7 +36,6 @@
             census: the engines that are in no group, or about to be in none.
             now_s: the time.
         """
-        tuning = self._state.tuning
         if self._state.closing(slot.domain):
             return
         coming = [*census.free[slot.domain], *census.survivors[slot.domain]]
@@ -57,7 +56,9 @@
         for group in given_up:
             group.enter(GroupPhase.CLOSING, now_s, PhaseCause.TRADED)
         for group in given_up:
-            group.close_at_most_s = self._state.time_to_end_s(group, tuning.trade_close_s)
+            group.close_at_most_s = self._state.time_to_end_s(
+                group, self._state.time_for_answers_s(group)
+            )
 
     def _exchanged(
         self,
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -26,7 +26,8 @@
     has acknowledged it, as reports lag; while no report has come since, which happens where many
     engines change at once, only after ``order_unseen_retry_s``. An engine joins the model that it
     served last within ``rejoin_s``. A group that is closed has ``close_at_most_s`` to end its
-    requests, and ``trade_close_s`` when it is given up while a further group of its model serves.
+    requests. One that is traded while a further group of its model serves has failed in nothing: it
+    has ``trade_answers`` usual answers' time, or ``trade_close_s`` if that is more.
     At the ``first_start`` of a whole site weights come quickly and their loads are not bounded
     before the first request; they begin once the list has not grown for ``list_whole_s``, or after
     ``list_whole_at_most_s``. A new holder of the lease keeps ``loads_unseen_share`` of the bound
@@ -70,6 +71,7 @@
     loads_spare: int = 2
     loads_unseen_share: float = 0.5
     hedging: bool = True
+    trade_answers: float = 1.0
 
     def loads_at_most(self, per_s: float) -> int:
         """Return how many loads may begin in one window."""
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -192,6 +192,32 @@
         world.run_until(lambda: world.views_inside() == 1, 12.0)
         self.assertEqual(0, world.cut)
 
+    def test_a_planned_trade_cuts_no_request_of_usual_length(self) -> None:
+        # Three small groups serve; large weights come in, and one wanted more is formed of two.
+        # An answer takes 0.9 s with all slots in use; nothing failed that would excuse a cut.
+        world = EngineWorld(domains=0)
+        near = DomainId("near")
+        for staged in (LARGE,) * 3 + (SMALL,) * 6:
+            world.add(near, staged.name)
+        world.run_until(lambda: world.serving(SMALL) == 3, 10.0)
+        for engine in world.engines.values():
+            engine.staged = LARGE.name
+            engine.busy_for_s = 0.8
+        world.run_until(lambda: world.serving(LARGE) == 1, 8.0)
+        self.assertEqual(0, world.cut)
+        self.assertEqual([], world.violations)
+
+    def test_a_trade_does_not_wait_for_an_answer_without_end(self) -> None:
+        world = EngineWorld(domains=0)
+        near = DomainId("near")
+        for staged in (LARGE,) * 3 + (SMALL,) * 6:
+            world.add(near, staged.name)
+        world.run_until(lambda: world.serving(SMALL) == 3, 10.0)
+        for engine in world.engines.values():
+            engine.staged = LARGE.name
+            engine.busy_for_s = 60.0
+        world.run_until(lambda: world.serving(LARGE) == 1, 8.0)
+
     def test_a_leaving_member_does_not_cut_its_groups_requests(self) -> None:
         world = settled()
         for engine in world.engines.values():
