Take back the higher preference for standing groups

With keep_bonus 4 a small group that a new holder had formed of a large one's survivors stood in the way of the large group for good (test_a_new_holder_forms_the_group_again_that_survivors_served, red on 4, green on 2; green on the code before).

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -16,9 +16,7 @@
     ``spanning`` lets groups be formed across domains, and ``trading`` lets some be given up for
     others that are wanted more. A group that has lost a member is taken to be down for
     ``repair_s``; one more that adds less than ``least_gain`` for each of its engines, in groups
-    kept busy, is not planned, and one that stands is preferred to a new one by ``keep_bonus``: a
-    trade costs some two seconds of both, and with weights of both models at hand plans at 2.0
-    traded groups to and fro (0.004 of a day's worth, 0.017 where the mix turns).
+    kept busy, is not planned, and one that stands is preferred to a new one by ``keep_bonus``.
     Members of a group whose answers entries hear are asked each ``probe_heard_s`` only, as silence
     there is noticed at once; free engines each ``probe_free_s``, as their list tells of changes.
     All together at most ``probes_per_s`` are asked, at some 0.3 ms of processor each.
@@ -63,7 +61,7 @@
     fit_pace: float = 1.5
     repair_s: float = 5.0
     least_gain: float = 0.0005
-    keep_bonus: float = 4.0
+    keep_bonus: float = 2.0
     loads_window_s: float = 5.0
     loads_excess: float = 1.1
     loading_share: float = 1.0
