Revert "Load the other model's weights beside all groups before the work is known"

Its log says why: at 1.1 s four small groups of one domain were traded for a second large one there, which a plan wants in case the others are down; when another domain was lost at 11 s the small model had one group in that one.

It needs a judge of trades that counts a domain's loss.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -155,17 +155,15 @@
     def _beside(self, worth: LoadWorth, record: EngineRecord, model: ModelSpec) -> bool:
         """Tell whether weights may be loaded beside those of a group that is wanted.
 
-        They push out the copy that an engine would start again with. While nothing was measured
-        the other model's are loaded beside those of each group: whatever the work turns out to be
-        for, groups follow in two seconds instead of a load of 12 to 16 s. Against the smaller
-        model's beside the larger one's only that is worth 0.12 of a day where most work is for
-        the larger (``random-3``), 0.05 where it turns to the smaller (``wide-turns-small``).
+        They push out the copy that an engine would start again with. While nothing was measured,
+        the smaller model's are loaded beside the larger one's: should the work turn out to be for
+        the smaller, each engine counts twice as much as it would the other way round.
         """
         served = worth.spec.model(record.state.model) if record.state.model else None
         if served is None or not self._state.tuning.staging_beside:
             return False
         if not self._state.demand.measured:
-            return self._state.tuning.hedging or model.size < served.size
+            return model.size < served.size
         return worth.breaks_for(served.name, model.name)
 
     def _count(self, worth: LoadWorth, load: Load) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -11,8 +11,7 @@
     ``swapping`` lets a group be formed anew without members that are ``swap_pace`` times slower
     than usual, which slow all of it, where its domain has others of at most ``fit_pace``; a group
     anew takes a second or two, and at that pace loses more than half of its answers' time.
-    ``staging_beside`` lets weights be loaded beside those of groups that are wanted, with
-    ``hedging`` those of larger models too while it is not known which will be asked for, and
+    ``staging_beside`` lets weights be loaded beside those of groups that are wanted, and
     ``spanning`` lets groups be formed across domains, and ``trading`` lets some be given up for
     others that are wanted more. A group that has lost a member is taken to be down for
     ``repair_s``; one more that adds less than ``least_gain`` for each of its engines, in groups
@@ -68,7 +67,6 @@
     loads_slack_s: float = 0.3
     loads_spare: int = 2
     loads_unseen_share: float = 0.5
-    hedging: bool = True
     trade_answers: float = 1.0
 
     def loads_at_most(self, per_s: float) -> int:
