Send each request to a target once, whatever its method

Cause: the HTTP library sends PUT, GET, DELETE and others once more by itself when a connection breaks before an answer, on new connections too. What may run once ran twice (an unsafe PUT answered 200 after two runs at the same target), or was answered 503 though it had run where the target had ended meanwhile; such a send was counted by no budget, no limit and no drained hall. Found by reading; POST, which is what callers of the users' pages send, was never affected. Both tests fail without the middleware.

With it, from the same review, each with a test: * Callers' connections are accepted once the first configuration is there, or after 0.4 s: they were held to default bounds before (413 for bodies that the operators allow), and each asked anew every 10 ms. * An entry that is near a bound of its instance says so for 10 s at most after the use fell below it; it could stay not ready for good. * An address listened at early that is not the one served is closed. * Connections that have rested too long make room for others. * Each service has its own planner, and a domain that is full or whose engines are alike is decided without subsets.

Ruled out: a retry of our own at that place; the relay decides that by what may have run.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -60,8 +60,8 @@
     def __init__(self, state: CoordinatorState) -> None:
         self._state = state
         self.plans: dict[ServiceName, PlanSummary] = {}
-        self._now = Planner(state.tuning)
-        self._later = Planner(state.tuning)
+        self._now = defaultdict[ServiceName, Planner](lambda: Planner(state.tuning))
+        self._later = defaultdict[ServiceName, Planner](lambda: Planner(state.tuning))
         self._spanning = SpanningFormation(state)
         self._trading = Trading(state)
         self._swapping = Swapping(state)
@@ -78,9 +78,11 @@
         needs = self._state.demand.needs(spec, engines)
         scenarios = self._state.demand.scenarios(spec, engines)
         down, least = self._state.down, self._state.least_gain
-        wanted = self._now.plan(spec, scenarios, rooms, inside, down, least)
+        wanted = self._now[service].plan(spec, scenarios, rooms, inside, down, least)
         self.plans[service] = PlanSummary(self._state.demand.measured, needs, wanted, inside)
-        later = self._later.plan(spec, scenarios, rooms_later(spec, rooms), inside, down, least)
+        later = self._later[service].plan(
+            spec, scenarios, rooms_later(spec, rooms), inside, down, least
+        )
         missing = where_least_lacks(spec, wanted, later, census)
         kept = held_back(spec, needs, wanted, missing, census, self._state.down)
         awaited = self._form_wanted(service, spec, wanted, census, kept, now_s)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/room.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/room.py
@@ -28,7 +28,11 @@
         That is so when each set of models has as many engines that can join any of them as it
         asks for (Hall's condition).
         """
+        if sum(members.values()) > self.total:
+            return False
         asked = [model for model, number in members.items() if number > 0]
+        if len(self.engines) == 1:
+            return next(iter(self.engines)).issuperset(asked)
         subsets = chain.from_iterable(
             combinations(asked, size) for size in range(1, len(asked) + 1)
         )
--- a/packages/ochreway-direct/src/ochreway_direct/earlylistener.py
+++ b/packages/ochreway-direct/src/ochreway_direct/earlylistener.py
@@ -6,11 +6,15 @@
 
 import os
 import socket
+import time
 
 VARIABLE = "OCHREWAY_CALLER_LISTEN"
 BACKLOG = 1024
 """How many connections may wait to be accepted: more than come in a second to one entry."""
 
+BEGAN_S = time.monotonic()
+"""When this process began to load its code, on the clock of its event loop."""
+
 _open: dict[str, socket.socket] = {}
 
 
@@ -42,4 +46,10 @@
     return _open.pop(address, None)
 
 
-__all__ = ["BACKLOG", "listen_early", "take"]
+def close_others(address: str) -> None:
+    """Close what listens at any other address than the one that is to be served."""
+    for each in [known for known in _open if known != address]:
+        _open.pop(each).close()
+
+
+__all__ = ["BACKLOG", "BEGAN_S", "close_others", "listen_early", "take"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -16,6 +16,7 @@
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.dependencies import Dependencies
 from ochreway_direct.drainkeeper import DrainKeeper
+from ochreway_direct.earlylistener import BEGAN_S
 from ochreway_direct.fleet import SAMPLED_GROUPS, Fleet
 from ochreway_direct.fleetsharing import FleetSharing
 from ochreway_direct.fleetview import FleetView
@@ -241,7 +242,7 @@
             self.settings.cold_slack,
             StandingShare(self.me.node, len(self.settings.peer), began_s),
             self._cold,
-            *(began_s, self.log, self.metrics),
+            *(BEGAN_S, self.log, self.metrics),
         )
 
     def _asked(self, now_s: float) -> dict[NodeId, float]:
@@ -327,7 +328,7 @@
             "configuration": lambda _: serving.routes is not None,
             "keys": serving.freshness.keys_trusted,
             "list": lambda now_s: view.listed_age_s(now_s) is not None,
-            "groups": lambda now_s: bool(view.groups(now_s)),
+            "groups": lambda now_s: not serving.has_engines or bool(view.groups(now_s)),
             "holder": lambda now_s: self.lease.held or self.peers.holder(now_s) is not None,
         }
 
@@ -395,7 +396,9 @@
     def _on_configuration_update(self, _: Peer, update: ConfigurationUpdate) -> None:
         if not self._drains.known:
             # Its sender's heartbeats tell of the halls; this entry then asks for the version.
+            version = update.configuration.version
             self.metrics.count("configuration.without_halls")
+            self.log.event("configuration_without_halls", version=version)
             return
         self._configurations.apply(update.configuration)
 
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -15,14 +15,15 @@
 from ochreway_direct import earlylistener
 from ochreway_direct.earlylistener import BACKLOG
 from ochreway_direct.entry import DirectEntry
+from ochreway_direct.firstconfiguration import first_configuration
 from ochreway_direct.lazymetricspage import LazyMetricsPage
 from ochreway_direct.ports.platformservices import ADAPTERS
 from ochreway_direct.relay.callerserver import CallerServer
 from ochreway_direct.relay.relay import Relay
 from ochreway_direct.relay.restingbounds import RestingBounds
-from ochreway_direct.relay.sendtrace import send_trace
 from ochreway_direct.relay.targetconnections import TargetConnections
 from ochreway_direct.relay.targetprotocol import TargetConnector
+from ochreway_direct.relay.targetsession import target_session
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.settings import DirectSettings, check
 from ochreway_direct.timing import DirectTiming
@@ -37,8 +38,6 @@
 STOP_POLL_S = 0.1
 GRACE_SHARE = 0.85
 """The share of the grace in which requests may end; closing what is left takes up to 0.8 s."""
-ANSWER_HEADER_BYTES = 16 * 1024
-"""How long a header line of a target's answer may be."""
 LINGER_S = 2.8
 """For how long a stopping entry takes requests on, as connections still come and are still open."""
 
@@ -106,6 +105,7 @@
 
 async def run(settings: DirectSettings) -> int:
     """Run until a signal asks to stop."""
+    earlylistener.close_others(settings.caller_listen)
     log = EventLog("entry", settings.name, settings.log_level)
     metrics = Metrics(settings.statsd, "entry")
     importlib.import_module(settings.adapter)
@@ -115,21 +115,13 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: log.event("hang_up"))
     jar = aiohttp.DummyCookieJar()
-    options: dict[str, Any] = {
-        "cookie_jar": jar,
-        "auto_decompress": False,
-        "timeout": aiohttp.ClientTimeout(total=None, sock_connect=0.6),
-        "max_line_size": ANSWER_HEADER_BYTES,
-        "max_field_size": ANSWER_HEADER_BYTES,
-        "trace_configs": [send_trace()],
-    }
     resting = RestingBounds()
     to_targets = TargetConnector(lambda: metrics.count("connections.target"), resting)
     to_one = TargetConnector(lambda: metrics.count("connections.single"), keeps=False)
     to_platform = TargetConnector(lambda: metrics.count("connections.platform"))
     async with (
-        aiohttp.ClientSession(connector=to_targets, **options) as kept,
-        aiohttp.ClientSession(connector=to_one, **options) as single,
+        target_session(to_targets) as kept,
+        target_session(to_one) as single,
         aiohttp.ClientSession(connector=to_platform, cookie_jar=jar) as platform,
     ):
         services = ADAPTERS[settings.adapter](platform, settings.platform_url)
@@ -140,6 +132,7 @@
         )
         try:
             await entry.start()
+            await first_configuration(entry.serving)
             callers = await _serve_callers(settings, entry, relay)
             ready = await _serve_ready(settings, entry)
             connections = TargetConnections((to_targets, to_one), metrics, relay)
--- a/packages/ochreway-direct/src/ochreway_direct/meanswatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/meanswatch.py
@@ -59,7 +59,7 @@
             Resource.LINK: self._link_share(now_s),
         }
         for resource, pressure in self._pressures.items():
-            if pressure.update(self.shares[resource]):
+            if pressure.update(self.shares[resource], now_s):
                 self._turned(resource, pressure.near)
         self._share_targets()
 
--- a/packages/ochreway-direct/src/ochreway_direct/pressure.py
+++ b/packages/ochreway-direct/src/ochreway_direct/pressure.py
@@ -3,20 +3,32 @@
 
 from dataclasses import dataclass
 
+NEVER_S = -1.0e9
+HELD_AT_MOST_S = 10.0
+"""For how long an entry stays near after its use fell below the share at which that begins.
+
+Callers that stay connected keep a use from falling further; without an end an entry that has room
+would be passed over by new callers for good.
+"""
+
 
 @dataclass(slots=True)
 class Pressure:
-    """Begin at one share of a bound and end only below a smaller one."""
+    """Begin at one share of a bound, and end below a smaller one or after a while."""
 
     begins_share: float
     ends_share: float
     near: bool = False
+    reached_s: float = NEVER_S
 
-    def update(self, share: float) -> bool:
+    def update(self, share: float, now_s: float) -> bool:
         """Take the share that is used now; return whether ``near`` has changed."""
         before = self.near
-        self.near = share >= (self.ends_share if before else self.begins_share)
+        if share >= self.begins_share:
+            self.reached_s = now_s
+        held = share >= self.ends_share and now_s - self.reached_s < HELD_AT_MOST_S
+        self.near = share >= self.begins_share or (before and held)
         return self.near is not before
 
 
-__all__ = ["Pressure"]
+__all__ = ["HELD_AT_MOST_S", "Pressure"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -31,7 +31,6 @@
         self._serving = serving
         self._meter = meter
         self._tuning = tuning
-        self._begun_until_s = asyncio.get_running_loop().time() + tuning.begins_s
 
     async def admit(self, request: web.BaseRequest, terms: CallerTerms) -> Call:
         """Return the call that a request makes.
@@ -47,7 +46,9 @@
             raise Refused(NOT_RUN_STATUS, Reason.CONNECTIONS_FULL, self._tuning.elsewhere_after_s)
         if self._serving.closed:
             raise Refused(NOT_RUN_STATUS, Reason.STOPPING, self._tuning.elsewhere_after_s)
-        routes = await self._routes()
+        routes = self._serving.routes
+        if routes is None:
+            raise Refused(NOT_RUN_STATUS, Reason.NO_CONFIGURATION, self._tuning.stale_after_s)
         route = routes.route(request.host.partition(":")[0], request.raw_path.partition("?")[0])
         if route is None:
             raise self._unknown(404, Reason.UNKNOWN_TARGET)
@@ -71,15 +72,6 @@
         self._weigh(call, routes)
         return call
 
-    async def _routes(self) -> RouteTable:
-        """Return the routes in force; those of a process that just began are waited for."""
-        loop = asyncio.get_running_loop()
-        while self._serving.routes is None and loop.time() < self._begun_until_s:
-            await asyncio.sleep(self._tuning.place_poll_s)
-        if self._serving.routes is None:
-            raise Refused(NOT_RUN_STATUS, Reason.NO_CONFIGURATION, self._tuning.stale_after_s)
-        return self._serving.routes
-
     def _check_headers(self, request: web.BaseRequest) -> None:
         lines = sum(len(name) + len(value) + LINE_EXTRA for name, value in request.raw_headers)
         if lines + len(request.raw_path) > self._serving.limits.header_bytes:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
@@ -95,17 +95,38 @@
     ) -> None:
         if isinstance(protocol, TargetProtocol):
             protocol.rest(time.monotonic())
-        at_one = len(self._conns.get(key, ()))
-        surplus = not self._resting.allow(self.resting, at_one)
+        if not self._may_rest(key):
+            self._drop_unusable()
+        surplus = not self._may_rest(key)
         super()._release(key, protocol, should_close=should_close or surplus)
 
+    def _may_rest(self, key: ConnectionKey) -> bool:
+        return self._resting.allow(self.resting, len(self._conns.get(key, ())))
+
+    def _drop_unusable(self) -> None:
+        """Close connections that rested too long; the library does so each 15 s only."""
+        now_s = time.monotonic()
+        for key, resting in list(self._conns.items()):
+            for pair in [each for each in resting if not _usable_at(each[0], now_s)]:
+                resting.remove(pair)
+                if pair[0].transport is not None:
+                    pair[0].transport.close()
+            if not resting:
+                del self._conns[key]
+
     def _new_socket(self, info: aiohttp.AddrInfoType) -> socket.socket:
         self._opened()
         return _target_socket(info)
 
 
 def _usable(protocol: ResponseHandler) -> bool:
-    return isinstance(protocol, TargetProtocol) and protocol.usable(time.monotonic())
+    return _usable_at(protocol, time.monotonic())
+
+
+def _usable_at(protocol: ResponseHandler, now_s: float) -> bool:
+    return (
+        isinstance(protocol, TargetProtocol) and protocol.is_connected() and protocol.usable(now_s)
+    )
 
 
 def _target_socket(info: aiohttp.AddrInfoType) -> socket.socket:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -13,9 +13,6 @@
     what the caller has left. An answer that has begun may queue where new calls may not, as it
     cannot be refused. A caller gives a stream up that is silent for the longest of the
     three ``caller_silence`` bounds.
-
-    A process that began less than ``begins_s`` ago has callers wait for its first configuration,
-    which takes it some 60 ms, as a refusal then may be the last of a caller who was cut off.
     """
 
     sends_more: int = 2
@@ -26,7 +23,6 @@
     resuming_queued_at_most: int = 12
     resume_patience_s: float = 1.0
     retry_after_s: float = 0.3
-    begins_s: float = 0.4
     elsewhere_after_s: float = 0.05
     stale_after_s: float = 1.0
     regroup_after_s: float = 2.2
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -46,6 +46,11 @@
         """Return the services in force."""
         return self.routes.configuration.services if self.routes is not None else ()
 
+    @property
+    def has_engines(self) -> bool:
+        """Tell whether groups of engines are needed to serve, as far as is known."""
+        return self.routes is None or any(each.engine for each in self.services)
+
     def apply(self, configuration: Configuration) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
         if configuration.version <= self.version:
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -34,6 +34,7 @@
 from ochreway_direct.relay.relay import Relay
 from ochreway_direct.relay.restingbounds import RestingBounds
 from ochreway_direct.relay.targetprotocol import TargetConnector
+from ochreway_direct.relay.targetsession import target_session
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
 from ochreway_routing.retrybudget import RetryBudget
@@ -184,11 +185,10 @@
         for target in self.targets:
             await target.start()
         self.show()
-        options = {"auto_decompress": False, "cookie_jar": aiohttp.DummyCookieJar()}
         self.resting = RestingBounds()
         to_targets = TargetConnector(lambda: self.metrics.count("connections"), self.resting)
-        self.kept = aiohttp.ClientSession(connector=to_targets, **options)
-        self.single = aiohttp.ClientSession(connector=TargetConnector(keeps=False), **options)
+        self.kept = target_session(to_targets)
+        self.single = target_session(TargetConnector(keeps=False))
         self.relay = Relay(
             *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
             *(self.tuning, self.budget, self.suspected.append),
@@ -236,10 +236,12 @@
         writer.close()
         return answer
 
-    async def ask(self, path: str = "/a/x?q=%2F", key: str = "secret", **more: str) -> Answer:
+    async def ask(
+        self, path: str = "/a/x?q=%2F", key: str = "secret", method: str = "POST", **more: str
+    ) -> Answer:
         headers = {"Host": "care.example", "Request": "r1", "Key": key, "Model": LARGE.name, **more}
         url = URL(f"http://127.0.0.1:{self.port}{path}", encoded=True)
-        async with self.caller.post(url, headers=headers, data=self.body) as response:
+        async with self.caller.request(method, url, headers=headers, data=self.body) as response:
             body = b""
             try:
                 async for piece in response.content.iter_any():
--- a/tests/direct/test_earlylistener.py
+++ b/tests/direct/test_earlylistener.py
@@ -34,6 +34,15 @@
             listening.close()
         self.assertIsNone(earlylistener.take(address))
 
+    def test_another_address_than_the_one_served_is_closed(self) -> None:
+        early, served = self.free_address(), self.free_address()
+        self.listen(early)
+        earlylistener.close_others(served)
+        host, _, port = early.partition(":")
+        with socket.socket() as again:
+            again.bind((host, int(port)))
+        self.assertIsNone(earlylistener.take(early))
+
     def test_an_address_that_is_taken_is_left_to_the_usual_way(self) -> None:
         with socket.socket() as other:
             other.bind(("127.0.0.1", 0))
--- /dev/null
+++ b/tests/direct/test_firstconfiguration.py
@@ -0,0 +1,31 @@
+# SPDX-License-Identifier: Apache-2.0
+import asyncio
+import random
+
+import testtools
+
+from ochreway_core.ids import HallId, Version
+from ochreway_direct.configuration import Configuration
+from ochreway_direct.firstconfiguration import first_configuration
+from ochreway_direct.fleet import Fleet
+from ochreway_direct.freshness import Freshness
+from ochreway_direct.serving import Serving
+
+
+class FirstConfigurationTests(testtools.TestCase):
+    def serving(self) -> Serving:
+        return Serving(Fleet(HallId("h"), random.Random(1)), Freshness(60.0))
+
+    def test_a_process_that_begins_waits_until_a_configuration_is_in_force(self) -> None:
+        async def work() -> bool:
+            serving = self.serving()
+            waiting = asyncio.ensure_future(first_configuration(serving, 20.0))
+            await asyncio.sleep(0)
+            self.assertFalse(waiting.done())
+            serving.apply(Configuration(Version(1)))
+            return await waiting
+
+        self.assertTrue(asyncio.run(work()))
+
+    def test_without_one_it_goes_on_after_a_while(self) -> None:
+        self.assertFalse(asyncio.run(first_configuration(self.serving(), 0.01)))
--- a/tests/direct/test_means.py
+++ b/tests/direct/test_means.py
@@ -16,7 +16,7 @@
 from ochreway_direct.meanswatch import MeansWatch
 from ochreway_direct.memoryreader import MemoryReader
 from ochreway_direct.peers import Peers
-from ochreway_direct.pressure import Pressure
+from ochreway_direct.pressure import HELD_AT_MOST_S, Pressure
 from ochreway_direct.resource import Resource
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
@@ -57,10 +57,20 @@
     def test_it_turns_only_beyond_both_shares(self) -> None:
         pressure = Pressure(0.9, 0.8)
         shares = (0.85, 0.9, 0.85, 0.8, 0.79, 0.85)
-        seen = [(pressure.update(share), pressure.near) for share in shares]
+        seen = [(pressure.update(share, 1.0), pressure.near) for share in shares]
         quiet, near = (False, False), (False, True)
         self.assertEqual([quiet, (True, True), near, near, (True, False), quiet], seen)
 
+    def test_it_ends_after_a_while_where_use_stays_between_both_shares(self) -> None:
+        pressure = Pressure(0.9, 0.8)
+        pressure.update(0.9, 1.0)
+        pressure.update(0.85, HELD_AT_MOST_S)
+        self.assertTrue(pressure.near)
+        pressure.update(0.85, 1.0 + HELD_AT_MOST_S)
+        self.assertFalse(pressure.near)
+        pressure.update(0.85, 2.0 + HELD_AT_MOST_S)
+        self.assertFalse(pressure.near)
+
 
 class MeansWatchTests(testtools.TestCase):
     def watch(self, means: Means, memory: MemoryReader | None = None) -> MeansWatch:
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -130,21 +130,6 @@
         self.relayed(work, full, full)
 
 
-class BeginningTests(RelayCase):
-    tuning = RelayTuning(begins_s=20.0)
-
-    def test_callers_of_an_entry_that_just_began_wait_for_its_configuration(self) -> None:
-        async def work(running: Running) -> None:
-            routes, running.serving.routes = running.serving.routes, None
-            asking = asyncio.ensure_future(running.ask())
-            while not running.relay.open_calls:
-                await asyncio.sleep(0.005)
-            running.serving.routes = routes
-            self.assertEqual(200, (await asking).status)
-
-        self.relayed(work, good)
-
-
 class AdmissionTests(RelayCase):
     def test_later_and_without_a_configuration_they_are_refused(self) -> None:
         async def work(running: Running) -> None:
--- a/tests/direct/test_resets.py
+++ b/tests/direct/test_resets.py
@@ -76,6 +76,36 @@
 
         self.relayed(work, good, good)
 
+    def test_no_method_is_sent_again_by_itself(self) -> None:
+        async def breaks(headers: Headers, writer: Writer) -> None:
+            writer.transport.abort()
+
+        async def work(running: Running) -> None:
+            for method in ("POST", "PUT", "GET", "DELETE"):
+                answer = await running.ask(method=method, Request=method)
+                self.assertEqual((method, 502), (method, answer.status))
+            self.assertEqual({"POST": 1, "PUT": 1, "GET": 1, "DELETE": 1}, dict(runs(running)))
+
+        self.relayed(work, breaks, breaks)
+
+    def test_what_ran_is_not_called_not_run_when_its_target_has_ended(self) -> None:
+        async def work(running: Running) -> None:
+            target = running.targets[0]
+
+            async def ends(headers: Headers, writer: Writer) -> None:
+                assert target.server is not None
+                target.server.close()
+                writer.transport.abort()
+
+            target.script = ends
+            for method in ("PUT", "POST"):
+                answer = await running.ask(method=method, Request=method)
+                begun = runs(running)[method] > 0
+                self.assertEqual(502 if begun else 503, answer.status)
+            self.assertLessEqual(max(runs(running).values()), 1)
+
+        self.relayed(work, good)
+
 
 class RepeatableResetTests(RelayCase):
     def test_resting_connections_that_were_reset_cost_nobody_an_answer(self) -> None:
@@ -98,7 +128,7 @@
             gate.open = True
             reset_all(running)
             self.assertEqual(200, (await asking).status)
-            self.assertLessEqual(runs(running)["r1"], self.attempts)
+            self.assertEqual(2, runs(running)["r1"])
 
         self.relayed(work, gate.answer, gate.answer)
 
