Count a spare for one drained group only

Cause: a drained group was drained as soon as enough warm spares stood free, also those that a group already draining is to be formed with. With two groups allowed down, a member of each in the drained hall and one warm spare, both were drained; the first was formed with the spare and the second opened again, its work ended for nothing.

Ruled out: taking the spares off by the order of groups alone. A group that is not drained yet has no claim, so only those that drain already hold theirs.

--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/evacuation.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/evacuation.py
@@ -67,12 +67,24 @@
     return not spec.model or situation.is_warm(peer.node, spec)
 
 
+def _promised(situation: Situation) -> set[Peer]:
+    """Return the spares that groups which are being drained are to be formed with."""
+    taken: set[Peer] = set()
+    for row, spec in _concerned(situation):
+        if row.draining:
+            free = [peer for peer in _spares(situation, row, spec) if peer not in taken]
+            taken |= set(free[: len(row.members) - len(_staying(situation, row))])
+    return taken
+
+
 def _drained(situation: Situation, row: GroupRow, spec: Group) -> GroupChange | None:
     """Drain a group once its replacements are ready, or when its time is over."""
     if any(situation.is_closed(peer.node) for peer in row.members):
         return DrainGroup(row.group, WHY)
     missing = len(row.members) - len(_staying(situation, row))
-    ready = sum(_ready(situation, peer, spec) for peer in _spares(situation, row, spec))
+    promised = _promised(situation)
+    spares = [peer for peer in _spares(situation, row, spec) if peer not in promised]
+    ready = sum(_ready(situation, peer, spec) for peer in spares)
     if ready >= missing and _down(situation) < situation.bundle.roll.max_groups_down:
         return DrainGroup(row.group, WHY)
     return None
--- a/tests/nodes/test_evacuation.py
+++ b/tests/nodes/test_evacuation.py
@@ -3,7 +3,7 @@
 
 from dataclasses import replace
 
-from ochreway_core.bundle import Bundle
+from ochreway_core.bundle import Bundle, Roll
 from ochreway_core.ids import HallId, NodeId
 from ochreway_core.reason import Reason
 from ochreway_nodes.controller.evacuation import replacements_to_warm
@@ -84,6 +84,31 @@
         self.report(first, Reason.DRAINING)
         self.assertIsNone(self.planned())
 
+    def test_a_spare_that_one_drained_group_is_to_have_drains_no_other(self) -> None:
+        wanted = bundle("abcdefg").model_copy(update={"roll": Roll(max_groups_down=2)})
+        self.both()
+        self.drain("ad")
+        self.warm("g")
+        change = self.planned(wanted)
+        assert isinstance(change, DrainGroup), change
+        self.assertEqual("care-0", change.group)
+        first = self.add_group("care-0", "abc", 1, draining=True)
+        self.report(first, Reason.DRAINING)
+        self.assertIsNone(self.planned(wanted))
+        self.report(first, Reason.DRAINING, drained=True)
+        self.assertEqual({"b", "c", "g"}, self.members(self.planned(wanted)))
+
+    def test_with_a_spare_for_each_several_groups_drain_at_once(self) -> None:
+        wanted = bundle().model_copy(update={"roll": Roll(max_groups_down=2)})
+        self.both()
+        self.drain("ad")
+        self.warm("gh")
+        first = self.add_group("care-0", "abc", 1, draining=True)
+        self.report(first, Reason.DRAINING)
+        change = self.planned(wanted)
+        assert isinstance(change, DrainGroup), change
+        self.assertEqual("care-1", change.group)
+
     def test_a_drained_group_is_formed_elsewhere(self) -> None:
         first, _ = self.both(draining=True)
         self.drain("b")
