Bound how many replacements load weights at once

Cause: while a hall is drained the holder told every replacement of every group there to load in the same second, though the planner forms at most four groups that load, as the weight store is rate-limited.

Replacements are now told within that same bound, less the groups that load; one that is still cold keeps its place until it is warm. A spare that is wanted for nothing yet waits until no replacement is cold: it was told beside them before, which the docstring ("one after another, while all is calm") denied.

Ruled out: counting the instances of a forming group. The planner's bound counts groups, and two counts of one bound would let neither be read.

--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
@@ -20,7 +20,7 @@
 from ochreway_nodes.controller.evacuation import replacements_to_warm
 from ochreway_nodes.controller.groupchange import GroupChange
 from ochreway_nodes.controller.health import Health
-from ochreway_nodes.controller.planner import plan
+from ochreway_nodes.controller.planner import LOADS_AT_ONCE, plan
 from ochreway_nodes.controller.repair import RepairPolicy
 from ochreway_nodes.controller.rowwrites import RowWrites, SpecSource, writes_for
 from ochreway_nodes.controller.situation import Situation
@@ -344,14 +344,19 @@
             self._commit(RowWrites(rows, lease), now_s)
 
     def _warm_spares(self, rows: DomainRows, now_s: float) -> None:
-        """Have spares load what they may have to serve, one after another, while all is calm."""
+        """Have replacements load, within the bound on loads, and one spare while all is calm.
+
+        A replacement that is still cold is told again; it keeps its place until it is warm.
+        """
         if self._bundle is None or rows.lease is None or now_s - self._warmed_s < WARM_EVERY_S:
             return
         self._warmed_s = now_s
         situation = self._situation(self._bundle, rows, now_s)
-        for peer, artifact in replacements_to_warm(situation):
+        room = max(0, LOADS_AT_ONCE - situation.loading())
+        replacements = replacements_to_warm(situation)
+        for peer, artifact in replacements[:room]:
             self._outbox.send(peer, Warm(self.domain, rows.lease.counter, artifact))
-        if situation.loading():
+        if situation.loading() or replacements:
             return
         for peer, artifact in situation.to_warm()[:WARM_AT_ONCE]:
             self._outbox.send(peer, Warm(self.domain, rows.lease.counter, artifact))
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
@@ -19,6 +19,7 @@
 from ochreway_nodes.controller.situation import DRAIN_AT_MOST_S, Situation
 
 LOADS_AT_ONCE = 4
+"""How many groups or replacements load weights together, as the weight store is rate-limited."""
 
 
 def plan(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
@@ -270,4 +271,4 @@
     return FormGroup(row.group, tuple(able[:size]), "new version", (), standbys)
 
 
-__all__ = ["DRAIN_AT_MOST_S", "Situation", "plan"]
+__all__ = ["DRAIN_AT_MOST_S", "LOADS_AT_ONCE", "Situation", "plan"]
