Words: drain of a hall, reading, and HeardDrains

Cause: the glossary's word is the drain of a hall, while a module, a function and a test class were named for evacuation; "word" stood for what the store showed at one version, without saying so; two classes `HallDrains` count a hall's time from different moments; and some comments spoke in figures of speech.

`controller/halldrainplan.py` with `hall_drained` is the planner's step, `HeardDrains` the native path's class, which counts from when a drain was heard of. What is known of drained halls is a reading.

--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -138,7 +138,7 @@
                 members=",".join(group.members),
                 domain=group.domain,
             )
-            # Nothing runs any more at one that ended in peace: to name it lost would only have
+            # Nothing runs any more at one that ended by itself: to name it lost would only have
             # entries abandon what they had sent there last and send it again.
             if phase is GroupPhase.DISSOLVING and group.cause is not PhaseCause.ENDED:
                 self._lost_s[name] = now_s
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -401,9 +401,10 @@
                 limit.take(now_s, min(begun, limit.left(now_s)))
 
     def _all_silent(self) -> bool:
-        """Tell whether so many engines are silent that the fault must be nearer home.
+        """Tell whether so many engines are silent that the fault cannot be theirs.
 
-        Those of drained halls may have been switched off.
+        The fault must be this process's own or its network's then. Engines of drained halls do
+        not count, as they may have been switched off.
         """
         answering = [
             each
--- a/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
@@ -44,10 +44,10 @@
         """Tell whether this entry has learned which halls are drained, if any."""
         return self._drains.known
 
-    def read(self, word: DrainedHalls, asked_s: float) -> None:
+    def read(self, reading: DrainedHalls, asked_s: float) -> None:
         """Take what the store said to a question that was asked at a time."""
         before = self._drains.draining()
-        if self._drains.read(word, asked_s):
+        if self._drains.read(reading, asked_s):
             self._note_change(before)
 
     def hear(self, news: DrainNews, echo_s: float | None) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/halldrains.py
+++ b/packages/ochreway-direct/src/ochreway_direct/halldrains.py
@@ -15,7 +15,10 @@
 
 
 class HallDrains:
-    """Hold the newest word on drained halls, and the time that each has left.
+    """Hold the newest reading of the drained halls, and the time that each has left.
+
+    A reading is the set of drained halls in the platform's store at one version, whether this
+    entry asked for it or heard of it from another.
 
     The bound on a drain counts from when the platform took it, which no entry sees. It cannot
     have been earlier than when the last reading without the hall was asked for, so until the
@@ -23,7 +26,7 @@
     """
 
     def __init__(self, bound_s: float) -> None:
-        """Start without any word; drains are bounded by so many seconds."""
+        """Start without any reading; drains are bounded by so many seconds."""
         self._open_s = max(0.0, bound_s - SENT_LATE_S)
         self._newest = UNREAD_HALLS
         self._asked_s: float | None = None
@@ -31,12 +34,12 @@
 
     @property
     def newest(self) -> DrainedHalls:
-        """Return the newest word, to be told to others."""
+        """Return the newest reading, to be told to others."""
         return self._newest
 
     @property
     def known(self) -> bool:
-        """Tell whether any word was learned."""
+        """Tell whether any reading is known."""
         return self._newest.newer_than(UNREAD_HALLS)
 
     def draining(self) -> frozenset[HallId]:
@@ -53,47 +56,47 @@
         return max(0.0, unseen_s + self._open_s - now_s) if unseen_s is not None else 0.0
 
     def unseen_age_s(self, now_s: float) -> dict[HallId, float]:
-        """Return for each hall how long ago the last word without it was asked for, if known."""
+        """Return for each hall how long ago the last reading without it was asked for, if known."""
         return {hall: now_s - unseen_s for hall, unseen_s in self._unseen_s.items()}
 
-    def read(self, word: DrainedHalls, asked_s: float) -> bool:
+    def read(self, reading: DrainedHalls, asked_s: float) -> bool:
         """Take what the store said to a question of this entry; return whether halls changed.
 
         Args:
-            word: the drained halls as of a reading of the store.
+            reading: the drained halls in the store at one version.
             asked_s: when that reading was asked for, on this process's steady clock.
         """
-        changed = self._take(word, {})
-        if word.newer_than(UNREAD_HALLS):
+        changed = self._take(reading, {})
+        if reading.newer_than(UNREAD_HALLS):
             self._asked_s = max(asked_s, self._asked_s) if self._asked_s is not None else asked_s
         return changed
 
-    def hear(self, word: DrainedHalls, unseen_s: Mapping[HallId, float]) -> bool:
-        """Take another entry's word; return whether halls changed.
+    def hear(self, reading: DrainedHalls, unseen_s: Mapping[HallId, float]) -> bool:
+        """Take another entry's reading; return whether halls changed.
 
         Args:
-            word: the drained halls as of a reading of the store.
-            unseen_s: for each hall when the last word without it was asked for, at the earliest,
+            reading: the drained halls in the store at one version.
+            unseen_s: for each hall when the last reading without it was asked for, at the earliest,
                 on this process's steady clock; halls of which that is not known are left out.
         """
-        return self._take(word, unseen_s)
+        return self._take(reading, unseen_s)
 
-    def _take(self, word: DrainedHalls, unseen_s: Mapping[HallId, float]) -> bool:
-        """Take a newer word as a whole; the time that a hall has left is set when it comes in.
+    def _take(self, reading: DrainedHalls, unseen_s: Mapping[HallId, float]) -> bool:
+        """Take a newer reading as a whole; the time that a hall has left is set when it comes in.
 
         Every reading before this one is without the halls that it adds, or from before they were
         drained anew, so the last question of this entry bounds their time too.
         """
-        if not word.newer_than(self._newest):
+        if not reading.newer_than(self._newest):
             return False
-        before, self._newest = self._newest, word
-        known_s = {hall: at_s for hall, at_s in self._unseen_s.items() if hall in word.halls}
-        for hall in set(word.halls) - set(before.halls):
+        before, self._newest = self._newest, reading
+        known_s = {hall: at_s for hall, at_s in self._unseen_s.items() if hall in reading.halls}
+        for hall in set(reading.halls) - set(before.halls):
             bounds_s = [at_s for at_s in (self._asked_s, unseen_s.get(hall)) if at_s is not None]
             if bounds_s:
                 known_s[hall] = max(bounds_s)
         self._unseen_s = known_s
-        return set(word.halls) != set(before.halls)
+        return set(reading.halls) != set(before.halls)
 
 
 __all__ = ["SENT_LATE_S", "HallDrains"]
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -252,7 +252,7 @@
             self.elsewhere.take(
                 *(sender.node, heartbeat.coverage, heartbeat.cell, covered, heartbeat.work, now_s)
             )
-        # A version may not be gone by before it is known which halls are drained.
+        # Halls first: a version must not be used before it is known which halls are drained.
         self._drains.hear(heartbeat.drains, self._own_echo_s(heartbeat, now_s))
         if self._loans is not None:
             self._loans.borrow(heartbeat.loan, self._own_echo_s(heartbeat, now_s), now_s)
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/controller.py
@@ -17,8 +17,8 @@
 from ochreway_core.table import CommitReply, CommitStatus, ReadReply
 from ochreway_core.timing import Timing
 from ochreway_nodes.controller.domainrows import DomainRows
-from ochreway_nodes.controller.evacuation import replacements_to_warm
 from ochreway_nodes.controller.groupchange import GroupChange
+from ochreway_nodes.controller.halldrainplan import replacements_to_warm
 from ochreway_nodes.controller.health import Health
 from ochreway_nodes.controller.planner import LOADS_AT_ONCE, plan
 from ochreway_nodes.controller.repair import RepairPolicy
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/evacuation.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/halldrainplan.py
@@ -17,7 +17,7 @@
 WHY = "its hall is drained"
 
 
-def evacuated(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
+def hall_drained(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
     """Return the next change that takes a group out of a drained hall."""
     for row, spec in _concerned(situation):
         change = _replaced(situation, row, spec) if row.draining else _drained(situation, row, spec)
@@ -112,4 +112,4 @@
     return FormGroup(row.group, tuple(able[:size]), WHY, (), standbys)
 
 
-__all__ = ["evacuated", "replacements_to_warm"]
+__all__ = ["hall_drained", "replacements_to_warm"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/controller/planner.py
@@ -5,7 +5,6 @@
 from ochreway_core.ids import GroupId
 from ochreway_core.peer import Peer
 from ochreway_core.rows import GroupRow
-from ochreway_nodes.controller.evacuation import evacuated
 from ochreway_nodes.controller.groupchange import (
     DissolveGroup,
     DrainGroup,
@@ -15,6 +14,7 @@
     RefreshGroup,
     ReleaseStandbys,
 )
+from ochreway_nodes.controller.halldrainplan import hall_drained
 from ochreway_nodes.controller.repair import Damage, Repair, RepairPolicy
 from ochreway_nodes.controller.situation import DRAIN_AT_MOST_S, Situation
 
@@ -25,7 +25,7 @@
 def plan(situation: Situation, policy: RepairPolicy) -> GroupChange | None:
     """Return the most pressing change, or nothing when all is as the bundle wants it."""
     steps = (
-        *(_reformed, _unwanted, _readdressed, _broken, _leaving, evacuated),
+        *(_reformed, _unwanted, _readdressed, _broken, _leaving, hall_drained),
         *(_missing, _standbys, _outdated),
     )
     for step in steps:
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -51,7 +51,7 @@
 from ochreway_nodes.entry.spreadtree import PARENTS, parents_of, reads_table
 from ochreway_nodes.entry.subset import entries_of, followed_groups
 from ochreway_nodes.entry.viewkeeper import ViewKeeper
-from ochreway_nodes.halldrains import HallDrains
+from ochreway_nodes.hearddrains import HeardDrains
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
 from ochreway_routing.limits import Limits
@@ -93,7 +93,7 @@
         self._repair = REPAIR_POLICIES[repair_policy](repair_tuning or RepairTuning())
         self._follow_s = -1.0e9
         self.spread = ViewSpread(View(operator_keys, timing.key_memory_s), self._outbox)
-        self.drains = HallDrains(timing.hall_drain_s, now_s)
+        self.drains = HeardDrains(timing.hall_drain_s, now_s)
         self._closed_halls: frozenset[HallId] = frozenset()
         self.keeper = ViewKeeper(
             *(scope, timing, self.spread, self.drains, self._outbox, rng, self._next_call)
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -43,7 +43,7 @@
     groups_update,
 )
 from ochreway_nodes.entry.listing import Listing, applied, difference, digest_of
-from ochreway_nodes.halldrains import HallDrains
+from ochreway_nodes.hearddrains import HeardDrains
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
 
@@ -71,7 +71,7 @@
         scope: ScopeId,
         timing: Timing,
         spread: ViewSpread,
-        drains: HallDrains,
+        drains: HeardDrains,
         outbox: Outbox,
         rng: random.Random,
         next_call: Callable[[], int],
--- a/packages/ochreway-nodes/src/ochreway_nodes/halldrains.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/hearddrains.py
@@ -7,14 +7,17 @@
 NEVER_S = float("-inf")
 
 
-class HallDrains:
-    """Hold the newest word on drained halls, and until when each may serve on.
+class HeardDrains:
+    """Hold the newest reading of the drained halls, and until when each may serve on.
 
-    A word heard soon after the start may be old already; its halls have no time left.
+    A reading is the set of drained halls at one version, read from the table or heard from others.
+    The time of a hall counts from when this entry heard of its drain; ``HallDrains`` of direct
+    entries counts it from when the platform may have taken the drain. A reading heard soon after
+    the start may be old already; its halls have no time left.
     """
 
     def __init__(self, serves_on_s: float, now_s: float) -> None:
-        """Start without a word; a hall serves on for so long after it was heard to be drained."""
+        """Start without a reading; a hall serves on for so long after its drain was heard of."""
         self.newest = UNREAD_HALLS
         self._serves_on_s = serves_on_s
         self._told_by_s = now_s + serves_on_s
@@ -33,16 +36,16 @@
         """Note that the table was read and no hall was ever drained."""
         self._told_by_s = NEVER_S
 
-    def take(self, word: DrainedHalls, now_s: float) -> bool:
-        """Take a word that is newer than what is known; return whether it was."""
-        if not word.newer_than(self.newest):
+    def take(self, reading: DrainedHalls, now_s: float) -> bool:
+        """Take a reading that is newer than what is known; return whether it was."""
+        if not reading.newer_than(self.newest):
             return False
         old = now_s < self._told_by_s
         close_s = now_s if old else now_s + self._serves_on_s
-        self.newest = word
-        self._close_s = {hall: self._close_s.get(hall, close_s) for hall in word.halls}
+        self.newest = reading
+        self._close_s = {hall: self._close_s.get(hall, close_s) for hall in reading.halls}
         self._told_by_s = NEVER_S
         return True
 
 
-__all__ = ["HallDrains"]
+__all__ = ["HeardDrains"]
--- a/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
@@ -32,7 +32,7 @@
 from ochreway_nodes.controller.rowwrites import RowWrites
 from ochreway_nodes.entry import EntryNode
 from ochreway_nodes.entry.call import Call
-from ochreway_nodes.halldrains import HallDrains
+from ochreway_nodes.hearddrains import HeardDrains
 from ochreway_standins.soak.run import Run
 
 Patch = Callable[[], contextlib.AbstractContextManager[Any]]
@@ -203,7 +203,7 @@
 @guard("drained_halls", ("drained_quiet",), ("drain_hall",))
 def _drained_halls() -> contextlib.AbstractContextManager[Any]:
     none = property(lambda drains: frozenset())
-    return mock.patch.multiple(HallDrains, halls=none, closed=lambda drains, now_s: frozenset())
+    return mock.patch.multiple(HeardDrains, halls=none, closed=lambda drains, now_s: frozenset())
 
 
 @guard("version_forward", ("version_forward",), ("race", "roll", "disorder", "table_slow"), 10)
--- a/tests/direct/test_closedhalls.py
+++ b/tests/direct/test_closedhalls.py
@@ -133,7 +133,7 @@
         self.relayed(work, first, other, other)
         return found[0]
 
-    def test_what_is_under_way_there_ends_in_peace(self) -> None:
+    def test_what_is_under_way_there_ends_by_itself(self) -> None:
         body, runs = self.closing(breaks=False)
         self.assertEqual(([1, 0, 0], 3), (runs, body.count(b"data:")))
 
--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -98,7 +98,7 @@
         coordination.step(1.0)
         return coordination.lost(1.0)
 
-    def test_calls_of_a_group_that_ended_in_peace_are_not_abandoned(self) -> None:
+    def test_calls_of_a_group_that_ended_by_itself_are_not_abandoned(self) -> None:
         self.assertEqual((), self.lost_after(PhaseCause.ENDED))
 
     def test_calls_of_a_group_that_is_lost_or_had_its_time_are_abandoned(self) -> None:
--- a/tests/direct/test_drainplanning.py
+++ b/tests/direct/test_drainplanning.py
@@ -194,7 +194,7 @@
         self.assertTrue(all(set(view.halls) <= {HallId("d2")} for view in views), views)
         self.assertEqual([], world.forbidden)
 
-    def test_engines_that_are_listed_and_silent_there_are_no_fault_nearer_home(self) -> None:
+    def test_engines_that_are_listed_and_silent_there_are_no_fault_of_the_own_network(self) -> None:
         world = settled()
         for record in world.coordinator.engines.values():
             record.dead = record.listed.hall in (DRAINED, KEPT)
--- a/tests/nodes/test_evacuation.py
+++ b/tests/nodes/test_halldrainplan.py
@@ -6,7 +6,6 @@
 from ochreway_core.bundle import Bundle, Roll
 from ochreway_core.ids import HallId, NodeId
 from ochreway_core.reason import Reason
-from ochreway_nodes.controller.evacuation import replacements_to_warm
 from ochreway_nodes.controller.groupchange import (
     DissolveGroup,
     DrainGroup,
@@ -15,6 +14,7 @@
     RefreshGroup,
     ReleaseStandbys,
 )
+from ochreway_nodes.controller.halldrainplan import replacements_to_warm
 from ochreway_nodes.controller.planner import plan
 from ochreway_nodes.controller.repair import ExpectedCost, RepairTuning
 from ochreway_nodes.controller.situation import Situation
@@ -23,7 +23,7 @@
 HERE, THERE = HallId("here"), HallId("there")
 
 
-class EvacuationTests(PlannerCase):
+class HallDrainPlanTests(PlannerCase):
     def setUp(self) -> None:
         super().setUp()
         self.drained: frozenset[HallId] = frozenset()
--- a/tests/nodes/test_halldrains.py
+++ b/tests/nodes/test_hearddrains.py
@@ -7,17 +7,17 @@
 
 from ochreway_core.drainedhalls import DrainedHalls
 from ochreway_core.ids import HallId
-from ochreway_nodes.halldrains import HallDrains
+from ochreway_nodes.hearddrains import HeardDrains
 
 A, B = HallId("a"), HallId("b")
 SERVES_ON_S = 10.0
 START_S = 100.0
 
 
-class HallDrainsTests(testtools.TestCase):
+class HeardDrainsTests(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.drains = HallDrains(SERVES_ON_S, START_S)
+        self.drains = HeardDrains(SERVES_ON_S, START_S)
         self.drains.read_none()
 
     def take(self, version: int, at_s: float, *halls: HallId) -> bool:
@@ -46,20 +46,20 @@
         words = [DrainedHalls(1, (A,)), DrainedHalls(2, (A, B)), DrainedHalls(3, ())]
         words += [DrainedHalls(4, (B,))]
         for order in itertools.permutations(words):
-            drains = HallDrains(SERVES_ON_S, START_S)
+            drains = HeardDrains(SERVES_ON_S, START_S)
             for number, word in enumerate((*order, *order)):
                 drains.take(word, START_S + number)
             self.assertEqual((4, {B}), (drains.newest.version, drains.halls))
             self.assertEqual({B}, drains.closed(START_S + 100.0))
 
     def test_one_heard_soon_after_the_start_may_be_old_and_has_no_time_left(self) -> None:
-        fresh = HallDrains(SERVES_ON_S, START_S)
+        fresh = HeardDrains(SERVES_ON_S, START_S)
         fresh.take(DrainedHalls(5, (A,)), START_S + 1.0)
         self.assertEqual({A}, fresh.closed(START_S + 1.0))
         fresh.take(DrainedHalls(6, (A, B)), START_S + 2.0)
         self.assertEqual({A}, fresh.closed(START_S + 2.0))
 
     def test_one_heard_long_after_the_start_has_all_its_time(self) -> None:
-        fresh = HallDrains(SERVES_ON_S, START_S)
+        fresh = HeardDrains(SERVES_ON_S, START_S)
         fresh.take(DrainedHalls(1, (A,)), START_S + SERVES_ON_S)
         self.assertEqual(frozenset(), fresh.closed(START_S + SERVES_ON_S))
