Direct: a later bound for the same reading gives a drained hall its time

Cause: a hall that was first heard of from an entry without an echo was closed at once, and stayed so: a second heartbeat with the same reading was not newer, so the bound that it told was dropped.

Each bound told for a reading holds by itself, so the latest of them does. The keeper sets a timer for the new end, as after a pause of the process a tick may come after the first requests. An earlier bound, or one of an older reading, changes nothing.

Ruled out: waiting with the closing for a first echo, since an entry without one cannot tell how old the drain is.

--- a/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
@@ -55,8 +55,18 @@
         before = self._drains.draining()
         ages_s = news.unseen_age_s if echo_s is not None else {}
         unseen_s = {hall: (echo_s or 0.0) - age_s for hall, age_s in ages_s.items()}
+        now_s = self._loop.time()
+        left_s = {hall: self._drains.left_s(hall, now_s) for hall in before}
         if self._drains.hear(news.drained, unseen_s):
             self._note_change(before)
+        elif any(self._drains.left_s(hall, now_s) > left_s[hall] for hall in before):
+            self._extend(now_s)
+
+    def _extend(self, now_s: float) -> None:
+        """Open halls that have time left after all, and close each when that is over."""
+        for hall in self._drains.draining():
+            self._close_after(hall, now_s)
+        self.tick(now_s)
 
     def news(self, now_s: float) -> DrainNews:
         """Return what to tell other entries."""
@@ -82,6 +92,13 @@
         draining = self._drains.draining()
         return {"halls_draining": float(len(draining)), "halls_closed": float(len(self._closed))}
 
+    def _close_after(self, hall: HallId, now_s: float) -> None:
+        """Close a hall as its time ends.
+
+        After a pause of this process a tick of the timer may come after the first requests.
+        """
+        self._loop.call_at(now_s + self._drains.left_s(hall, now_s), self._close_due)
+
     def _note_change(self, before: frozenset[HallId]) -> None:
         """Tell of halls that were drained or given back, and act on it."""
         now_s = self._loop.time()
@@ -91,8 +108,7 @@
             left_s = self._drains.left_s(hall, now_s)
             self._metrics.count("hall.draining")
             self._log.event("hall_draining", hall=hall, version=version, left_s=round(left_s, 3))
-            # After a pause of this process a tick of the timer may come after the first requests.
-            self._loop.call_at(now_s + left_s, self._close_due)
+            self._close_after(hall, now_s)
         for hall in sorted(before - draining):
             self._metrics.count("hall.restored")
             self._log.event("hall_restored", hall=hall, version=version)
--- a/packages/ochreway-direct/src/ochreway_direct/halldrains.py
+++ b/packages/ochreway-direct/src/ochreway_direct/halldrains.py
@@ -79,8 +79,19 @@
             unseen_s: for each hall when the last reading without it was asked for, at the earliest,
                 on this process's steady clock; halls of which that is not known are left out.
         """
+        if reading.version == self._newest.version:
+            self._extend(unseen_s)
         return self._take(reading, unseen_s)
 
+    def _extend(self, unseen_s: Mapping[HallId, float]) -> None:
+        """Take later bounds for the halls of the reading that is known.
+
+        Each bound alone holds, so the latest does; the first to tell may have known none.
+        """
+        for hall in set(self._newest.halls) & unseen_s.keys():
+            known_s = self._unseen_s.get(hall, unseen_s[hall])
+            self._unseen_s[hall] = max(known_s, unseen_s[hall])
+
     def _take(self, reading: DrainedHalls, unseen_s: Mapping[HallId, float]) -> bool:
         """Take a newer reading as a whole; the time that a hall has left is set when it comes in.
 
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainNews:
-    """Tell which halls are drained, and how long ago the last word without each was asked for."""
+    """Tell which halls are drained, and how long ago a reading without each was last asked for."""
 
     drained: DrainedHalls = UNREAD_HALLS
     unseen_age_s: dict[HallId, float] = field(default_factory=dict)
--- a/tests/direct/test_halldrains.py
+++ b/tests/direct/test_halldrains.py
@@ -128,6 +128,24 @@
             drains.hear(word(4, ONE), {ONE: heard_s})
             self.assertEqual(expected_s + OPEN_S - 13.0, drains.left_s(ONE, 13.0))
 
+    def test_a_later_bound_for_the_same_reading_opens_a_hall_that_was_heard_of_without_one(
+        self,
+    ) -> None:
+        self.drains.hear(word(4, ONE), {})
+        self.assertEqual({ONE}, self.drains.closed(10.0))
+        self.assertFalse(self.drains.hear(word(4, ONE), {ONE: 9.0, OTHER: 9.0}))
+        self.assertEqual(9.0 + OPEN_S - 10.0, self.drains.left_s(ONE, 10.0))
+        self.assertEqual({ONE}, self.drains.closed(9.0 + OPEN_S))
+        self.assertEqual({ONE}, self.drains.unseen_age_s(10.0).keys())
+
+    def test_an_earlier_bound_or_one_of_another_reading_changes_nothing(self) -> None:
+        self.drains.hear(word(4, ONE), {ONE: 9.0})
+        self.drains.hear(word(4, ONE), {ONE: 8.0})
+        self.drains.hear(word(3, ONE), {ONE: 9.5})
+        self.assertEqual(9.0 + OPEN_S - 10.0, self.drains.left_s(ONE, 10.0))
+        self.drains.hear(word(5, ONE), {ONE: 9.5})
+        self.assertEqual(9.0 + OPEN_S - 10.0, self.drains.left_s(ONE, 10.0))
+
     def test_a_bound_that_is_shorter_than_the_margin_closes_at_once(self) -> None:
         drains = HallDrains(SENT_LATE_S / 2)
         drains.read(word(1), 10.0)
@@ -231,6 +249,19 @@
         asyncio.run(run())
         self.assertEqual([{"halls_draining": 1.0, "halls_closed": 1.0}], seen)
 
+    def test_a_hall_heard_of_without_an_echo_opens_with_the_first_that_has_one(self) -> None:
+        def work(case: KeeperTests) -> None:
+            news = DrainNews(word(2, ONE), {ONE: 0.5})
+            case.keeper.hear(news, None)
+            self.assertEqual({ONE}, case.keeper._fleet._closed_halls)
+            case.keeper.hear(news, case.now_s)
+            self.assertEqual(frozenset(), case.keeper._fleet._closed_halls)
+            case.keeper.tick(case.now_s + OPEN_S)
+            self.assertEqual({ONE}, case.keeper._fleet._closed_halls)
+            self.assertEqual(1, case.told)
+
+        self.keeping(work)
+
     def test_what_is_told_on_gives_no_more_time_than_there_was(self) -> None:
         def work(case: KeeperTests) -> None:
             news = DrainNews(word(2, ONE), {ONE: 1.5})
