--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
@@ -68,7 +68,7 @@
         rest = (1.0 - HEAVY_SHARE) / (len(needs) - 1)
         return tuple(
             {
-                m.name: _fills(spec, m, engines, HEAVY_SHARE if m is heavy else rest)
+                m.name: _full_load(spec, m, engines, HEAVY_SHARE if m is heavy else rest)
                 for m in spec.models
             }
             for heavy in spec.models
@@ -84,10 +84,10 @@
         return {m.name: max(LEAST_WORK, m.share * busy) for m in spec.models}
 
 
-def _fills(spec: EngineSpec, model: ModelSpec, engines: int, share: float) -> float:
-    """Return the work that keeps a model's share of the engines in use as busy as they should be.
+def _full_load(spec: EngineSpec, model: ModelSpec, engines: int, share: float) -> float:
+    """Return the work that fills a model's share of the engines up to ``CAPACITY_SHARE``.
 
-    A group is counted as busy with few sequences, and bears more at once.
+    A group counts as busy with ``TYPICAL_SEQUENCES``, and has more slots than that.
     """
     groups = UNKNOWN_USE * share * engines / model.size
     return max(LEAST_WORK, groups * CAPACITY_SHARE * spec.slots / TYPICAL_SEQUENCES)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -52,9 +52,8 @@
     def preference(model: ModelSpec) -> tuple[float, int]:
         """Prefer what adds most; where nothing adds anything, groups that take fewest engines.
 
-        Engines that expected work does not need are then of use to more requests if it was
-        expected wrongly: on a day on which four of five were for the small model, work worth 0.16
-        more was served than with the engines left to the large one (``hundreds-busy``).
+        If the expected work turns out to be wrong, many small groups can serve more requests with
+        the spare engines than a few large ones.
         """
         return max(value(model), tuning.least_gain), -model.size
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -136,8 +136,8 @@
                 return Loss(PhaseCause.MEMBER_LEAVING, instance)
         return None
 
-    def _torn(self, group: GroupRecord) -> Loss | None:
-        """Return why a group that is begun gives its engines up: some cannot be told to join."""
+    def _partly_drained(self, group: GroupRecord) -> Loss | None:
+        """Return the loss of a group just begun with some, not all, members in drained halls."""
         if group.cause is not PhaseCause.BEGUN:
             return None
         records = [self._state.engines[instance] for instance in group.members]
@@ -151,7 +151,7 @@
             group.since_s = now_s
         late = now_s - group.since_s > group.expected_s + self._state.tuning.form_slack_s
         too_late = Loss(PhaseCause.TOO_LATE) if late else None
-        loss = self._unfit(group) or self._leaving(group) or self._torn(group) or too_late
+        loss = self._unfit(group) or self._leaving(group) or self._partly_drained(group) or too_late
         if loss is not None:
             group.enter(GroupPhase.DISSOLVING, now_s, loss.cause, loss.blamed)
             return
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -153,9 +153,8 @@
     def time_for_answers_s(self, group: GroupRecord) -> float:
         """Return how long a traded group may take to end the answers that it has begun.
 
-        That is some usual answers of its model with all slots in use. Its callers are not cut where
-        nothing failed; the wanted group waits, which costs 0.002 of a day's worth (mean of 13
-        experiments, 6 days each).
+        That is some usual answers of its model with all slots in use. Nothing has failed, so its
+        callers are not cut off; the wanted group waits for them.
         """
         spec = self.specs[group.service]
         model = spec.model(group.model)
--- a/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/drainkeeper.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Learning which halls are drained, telling it on, and having this entry go by it."""
+"""Learning which halls are drained, passing it on, and applying it to this entry."""
 
 import asyncio
 from collections.abc import Callable
@@ -14,7 +14,7 @@
 
 
 class DrainKeeper:
-    """Have the fleet close halls in time, and groups formed elsewhere from the first moment."""
+    """Close drained halls in time, and have groups formed elsewhere as soon as a drain is known."""
 
     def __init__(
         self,
--- a/packages/ochreway-direct/src/ochreway_direct/earlylistener.py
+++ b/packages/ochreway-direct/src/ochreway_direct/earlylistener.py
@@ -21,9 +21,9 @@
 def listen_early() -> None:
     """Listen for callers at the address that the environment gives, if it does.
 
-    Loading takes half a second and more. Callers that connect meanwhile wait for it, where all
-    entries were killed at once, in place of being turned away by each of them. An address that
-    cannot be had is left to the usual way, which tells why.
+    Callers that connect while the code is loaded wait for it. Otherwise every entry would turn
+    them away after all entries were killed at once. An address that cannot be bound is left to
+    the usual listener, which logs the cause.
     """
     address = os.environ.get(VARIABLE, "")
     host, _, port = address.rpartition(":")
--- a/packages/ochreway-direct/src/ochreway_direct/lazymetricspage.py
+++ b/packages/ochreway-direct/src/ochreway_direct/lazymetricspage.py
@@ -13,7 +13,7 @@
     from ochreway_runtime.metricspage import Gauges, MetricsPage
 
 MODULE = "ochreway_runtime.metricspage"
-"""Its library takes a tenth of a start, for which callers wait after a restart."""
+"""It imports a large library, which callers would have to wait for after a restart."""
 
 
 class LazyMetricsPage:
--- a/packages/ochreway-direct/src/ochreway_direct/meanswatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/meanswatch.py
@@ -13,7 +13,7 @@
 from ochreway_runtime.metrics import Metrics
 
 CHECK_S = 0.25
-"""How often the shares are looked at: four times for each time that the platform asks."""
+"""How often the shares are checked: four times as often as the platform asks for readiness."""
 LINK_WINDOW_S = 1.0
 """Over how long bytes are summed; shorter, one large answer would look like a full link."""
 PRESSURES = {
@@ -21,7 +21,7 @@
     Resource.MEMORY: (0.9, 0.8),
     Resource.LINK: (0.85, 0.6),
 }
-"""From and below which share new callers go elsewhere, while those that are here are served on."""
+"""For each resource the share from which new callers go elsewhere, and below which they return."""
 DIGITS = 3
 
 
@@ -60,7 +60,7 @@
         }
         for resource, pressure in self._pressures.items():
             if pressure.update(self.shares[resource], now_s):
-                self._turned(resource, pressure.near)
+                self._note_change(resource, pressure.near)
         self._share_targets()
 
     def gauges(self) -> dict[str, float]:
@@ -68,7 +68,7 @@
         shares = {f"{each.value}_share": round(n, DIGITS) for each, n in self.shares.items()}
         return {**shares, "caller_connections": float(self.callers.open)}
 
-    def _turned(self, resource: Resource, near: bool) -> None:
+    def _note_change(self, resource: Resource, near: bool) -> None:
         share = round(self.shares[resource], DIGITS)
         self._log.event("means", resource=resource.value, near=near, share=share)
         if near:
--- a/packages/ochreway-direct/src/ochreway_direct/planlog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/planlog.py
@@ -10,7 +10,7 @@
 from ochreway_runtime.logs import EventLog
 
 LEAST_GAP_S = 0.5
-"""The least time between two lines of a service: a turn of the demand shows in ten of them."""
+"""The least time between two lines of a service."""
 NEED_CHANGE = 0.5
 """By how many groups' work a need has to change to be told."""
 NEED_CHANGE_SHARE = 0.15
--- a/packages/ochreway-direct/src/ochreway_direct/pressure.py
+++ b/packages/ochreway-direct/src/ochreway_direct/pressure.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Whether a resource is near its bound, without turning to and fro."""
+"""Whether a resource is near its bound, with hysteresis."""
 
 from dataclasses import dataclass
 
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True)
 class Pressure:
-    """Begin at one share of a bound, and end below a smaller one or after a while."""
+    """Hold whether use is near a bound: from one share, until below a smaller one or a timeout."""
 
     begins_share: float
     ends_share: float
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/allowance.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/allowance.py
@@ -9,8 +9,8 @@
 STANDING_PART = 0.7
 """The part that entries have without a holder of the lease.
 
-Two requests a second for each of 13 entries at an allowance of 53, so that callers are served on
-ordinary days while no loans are made; the rest goes to the entries with the most callers.
+It is the larger part, so that callers are still served while no loans are made; the rest goes to
+the entries with the most callers.
 """
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/sendwindow.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/sendwindow.py
@@ -4,7 +4,7 @@
 from ochreway_direct.relay.attempt import Attempt
 
 HELD_S = 1.1
-"""For how long an attempt counts after it was written: the second of the promise and some margin.
+"""For how long an attempt counts after it was written: the second of the limit and a margin.
 
 A write is noted some turns of the event loop before or after the bytes leave.
 """
--- a/packages/ochreway-direct/src/ochreway_direct/startsteps.py
+++ b/packages/ochreway-direct/src/ochreway_direct/startsteps.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-"""How long each step takes from the start of a process until it can serve."""
+"""How long each step takes from the set-up of an entry, once its code is loaded."""
 
 from collections.abc import Callable, Mapping
 
@@ -9,7 +9,7 @@
 
 
 class StartSteps:
-    """Write one line once every step was reached, with the ms that each took since the start."""
+    """Write one line once every step was reached, with the ms that each took since set-up."""
 
     def __init__(self, steps: Mapping[str, Check], began_s: float, log: EventLog) -> None:
         self._steps = dict(steps)
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -284,7 +284,7 @@
         self._set_replicas()
 
     def _close_halls(self, now_s: float) -> None:
-        """Send nothing more to halls whose time is over, and to those given back again."""
+        """Stop sending to halls whose time is over, and resume sending to those given back."""
         closed = self.drains.closed(now_s)
         if closed == self._closed_halls:
             return
--- a/tests/direct/test_layout.py
+++ b/tests/direct/test_layout.py
@@ -114,6 +114,17 @@
         size = {LARGE.name: large, SMALL.name: small}
         return sum(size[slot.model] * number for slot, number in chosen.items())
 
+    def test_groups_of_both_models_are_planned_where_sizes_leave_engines_over(self) -> None:
+        totals = totals_of(self.plan(16, 4, 3, 37))
+        self.assertGreaterEqual(totals[LARGE.name], 3)
+        self.assertGreaterEqual(totals[SMALL.name], 12)
+
+    def test_no_domain_has_more_than_half_where_sizes_leave_engines_over(self) -> None:
+        chosen = self.plan(16, 4, 3, 37)
+        totals = totals_of(chosen)
+        for slot, number in chosen.items():
+            self.assertLessEqual(number, totals[slot.model] / 2)
+
     def test_hundreds_of_engines_have_groups_for_most_work_of_either_model(self) -> None:
         # Four of five requests turned out to be for the small model, which takes 21 groups.
         totals = totals_of(self.plan(16, 8, 5, 75))
