--- a/packages/ochreway-core/src/ochreway_core/ids.py
+++ b/packages/ochreway-core/src/ochreway_core/ids.py
@@ -8,6 +8,7 @@
 GroupId = NewType("GroupId", str)
 DomainId = NewType("DomainId", str)
 HallId = NewType("HallId", str)
+RegionId = NewType("RegionId", str)
 ScopeId = NewType("ScopeId", str)
 OrganisationId = NewType("OrganisationId", str)
 TargetName = NewType("TargetName", str)
@@ -37,6 +38,7 @@
     "KeyDigest",
     "NodeId",
     "OrganisationId",
+    "RegionId",
     "RequestId",
     "ScopeId",
     "TargetName",
--- a/packages/ochreway-direct/src/ochreway_direct/configuration.py
+++ b/packages/ochreway-direct/src/ochreway_direct/configuration.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ochreway_core.ids import OrganisationId, Version
+from ochreway_core.ids import OrganisationId, RegionId, Version
 from ochreway_direct.ids import ModelName, ServiceName
 
 
@@ -26,7 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Say where requests of a host below a path prefix go, and under what bounds."""
+    """Say where requests of a host below a path prefix go, and under what bounds.
+
+    With ``homes``, its requests may only be served in those regions.
+    """
 
     name: str
     host: str
@@ -40,6 +43,7 @@
     pause_s: float
     priority: int
     shares: tuple[Share, ...]
+    homes: tuple[RegionId, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -94,22 +98,35 @@
         return next((each for each in self.models if each.name == name), None)
 
 
+@dataclass(frozen=True, slots=True)
+class ColdStart:
+    """Say what a target bears while it is cold, and for how long it usually is so."""
+
+    requests_per_s: float
+    lasting_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Describe the targets of one service."""
+    """Describe the targets of one service; without ``cold_start`` they bear all at once."""
 
     name: ServiceName
     connections_at_most: int
     engine: EngineSpec | None = None
+    cold_start: ColdStart | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
-    """Name an organisation and the keys that its callers present."""
+    """Name an organisation and the keys that its callers present.
+
+    With ``homes``, its requests may only be served in those regions.
+    """
 
     name: OrganisationId
     keys: tuple[str, ...]
     priority: int | None = None
+    homes: tuple[RegionId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +152,7 @@
 
 __all__ = [
     "CallerLimits",
+    "ColdStart",
     "Configuration",
     "EngineSpec",
     "ModelSpec",
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -12,6 +12,7 @@
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.placecounts import PlaceCounts
 from ochreway_direct.relay.attempt import Attempt
+from ochreway_direct.sendlimit import SendLimit, Unlimited
 from ochreway_direct.targethealth import TargetHealth
 
 OTHER_HALL_LOAD = 0.5
@@ -52,8 +53,12 @@
         chance: random.Random,
         counts_unread: bool = True,
         sampled: int | None = None,
+        limit: SendLimit | None = None,
     ) -> None:
-        """Start without places; with ``sampled``, choose the best of so many drawn at random."""
+        """Start without places; with ``sampled``, choose the best of so many drawn at random.
+
+        ``limit`` bounds what each target gets from this entry.
+        """
         self._hall = hall
         self.shown = NO_VIEW
         self._chance = chance
@@ -63,6 +68,8 @@
         self._by_service: dict[ServiceName, list[GroupView]] = {}
         self._targets: dict[InstanceId, ListedTarget] = {}
         self._leaving: frozenset[InstanceId] = frozenset()
+        self._closed_halls: frozenset[HallId] = frozenset()
+        self._limit = limit or Unlimited()
         self._under_way: dict[str, set[Attempt]] = defaultdict(set)
         self._unread: Counter[str] = Counter()
         self._elsewhere = PlaceCounts()
@@ -92,6 +99,10 @@
         """Replace the engines that leave; their groups get nothing new."""
         self._leaving = frozenset(leaving)
 
+    def set_closed_halls(self, halls: frozenset[HallId]) -> None:
+        """Replace the halls that get nothing new."""
+        self._closed_halls = halls
+
     def set_elsewhere(
         self, source: str, counts: Mapping[str, int], unread: Mapping[str, int] | None = None
     ) -> None:
@@ -114,17 +125,33 @@
         """Return how many attempts run at each place."""
         return Counter({place: len(each) for place, each in self._under_way.items() if each})
 
-    def places(self, service: ServiceName, model: ModelName | None) -> list[GroupView]:
-        """Return the groups that may be given requests for a model."""
+    def places(
+        self,
+        service: ServiceName,
+        model: ModelName | None,
+        within: frozenset[HallId] | None = None,
+    ) -> list[GroupView]:
+        """Return the groups that may be given requests for a model, in some halls or in any."""
         return [
             each
             for each in self._by_service.get(service, ())
-            if (model is None or each.model == model) and each.leader not in self._leaving
+            if (model is None or each.model == model)
+            and each.leader not in self._leaving
+            and self._in_reach(halls_of(each), within)
         ]
 
-    def has_group(self, service: ServiceName, model: ModelName | None) -> bool:
+    def _in_reach(self, halls: frozenset[HallId], within: frozenset[HallId] | None) -> bool:
+        """Tell whether all of some halls may be sent to."""
+        return not halls & self._closed_halls and (within is None or halls <= within)
+
+    def has_group(
+        self,
+        service: ServiceName,
+        model: ModelName | None,
+        within: frozenset[HallId] | None = None,
+    ) -> bool:
         """Tell whether any group serves a model."""
-        return bool(self.places(service, model))
+        return bool(self.places(service, model, within))
 
     def silent_groups(self, now_s: float, silent_s: float) -> list[GroupId]:
         """Return the groups where answers are awaited and none has begun or gone on for a while."""
@@ -147,6 +174,8 @@
         spec: EngineSpec,
         queued_at_most: int,
         prompt_tokens: int = 0,
+        within: frozenset[HallId] | None = None,
+        now_s: float = 0.0,
     ) -> GroupView | None:
         """Return the group that is to take the least time, or None when all have no place left.
 
@@ -154,8 +183,10 @@
         """
         found = [
             each
-            for each in self.places(service, model)
-            if each.leader not in avoid and self.load(each.group) < spec.slots + queued_at_most
+            for each in self.places(service, model, within)
+            if each.leader not in avoid
+            and self.load(each.group) < spec.slots + queued_at_most
+            and self._limit.allows(service, each.leader, now_s)
         ]
         drawn = self._draw(found)
         return min(
@@ -192,13 +223,21 @@
         return self._unread[place] + self._unread_elsewhere.total(place)
 
     def pick_target(
-        self, service: ServiceName, avoid: Collection[InstanceId]
+        self,
+        service: ServiceName,
+        avoid: Collection[InstanceId],
+        within: frozenset[HallId] | None = None,
+        now_s: float = 0.0,
     ) -> ListedTarget | None:
         """Return the plain target with the least work, failing ones last, or None."""
         found = [
             each
             for each in self._targets.values()
-            if each.service == service and not each.leaving and each.instance not in avoid
+            if each.service == service
+            and not each.leaving
+            and each.instance not in avoid
+            and self._in_reach(frozenset((each.hall,)), within)
+            and self._limit.allows(service, each.instance, now_s)
         ]
         if not found:
             return None
@@ -219,7 +258,8 @@
     # What is under way.
 
     def begin(self, attempt: Attempt) -> None:
-        """Count an attempt at its place."""
+        """Count an attempt at its place, as it is sent."""
+        self._limit.sent(attempt.instance, attempt.begun_s)
         self._under_way[attempt.place].add(attempt)
         self._unread[attempt.place] += attempt.prompt_tokens
 
@@ -245,6 +285,11 @@
         self._health[attempt.instance].note(failed)
 
 
+def halls_of(group: GroupView) -> frozenset[HallId]:
+    """Return every hall that a group needs."""
+    return frozenset((group.hall, *group.halls))
+
+
 def _last_sign_s(running: Collection[Attempt]) -> float:
     """Return when a group last gave a part of an answer, or should have given the first."""
     heard = [attempt.heard_s for attempt in running if attempt.heard_s is not None]
@@ -253,4 +298,4 @@
     return min(attempt.begun_s for attempt in running) + FIRST_ANSWER_S
 
 
-__all__ = ["Fleet"]
+__all__ = ["Fleet", "halls_of"]
--- a/packages/ochreway-direct/src/ochreway_direct/groupview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/groupview.py
@@ -9,7 +9,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupView:
-    """Hold what an entry needs to send requests to a group that serves."""
+    """Hold what an entry needs to send requests to a group that serves.
+
+    ``halls`` are those of all its members; a group needs each of them.
+    """
 
     group: GroupId
     epoch: Epoch
@@ -19,6 +22,7 @@
     address: str
     hall: HallId
     pace: float = 1.0
+    halls: tuple[HallId, ...] = ()
 
 
 __all__ = ["GroupView"]
--- a/packages/ochreway-direct/src/ochreway_direct/listedtarget.py
+++ b/packages/ochreway-direct/src/ochreway_direct/listedtarget.py
@@ -10,7 +10,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedTarget:
-    """Hold where a target is, whether it is leaving, and its engine's state if it has one."""
+    """Hold where a target is, whether it is leaving, and its engine's state if it has one.
+
+    ``cold_s`` is for how much longer it said, when it wrote its entry, that it stays cold.
+    """
 
     instance: InstanceId
     service: ServiceName
@@ -19,6 +22,7 @@
     leaving: bool = False
     slots: int = 1
     engine: EngineState | None = None
+    cold_s: float = 0.0
 
 
 __all__ = ["ListedTarget"]
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -74,11 +74,19 @@
 )
 @option("--processor-share", 1.0, "Share of a core that this process may use.")
 @option("--processor-speed", 1.0, "How fast that core is, against a usual one.")
+@option("--hall-drain-ms", 5000, "How soon a hall that is drained gets nothing new.")
+@option("--cold-excess", 1.0, "What a cold target may get, against its configured rate.")
+@option("--cold-slack", 0.0, "How many requests more a cold target may get in any second.")
+@option("--region", "", "Region of this instance; empty where regions do not matter.")
+@option("--hall-regions", "", "hall=region of every hall, with commas between.")
+@option("--descriptors", 0, "How many files and sockets this process may have open; 0: any.")
+@option("--memory-mb", 0.0, "How much memory this process may take; 0: any.")
+@option("--link-mbps", 0.0, "What this instance's link carries; 0: not known.")
 @option("--without", "", "Mechanisms to switch off, with commas between; for measurements.")
 @click.option("--check", "only_check", is_flag=True, help="Print the settings and stop.")
 def main(only_check: bool, **given: Any) -> None:
     """Take callers' requests and send them straight to targets."""
-    for name in ("peer", "without"):
+    for name in ("peer", "without", "hall_regions"):
         given[name] = tuple(each for each in given[name].split(",") if each)
     settings = DirectSettings(**given)
     try:
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -1,8 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """Messages between direct entries."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
+from ochreway_core.drainedhalls import UNREAD_HALLS, DrainedHalls
 from ochreway_core.ids import GroupId, HallId, InstanceId, Version
 from ochreway_core.message import message
 from ochreway_core.peer import Peer
@@ -37,6 +38,14 @@
     listed_age_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class DrainNews:
+    """Tell which halls are drained, and how long ago the last word without each was asked for."""
+
+    drained: DrainedHalls = UNREAD_HALLS
+    unseen_age_s: dict[HallId, float] = field(default_factory=dict)
+
+
 def aged(mark: FleetMark, by_s: float) -> FleetMark:
     """Return a mark that is older by a time."""
     listed_age_s = mark.listed_age_s + by_s if mark.listed_age_s is not None else None
@@ -70,6 +79,7 @@
     coverage: Coverage
     work: Work
     entries: tuple[KnownEntry, ...]
+    drains: DrainNews = field(default_factory=DrainNews)
 
 
 @message(101)
@@ -150,6 +160,7 @@
 __all__ = [
     "ConfigurationRequest",
     "ConfigurationUpdate",
+    "DrainNews",
     "FleetChange",
     "FleetMark",
     "FleetRequest",
--- a/packages/ochreway-direct/src/ochreway_direct/ports/configurationsource.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/configurationsource.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from ochreway_core.drainedhalls import UNREAD_HALLS, DrainedHalls
 from ochreway_direct.configuration import Configuration
 
 
@@ -12,12 +13,14 @@
     """Hold the newest configuration as of a moment not before it was asked for.
 
     It is ``None`` while the operators have accepted none. ``decoded_in_s`` is the time that
-    this process spent on decoding it, 0 when nothing was new.
+    this process spent on decoding it, 0 when nothing was new. ``drained`` names the halls that
+    get nothing new, as of the same moment.
     """
 
     configuration: Configuration | None
     asked_s: float
     decoded_in_s: float = 0.0
+    drained: DrainedHalls = UNREAD_HALLS
 
 
 class ConfigurationSource(ABC):
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from ochreway_core.ids import InstanceId, OrganisationId
+from ochreway_core.ids import HallId, InstanceId, OrganisationId
 from ochreway_direct.configuration import EngineSpec, Route
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
@@ -18,7 +18,8 @@
     ``runs`` counts the targets that may have begun, lost ones too: the leader of a lost group may
     be alive. ``waited_s`` is the time spent waiting for a place, ``first_part_s`` the time at which
     the answer began, ``target`` the one it was last sent to, and ``passed_on_s`` the
-    time at which the caller was last given a part of the answer.
+    time at which the caller was last given a part of the answer. It may be served in the halls
+    ``within``, or in any.
     """
 
     request: web.BaseRequest
@@ -32,6 +33,7 @@
     end_s: float
     work_s: float
     engine: EngineSpec | None = None
+    within: frozenset[HallId] | None = None
     runs: int = 0
     sends: int = 0
     target: InstanceId | None = None
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -148,7 +148,7 @@
             if loop.time() >= until_s:
                 break
             await asyncio.sleep(self._tuning.place_poll_s)
-        full = self._fleet.has_group(call.service, call.terms.model)
+        full = self._fleet.has_group(call.service, call.terms.model, call.within)
         reason = Reason.QUEUE_FULL if full else Reason.NO_GROUP
         raise self._give_up(call, reason, self._tuning.regroup_after_s)
 
@@ -163,6 +163,7 @@
         return tuning.resuming_queued_at_most if begun else tuning.queued_at_most
 
     def _pick(self, call: Call) -> Attempt | None:
+        now_s = asyncio.get_running_loop().time()
         if call.engine is not None:
             group = self._fleet.pick_group(
                 call.service,
@@ -171,25 +172,28 @@
                 call.engine,
                 self._queued_at_most(call),
                 call.terms.prompt_tokens,
+                call.within,
+                now_s,
             )
             if group is None:
                 return None
             return Attempt(
                 *(group.leader, group.address, group.hall, group.group),
                 prompt_tokens=call.terms.prompt_tokens,
-                begun_s=asyncio.get_running_loop().time(),
+                begun_s=now_s,
                 last=call.last_run,
                 group=group.group,
                 epoch=group.epoch,
                 pace=group.pace,
                 load=self._fleet.load(group.group),
             )
-        target = self._fleet.pick_target(call.service, call.tried)
+        target = self._fleet.pick_target(call.service, call.tried, call.within, now_s)
         if target is None and call.tried and not self._fleet.has_engines(call.service):
-            target = self._fleet.pick_target(call.service, ())
+            target = self._fleet.pick_target(call.service, (), call.within, now_s)
         if target is None:
             return None
-        return Attempt(target.instance, target.address, target.hall, target.instance)
+        place = target.instance
+        return Attempt(target.instance, target.address, target.hall, place, begun_s=now_s)
 
     async def _send(self, call: Call, attempt: Attempt) -> Ending:
         if call.organisation is not None and not self._serving.keys_trusted():
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -3,6 +3,7 @@
 
 from dataclasses import dataclass, field
 
+from ochreway_core.ids import HallId, RegionId
 from ochreway_direct.freshness import KeyTrust
 from ochreway_direct.mechanism import Mechanism
 from ochreway_runtime import checks
@@ -45,6 +46,14 @@
     first_start: bool = False
     processor_share: float = 1.0
     processor_speed: float = 1.0
+    hall_drain_ms: int = 5000
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
+    region: str = ""
+    hall_regions: tuple[str, ...] = ()
+    descriptors: int = 0
+    memory_mb: float = 0.0
+    link_mbps: float = 0.0
     without: tuple[str, ...] = ()
 
     def has(self, mechanism: Mechanism) -> bool:
@@ -56,6 +65,17 @@
         """Return how much this entry can do, in cores of usual speed."""
         return self.processor_share * self.processor_speed
 
+    @property
+    def hall_drain_s(self) -> float:
+        """Return how soon after its drain was accepted a hall gets nothing new."""
+        return self.hall_drain_ms / 1000.0
+
+    @property
+    def region_of(self) -> dict[HallId, RegionId]:
+        """Return the region of each hall that is known."""
+        pairs = (each.partition("=") for each in self.hall_regions)
+        return {HallId(hall): RegionId(region) for hall, _, region in pairs}
+
     @property
     def key_trust_s(self) -> float:
         """Return for how long keys are trusted without proof that they are the newest."""
@@ -88,6 +108,13 @@
     return "host:port of other entries' links, with commas between"
 
 
+def _hall_regions(values: tuple[str, ...]) -> str | None:
+    pairs = [each.partition("=") for each in values]
+    if all(hall and region for hall, _, region in pairs):
+        return None
+    return "hall=region pairs, with commas between"
+
+
 def _mechanisms(values: tuple[str, ...]) -> str | None:
     known = [each.value for each in Mechanism]
     return None if set(values) <= set(known) else "among " + ", ".join(known)
@@ -115,6 +142,13 @@
     "loads_excess": checks.positive,
     "processor_share": checks.positive,
     "processor_speed": checks.positive,
+    "hall_drain_ms": checks.positive,
+    "cold_excess": checks.positive,
+    "cold_slack": checks.not_negative,
+    "hall_regions": _hall_regions,
+    "descriptors": checks.not_negative,
+    "memory_mb": checks.not_negative,
+    "link_mbps": checks.not_negative,
     "without": _mechanisms,
 }
 
--- a/packages/ochreway-runtime/src/ochreway_runtime/checks.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/checks.py
@@ -49,6 +49,11 @@
     return None if value > 0 else "a number above 0"
 
 
+def not_negative(value: float) -> str | None:
+    """Check a number that may be 0."""
+    return None if value >= 0 else "a number of 0 or more"
+
+
 def one_of(*allowed: str) -> Check:
     """Return a check that a value is among those allowed."""
     return lambda value: None if value in allowed else "one of " + ", ".join(allowed)
@@ -94,6 +99,7 @@
     "faults_of",
     "filled",
     "link_key",
+    "not_negative",
     "one_of",
     "optional_address",
     "positive",
