Sight: name what a request asks for, whichever try brings it

Logs named requests by the id of one try, which is new each time a caller returns, so that nobody could tell whether the same thing was under way at each leader that ended. Lines of attempts and of ends now have a fingerprint of caller, method, host, path and body. No decision goes by it yet.

--- a/packages/ochreway-core/src/ochreway_core/ids.py
+++ b/packages/ochreway-core/src/ochreway_core/ids.py
@@ -16,6 +16,7 @@
 ChangeId = NewType("ChangeId", str)
 RequestId = NewType("RequestId", str)
 KeyDigest = NewType("KeyDigest", str)
+Fingerprint = NewType("Fingerprint", str)
 Version = NewType("Version", int)
 Epoch = NewType("Epoch", int)
 Term = NewType("Term", int)
@@ -31,6 +32,7 @@
     "ChangeId",
     "DomainId",
     "Epoch",
+    "Fingerprint",
     "GroupId",
     "HallId",
     "Incarnation",
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from ochreway_core.fingerprint import fingerprint_of
+from ochreway_core.ids import Fingerprint
 from ochreway_core.reason import Reason
 from ochreway_direct.configuration import Organisation, Route
 from ochreway_direct.coordinator.demand import work_s
@@ -68,6 +70,7 @@
             resume_after=terms.resume_after,
         )
         organisation = self._identify(call, routes)
+        call.fingerprint = _fingerprint(call)
         self._bind(call, organisation)
         self._weigh(call, routes)
         return call
@@ -128,6 +131,13 @@
         self._meter.note(call.terms.model, call.work_s, call.started_s)
 
 
+def _fingerprint(call: Call) -> Fingerprint:
+    """Return what a call asks for, by whom; callers without a key are told apart by no more."""
+    request = call.request
+    path = f"{request.host}{request.raw_path}"
+    return fingerprint_of(call.organisation or "", request.method, path, call.body)
+
+
 def _service(route: Route, request: str) -> ServiceName:
     """Return one of a route's services, by its weights and the request's id."""
     total = sum(share.weight for share in route.shares)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from ochreway_core.ids import HallId, InstanceId, OrganisationId
+from ochreway_core.ids import Fingerprint, HallId, InstanceId, OrganisationId
 from ochreway_direct.configuration import EngineSpec, Route
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
@@ -19,7 +19,7 @@
     be alive. ``waited_s`` is the time spent waiting for a place, ``first_part_s`` the time at which
     the answer began, ``target`` the one it was last sent to, and ``passed_on_s`` the
     time at which the caller was last given a part of the answer. It may be served in the halls
-    ``within``, or in any.
+    ``within``, or in any. ``fingerprint`` is the same in every try that asks for the same.
     """
 
     request: web.BaseRequest
@@ -32,6 +32,7 @@
     started_s: float
     end_s: float
     work_s: float
+    fingerprint: Fingerprint = Fingerprint("")
     engine: EngineSpec | None = None
     within: frozenset[HallId] | None = None
     runs: int = 0
--- a/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
@@ -32,6 +32,7 @@
         self._log.failure(
             "attempt",
             request=call.terms.request,
+            fingerprint=call.fingerprint,
             send=call.sends,
             target=attempt.instance,
             group=attempt.group or "",
@@ -87,6 +88,7 @@
 
     def _of_call(self, call: Call, now_s: float) -> dict[str, object]:
         return {
+            "fingerprint": call.fingerprint,
             "service": call.service,
             "model": call.terms.model or "",
             "given_s": call.terms.deadline_s or "",
