Cut slow headers off that begin while a request is answered

Cause of the test that failed once (slow headers after a request): where the next headers' first bytes came before the answer before them was over, as on a busy machine, the bound on headers was not begun, and the connection ended by the one on resting, without a 408. Shown by a test whose target takes 0.3 s: it failed each time on the code before, with the same symptom. The bound now begins with the first byte that belongs to no whole request, and waits for answers under way.

--- a/packages/ochreway-direct/src/ochreway_direct/relay/callerprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/callerprotocol.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from ochreway_direct.configuration import CallerLimits
 from ochreway_direct.relay.callerconnections import Admittance, CallerConnections
@@ -17,7 +18,7 @@
 class CallerProtocol(web.RequestHandler):
     """Bound how long headers may be and may take, and how long a connection may rest."""
 
-    __slots__ = ("_admittance", "_bounded", "_headers_due", "_limits")
+    __slots__ = ("_admittance", "_body", "_bounded", "_headers_due", "_limits")
 
     def __init__(
         self,
@@ -39,6 +40,7 @@
         self._bounded = bounded
         self._admittance = Admittance.SERVED
         self._headers_due: asyncio.TimerHandle | None = None
+        self._body: StreamReader = EMPTY_PAYLOAD
 
     @property
     def refused(self) -> bool:
@@ -53,14 +55,18 @@
             transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Take bytes; headers that they begin have to be whole in time."""
+        """Take bytes; headers that they begin have to be whole in time.
+
+        They may begin while the request before them is still answered.
+        """
+        heads = self._request_count
+        of_head = self._body.is_eof()
         super().data_received(data)
-        if self._request_in_progress or self._messages:
+        if self._request_count > heads:
+            self._body = self._messages[-1][1]
             self._stop_waiting()
-        elif data and self._headers_due is None:
-            self._headers_due = self._loop.call_later(
-                self._limits.header_timeout_s, self._give_up_headers
-            )
+        elif data and of_head and self._headers_due is None:
+            self._await_headers()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
@@ -83,6 +89,11 @@
             return answer
         return super().handle_error(request, status, exc, message)
 
+    def _await_headers(self) -> None:
+        self._headers_due = self._loop.call_later(
+            self._limits.header_timeout_s, self._give_up_headers
+        )
+
     def _stop_waiting(self) -> None:
         if self._headers_due is not None:
             self._headers_due.cancel()
@@ -90,6 +101,10 @@
 
     def _give_up_headers(self) -> None:
         self._headers_due = None
+        if self._request_in_progress or self._messages:
+            # The answers of whole requests go first.
+            self._await_headers()
+            return
         if self.transport is not None:
             self.transport.write(HEADERS_TOO_LATE)
         self.force_close()
--- a/tests/direct/test_limits.py
+++ b/tests/direct/test_limits.py
@@ -2,7 +2,7 @@
 import asyncio
 
 from ochreway_direct.configuration import CallerLimits
-from tests.direct.relaycase import RelayCase, Running
+from tests.direct.relaycase import Headers, RelayCase, Running
 from tests.direct.test_relay import good
 
 HEADERS_AT_MOST = 2000
@@ -75,3 +75,19 @@
             self.assertIn(b"HTTP/1.1 408", answer)
 
         self.relayed(work, good)
+
+    def test_slow_headers_that_begin_while_a_request_is_answered_are_cut_off_too(self) -> None:
+        async def slow(headers: Headers, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.3)
+            await good(headers, writer)
+
+        async def work(running: Running) -> None:
+            request = (
+                b"POST /a/x HTTP/1.1\r\nHost: care.example\r\nRequest: r1\r\nKey: secret\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            answer = await running.send_raw(request, b"POST /a/x HT")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer[:200])
+            self.assertIn(b"HTTP/1.1 408", answer)
+
+        self.relayed(work, slow)
