Send a request no more under which three targets have ended

Nothing was kept of what was asked, so a request that ends whatever runs it was sent on within each try, and by each entry that its caller came to.

Entries now count, by the request's fingerprint, the targets that ended under it since its last good end, tell each other at once, and refuse it from the third on: 503, not run, with the time for which that holds. A broken connection counts only if nobody listens there any more.

--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,7 @@
 slopes-direct: setup
 	$(BIN)/python -m ochreway_standins.slopes.direct
 	$(BIN)/python -m ochreway_standins.slopes.logs
+	$(BIN)/python -m ochreway_standins.slopes.crashes
 
 choices: setup
 	$(BIN)/python -m ochreway_standins.choicebench --seed $(SEED)
--- a/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
@@ -57,6 +57,23 @@
     return f"{told}; the last one, {last[-1].get('group')}, ended{_of(last[-1])}" if last else told
 
 
+@cause("ends_targets")
+def _ends_targets(story: Story, line: LogLine) -> str:
+    asked = line.get("fingerprint")
+    told = [each for each in story.lines if each.event == "request_fatal"]
+    tries = {
+        each.get("request")
+        for each in story.lines
+        if each.event == "attempt" and each.get("fingerprint") == asked
+    }
+    if not told:
+        return f"targets ended under other tries of the same ({asked}); no line names them"
+    return (
+        f"targets {told[-1].get('targets')} ended while they ran what it asks for ({asked}),"
+        f" in {len(tries)} tries that lines name, so it is sent to none"
+    )
+
+
 @cause("no_home")
 def _no_home(story: Story, line: LogLine) -> str:
     return (
--- a/packages/ochreway-cli/src/ochreway_cli/explain/story.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/story.py
@@ -12,6 +12,11 @@
 """How long before and after a request lines of the same process may bear on it."""
 CLOCKS_DIFFER_S = 6.0
 """By how much more those of other processes may be apart, whose clocks may be off by seconds."""
+ENDS_TARGETS = "ends_targets"
+OF_OTHER_TRIES = frozenset(
+    {"attempt", "request_suspected", "request_fatal", "request_on_trial", "request_cleared"}
+)
+"""Events that tell how targets ended under other tries of the same."""
 DEPENDENCIES = frozenset(
     {
         "configuration_unavailable",
@@ -75,6 +80,8 @@
 
 
 def _bears(line: LogLine, own: list[LogLine]) -> bool:
+    if _same_asked(line, own):
+        return True
     if line.get("request"):
         return False
     if line.event == "group" and line.group in {each.group for each in own}:
@@ -90,6 +97,13 @@
     return line.event in DEPENDENCIES and line.node in {each.node for each in own}
 
 
+def _same_asked(line: LogLine, own: list[LogLine]) -> bool:
+    """Tell whether a line is about other tries of what is asked for, where these decided."""
+    fatal = [each.get("fingerprint") for each in own if each.get("reason") == ENDS_TARGETS]
+    asked = line.get("fingerprint")
+    return bool(asked) and asked in fatal and line.event in OF_OTHER_TRIES
+
+
 def _near(line: LogLine, own: list[LogLine]) -> bool:
     begin_s = min(each.time_s - float(each.get("took_s") or 0.0) for each in own)
     end_s = max(each.time_s for each in own)
--- a/packages/ochreway-core/src/ochreway_core/messages/__init__.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/__init__.py
@@ -13,6 +13,7 @@
     ViewRequest,
     ViewUpdate,
 )
+from ochreway_core.messages.crashes import CrashNews
 from ochreway_core.messages.membership import (
     Dismiss,
     Follow,
@@ -41,6 +42,7 @@
     "Claim",
     "ClaimEnd",
     "ClaimReply",
+    "CrashNews",
     "Credit",
     "Dismiss",
     "Follow",
--- /dev/null
+++ b/packages/ochreway-core/src/ochreway_core/messages/crashes.py
@@ -0,0 +1,18 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Messages on requests under which targets end."""
+
+from dataclasses import dataclass
+
+from ochreway_core.crashsighting import CrashSighting
+from ochreway_core.message import message
+
+
+@message(80)
+@dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Tell other entries under which requests targets have ended."""
+
+    sightings: tuple[CrashSighting, ...]
+
+
+__all__ = ["CrashNews"]
--- a/packages/ochreway-core/src/ochreway_core/reason.py
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -36,6 +36,7 @@
     LINK_LOST = "link_lost"
     TARGET_FAILED = "target_failed"
     ANSWER_SHORT = "answer_short"
+    ENDS_TARGETS = "ends_targets"
     KEY_TAKEN = "key_taken"
     KEY_ANSWERED = "key_answered"
     KEY_HOMES_UNREACHABLE = "key_homes_unreachable"
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/crashwatch.py
@@ -0,0 +1,116 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Keeping requests from targets that would end under them."""
+
+import asyncio
+from collections.abc import Callable
+
+from ochreway_core.crashsighting import CrashSighting
+from ochreway_core.ids import Fingerprint
+from ochreway_direct.relay.attempt import Attempt
+from ochreway_direct.relay.call import Call
+from ochreway_direct.targetcheck import TargetCheck
+from ochreway_routing.crashbook import CrashBook
+from ochreway_routing.crashrecord import FATAL_CRASHES
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+
+TOLD_FROM = 2
+"""From how many crashes on a line is written: after one all callers of a target are suspects."""
+AWAITED_S = 0.1
+"""How long a call waits to learn whether its target ended, before it may be sent on.
+
+A refused connection takes a round trip, 3 ms between halls; a target that does not answer costs
+the call this much, and what is found later counts all the same.
+"""
+
+Changed = Callable[[list[Fingerprint]], None]
+"""Told of the requests of which something is known that other entries do not know."""
+
+
+class CrashWatch:
+    """Note under which requests targets end, and which of them are sent no more.
+
+    Each request costs its fingerprint, 2.3 us with 700 bytes of body, and a look into a table when
+    it comes and when it ends, 0.6 us together (``python -m ochreway_standins.slopes.crashes``).
+    """
+
+    def __init__(self, book: CrashBook, log: EventLog, metrics: Metrics) -> None:
+        self._book = book
+        self._check = TargetCheck()
+        self._log = log
+        self._metrics = metrics
+        self._examining: set[asyncio.Task[None]] = set()
+        self._loop = asyncio.get_running_loop()
+        self.changed: Changed = lambda _: None
+
+    def fatal_for_s(self, call: Call) -> float:
+        """Return for how long a call must not be sent; 0 when it may be."""
+        if call.on_trial and not call.sends:
+            return 0.0
+        now_s = self._loop.time()
+        left_s = self._book.fatal_for_s(call.fingerprint, now_s)
+        if self._book.asked(call.fingerprint, now_s) and left_s <= 0.0:
+            self._try_again(call)
+        return left_s
+
+    def _try_again(self, call: Call) -> None:
+        """Let one call be sent once, after its like was long not asked for; others wait for it."""
+        call.on_trial = True
+        self._metrics.count("crash.on_trial")
+        self._log.event("request_on_trial", fingerprint=call.fingerprint)
+        self.changed([call.fingerprint])
+
+    def finished(self, call: Call) -> None:
+        """Note that a target ran a call to its end and goes on."""
+        crashes = self._book.crashes(call.fingerprint)
+        if self._book.finished(call.fingerprint, self._loop.time()):
+            if crashes >= TOLD_FROM:
+                self._log.event("request_cleared", fingerprint=call.fingerprint, crashes=crashes)
+            self._metrics.count("crash.cleared")
+            self.changed([call.fingerprint])
+
+    async def broke_off(self, call: Call, attempt: Attempt) -> None:
+        """Find out whether the target of an attempt that broke off has ended, and note it."""
+        task = asyncio.create_task(self._examine(call.fingerprint, attempt))
+        self._examining.add(task)
+        task.add_done_callback(self._examining.discard)
+        await asyncio.wait([task], timeout=AWAITED_S)
+
+    async def _examine(self, fingerprint: Fingerprint, attempt: Attempt) -> None:
+        broke_s = self._loop.time()
+        if not await self._check.ended(attempt.address):
+            self._metrics.count("crash.target_stands")
+            return
+        self._metrics.count("crash.under_request")
+        if self._book.crashed(fingerprint, attempt.instance, broke_s):
+            self._tell(fingerprint)
+            self.changed([fingerprint])
+
+    def hear(self, sightings: tuple[CrashSighting, ...], heard_s: float) -> list[Fingerprint]:
+        """Take what another entry tells; return the requests of which it was news."""
+        news = [each.fingerprint for each in sightings if self._book.hear(each, heard_s)]
+        for fingerprint in news:
+            self._tell(fingerprint)
+        return news
+
+    def _tell(self, fingerprint: Fingerprint) -> None:
+        """Write what is known of a request that several targets ended under."""
+        crashes = self._book.crashes(fingerprint)
+        if crashes < TOLD_FROM:
+            return
+        targets = ",".join(self._book.targets(fingerprint))
+        if crashes < FATAL_CRASHES:
+            self._log.event(
+                "request_suspected", fingerprint=fingerprint, crashes=crashes, targets=targets
+            )
+            return
+        self._metrics.count("crash.fatal")
+        self._log.fault("request_fatal", fingerprint=fingerprint, targets=targets)
+
+    def gauges(self) -> dict[str, float]:
+        """Return how many requests are sent no more, and how many are suspects."""
+        suspects = len(self._book.suspects(float("-inf")))
+        return {"requests_fatal": float(len(self._book.fatal())), "requests_suspected": suspects}
+
+
+__all__ = ["CrashWatch"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -9,10 +9,13 @@
 
 from ochreway_core.backoff import Backoff
 from ochreway_core.ids import GroupId, HallId, NodeId
+from ochreway_core.messages.crashes import CrashNews
 from ochreway_core.peer import Peer
 from ochreway_direct.configurationfollower import ConfigurationFollower
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_direct.crashspread import CrashSpread
+from ochreway_direct.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.dependencies import Dependencies
 from ochreway_direct.drainkeeper import DrainKeeper
@@ -55,6 +58,7 @@
 from ochreway_direct.startsteps import StartSteps
 from ochreway_direct.timing import DirectTiming
 from ochreway_direct.versionsharing import VersionSharing
+from ochreway_routing.crashbook import CrashBook
 from ochreway_routing.retrybudget import RetryBudget
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import REMEMBERED_S, LoopLag
@@ -123,7 +127,7 @@
             lambda: self.serving.version,
             self._received,
             self._on_link_down,
-            lambda peer: self.peers.met(peer, self._loop.time()),
+            self._on_link_up,
         )
         incarnation = secrets.token_hex(6)
         self.lease = Lease(
@@ -168,6 +172,9 @@
             lambda: self._sharing.show(),
             loans=self._loans,
         )
+        book = CrashBook()
+        self.crashes = CrashWatch(book, log, metrics)
+        self._crash_spread = CrashSpread(book, self.crashes, self._heartbeats, self.links)
         self._sharing = FleetSharing(
             *(self.view, self.serving, self.lease, self.peers, self.links),
             *(self.coordination, self._heartbeats, self.health, log, self._cold),
@@ -223,6 +230,7 @@
             FleetRequest: self._sharing.on_request,
             ListUpdate: self._sharing.on_list,
             Suspicion: self._on_suspicion,
+            CrashNews: self._crash_spread.on_news,
         }
         self._tasks: set[asyncio.Task[None]] = set()
         self._start = StartSteps(self._start_checks(), self._loop.time(), log)
@@ -268,6 +276,7 @@
         self.timer.every(timing.heartbeat_s, self._dependencies.check)
         self.timer.every(timing.heartbeat_s, self._home_check.check)
         self.timer.every(timing.heartbeat_s, lambda _: self._share_retries())
+        self.timer.every(timing.heartbeat_s, self._crash_spread.repeat)
         self.timer.every(CHECK_S, self.means.check)
         if self.settings.has(Mechanism.SILENCE_SUSPECTED):
             self.timer.every(SUSPECT_AGAIN_S, self._suspect_silent)
@@ -307,6 +316,7 @@
             "groups": float(len(self.view.groups(now_s))),
             "entries_heard": float(len(self.peers.alive(now_s))),
             **self._drains.gauges(),
+            **self.crashes.gauges(),
             "halls_without_region": float(len(self._home_check.unknown_halls)),
             "targets_cold": float(self._cold.number(now_s)),
             "loans_taken": float(self._limit.loans(now_s)),
@@ -407,6 +417,10 @@
         self._heartbeats.send(self._loop.time())
         self._step_soon()
 
+    def _on_link_up(self, peer: Peer) -> None:
+        self.peers.met(peer, self._loop.time())
+        self._crash_spread.met(peer)
+
     def _on_link_down(self, node: NodeId) -> None:
         self.peers.lost_link(node, self._loop.time())
         self._lease_keeper.on_link_down(node)
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -129,6 +129,16 @@
         heads = self._peers.of(self._cells.all_heads())
         return list(dict.fromkeys((*heads, *self.members())))
 
+    def contacts(self) -> list[Peer]:
+        """Return the entries that this one exchanges heartbeats with."""
+        return [*self._peers.of(self._contacts), *self._peers.unplaced()]
+
+    def audience_of(self, node: NodeId) -> list[Peer]:
+        """Return the entries that hear another's news only through this one, if any."""
+        if self.meshed or not self.head:
+            return []
+        return self.contacts() if self._in_own_cell(node) else self.members()
+
     @property
     def _own_cell(self) -> CellId:
         return self._cells.cell(self._me.peer.node)
@@ -158,7 +168,7 @@
             self._loans.beat(names, bool(self._peers.alive(now_s)), now_s)
         own = self._own_work(now_s)
         entries = self._to_name(now_s)
-        for peer in (*self._peers.of(self._contacts), *self._peers.unplaced()):
+        for peer in self.contacts():
             self._links.send(peer, self._heartbeat(peer, own, entries, True, now_s))
 
     def _meet_seeds(self) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -128,7 +128,7 @@
         entry = DirectEntry(settings, services, DirectTiming(), log, metrics, resting)
         relay = Relay(
             *(entry.serving, services.dialect, kept, single, entry.meter, RelayTuning()),
-            *(entry.retry_budget, entry.suspect, log, metrics),
+            *(entry.retry_budget, entry.suspect, entry.crashes, log, metrics),
         )
         try:
             await entry.start()
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -19,7 +19,8 @@
     be alive. ``waited_s`` is the time spent waiting for a place, ``first_part_s`` the time at which
     the answer began, ``target`` the one it was last sent to, and ``passed_on_s`` the
     time at which the caller was last given a part of the answer. It may be served in the halls
-    ``within``, or in any. ``fingerprint`` is the same in every try that asks for the same.
+    ``within``, or in any. One ``on_trial`` is sent once, to find out whether what it asks for still
+    ends targets. ``fingerprint`` is the same in every try that asks for the same.
     """
 
     request: web.BaseRequest
@@ -37,6 +38,7 @@
     within: frozenset[HallId] | None = None
     runs: int = 0
     sends: int = 0
+    on_trial: bool = False
     target: InstanceId | None = None
     waited_s: float = 0.0
     tried: set[InstanceId] = field(default_factory=set)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/ending.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/ending.py
@@ -14,7 +14,7 @@
     """Hold an attempt's outcome, its reason, and the response when it was answered.
 
     ``broke`` tells that the target could not be reached, fell silent or broke off, which the loss
-    of any member of its group would explain.
+    of any member of its group would explain; ``cut`` that its connection ended under the answer.
     """
 
     outcome: Outcome
@@ -22,6 +22,7 @@
     response: web.StreamResponse | None = None
     failed: bool = True
     broke: bool = False
+    cut: bool = False
 
     @classmethod
     def answered(cls, response: web.StreamResponse, failed: bool = False) -> "Ending":
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -72,7 +72,7 @@
         except CONNECT_FAULTS:
             return Ending(Outcome.NOT_RUN, Reason.LINK_LOST, broke=True)
         except BREAKS:
-            return Ending(Outcome.UNKNOWN, Reason.TARGET_FAILED, broke=True)
+            return Ending(Outcome.UNKNOWN, Reason.TARGET_FAILED, broke=True, cut=True)
 
     def _first_bound_s(self, call: Call, now_s: float) -> float:
         """Return until when a first answer is waited for: less when another place may give one."""
@@ -180,7 +180,7 @@
                 await self._pass_on(call, response, whole)
                 call.passed_on_s = now_s
         if splitter.rest():
-            return Ending(Outcome.UNKNOWN, Reason.ANSWER_SHORT)
+            return Ending(Outcome.UNKNOWN, Reason.ANSWER_SHORT, cut=True)
         try:
             answer = await self._begin(call, response)
             await answer.write_eof()
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -10,6 +10,7 @@
 from ochreway_core.ids import GroupId
 from ochreway_core.outcome import Outcome
 from ochreway_core.reason import Reason
+from ochreway_direct.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.ports.dialect import CallerDialect, CallerTerms
 from ochreway_direct.relay.admission import Admission
@@ -19,7 +20,7 @@
 from ochreway_direct.relay.ending import Ending
 from ochreway_direct.relay.errors import AnswerBroken, CallerGone, Refused
 from ochreway_direct.relay.exchange import HEAD_BYTES, Exchange
-from ochreway_direct.relay.refusal import refusal_of
+from ochreway_direct.relay.refusal import NOT_RUN_STATUS, refusal_of
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
 from ochreway_routing.retrybudget import RetryBudget
@@ -40,6 +41,7 @@
         tuning: RelayTuning,
         budget: RetryBudget,
         suspect: Callable[[GroupId], None],
+        crashes: CrashWatch,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -54,6 +56,7 @@
         self._metrics = metrics
         self._budget = budget
         self._suspect = suspect
+        self._crashes = crashes
         self.open_calls = 0
         self.taken_calls = 0
 
@@ -71,6 +74,7 @@
         call: Call | None = None
         try:
             call = await self._admission.admit(request, terms)
+            self._check_fatal(call)
             self._budget.requested()
             answer = await self._run(call)
             self._calls.answered(call, answer.status)
@@ -112,6 +116,7 @@
             begun_s = asyncio.get_running_loop().time()
             ending = await self._send(call, attempt)
             if ending.response is not None:
+                self._crashes.finished(call)
                 return ending.response
             self._calls.attempt_failed(call, attempt, ending, begun_s)
             self._metrics.count(f"attempt.{ending.reason.value}")
@@ -120,9 +125,24 @@
             if ending.broke and attempt.group is not None:
                 self._suspect(attempt.group)
             call.tried.add(attempt.instance)
+            if ending.cut:
+                await self._crashes.broke_off(call, attempt)
             await self._check_again(call, ending)
             self._metrics.count(f"retry.{ending.reason.value}")
 
+    def _check_fatal(self, call: Call) -> None:
+        """Raise if targets ended under what a call asks for, so that it is sent no more.
+
+        A caller who has had no part is told how long that is certain to last: so long no try
+        will be served, at any entry.
+        """
+        left_s = self._crashes.fatal_for_s(call)
+        if left_s <= 0.0:
+            return
+        if call.begun:
+            raise refusal_of(call, Reason.ENDS_TARGETS, left_s)
+        raise Refused(NOT_RUN_STATUS, Reason.ENDS_TARGETS, left_s)
+
     async def _check_again(self, call: Call, ending: Ending) -> None:
         """Raise unless the call may be sent once more."""
         left_s = call.left_s(asyncio.get_running_loop().time())
@@ -213,6 +233,7 @@
     async def _send(self, call: Call, attempt: Attempt) -> Ending:
         if call.organisation is not None and not self._serving.keys_trusted():
             raise self._give_up(call, Reason.STALE_VERSION, self._tuning.regroup_after_s)
+        self._check_fatal(call)
         call.sends += 1
         call.target = attempt.instance
         self._fleet.begin(attempt)
--- /dev/null
+++ b/packages/ochreway-standins/src/ochreway_standins/slopes/crashes.py
@@ -0,0 +1,67 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What it costs to know which requests end targets: time a request, memory, bytes a crash."""
+
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from ochreway_core.codec import encode
+from ochreway_core.fingerprint import fingerprint_of
+from ochreway_core.ids import Fingerprint, InstanceId
+from ochreway_core.messages.crashes import CrashNews
+from ochreway_routing.crashbook import FATAL_AT_MOST, SUSPECTS_AT_MOST, CrashBook
+from ochreway_routing.crashrecord import FATAL_CRASHES
+
+TIMES = 20_000
+BODY_BYTES = (700, 100_000)
+GROUP_CALLERS = 200
+"""How many requests are under way at one group of the size to design for."""
+NOW_S = 1000.0
+
+
+def full_book() -> CrashBook:
+    """Return a book that holds all it may."""
+    book = CrashBook()
+    for number in range(SUSPECTS_AT_MOST + FATAL_AT_MOST):
+        for target in range(FATAL_CRASHES if number < FATAL_AT_MOST else FATAL_CRASHES - 1):
+            book.crashed(named(number), InstanceId(f"i-{target:010x}"), NOW_S)
+    return book
+
+
+def named(number: int) -> Fingerprint:
+    """Return a fingerprint of the usual length."""
+    return Fingerprint(f"{number:024x}")
+
+
+def each_us(work: Callable[[], object]) -> float:
+    """Return how long a piece of work takes on average."""
+    begun_s = time.perf_counter()
+    for _ in range(TIMES):
+        work()
+    return 1e6 * (time.perf_counter() - begun_s) / TIMES
+
+
+def main() -> None:
+    """Print a line for each cost."""
+    for size in BODY_BYTES:
+        body = b"x" * size
+        took_us = each_us(lambda body=body: fingerprint_of("ann", "POST", "care.example/a", body))
+        print(f"slope=fingerprint body_bytes={size} us={took_us:.2f}", flush=True)
+    tracemalloc.start()
+    book = full_book()
+    held_mb = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    asked, begun = named(-1 % 16**24), NOW_S + 1.0
+    known_us = each_us(lambda: (book.fatal_for_s(asked, begun), book.asked(asked, begun)))
+    ended_us = each_us(lambda: (book.crashes(asked), book.finished(asked, begun)))
+    print(f"slope=book full_mb={held_mb:.1f} admitted_us={known_us:.2f} ended_us={ended_us:.2f}")
+    suspects = [named(FATAL_AT_MOST + n) for n in range(GROUP_CALLERS)]
+    told = len(encode(CrashNews(book.sightings(suspects, begun))))
+    print(f"slope=news requests={GROUP_CALLERS} bytes={told}")
+    sightings = book.sightings(suspects, begun)
+    heard_us = each_us(lambda: [book.hear(each, begun) for each in sightings[:1]])
+    print(f"slope=heard us={heard_us:.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -150,3 +150,23 @@
         self.assertEqual("refused", content["ended"])
         self.assertIn("member_silent", content["why"])
         self.assertEqual(EXIT_NOT_FOUND, runner.invoke(explain, ["r9", *paths]).exit_code)
+
+    def test_a_request_that_ends_targets_names_them_and_the_other_tries(self) -> None:
+        asked = {"fingerprint": "f1"}
+        first = text(
+            *("e", 1.0, "attempt"), request="r0", target="i-1", reason="target_failed", **asked
+        )
+        other = text(*("d", 2.0, "attempt"), request="r9", target="i-7", reason="target_failed")
+        fatal = text("d", 30.0, "request_fatal", targets="i-1,i-2,i-3", **asked)
+        refused = text(
+            *("e", 55.0, "refused"), request="r1", status=503, reason="ends_targets", **asked
+        )
+        story = self.story("r1", e=(first, refused), d=(other, fatal))
+        self.assertEqual(
+            ["attempt", "request_fatal", "refused"], [line.event for line in story.lines]
+        )
+        end = story.end
+        assert end is not None
+        told = why(story, end)
+        self.assertIn("i-1,i-2,i-3 ended while they ran what it asks for (f1)", told)
+        self.assertIn("in 1 tries", told)
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -23,6 +23,7 @@
     Service,
     Share,
 )
+from ochreway_direct.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.freshness import Freshness, KeyTrust
@@ -37,6 +38,7 @@
 from ochreway_direct.relay.targetsession import target_session
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
+from ochreway_routing.crashbook import CrashBook
 from ochreway_routing.retrybudget import RetryBudget
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
@@ -189,10 +191,12 @@
         to_targets = TargetConnector(lambda: self.metrics.count("connections"), self.resting)
         self.kept = target_session(to_targets)
         self.single = target_session(TargetConnector(keeps=False))
+        log = EventLog("entry", "e", "critical")
+        self.book = CrashBook()
+        self.crashes = CrashWatch(self.book, log, self.metrics)
         self.relay = Relay(
             *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
-            *(self.tuning, self.budget, self.suspected.append),
-            *(EventLog("entry", "e", "error"), self.metrics),
+            *(self.tuning, self.budget, self.suspected.append, self.crashes, log, self.metrics),
         )
         self.bounded = CallerConnections()
         server = CallerServer(self.serving, self.relay, self.bounded)
