--- a/packages/ochreway-core/src/ochreway_core/invariants.py
+++ b/packages/ochreway-core/src/ochreway_core/invariants.py
@@ -25,6 +25,7 @@
     STOP_CUTS_NOTHING = "stop_cuts_nothing"
     VERSION_FORWARD = "version_forward"
     DRAINED_QUIET = "drained_quiet"
+    FATAL_QUIET = "fatal_quiet"
 
 
 def _raise(invariant: Invariant, detail: str) -> None:
--- a/packages/ochreway-core/src/ochreway_core/messages/crashes.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/crashes.py
@@ -10,9 +10,13 @@
 @message(80)
 @dataclass(frozen=True, slots=True)
 class CrashNews:
-    """Tell other entries under which requests targets have ended."""
+    """Tell other entries under which requests targets have ended.
+
+    ``asks`` has the receiver tell all that counts in return, as its sender has just begun.
+    """
 
     sightings: tuple[CrashSighting, ...]
+    asks: bool = False
 
 
 __all__ = ["CrashNews"]
--- a/packages/ochreway-core/src/ochreway_core/reason.py
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -35,6 +35,7 @@
     RETRY_BUDGET = "retry_budget"
     LINK_LOST = "link_lost"
     TARGET_FAILED = "target_failed"
+    TARGET_ENDED = "target_ended"
     ANSWER_SHORT = "answer_short"
     ENDS_TARGETS = "ends_targets"
     KEY_TAKEN = "key_taken"
--- a/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
@@ -111,8 +111,9 @@
         except TargetUnreachable:
             self.post(lambda now_s: self.node.on_target_failed(attempt, False, now_s))
         except TargetBroke as fault:
-            self.log.event("target_broke", request=submit.request, fault=fault)
-            self.post(lambda now_s: self.node.on_target_failed(attempt, True, now_s))
+            ended = await self._target.ended()
+            self.log.event("target_broke", request=submit.request, fault=fault, ended=ended)
+            self.post(lambda now_s: self.node.on_target_failed(attempt, True, now_s, ended))
         took_s = time.monotonic() - began_s
         self.metrics.timing("target.total", took_s)
         self.log.event(
--- a/packages/ochreway-daemon/src/ochreway_daemon/legacyrunner.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/legacyrunner.py
@@ -57,7 +57,8 @@
         except TargetUnreachable:
             answer(Refusal(submit.attempt, Outcome.NOT_RUN, Reason.TARGET_FAILED, 1.0))
         except PlatformError:
-            answer(Refusal(submit.attempt, Outcome.UNKNOWN, Reason.TARGET_FAILED, 1.0))
+            reason = Reason.TARGET_ENDED if await target.ended() else Reason.TARGET_FAILED
+            answer(Refusal(submit.attempt, Outcome.UNKNOWN, reason, 1.0))
 
 
 __all__ = ["LegacyRunner"]
--- a/packages/ochreway-direct/src/ochreway_direct/crashwatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashwatch.py
@@ -8,7 +8,7 @@
 from ochreway_core.ids import Fingerprint
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
-from ochreway_direct.targetcheck import TargetCheck
+from ochreway_platform.targetcheck import TargetCheck
 from ochreway_routing.crashbook import CrashBook
 from ochreway_routing.crashrecord import FATAL_CRASHES
 from ochreway_runtime.logs import EventLog
@@ -34,7 +34,11 @@
     it comes and when it ends, 0.6 us together (``python -m ochreway_standins.slopes.crashes``).
     """
 
-    def __init__(self, book: CrashBook, log: EventLog, metrics: Metrics) -> None:
+    def __init__(
+        self, book: CrashBook, log: EventLog, metrics: Metrics, refuses: bool = True
+    ) -> None:
+        """Start with the parts given; one that does not refuse only counts, for measurements."""
+        self._refuses = refuses
         self._book = book
         self._check = TargetCheck()
         self._log = log
@@ -45,13 +49,12 @@
 
     def fatal_for_s(self, call: Call) -> float:
         """Return for how long a call must not be sent; 0 when it may be."""
-        if call.on_trial and not call.sends:
+        if not self._refuses or (call.on_trial and not call.sends):
             return 0.0
-        now_s = self._loop.time()
-        left_s = self._book.fatal_for_s(call.fingerprint, now_s)
-        if self._book.asked(call.fingerprint, now_s) and left_s <= 0.0:
+        verdict = self._book.asked(call.fingerprint, self._loop.time())
+        if verdict.on_trial:
             self._try_again(call)
-        return left_s
+        return verdict.fatal_for_s
 
     def _try_again(self, call: Call) -> None:
         """Let one call be sent once, after its like was long not asked for; others wait for it."""
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -173,7 +173,7 @@
             loans=self._loans,
         )
         book = CrashBook()
-        self.crashes = CrashWatch(book, log, metrics)
+        self.crashes = CrashWatch(book, log, metrics, settings.has(Mechanism.FATAL_REFUSED))
         self._crash_spread = CrashSpread(book, self.crashes, self._heartbeats, self.links)
         self._sharing = FleetSharing(
             *(self.view, self.serving, self.lease, self.peers, self.links),
--- a/packages/ochreway-direct/src/ochreway_direct/mechanism.py
+++ b/packages/ochreway-direct/src/ochreway_direct/mechanism.py
@@ -21,6 +21,8 @@
     """Form a group anew without members that have turned slow."""
     STAGING_BESIDE = "staging-beside"
     """Load other models' weights beside those of groups that are wanted."""
+    FATAL_REFUSED = "fatal-refused"
+    """Send a request no more under which three targets have ended."""
     SILENCE_SUSPECTED = "silence-suspected"
     """Have a group's members asked at once when all its answers stand still."""
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
@@ -146,9 +146,14 @@
         """End an attempt whose hand-over did not happen."""
         self.serving.on_hand_over_missed(attempt, now_s)
 
-    def on_target_failed(self, attempt: AttemptId, started: bool, now_s: float) -> None:
-        """End an attempt that the target gave up; ``started`` when it may have begun."""
-        self.serving.on_target_failed(attempt, started, now_s)
+    def on_target_failed(
+        self, attempt: AttemptId, started: bool, now_s: float, ended: bool = False
+    ) -> None:
+        """End an attempt that the target gave up.
+
+        ``started`` tells that it may have begun, ``ended`` that its process ended under it.
+        """
+        self.serving.on_target_failed(attempt, started, now_s, ended)
 
     def may_hand_over(self, order: HandOver, now_s: float) -> bool:
         """Tell, at the moment of the hand-over, whether it may still happen."""
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
@@ -232,20 +232,23 @@
         if chunk.last or not offset:
             self.dispatch(now_s)
 
-    def on_target_failed(self, attempt: AttemptId, started: bool, now_s: float) -> None:
+    def on_target_failed(
+        self, attempt: AttemptId, started: bool, now_s: float, ended: bool = False
+    ) -> None:
         """End an attempt that the target gave up.
 
         Args:
             attempt: which one.
             started: False only when the target cannot have begun it.
             now_s: the time.
+            ended: True when the target's process ended while it ran it.
         """
         record = self.ledger.get(attempt)
         if record is None or record.state is not AttemptState.HANDED:
             return
         self._slot_free(record, now_s)
         outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
-        self._end(record, outcome, Reason.TARGET_FAILED, 1.0)
+        self._end(record, outcome, Reason.TARGET_ENDED if ended else Reason.TARGET_FAILED, 1.0)
         self.dispatch(now_s)
 
     def on_credit(self, sender: Peer, credit: Credit, now_s: float) -> None:
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -7,7 +7,8 @@
 from ochreway_core.attemptid import AttemptId
 from ochreway_core.claimround import ClaimState
 from ochreway_core.effects import Deliver, Finish
-from ochreway_core.ids import Incarnation, NodeId, RequestId
+from ochreway_core.fingerprint import fingerprint_of
+from ochreway_core.ids import Fingerprint, Incarnation, InstanceId, NodeId, RequestId
 from ochreway_core.messages import (
     Cancel,
     ClaimReply,
@@ -25,6 +26,7 @@
 from ochreway_core.request import Request
 from ochreway_core.timing import Timing
 from ochreway_nodes.entry.call import Attempt, Call, CallState
+from ochreway_nodes.entry.crashes import Crashes
 from ochreway_nodes.entry.keyclaims import KeyClaims, why_failed
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewspread import ViewSpread
@@ -63,6 +65,7 @@
         router: Router,
         limits: Limits,
         address_of: Callable[[NodeId], Peer | None],
+        crashes: Crashes,
         outbox: Outbox,
     ) -> None:
         self._me = me
@@ -72,6 +75,7 @@
         self._router = router
         self._limits = limits
         self._keys = KeyClaims(spread, timing, address_of, outbox)
+        self._crashes = crashes
         self._outbox = outbox
         self._sequence = 0
         self._calls: dict[RequestId, Call] = {}
@@ -84,7 +88,12 @@
 
     def start(self, request: Request, now_s: float) -> None:
         """Begin a request; it ends with one ``Finish`` effect."""
-        call = Call(request, CallState.CLAIMING)
+        call = Call(request, CallState.CLAIMING, fingerprint=_fingerprint(request))
+        fatal_s = self._fatal_for_s(call, now_s)
+        if fatal_s > 0.0:
+            # Before any limit: what is never sent takes nobody's share.
+            self._finish_refused(request, Reason.ENDS_TARGETS, fatal_s)
+            return
         admitted = self._limits.admit(request.organisation, call.tokens, now_s)
         if admitted.is_err():
             refused = admitted.unwrap_err()
@@ -96,6 +105,14 @@
         else:
             self._route(call, now_s)
 
+    def _fatal_for_s(self, call: Call, now_s: float) -> float:
+        """Return for how long a call must not be sent; one on trial is sent once."""
+        if call.on_trial and not call.attempts:
+            return 0.0
+        verdict = self._crashes.asked(call.fingerprint, now_s)
+        call.on_trial = verdict.on_trial
+        return verdict.fatal_for_s
+
     def _finish_refused(self, request: Request, reason: Reason, retry_after_s: float) -> None:
         self._outbox.count(f"refusal.{reason.value}")
         finish = Finish(request.request, Outcome.NOT_RUN, reason, retry_after_s)
@@ -150,6 +167,10 @@
         )
 
     def _route(self, call: Call, now_s: float) -> None:
+        fatal_s = self._fatal_for_s(call, now_s)
+        if fatal_s > 0.0:
+            self._end(call, Outcome.NOT_RUN, Reason.ENDS_TARGETS, fatal_s)
+            return
         query = self._query(call.request)
         chosen = self._router.choose(query, call.tried, now_s)
         if chosen.is_err():
@@ -206,7 +227,7 @@
         for fresh in attempt.answer.add(frame):
             self._deliver(call, attempt, fresh, now_s)
         if attempt.answer.whole:
-            self._answered(call, attempt)
+            self._answered(call, attempt, now_s)
 
     def _deliver(self, call: Call, attempt: Attempt, frame: Frame, now_s: float) -> None:
         if frame.offset == 0:
@@ -230,11 +251,12 @@
         if replica is not None:
             self._router.first_token(replica, attempt.expected_s, now_s - attempt.sent_s)
 
-    def _answered(self, call: Call, attempt: Attempt) -> None:
+    def _answered(self, call: Call, attempt: Attempt, now_s: float) -> None:
         answer = attempt.answer
         assert answer.total is not None
         whole = invariants.answer_is_whole(answer.received, answer.total, str(attempt.attempt))
         self._router.answered(attempt.group, str(attempt.attempt))
+        self._crashes.finished(call.fingerprint, now_s)
         outcome = Outcome.ANSWERED if whole else Outcome.UNKNOWN
         self._end(call, outcome, Reason.NONE if whole else Reason.ANSWER_SHORT, 0.0)
 
@@ -260,6 +282,9 @@
         if call is None or call.attempt is None or call.attempt.attempt != attempt:
             return
         call.may_have_run = call.may_have_run or outcome is Outcome.UNKNOWN
+        if reason is Reason.TARGET_ENDED:
+            target = InstanceId(call.attempt.peer.node)
+            self._crashes.crashed(call.fingerprint, target, now_s)
         fault = reason not in _NO_FAULT
         if self._router.failed(call.attempt.group, str(attempt), fault, now_s):
             self._outbox.count("ejection")
@@ -382,6 +407,11 @@
         self._outbox.add(Finish(request.request, outcome, reason, retry_after_s))
 
 
+def _fingerprint(request: Request) -> Fingerprint:
+    path = f"{request.target}{request.path}"
+    return fingerprint_of(request.organisation, request.method, path, request.body)
+
+
 _TICKS: dict[CallState, Callable[[Calls, Call, float], None]] = {
     CallState.CLAIMING: Calls._tick_claiming,
     CallState.RUNNING: Calls._tick_running,
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -21,6 +21,7 @@
 from ochreway_core.listing import ListedInstance
 from ochreway_core.messages import (
     ClaimReply,
+    CrashNews,
     Follow,
     FollowView,
     Frame,
@@ -46,9 +47,10 @@
 from ochreway_nodes.controller.controller import CANDIDATES, Controller
 from ochreway_nodes.controller.repair import REPAIR_POLICIES, RepairTuning
 from ochreway_nodes.entry.calls import Calls
+from ochreway_nodes.entry.crashes import Crashes
 from ochreway_nodes.entry.legacy import legacy_replicas
 from ochreway_nodes.entry.listing import Listing, listing_of
-from ochreway_nodes.entry.spreadtree import PARENTS, parents_of, reads_table
+from ochreway_nodes.entry.spreadtree import PARENTS, parents_of, readers_of, reads_table
 from ochreway_nodes.entry.subset import entries_of, followed_groups
 from ochreway_nodes.entry.viewkeeper import ViewKeeper
 from ochreway_nodes.hearddrains import HeardDrains
@@ -92,6 +94,7 @@
         self._outbox = Outbox()
         self._repair = REPAIR_POLICIES[repair_policy](repair_tuning or RepairTuning())
         self._follow_s = -1.0e9
+        self._other_readers: list[Peer] = []
         self.spread = ViewSpread(View(operator_keys, timing.key_memory_s), self._outbox)
         self.drains = HeardDrains(timing.hall_drain_s, now_s)
         self._closed_halls: frozenset[HallId] = frozenset()
@@ -101,6 +104,7 @@
         self.keeper.follow(list(first_peers))
         self.router = Router(hall, rng, policy=routing_policy)
         self.limits = Limits()
+        self.crashes = Crashes(self._outbox)
         self.calls = Calls(
             me,
             incarnation,
@@ -109,6 +113,7 @@
             self.router,
             self.limits,
             self._address_of,
+            self.crashes,
             self._outbox,
         )
         self._handlers: dict[type, Handler] = {
@@ -126,6 +131,7 @@
             GroupsUpdate: self.keeper.on_groups_update,
             HallsUpdate: self.keeper.on_halls_update,
             ListingUpdate: self._on_listing_update,
+            CrashNews: self.crashes.on_news,
         }
 
     @property
@@ -218,6 +224,7 @@
     def _follow_listing(self, now_s: float) -> None:
         entries = entries_of(self.listing)
         self._choose_parents(entries)
+        self._other_readers = self._readers_elsewhere(entries)
         self._set_controllers(now_s)
         self._configure_limits()
         self._set_replicas()
@@ -233,6 +240,18 @@
         peers = [self._address_of(node) for node in chosen]
         self.keeper.follow([peer for peer in peers if peer is not None])
 
+    def _readers_elsewhere(self, entries: list[ListedInstance]) -> list[Peer]:
+        """Return the readers of other halls, for a reader; news passes between halls by them."""
+        if not self.keeper.reads_table:
+            return []
+        halls = sorted({each.hall for each in entries} - {self.hall})
+        found = []
+        for hall in halls:
+            there = [each.node for each in entries if each.hall == hall and not each.leaving]
+            found += readers_of(rank(f"readers/{hall}", there))
+        peers = [self._address_of(node) for node in found]
+        return [peer for peer in peers if peer is not None]
+
     def _rank(self, domain: DomainId, entries: list[ListedInstance]) -> int:
         staying = [each.node for each in entries if not each.leaving]
         order = rank(f"controller/{domain}", staying)
@@ -253,6 +272,8 @@
             controller.observe(self.keeper.leases.get(domain), now_s)
             controller.tick(now_s)
         self.calls.tick(now_s)
+        self.crashes.set_neighbours([*self.keeper.neighbours(), *self._other_readers])
+        self.crashes.tick(now_s)
         if now_s - self._follow_s >= FOLLOW_S:
             self._follow_s = now_s
             self._follow_leaders()
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/spreadtree.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/spreadtree.py
@@ -13,9 +13,14 @@
 FAN_OUT = 4
 
 
+def readers_of(order: list[NodeId]) -> list[NodeId]:
+    """Return the hall's readers."""
+    return order[:READERS]
+
+
 def reads_table(node: NodeId, order: list[NodeId]) -> bool:
     """Tell whether the node is one of the hall's readers, as it is when it knows of none."""
-    return not order or node in order[:READERS]
+    return not order or node in readers_of(order)
 
 
 def parents_of(node: NodeId, order: list[NodeId]) -> list[NodeId]:
@@ -27,4 +32,4 @@
     return order[first : first + PARENTS]
 
 
-__all__ = ["FAN_OUT", "PARENTS", "READERS", "parents_of", "reads_table"]
+__all__ = ["FAN_OUT", "PARENTS", "READERS", "parents_of", "readers_of", "reads_table"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -158,6 +158,10 @@
             self.parents = parents
             self._followed_s = -1.0e9
 
+    def neighbours(self) -> list[Peer]:
+        """Return the entries that this one follows, and those that follow it."""
+        return [*self.parents, *(each.peer for each in self._followers.values())]
+
     def _may_poll(self, now_s: float) -> bool:
         may_read = self.reads_table and self._call is None and now_s >= self._not_before_s
         return may_read and now_s - self._polled_s >= self._timing.view_poll_s
--- a/packages/ochreway-platform/src/ochreway_platform/httptarget.py
+++ b/packages/ochreway-platform/src/ochreway_platform/httptarget.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
+from yarl import URL
 
 from ochreway_core.chunk import Chunk
 from ochreway_core.ids import Epoch
@@ -12,6 +13,7 @@
 from ochreway_core.targetorder import TargetOrder
 from ochreway_platform.errors import HandOverRefused, TargetBroke, TargetUnreachable
 from ochreway_platform.target import Target, TargetReport
+from ochreway_platform.targetcheck import TargetCheck
 
 STATE_TIMEOUT_S = 1.0
 EVENT_STREAM = "text/event-stream"
@@ -25,6 +27,8 @@
     def __init__(self, session: aiohttp.ClientSession, base_url: str, kind: TargetKind) -> None:
         self._session = session
         self._base_url = base_url.rstrip("/")
+        self._address = address_of(base_url)
+        self._check = TargetCheck()
         self._kind = kind
         self._timeout = aiohttp.ClientTimeout(total=STATE_TIMEOUT_S)
 
@@ -62,6 +66,10 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as fault:
             raise TargetUnreachable(str(fault)) from fault
 
+    async def ended(self) -> bool:
+        """Tell whether nobody listens at the target's address any more."""
+        return await self._check.ended(self._address)
+
     async def run(self, submit: Submit, allowed: Callable[[], bool]) -> AsyncIterator[Chunk]:
         """Yield the answer's pieces."""
         body = _GuardedBody(submit.body, allowed)
@@ -84,6 +92,12 @@
             raise TargetBroke(str(fault) or type(fault).__name__) from fault
 
 
+def address_of(base_url: str) -> str:
+    """Return the host and port that a base address names."""
+    url = URL(base_url)
+    return f"{url.host}:{url.port}"
+
+
 def _headers(submit: Submit) -> dict[str, str]:
     return {
         "Content-Type": "application/json",
--- a/packages/ochreway-platform/src/ochreway_platform/target.py
+++ b/packages/ochreway-platform/src/ochreway_platform/target.py
@@ -41,6 +41,10 @@
             TargetUnreachable: when it does not answer.
         """
 
+    @abstractmethod
+    async def ended(self) -> bool:
+        """Tell whether the target's process has ended, as far as can be told."""
+
     @abstractmethod
     def run(self, submit: Submit, allowed: Callable[[], bool]) -> AsyncIterator[Chunk]:
         """Yield the answer's pieces; closing the iterator cancels the work.
--- a/packages/ochreway-routing/src/ochreway_routing/crashbook.py
+++ b/packages/ochreway-routing/src/ochreway_routing/crashbook.py
@@ -12,6 +12,7 @@
 from ochreway_core.crashsighting import CrashSighting
 from ochreway_core.ids import Fingerprint, InstanceId
 from ochreway_routing.crashrecord import Crash, CrashRecord
+from ochreway_routing.crashverdict import INNOCENT, CrashVerdict
 
 REMEMBERED_S = 600.0
 """For how long a request counts after it was last asked for, or a target last ended under it.
@@ -60,14 +61,19 @@
         self._keep(fingerprint, record)
         return True
 
-    def asked(self, fingerprint: Fingerprint, now_s: float) -> bool:
-        """Note that a request is asked for; return whether it is a fatal one."""
+    def asked(self, fingerprint: Fingerprint, now_s: float) -> CrashVerdict:
+        """Note that a request is asked for; return whether it may be sent.
+
+        A fatal one that was long not asked for is let through once: whoever asks for the same
+        meanwhile is refused until it is known what became of that.
+        """
         record = self._fatal.get(fingerprint)
         if record is None:
-            return False
+            return INNOCENT
+        left_s = record.asked_s + REMEMBERED_S - now_s
         record.asked_s = max(record.asked_s, now_s)
         self._fatal.move_to_end(fingerprint)
-        return True
+        return CrashVerdict(left_s) if left_s > 0.0 else CrashVerdict(on_trial=True)
 
     def hear(self, sighting: CrashSighting, heard_s: float) -> bool:
         """Take what another process tells; return whether any of it was not known."""
@@ -97,13 +103,6 @@
         record = self._record(fingerprint)
         return len(record.crashes) if record is not None else 0
 
-    def fatal_for_s(self, fingerprint: Fingerprint, now_s: float) -> float:
-        """Return for how long a request must not be sent; 0 when it may be."""
-        record = self._fatal.get(fingerprint)
-        if record is None:
-            return 0.0
-        return max(0.0, record.asked_s + REMEMBERED_S - now_s)
-
     def targets(self, fingerprint: Fingerprint) -> list[InstanceId]:
         """Return the targets that ended under a request, the first one first."""
         record = self._record(fingerprint)
--- a/packages/ochreway-standins/src/ochreway_standins/slopes/crashes.py
+++ b/packages/ochreway-standins/src/ochreway_standins/slopes/crashes.py
@@ -4,6 +4,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from functools import partial
 
 from ochreway_core.codec import encode
 from ochreway_core.fingerprint import fingerprint_of
@@ -45,14 +46,14 @@
     """Print a line for each cost."""
     for size in BODY_BYTES:
         body = b"x" * size
-        took_us = each_us(lambda body=body: fingerprint_of("ann", "POST", "care.example/a", body))
+        took_us = each_us(partial(fingerprint_of, "ann", "POST", "care.example/a", body))
         print(f"slope=fingerprint body_bytes={size} us={took_us:.2f}", flush=True)
     tracemalloc.start()
     book = full_book()
     held_mb = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
     asked, begun = named(-1 % 16**24), NOW_S + 1.0
-    known_us = each_us(lambda: (book.fatal_for_s(asked, begun), book.asked(asked, begun)))
+    known_us = each_us(lambda: book.asked(asked, begun))
     ended_us = each_us(lambda: (book.crashes(asked), book.finished(asked, begun)))
     print(f"slope=book full_mb={held_mb:.1f} admitted_us={known_us:.2f} ended_us={ended_us:.2f}")
     suspects = [named(FATAL_AT_MOST + n) for n in range(GROUP_CALLERS)]
--- a/packages/ochreway-standins/src/ochreway_standins/soak/callers.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/callers.py
@@ -21,6 +21,8 @@
 AGAIN_S = 0.3
 CALLER_SKEW_S = 0.4
 ISSUE_TIME_SHARE = 0.7
+FATAL_AGAIN_S = (0.1, 0.9)
+"""After how long a request that ends its targets is asked for again."""
 
 
 @dataclass(slots=True)
@@ -78,6 +80,7 @@
         deadline_s: float,
         pieces: int,
         tries_left: int,
+        body: bytes = b"",
     ) -> None:
         world = self._world
         entries = [each for each in world.entries() if each.alive]
@@ -86,7 +89,9 @@
         process = world.random.choice(entries)
         request = Request(
             request=RequestId(f"r{len(self.asked)}"),
-            organisation=OrganisationId(world.random.choice(ORGANISATIONS)),
+            organisation=OrganisationId(
+                ORGANISATIONS[0] if body else world.random.choice(ORGANISATIONS)
+            ),
             kind=TargetKind.SERVICE if service else TargetKind.MODEL,
             target=TargetName("roster" if service else "planner"),
             repeatable=repeatable,
@@ -101,7 +106,8 @@
             adapter="",
             method="POST",
             path="/x",
-            body=b"",
+            # Each request asks for something of its own; a caller's retry asks for the same.
+            body=body or str(key or f"r{len(self.asked)}").encode(),
         )
         asked = Asked(
             request,
@@ -117,6 +123,16 @@
         assert isinstance(node, EntryNode)
         world.post(process, lambda now_s: node.on_request(request, now_s))
 
+    def ask_fatal(self, body: bytes, service: bool, times: int) -> None:
+        """Ask for what ends its targets, again and again, of any entry."""
+        if not times:
+            return
+        rng = self._world.random
+        deadline_s = self._world.clock.now_s + rng.uniform(*DEADLINE_S)
+        self._ask(service, None, 0.0, True, deadline_s, 1, 1, body)
+        again = partial(self.ask_fatal, body, service, times - 1)
+        self._world.clock.after(rng.uniform(*FATAL_AGAIN_S), again)
+
     def _on_deliver(self, process: Process, effect: Deliver) -> None:
         self.asked[effect.request].answer += effect.payload
 
--- a/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
@@ -16,6 +16,7 @@
 from ochreway_standins.soak.operator import Operator, bundle_body
 from ochreway_standins.soak.process import Process
 from ochreway_standins.soak.simplatform import Mode
+from ochreway_standins.soak.simtarget import FATAL
 from ochreway_standins.soak.truth import AGENT_LEAVE_S, LIST_LAG_MOST_S, LIST_LEAVE_S, Truth
 from ochreway_standins.soak.world import HALL, OTHER_HALL, World
 
@@ -23,6 +24,8 @@
 
 FAULTS: dict[str, Fault] = {}
 STOP_POLL_S = 0.2
+FATAL_TRIES = 40
+"""How often a request comes that ends its targets: for some 20 s."""
 OWN_HALL_SHARE = 0.2
 """How often the hall is drained that most instances are in; few can then stand in for them."""
 HALL_DRAINED_S = (2.0, 14.0)
@@ -412,6 +415,13 @@
     faults.world.targets[faults.some(faults.world.agents())].crash()
 
 
+@fault("fatal_request")
+def _fatal_request(faults: Faults) -> None:
+    """Have a request come again and again that ends whatever runs it."""
+    service = faults.world.random.random() < 0.5
+    faults.callers.ask_fatal(FATAL + str(faults.count).encode(), service, FATAL_TRIES)
+
+
 @fault("roll")
 def _roll(faults: Faults) -> None:
     faults.roll("ann")
--- a/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
@@ -33,6 +33,8 @@
 from ochreway_nodes.entry import EntryNode
 from ochreway_nodes.entry.call import Call
 from ochreway_nodes.hearddrains import HeardDrains
+from ochreway_routing.crashbook import CrashBook
+from ochreway_routing.crashverdict import INNOCENT
 from ochreway_standins.soak.run import Run
 
 Patch = Callable[[], contextlib.AbstractContextManager[Any]]
@@ -206,6 +208,16 @@
     return mock.patch.multiple(HeardDrains, halls=none, closed=lambda drains, now_s: frozenset())
 
 
+@guard("fatal_requests", ("fatal_quiet",), ("fatal_request",), 1)
+def _fatal_requests() -> contextlib.AbstractContextManager[Any]:
+    return mock.patch.object(CrashBook, "asked", lambda book, fingerprint, now_s: INNOCENT)
+
+
+@guard("crashes_told", ("fatal_quiet",), ("fatal_request", "kill_entry"), 6, 2)
+def _crashes_told() -> contextlib.AbstractContextManager[Any]:
+    return mock.patch.object(CrashBook, "hear", lambda book, sighting, heard_s: False)
+
+
 @guard("version_forward", ("version_forward",), ("race", "roll", "disorder", "table_slow"), 10)
 def _version_forward() -> contextlib.AbstractContextManager[Any]:
     original = View.apply
--- a/packages/ochreway-standins/src/ochreway_standins/soak/simtarget.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/simtarget.py
@@ -15,9 +15,14 @@
 
 PIECES = (1, 12)
 PIECE_S = (0.01, 0.3)
+BACK_S = (2.0, 4.0)
+"""How long a target takes to come back after its process ended."""
+FATAL = b"fatal"
+"""With what the body of a request begins that ends whatever runs it."""
 
 OnChunk = Callable[[AttemptId, Chunk], None]
-OnFailed = Callable[[AttemptId, bool], None]
+OnFailed = Callable[[AttemptId, bool, bool], None]
+"""Told of an attempt that may have begun or not, and whether its target ended under it."""
 
 
 def expected_answer(request: str, pieces: int) -> bytes:
@@ -32,6 +37,7 @@
     request: str
     attempt: AttemptId
     began_s: float
+    body: bytes = b""
 
 
 @dataclass(slots=True)
@@ -49,6 +55,7 @@
     loaded_s: float = 1.0e9
     life: int = 0
     broken: bool = False
+    back_s: float = 0.0
     running: dict[AttemptId, int] = field(default_factory=dict)
 
     @property
@@ -73,15 +80,41 @@
         self.epoch, self.artifact, self.loaded_s = 0, "", 1.0e9
         self.running.clear()
 
+    @property
+    def down(self) -> bool:
+        """Tell whether the target's process has ended and is not back yet."""
+        return self.clock.now_s < self.back_s
+
+    def end(self) -> None:
+        """End as a process does; it comes back and knows nothing."""
+        self.crash()
+        self.back_s = self.clock.now_s + self.random.uniform(*BACK_S)
+
     def run(self, submit: Submit, on_chunk: OnChunk, on_failed: OnFailed) -> None:
         """Begin an attempt."""
         attempt = submit.attempt
-        self.executions.append(Execution(submit.request, attempt, self.clock.now_s))
+        if self.down:
+            self.clock.after(0.001, lambda: on_failed(attempt, False, False))
+            return
+        self.executions.append(Execution(submit.request, attempt, self.clock.now_s, submit.body))
         if self.broken and self.random.random() < 0.5:
-            self.clock.after(0.01, lambda: on_failed(attempt, True))
+            self.clock.after(0.01, lambda: on_failed(attempt, True, False))
             return
         self.running[attempt] = self.life
-        self._piece(submit, 0, on_chunk, on_failed)
+        if submit.body.startswith(FATAL):
+            self._run_fatal(attempt, on_failed)
+        else:
+            self._piece(submit, 0, on_chunk, on_failed)
+
+    def _run_fatal(self, attempt: AttemptId, on_failed: OnFailed) -> None:
+        life = self.life
+
+        def ends() -> None:
+            if self.running.get(attempt) == life == self.life:
+                self.end()
+            on_failed(attempt, True, self.life != life)
+
+        self.clock.after(self.random.uniform(*PIECE_S), ends)
 
     def _piece(self, submit: Submit, index: int, on_chunk: OnChunk, on_failed: OnFailed) -> None:
         attempt, life = submit.attempt, self.life
@@ -89,7 +122,7 @@
 
         def give() -> None:
             if self.running.get(attempt) != life or self.life != life:
-                on_failed(attempt, True)
+                on_failed(attempt, True, self.life != life)
                 return
             payload = f"{submit.request}/{index};".encode()
             last = index + 1 >= pieces
@@ -106,4 +139,4 @@
         self.running.pop(attempt, None)
 
 
-__all__ = ["PIECES", "Execution", "SimTarget", "expected_answer"]
+__all__ = ["FATAL", "PIECES", "Execution", "SimTarget", "expected_answer"]
--- a/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
@@ -12,6 +12,7 @@
 from ochreway_core.rows import GroupRow, InstanceRow
 from ochreway_nodes.agent import AgentNode
 from ochreway_standins.soak.callers import Callers
+from ochreway_standins.soak.crashtruth import CrashTruth
 from ochreway_standins.soak.halltruth import HallTruth
 from ochreway_standins.soak.process import Process
 from ochreway_standins.soak.simtarget import expected_answer
@@ -32,10 +33,12 @@
     violations: list[str] = field(default_factory=list)
     quiet_from_s: dict[NodeId, float] = field(default_factory=dict)
     halls: HallTruth = field(init=False)
+    crashes: CrashTruth = field(init=False)
     _versions: dict[tuple[NodeId, float], int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.halls = HallTruth(self.world)
+        self.crashes = CrashTruth(self.world)
 
     def watch(self) -> None:
         """Look on from now on."""
@@ -53,6 +56,8 @@
     def _on_hand_over(self, process: Process, order: HandOver) -> None:
         node = process.node
         assert isinstance(node, AgentNode)
+        for detail in self.crashes.handed_over(process.peer.node, order.submit):
+            self.violate(Invariant.FATAL_QUIET, detail)
         row = node.membership.row
         if row is None:
             self.violate(Invariant.GROUP_COMPLETE, f"{process.peer.node} has no group")
@@ -121,6 +126,7 @@
     def check_table(self) -> None:
         """Check that the table puts each instance into one group at most."""
         self.halls.look()
+        self.crashes.look()
         groups: dict[str, str] = {}
         rows = self.world.platform.table.rows
         for key, row in rows.items():
--- a/packages/ochreway-standins/src/ochreway_standins/soak/world.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/world.py
@@ -234,7 +234,7 @@
             return
         node, target = process.node, self.targets[process.peer.node]
         assert isinstance(node, AgentNode)
-        if not process.paused:
+        if not process.paused and not target.down:
             seen_s = process.local_s(self.clock.now_s)
             state = TargetState(target.epoch, target.artifact, target.loaded, seen_s)  # type: ignore[arg-type]
             self.post(process, lambda _: node.on_target_state(state))
@@ -283,8 +283,8 @@
             lambda attempt, chunk: self.post(
                 process, lambda now_s: node.on_chunk(attempt, chunk, now_s)
             ),
-            lambda attempt, started: self.post(
-                process, lambda now_s: node.on_target_failed(attempt, started, now_s)
+            lambda attempt, started, ended: self.post(
+                process, lambda now_s: node.on_target_failed(attempt, started, now_s, ended)
             ),
         )
 
@@ -296,7 +296,7 @@
         assert isinstance(node, AgentNode)
 
         def order(now_s: float) -> None:
-            if node.may_order(effect, now_s):
+            if node.may_order(effect, now_s) and not self.targets[process.peer.node].down:
                 self.targets[process.peer.node].order(effect.order)
 
         self.post(process, order)
--- a/tests/routing/test_crashbook.py
+++ b/tests/routing/test_crashbook.py
@@ -23,10 +23,10 @@
     def test_a_request_is_fatal_from_its_third_crash_on(self) -> None:
         book = CrashBook()
         for number, target in enumerate(TARGETS[:FATAL_CRASHES]):
-            self.assertEqual((number, 0.0), (book.crashes(ONE), book.fatal_for_s(ONE, 10.0)))
+            self.assertEqual((number, 0.0), (book.crashes(ONE), book.asked(ONE, 10.0).fatal_for_s))
             self.assertTrue(book.crashed(ONE, target, 10.0))
-        self.assertEqual(REMEMBERED_S, book.fatal_for_s(ONE, 10.0))
-        self.assertEqual(0.0, book.fatal_for_s(OTHER, 10.0))
+        self.assertEqual(REMEMBERED_S, book.asked(ONE, 10.0).fatal_for_s)
+        self.assertEqual(0.0, book.asked(OTHER, 10.0).fatal_for_s)
 
     def test_one_end_of_a_target_counts_once_whoever_tells_it(self) -> None:
         book = CrashBook()
@@ -38,7 +38,7 @@
         book = CrashBook()
         for number in range(FATAL_CRASHES):
             book.crashed(ONE, TARGETS[0], 10.0 + number * LATER_S)
-        self.assertGreater(book.fatal_for_s(ONE, 20.0), 0.0)
+        self.assertGreater(book.asked(ONE, 20.0).fatal_for_s, 0.0)
 
     def test_a_good_end_shows_that_a_request_is_innocent(self) -> None:
         book = CrashBook()
@@ -47,7 +47,7 @@
             book.crashed(ONE, target, 10.0)
         self.assertTrue(book.finished(ONE, 11.0))
         book.crashed(ONE, TARGETS[2], 12.0)
-        self.assertEqual((1, 0.0), (book.crashes(ONE), book.fatal_for_s(ONE, 12.0)))
+        self.assertEqual((1, 0.0), (book.crashes(ONE), book.asked(ONE, 12.0).fatal_for_s))
 
     def test_older_words_do_not_undo_a_good_end(self) -> None:
         book, elsewhere = CrashBook(), fatal_book()
@@ -63,19 +63,30 @@
         elsewhere.finished(ONE, 20.0)
         for sighting in elsewhere.sightings([ONE], 21.0):
             self.assertTrue(book.hear(sighting, 21.0))
-        self.assertEqual(0.0, book.fatal_for_s(ONE, 21.0))
+        self.assertEqual(0.0, book.asked(ONE, 21.0).fatal_for_s)
 
     def test_a_refusal_lasts_while_the_request_is_asked_for(self) -> None:
         book = fatal_book(10.0)
-        self.assertTrue(book.asked(ONE, 400.0))
-        self.assertGreater(book.fatal_for_s(ONE, 10.0 + REMEMBERED_S), 0.0)
-        self.assertEqual(0.0, book.fatal_for_s(ONE, 400.0 + REMEMBERED_S))
+        self.assertGreater(book.asked(ONE, 400.0).fatal_for_s, 0.0)
+        self.assertGreater(book.asked(ONE, 10.0 + REMEMBERED_S).fatal_for_s, 0.0)
+
+    def test_long_after_it_was_asked_for_it_is_tried_once(self) -> None:
+        book = fatal_book(10.0)
+        later_s = 11.0 + REMEMBERED_S
+        self.assertEqual((0.0, True), self.verdict(book, later_s))
+        self.assertEqual((REMEMBERED_S, False), self.verdict(book, later_s))
+        book.finished(ONE, later_s)
+        self.assertEqual((0.0, False), self.verdict(book, later_s))
+
+    def verdict(self, book: CrashBook, at_s: float) -> tuple[float, bool]:
+        found = book.asked(ONE, at_s)
+        return found.fatal_for_s, found.on_trial
 
     def test_after_that_one_more_crash_makes_it_fatal_again(self) -> None:
         book = fatal_book(10.0)
         book.expire(20.0 + REMEMBERED_S)
         book.crashed(ONE, TARGETS[3], 20.0 + REMEMBERED_S)
-        self.assertGreater(book.fatal_for_s(ONE, 20.0 + REMEMBERED_S), 0.0)
+        self.assertGreater(book.asked(ONE, 20.0 + REMEMBERED_S).fatal_for_s, 0.0)
 
     def test_what_is_too_old_is_forgotten(self) -> None:
         book = fatal_book(10.0)
