First plans: no model gets more engines than its share before work is measured

What is beyond a model's configured share of the engines now counts for nothing, and what is left over goes to the model with the smallest groups: 3 and 15 groups on three domains of 37, 5 and 7 before; no domain has more than half of either. Ruled out: capping at whole needs, which forgets that shares are a guess.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -25,7 +25,10 @@
     """Return the number of groups for each place.
 
     Groups are added as long as all of them find room, the one that adds most for each engine
-    first.
+    first. Before any work was measured (``least_gain`` is 0) nothing is known to be worth more
+    engines than the configuration's share of them: what is beyond it counts for nothing, so that
+    engines left over go to the model with the smallest groups. On three domains of 37 engines, with
+    groups of 16 and 4 and half of the work each, that is 3 and 15 groups in place of 5 and 7.
 
     Args:
         spec: the models and their sizes.
@@ -43,8 +46,12 @@
         stand[slot.model] += number
     totals: Counter[ModelName] = Counter()
 
+    engines = sum(room.total for room in rooms.values())
+
     def value(model: ModelSpec) -> float:
         groups = totals[model.name]
+        if not least and (groups + 1) * model.size > model.share * engines:
+            return 0.0
         added = sum(gain(spec, model, needs[model.name], groups, down) for needs in scenarios)
         added /= len(scenarios) * model.size
         return added * (tuning.keep_bonus if groups < stand[model.name] else 1.0)
