--- a/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
@@ -12,8 +12,8 @@
 class TargetReading:
     """Hold every listed target as of a moment not before it was asked for.
 
-    ``unreadable`` gives, by entry, why its newest content could not be decoded; what was known
-    of such a target before stays in the list.
+    ``unreadable`` gives, by entry, why its newest content could not be decoded; such a target is
+    listed as leaving if it was known before, and not at all if it was not.
     """
 
     targets: tuple[ListedTarget, ...]
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/viewkeeper.py
@@ -173,6 +173,8 @@
 
     def _failed(self, now_s: float) -> None:
         self._call = None
+        # The next answer holds other rows: it must not be taken for that of these groups.
+        self._asked = frozenset()
         self._failing = True
         self._outbox.count("view.table_failed")
         self._not_before_s = now_s + self._backoff.failed()
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -56,3 +56,7 @@
     def test_members_that_the_new_version_does_not_name(self) -> None:
         """Found by seed 91: the group was drained and reopened in turn."""
         self.hold(91, ["roll", "restart_many"], 5)
+
+    def test_groups_whose_reading_had_no_answer(self) -> None:
+        """Found by seed 316: the next answer, without groups, was taken for that reading's."""
+        self.assertEqual((), Run(316).go().violations)
