Count suspensions in every age: one clock for what promises rest on

An instance may be suspended for seconds; the usual steady clock does not count that, so a key that was taken away, a drained hall or a share to send by looked as fresh after it as before. Every process now runs under a loop whose time counts it (CLOCK_BOOTTIME), so all ages and timers do, native and direct; what stood apart from the loop's clock moved to it (callers' deadlines, resting connections, the start). A suspension writes a line with its length. Weighed: telling each part of a suspension once it is noticed, which leaves the moment between.

--- a/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
@@ -3,7 +3,6 @@
 
 import asyncio
 import contextlib
-import time
 
 from ochreway_core.attemptid import AttemptId
 from ochreway_core.chunk import Chunk
@@ -17,6 +16,7 @@
 from ochreway_nodes.targetstate import TargetState
 from ochreway_platform.errors import HandOverRefused, TargetBroke, TargetUnreachable
 from ochreway_platform.target import Target
+from ochreway_runtime import steadyclock
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
@@ -99,7 +99,7 @@
     async def _run(self, effect: HandOver) -> None:
         submit = effect.submit
         attempt = submit.attempt
-        began_s = time.monotonic()
+        began_s = steadyclock.now_s()
         self.log.detail("handed_over", request=submit.request, attempt=attempt)
         try:
             async for chunk in self._target.run(submit, lambda: self._allowed(effect)):
@@ -114,7 +114,7 @@
             ended = await self._target.ended()
             self.log.event("target_broke", request=submit.request, fault=fault, ended=ended)
             self.post(lambda now_s: self.node.on_target_failed(attempt, True, now_s, ended))
-        took_s = time.monotonic() - began_s
+        took_s = steadyclock.now_s() - began_s
         self.metrics.timing("target.total", took_s)
         self.log.event(
             "attempt_ended", request=submit.request, attempt=attempt, took_s=f"{took_s:.4f}"
--- a/packages/ochreway-daemon/src/ochreway_daemon/api/callers.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/callers.py
@@ -4,7 +4,6 @@
 import asyncio
 import hashlib
 import json
-import time
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -24,6 +23,7 @@
 from ochreway_daemon.entryshell import EntryShell
 from ochreway_daemon.errors import CallerFault
 from ochreway_routing.prefix import blocks_of
+from ochreway_runtime import steadyclock
 
 ANSWER_BYTES_AT_MOST = 64 * 1024 * 1024
 STOPPING_RETRY_S = 1.0
@@ -170,7 +170,7 @@
             key=headers.key,
             key_issued_wall_s=headers.key_issued_wall_s,
             priority=headers.priority,
-            deadline_s=time.monotonic() + headers.deadline_in_s,
+            deadline_s=steadyclock.now_s() + headers.deadline_in_s,
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             blocks=blocks,
--- a/packages/ochreway-daemon/src/ochreway_daemon/entryshell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/entryshell.py
@@ -2,7 +2,6 @@
 """The entry process around its node."""
 
 import asyncio
-import time
 from collections.abc import Coroutine
 
 from ochreway_core.effects import (
@@ -29,6 +28,7 @@
 from ochreway_platform.instancelist import InstanceList
 from ochreway_platform.objectstore import ObjectStore
 from ochreway_platform.table import Table
+from ochreway_runtime import steadyclock
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
@@ -118,7 +118,7 @@
 
     def begin(self, request: Request) -> CallerStream:
         """Begin a request and return the stream of what becomes of it."""
-        stream = CallerStream(request.request, time.monotonic())
+        stream = CallerStream(request.request, steadyclock.now_s())
         self._streams[request.request] = stream
         self.post(lambda now_s: self.node.on_request(request, now_s))
         return stream
@@ -135,7 +135,7 @@
         stream = self._streams.get(effect.request)
         if stream is not None:
             if stream.first_s is None:
-                stream.first_s = time.monotonic()
+                stream.first_s = steadyclock.now_s()
                 self.metrics.timing("first_token", stream.first_s - stream.began_s)
             stream.put(effect)
 
@@ -144,7 +144,7 @@
         if stream is None:
             return
         stream.put(effect)
-        took_s = time.monotonic() - stream.began_s
+        took_s = steadyclock.now_s() - stream.began_s
         self.metrics.timing("total", took_s)
         self.log.event(
             "request_ended",
--- a/packages/ochreway-daemon/src/ochreway_daemon/main.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -44,6 +44,7 @@
 from ochreway_platform.httptarget import HttpTarget
 from ochreway_platform.instancelist import HttpInstanceList
 from ochreway_routing.policy import POLICIES
+from ochreway_runtime import steadyloop
 from ochreway_runtime.checks import shown
 from ochreway_runtime.errors import SettingsInvalid
 from ochreway_runtime.logs import EventLog
@@ -108,7 +109,7 @@
     """Take callers' requests, route them, and hold controller leases."""
     settings = EntrySettings(**given)
     _checked(settings, only_check)
-    sys.exit(asyncio.run(_run_entry(settings)))
+    sys.exit(steadyloop.run(_run_entry(settings)))
 
 
 @main.command()
@@ -119,7 +120,7 @@
     """Stand beside one target: its group, its orders, its requests."""
     settings = AgentSettings(**given)
     _checked(settings, only_check)
-    sys.exit(asyncio.run(_run_agent(settings)))
+    sys.exit(steadyloop.run(_run_agent(settings)))
 
 
 main.add_command(direct_entry, "direct")
--- a/packages/ochreway-direct/src/ochreway_direct/earlylistener.py
+++ b/packages/ochreway-direct/src/ochreway_direct/earlylistener.py
@@ -1,18 +1,19 @@
 # SPDX-License-Identifier: Apache-2.0
 """Taking callers' connections while the process still loads its code.
 
-Nothing but the standard library's ``socket`` is imported here, as this runs before all else.
+Little but the standard library's ``socket`` is imported here, as this runs before all else.
 """
 
 import os
 import socket
-import time
+
+from ochreway_runtime import steadyclock
 
 VARIABLE = "OCHREWAY_CALLER_LISTEN"
 BACKLOG = 1024
 """How many connections may wait to be accepted: more than come in a second to one entry."""
 
-BEGAN_S = time.monotonic()
+BEGAN_S = steadyclock.now_s()
 """When this process began to load its code, on the clock of its event loop."""
 
 _open: dict[str, socket.socket] = {}
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -63,6 +63,7 @@
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import REMEMBERED_S, LoopLag
 from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.suspension import Suspension
 from ochreway_runtime.timer import TimerService
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
@@ -271,6 +272,7 @@
         await self.links.listen(host, int(port))
         timing = self._timing
         self.timer.ticks.subscribe(self.lag.tick)
+        self.timer.ticks.subscribe(Suspension(self.log, self.metrics).tick)
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
         self.timer.every(timing.heartbeat_s, self._dependencies.check)
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -27,6 +27,7 @@
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.settings import DirectSettings, check
 from ochreway_direct.timing import DirectTiming
+from ochreway_runtime import steadyloop
 from ochreway_runtime.checks import shown
 from ochreway_runtime.errors import SettingsInvalid
 from ochreway_runtime.logs import EventLog
@@ -100,7 +101,7 @@
     if only_check:
         click.echo("\n".join(shown(settings)))
         return
-    sys.exit(asyncio.run(run(settings)))
+    sys.exit(steadyloop.run(run(settings)))
 
 
 async def run(settings: DirectSettings) -> int:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
@@ -3,7 +3,6 @@
 
 import functools
 import socket
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +16,7 @@
 
 from ochreway_direct.relay.restingbounds import RestingBounds
 from ochreway_direct.relay.restingtime import AT_MOST_S, DEFAULT_S, resting_time_s
+from ochreway_runtime import steadyclock
 
 UNANSWERED_MS = 2000
 """After how long without an acknowledgement the kernel gives a connection to a target up."""
@@ -94,7 +94,7 @@
         self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False
     ) -> None:
         if isinstance(protocol, TargetProtocol):
-            protocol.rest(time.monotonic())
+            protocol.rest(steadyclock.now_s())
         if not self._may_rest(key):
             self._drop_unusable()
         surplus = not self._may_rest(key)
@@ -105,7 +105,7 @@
 
     def _drop_unusable(self) -> None:
         """Close connections that rested too long; the library does so each 15 s only."""
-        now_s = time.monotonic()
+        now_s = steadyclock.now_s()
         for key, resting in list(self._conns.items()):
             for pair in [each for each in resting if not _usable_at(each[0], now_s)]:
                 resting.remove(pair)
@@ -120,7 +120,7 @@
 
 
 def _usable(protocol: ResponseHandler) -> bool:
-    return _usable_at(protocol, time.monotonic())
+    return _usable_at(protocol, steadyclock.now_s())
 
 
 def _usable_at(protocol: ResponseHandler, now_s: float) -> bool:
