Keep fatal requests in the platform's store, for when all entries end at once

Entries forgot them when all were killed in one moment, and three more targets ended under each after it. Whoever sees the third crash now writes a row, the holder of the lease those that became fatal by words alone; an entry reads all rows at its start, and a good end drops the row. A dark store delays the row, never the refusal. Suspects have no rows: that would be 13 to 200 writes a crash.

--- a/packages/ochreway-direct/src/ochreway_direct/crashspread.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashspread.py
@@ -43,7 +43,7 @@
         self._links = links
         self._loop = asyncio.get_running_loop()
         self._waiting: dict[Fingerprint, None] = {}
-        watch.changed = self.tell
+        watch.listen(self.tell)
 
     def tell(self, fingerprints: list[Fingerprint]) -> None:
         """Tell of some requests soon: all callers of a lost target break off in one moment."""
--- a/packages/ochreway-direct/src/ochreway_direct/crashwatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashwatch.py
@@ -45,7 +45,15 @@
         self._metrics = metrics
         self._examining: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
-        self.changed: Changed = lambda _: None
+        self._listeners: list[Changed] = []
+
+    def listen(self, changed: Changed) -> None:
+        """Have a part told of the requests that this entry learns something of by itself."""
+        self._listeners.append(changed)
+
+    def _changed(self, fingerprint: Fingerprint) -> None:
+        for changed in self._listeners:
+            changed([fingerprint])
 
     def fatal_for_s(self, call: Call) -> float:
         """Return for how long a call must not be sent; 0 when it may be."""
@@ -61,7 +69,7 @@
         call.on_trial = True
         self._metrics.count("crash.on_trial")
         self._log.event("request_on_trial", fingerprint=call.fingerprint)
-        self.changed([call.fingerprint])
+        self._changed(call.fingerprint)
 
     def finished(self, call: Call) -> None:
         """Note that a target ran a call to its end and goes on."""
@@ -70,7 +78,7 @@
             if crashes >= TOLD_FROM:
                 self._log.event("request_cleared", fingerprint=call.fingerprint, crashes=crashes)
             self._metrics.count("crash.cleared")
-            self.changed([call.fingerprint])
+            self._changed(call.fingerprint)
 
     async def broke_off(self, call: Call, attempt: Attempt) -> None:
         """Find out whether the target of an attempt that broke off has ended, and note it."""
@@ -87,7 +95,7 @@
         self._metrics.count("crash.under_request")
         if self._book.crashed(fingerprint, attempt.instance, broke_s):
             self._tell(fingerprint)
-            self.changed([fingerprint])
+            self._changed(fingerprint)
 
     def hear(self, sightings: tuple[CrashSighting, ...], heard_s: float) -> list[Fingerprint]:
         """Take what another entry tells; return the requests of which it was news."""
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -14,6 +14,7 @@
 from ochreway_direct.configurationfollower import ConfigurationFollower
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_direct.crashkeeper import CrashKeeper
 from ochreway_direct.crashspread import CrashSpread
 from ochreway_direct.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
@@ -176,6 +177,10 @@
         book = CrashBook()
         self.crashes = CrashWatch(book, log, metrics, settings.has(Mechanism.FATAL_REFUSED))
         self._crash_spread = CrashSpread(book, self.crashes, self._heartbeats, self.links)
+        self._crash_keeper = CrashKeeper(
+            *(self.me.node, book, self.crashes, services.table, lambda: self.lease.held),
+            *(self._backoff(timing), log, metrics),
+        )
         self._sharing = FleetSharing(
             *(self.view, self.serving, self.lease, self.peers, self.links),
             *(self.coordination, self._heartbeats, self.health, log, self._cold),
@@ -288,6 +293,7 @@
         self.spawn(self._configurations.run())
         self.spawn(self._list.run())
         self.spawn(self._lease_keeper.run())
+        self.spawn(self._crash_keeper.run())
 
     async def stop(self) -> None:
         """Give the lease back and end every task."""
--- a/packages/ochreway-routing/src/ochreway_routing/crashbook.py
+++ b/packages/ochreway-routing/src/ochreway_routing/crashbook.py
@@ -103,6 +103,11 @@
         record = self._record(fingerprint)
         return len(record.crashes) if record is not None else 0
 
+    def asked_age_s(self, fingerprint: Fingerprint, now_s: float) -> float | None:
+        """Return how long ago a fatal request was last asked for, or None when it is not one."""
+        record = self._fatal.get(fingerprint)
+        return now_s - record.asked_s if record is not None else None
+
     def targets(self, fingerprint: Fingerprint) -> list[InstanceId]:
         """Return the targets that ended under a request, the first one first."""
         record = self._record(fingerprint)
