--- a/packages/ochreway-cli/src/ochreway_cli/explain/command.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/command.py
@@ -26,6 +26,8 @@
 def explain(request: str, logs: tuple[Path, ...], as_json: bool) -> None:
     """Tell from logs what became of a request, and why.
 
+    REQUEST is its id, or its fingerprint, which names every try that asked for the same.
+
     Give the logs of all entries: the one that took the request, and whichever held the lease.
     """
     story = tell(request, read(logs))
--- a/packages/ochreway-cli/src/ochreway_cli/explain/story.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/story.py
@@ -63,12 +63,15 @@
 
 
 def tell(request: str, lines: Iterable[LogLine]) -> Story:
-    """Gather the lines that bear on a request; none when no line names it."""
+    """Gather the lines that bear on a request; none when no line names it.
+
+    By its fingerprint those of every try are its own.
+    """
     known = list(lines)
-    own = [line for line in known if line.get("request") == request]
+    own = [line for line in known if _names(line, request)]
     if not own:
         return Story(request, [], [])
-    found = [line for line in known if line.get("request") == request or _bears(line, own)]
+    found = [line for line in known if _names(line, request) or _bears(line, own)]
     blamed = {line.get("blamed") for line in found} - {""}
     found += [
         line
@@ -76,7 +79,11 @@
         if line.event == "engine_lost" and line.get("instance") in blamed and line not in found
     ]
     ordered = in_order(found)
-    return Story(request, [line for line in ordered if line.get("request") == request], ordered)
+    return Story(request, [line for line in ordered if _names(line, request)], ordered)
+
+
+def _names(line: LogLine, request: str) -> bool:
+    return request in (line.get("request"), line.get("fingerprint"))
 
 
 def _bears(line: LogLine, own: list[LogLine]) -> bool:
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -4,14 +4,17 @@
 import asyncio
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 from ochreway_core.backoff import Backoff
-from ochreway_core.ids import HallId, NodeId, Version
+from ochreway_core.ids import Fingerprint, HallId, InstanceId, NodeId, Version
+from ochreway_core.messages import CrashNews
 from ochreway_core.peer import Peer
 from ochreway_direct.cells import MESH_ENTRIES
 from ochreway_direct.configuration import Configuration, Service
+from ochreway_direct.crashspread import CrashSpread
+from ochreway_direct.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.drainkeeper import DrainKeeper
 from ochreway_direct.fleet import Fleet
@@ -31,6 +34,7 @@
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.memorytable import MemoryTable
+from ochreway_routing.crashbook import CrashBook
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 from ochreway_wire.batch import Prepared, encode_batch
@@ -118,6 +122,9 @@
             *("1", me, seeds, self.peers, links, self.serving, self.view, self.lease),
             *(self.meter, self.drains, lambda: None, mesh_entries, self.loans),
         )
+        self.crashes = CrashBook()
+        watch = CrashWatch(self.crashes, log, metrics)
+        self.crash_spread = CrashSpread(self.crashes, watch, self.heartbeats, links)
 
     def _halls_changed(self) -> None:
         self.heartbeats.send(asyncio.get_running_loop().time())
@@ -129,6 +136,13 @@
         own = sum(self.meter.offered(now_s).values())
         return {**self.heartbeats.elsewhere.asked_by_source(), self.me.peer.node: own}
 
+    def crashed(self, fingerprint: Fingerprint, targets: Iterable[InstanceId]) -> None:
+        """Have targets end under a request here, and tell others of it if it is fatal."""
+        now_s = asyncio.get_running_loop().time()
+        for target in targets:
+            self.crashes.crashed(fingerprint, target, now_s)
+        self.crash_spread.repeat(now_s)
+
     def begin(self, place: str) -> None:
         """Begin a request at a place."""
         attempt: Any = Attempt(NodeId(place), "x:1", self.me.hall, place)  # type: ignore[arg-type]
@@ -209,6 +223,7 @@
         for number, entry in enumerate(list(self.entries.values())):
             if (self._steps + number) % every == 0:
                 entry.heartbeats.send(self.now_s)
+                entry.crash_spread.repeat(self.now_s)
 
     def _deliver(self) -> None:
         mail, self._mail = self._mail, deque()
@@ -218,8 +233,12 @@
                 continue
             if (sender.node, receiver.node) in self.silenced:
                 continue
-            if not self.cut(sender.node, receiver.node) and isinstance(message, Heartbeat):
+            if self.cut(sender.node, receiver.node):
+                continue
+            if isinstance(message, Heartbeat):
                 entry.heartbeats.receive(sender, message)
+            elif isinstance(message, CrashNews):
+                entry.crash_spread.on_news(sender, message)
 
 
 def virtually(work: Callable[[VirtualLoop], None]) -> None:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -170,3 +170,12 @@
         told = why(story, end)
         self.assertIn("i-1,i-2,i-3 ended while they ran what it asks for (f1)", told)
         self.assertIn("in 1 tries", told)
+
+    def test_a_fingerprint_names_every_try(self) -> None:
+        tries = [
+            text("e", 1.0 + n, "refused", request=f"r{n}", fingerprint="f1", reason="queue_full")
+            for n in range(3)
+        ]
+        other = text("e", 2.5, "refused", request="r9", fingerprint="f2", reason="queue_full")
+        story = self.story("f1", e=(*tries, other))
+        self.assertEqual(["r0", "r1", "r2"], [line.get("request") for line in story.own])
