--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -176,7 +176,7 @@
         loop = asyncio.get_running_loop()
         asked_s = loop.time()
         try:
-            state = await self._engines.state(record.listed.address, timeout_s)
+            state = await self._engines.state(record.listed.address, instance, timeout_s)
         except PlatformError as fault:
             if isinstance(fault, ReportUnreadable):
                 self._metrics.count("probe.unreadable")
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -172,6 +172,8 @@
         if record is None:
             return
         record.probing = False
+        if record.displaced:
+            return
         record.misses = 0
         record.suspected = False
         self._changed |= record.dead or record.changed_by(state)
@@ -221,6 +223,9 @@
         record.taken = outcome in TAKEN
         if record.taken:
             self._lifecycle.on_taken(record, order, now_s)
+        if outcome is OrderOutcome.OTHER_INSTANCE and not record.dead:
+            self._count_loss(record, now_s)
+            record.displace()
         if outcome not in UNSETTLED:
             record.probed_s = 0.0
         if isinstance(order, Join) and outcome is OrderOutcome.FENCED:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -23,7 +23,10 @@
 
 @dataclass(slots=True)
 class EngineRecord:
-    """Hold an engine's last state, how it answers, and the order it was last given."""
+    """Hold an engine's last state, how it answers, and the order it was last given.
+
+    A ``displaced`` one has ended, and another instance answers at its address.
+    """
 
     listed: ListedTarget
     state: EngineState
@@ -32,6 +35,7 @@
     misses: int = 0
     suspected: bool = False
     dead: bool = False
+    displaced: bool = False
     missing_s: float | None = None
     pending: Order | None = None
     ordered: Order | None = None
@@ -92,6 +96,15 @@
         found = self.membership
         return found is not None and found.group == group and found.epoch == epoch
 
+    def stands_in(self, group: GroupId, epoch: Epoch, rank: int) -> bool:
+        """Tell whether the engine was last seen at its own place in a group.
+
+        Reports do not name who gives them: one of another place in the group comes from another
+        member, which has started at this one's address.
+        """
+        found = self.membership
+        return found is not None and self.belongs_to(group, epoch) and found.rank == rank
+
     def stage(self, model: ModelName, until_s: float) -> None:
         """Note that the engine is getting a model's weights, until a time at the latest."""
         self.staging = model
@@ -115,9 +128,14 @@
         """Take the engine's row; one that says anew for how long it is cold is so from now on."""
         if listed.cold_s > 0.0 and listed.cold_s != self.listed.cold_s:
             self.cold_until_s = now_s + listed.cold_s
+        self.displaced = self.displaced and listed.address == self.listed.address
         self.listed = listed
         self.missing_s = None
 
+    def displace(self) -> None:
+        """Take it that another instance answers at the engine's address, as itself has ended."""
+        self.displaced = self.dead = True
+
     def has_news(self, now_s: float) -> bool:
         """Tell whether the list showed a change that no report has shown yet."""
         return self.observed_s < self.news_due_s <= now_s
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -172,7 +172,10 @@
     def _bring_in(self, group: GroupRecord, record: EngineRecord, now_s: float) -> None:
         membership = record.membership
         if membership is not None and record.belongs_to(group.group, group.epoch):
-            if membership.phase in READY_PHASES:
+            rank = group.members.index(record.instance)
+            if not record.stands_in(group.group, group.epoch, rank):
+                record.displace()
+            elif membership.phase in READY_PHASES:
                 group.ready.add(record.instance)
             return
         if membership is None:
--- a/packages/ochreway-direct/src/ochreway_direct/ports/enginecontrol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/enginecontrol.py
@@ -12,11 +12,11 @@
     """Ask an engine for its state and give it orders."""
 
     @abstractmethod
-    async def state(self, address: str, timeout_s: float) -> EngineState:
-        """Return what an engine says of itself.
+    async def state(self, address: str, instance: InstanceId, timeout_s: float) -> EngineState:
+        """Return what an engine says of itself; another one at its address may not answer.
 
         Raises:
-            TargetUnreachable: when nothing listens at the address.
+            TargetUnreachable: when nothing listens at the address, or another instance does.
             TargetBroke: when no good answer comes in time.
         """
 
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -151,6 +151,7 @@
         self.random = random.Random(seed)
         self.now_s = 100.0
         self.engines: dict[InstanceId, FakeEngine] = {}
+        self.replaced: dict[InstanceId, InstanceId] = {}
         self.violations: list[str] = []
         self.cut = 0
         self.late: list[tuple[float, Assignment]] = []
@@ -181,6 +182,18 @@
         """Lose an engine for good."""
         self.engines[instance].alive = False
 
+    def reborn(self, instance: InstanceId) -> FakeEngine:
+        """End an engine, and start another at its address; the list names both for a while."""
+        ended = self.engines[instance]
+        started = self.add(ended.domain, ended.staged)
+        ended.alive = False
+        self.replaced[instance] = started.instance
+        return started
+
+    def _at_address_of(self, instance: InstanceId) -> FakeEngine:
+        """Return the engine that answers where one is listed."""
+        return self.engines[self.replaced.get(instance, instance)]
+
     def take_over(self) -> None:
         """Let another process take the lease: it knows nothing but the list."""
         self.terms += 1
@@ -261,7 +274,7 @@
         listed = [
             each.listed()
             for each in self.engines.values()
-            if each.alive and each.listed_s <= self.now_s
+            if (each.alive or each.instance in self.replaced) and each.listed_s <= self.now_s
         ]
         self.last_models.note(listed)
         self.coordinator.on_listing(listed, self.now_s)
@@ -269,7 +282,7 @@
     def _probe(self) -> None:
         for probe in self.coordinator.due_probes(self.now_s):
             record = probe.record
-            engine = self.engines[record.instance]
+            engine = self._at_address_of(record.instance)
             if engine.alive:
                 state = engine.state(self.now_s)
                 self.coordinator.on_state(record.instance, state, self.now_s)
@@ -279,7 +292,9 @@
     def _give(self, assignment: Assignment) -> None:
         engine = self.engines[assignment.instance]
         outcome = OrderOutcome.UNKNOWN
-        if not engine.alive:
+        if assignment.instance in self.replaced:
+            outcome = OrderOutcome.OTHER_INSTANCE
+        elif not engine.alive:
             outcome = OrderOutcome.UNREACHABLE
         elif self.random.random() < self.lost_share:
             late_s = self.now_s + self.random.uniform(2.0, 12.0)
--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -32,7 +32,7 @@
     def __init__(self, blocked_s: float) -> None:
         self._blocked_s = blocked_s
 
-    async def state(self, address: str, timeout_s: float) -> EngineState:
+    async def state(self, address: str, instance: InstanceId, timeout_s: float) -> EngineState:
         time.sleep(self._blocked_s)
         await asyncio.sleep(timeout_s)
         raise TargetBroke("no answer")
--- /dev/null
+++ b/tests/direct/test_reborn.py
@@ -0,0 +1,53 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The pattern: an engine ends and another starts at its address, while the list names both.
+
+Found by a hunted day that crashes engines behind a cut: a group of the two was opened, though one
+of them was not there. Reports say nothing of who gives them; the new engine's own report was taken
+for that of the old one as well, and so the group looked whole.
+"""
+
+import testtools
+
+from ochreway_core.ids import DomainId
+from ochreway_standins.engineworld import SMALL, STEP_S, EngineWorld
+
+DOMAIN = DomainId("d0")
+
+
+class RebornTests(testtools.TestCase):
+    def world(self) -> EngineWorld:
+        """Return a world in which two engines are listed, at one address, and one is there."""
+        world = EngineWorld(domains=1, engines=SMALL.size)
+        world.run_until(lambda: world.serving(SMALL) > 0, 30.0)
+        first, second = list(world.engines)
+        world.crash(first)
+        world.reborn(second)
+        world.run_until(lambda: not world.coordinator.views(), 10.0)
+        return world
+
+    def assert_whole(self, world: EngineWorld, for_s: float) -> None:
+        """Check that no group is opened with a member that is not there."""
+        before = set(world.coordinator.groups)
+        for _ in range(round(for_s / STEP_S)):
+            world.step()
+            for name, group in world.coordinator.groups.items():
+                if name not in before:
+                    self.assertEqual(set(), group.ready & set(world.replaced))
+            for view in world.coordinator.views():
+                members = world.coordinator.groups[view.group].members
+                self.assertEqual(set(), set(members) & set(world.replaced))
+
+    def test_no_group_is_opened_with_the_one_that_ended(self) -> None:
+        self.assert_whole(self.world(), 30.0)
+
+    def test_also_under_a_new_holder_of_the_lease(self) -> None:
+        world = self.world()
+        world.take_over()
+        self.assert_whole(world, 30.0)
+
+    def test_the_new_one_serves_with_others(self) -> None:
+        world = self.world()
+        world.add(DOMAIN)
+        self.assert_whole(world, 1.0)
+        world.run_until(lambda: world.serving(SMALL) > 0, 60.0)
+        self.assert_whole(world, 10.0)
