Entries load no native messages and signatures at their start

The message on fatal requests stood in the package of native messages, whose import brings the library of signatures.

--- a/packages/ochreway-core/src/ochreway_core/messages/crashes.py
+++ b/packages/ochreway-core/src/ochreway_core/crashnews.py
@@ -1,5 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Messages on requests under which targets end."""
+"""Messages on requests under which targets end.
+
+They stand apart from the native messages, as direct entries send them too: importing those takes
+an entry 7 MB and time at each start, most for the library of signatures.
+"""
 
 from dataclasses import dataclass
 
--- a/packages/ochreway-core/src/ochreway_core/messages/__init__.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/__init__.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Messages between processes, by subject."""
 
+from ochreway_core.crashnews import CrashNews
 from ochreway_core.messages.claims import Claim, ClaimEnd, ClaimReply, Vote
 from ochreway_core.messages.configuration import (
     FollowView,
@@ -13,7 +14,6 @@
     ViewRequest,
     ViewUpdate,
 )
-from ochreway_core.messages.crashes import CrashNews
 from ochreway_core.messages.membership import (
     Dismiss,
     Follow,
--- a/packages/ochreway-direct/src/ochreway_direct/crashspread.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashspread.py
@@ -3,8 +3,8 @@
 
 import asyncio
 
+from ochreway_core.crashnews import CrashNews
 from ochreway_core.ids import Fingerprint
-from ochreway_core.messages.crashes import CrashNews
 from ochreway_core.peer import Peer
 from ochreway_direct.crashwatch import CrashWatch
 from ochreway_direct.heartbeats import Heartbeats
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from ochreway_core.backoff import Backoff
+from ochreway_core.crashnews import CrashNews
 from ochreway_core.ids import GroupId, HallId, NodeId
-from ochreway_core.messages.crashes import CrashNews
 from ochreway_core.peer import Peer
 from ochreway_direct.configurationfollower import ConfigurationFollower
 from ochreway_direct.coordination import Coordination
--- a/packages/ochreway-standins/src/ochreway_standins/slopes/crashes.py
+++ b/packages/ochreway-standins/src/ochreway_standins/slopes/crashes.py
@@ -7,9 +7,9 @@
 from functools import partial
 
 from ochreway_core.codec import encode
+from ochreway_core.crashnews import CrashNews
 from ochreway_core.fingerprint import fingerprint_of
 from ochreway_core.ids import Fingerprint, InstanceId
-from ochreway_core.messages.crashes import CrashNews
 from ochreway_routing.crashbook import FATAL_AT_MOST, SUSPECTS_AT_MOST, CrashBook
 from ochreway_routing.crashrecord import FATAL_CRASHES
 
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from ochreway_core.backoff import Backoff
+from ochreway_core.crashnews import CrashNews
 from ochreway_core.ids import Fingerprint, HallId, InstanceId, NodeId, Version
-from ochreway_core.messages import CrashNews
 from ochreway_core.peer import Peer
 from ochreway_direct.cells import MESH_ENTRIES
 from ochreway_direct.configuration import Configuration, Service
