Sight: a log tells which limit a target names, when it changes, and what it gets meanwhile

The limit is decoded into the notice of an answer (a number above 0; anything else names none), the newest word of each target is kept, bounded, by life. Event target_limit when it changes, target_limit_used with the number of answers each 5 s, counter notice.limit, gauge targets_limited, limit_per_s in lines of failed attempts. Nothing is decided by it yet.

--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -63,6 +63,7 @@
 from ochreway_routing.backoffs import Backoffs
 from ochreway_routing.crashbook import CrashBook
 from ochreway_routing.retrybudget import RetryBudget
+from ochreway_routing.targetlimits import TargetLimits
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import REMEMBERED_S, LoopLag
 from ochreway_runtime.metrics import Metrics
@@ -107,7 +108,8 @@
         self._cold = ColdTargets(log)
         self._limit = self._fleet_limit()
         backoffs = Backoffs()
-        self.notices = NoticeWatch(backoffs, log, metrics)
+        limits = TargetLimits()
+        self.notices = NoticeWatch(backoffs, limits, log, metrics)
         fleet = Fleet(
             HallId(settings.hall),
             self._random,
--- a/packages/ochreway-direct/src/ochreway_direct/noticewatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/noticewatch.py
@@ -2,21 +2,38 @@
 """Obeying what targets say of themselves in their answers, and telling operators."""
 
 import asyncio
+from dataclasses import dataclass
 
 from ochreway_core.ids import InstanceId
 from ochreway_core.targetnotice import TargetNotice
 from ochreway_routing.backoffs import Backoffs
+from ochreway_routing.targetlimits import LimitWord, TargetLimits
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
+USE_TOLD_S = 5.0
+"""How often a log tells at the most what one target with a limit got from this entry."""
+
+
+@dataclass(slots=True)
+class LimitUse:
+    """Count the answers of a target with a limit since a time."""
+
+    since_s: float
+    answers: int = 0
+
 
 class NoticeWatch:
     """Take the notices of all answers that this entry gets: to requests, questions and orders."""
 
-    def __init__(self, backoffs: Backoffs, log: EventLog, metrics: Metrics) -> None:
+    def __init__(
+        self, backoffs: Backoffs, limits: TargetLimits, log: EventLog, metrics: Metrics
+    ) -> None:
         self._backoffs = backoffs
+        self._limits = limits
         self._log = log
         self._metrics = metrics
+        self._used: dict[InstanceId, LimitUse] = {}
 
     def heard(self, instance: InstanceId, notice: TargetNotice, born_ms: int | None = None) -> None:
         """Take what an answer says of the target that gave it."""
@@ -24,6 +41,8 @@
             self._metrics.count("notice.backoff")
         if notice.leaving:
             self._metrics.count("notice.leaving")
+        if notice.limit_per_s is not None:
+            self._metrics.count("notice.limit")
         if not self._backoffs.take(instance, notice, asyncio.get_running_loop().time(), born_ms):
             return
         if notice.leaving:
@@ -31,6 +50,42 @@
         else:
             self._log.event("target_backoff", target=instance, asked_s=notice.backoff_s)
 
+    def answered(
+        self, instance: InstanceId, notice: TargetNotice, born_ms: int | None = None
+    ) -> None:
+        """Take what the answer to a request says; one that names no limit says that it is over."""
+        self.heard(instance, notice, born_ms)
+        self._take_limit(instance, notice.limit_per_s, born_ms)
+
+    def _take_limit(
+        self, instance: InstanceId, limit_per_s: float | None, born_ms: int | None
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        before = self._limits.limit_per_s(instance, born_ms)
+        if self._limits.take(instance, LimitWord(limit_per_s, now_s, born_ms)):
+            self._log.event(
+                "target_limit", target=instance, limit_per_s=limit_per_s or "", before=before or ""
+            )
+        self._count(instance, limit_per_s, now_s)
+
+    def _count(self, instance: InstanceId, limit_per_s: float | None, now_s: float) -> None:
+        """Count the answers of targets with a limit, and tell now and then how many came."""
+        if limit_per_s is None:
+            self._used.pop(instance, None)
+            return
+        use = self._used.setdefault(instance, LimitUse(now_s))
+        use.answers += 1
+        if now_s - use.since_s < USE_TOLD_S:
+            return
+        self._log.event(
+            "target_limit_used",
+            target=instance,
+            limit_per_s=limit_per_s,
+            answers=use.answers,
+            for_s=round(now_s - use.since_s, 2),
+        )
+        self._used[instance] = LimitUse(now_s)
+
     def wait_s(self, instance: InstanceId, born_ms: int | None = None) -> float:
         """Return for how long a target is to get nothing; infinite if it leaves."""
         return self._backoffs.wait_s(instance, asyncio.get_running_loop().time(), born_ms)
@@ -49,6 +104,7 @@
                 self._backoffs.number_backed_off(asyncio.get_running_loop().time())
             ),
             "targets_leaving": float(self._backoffs.number_leaving()),
+            "targets_limited": float(self._limits.number()),
         }
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/ports/dialect.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/dialect.py
@@ -39,13 +39,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Hold what a target's headers say about its answer, and about itself."""
+    """Hold what a target's headers say about its answer, and about itself.
+
+    One that is not its target's ``own`` may come from another instance at the same address.
+    """
 
     request: str
     signed: bool
     not_run: bool
     encoded: bool
     notice: TargetNotice = NO_NOTICE
+    own: bool = True
 
 
 class CallerDialect(ABC):
--- a/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
@@ -45,6 +45,7 @@
             reason=ending.reason.value,
             status=attempt.status or "",
             backoff_s="" if attempt.notice.backoff_s is None else attempt.notice.backoff_s,
+            limit_per_s=attempt.notice.limit_per_s or "",
             leaving=attempt.notice.leaving,
             lost=attempt.lost,
             took_s=round(now_s - begun_s, DIGITS),
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -106,7 +106,7 @@
         async with self._request(call, attempt) as response:
             head = self._dialect.answer_head(response.status, response.headers)
             attempt.status, attempt.notice = response.status, head.notice
-            self._notices.heard(attempt.instance, head.notice, attempt.born_ms)
+            self._note(call, attempt, head)
             if head.not_run:
                 await self._finish_body(response)
                 return self._turned_away(head)
@@ -118,6 +118,13 @@
                 return await self._stream(call, attempt, response)
             return await self._whole(call, response)
 
+    def _note(self, call: Call, attempt: Attempt, head: AnswerHead) -> None:
+        """Take what an answer says of its target, if it is this request's and that target's."""
+        if head.own and head.request == call.terms.request:
+            self._notices.answered(attempt.instance, head.notice, attempt.born_ms)
+        else:
+            self._notices.heard(attempt.instance, head.notice, attempt.born_ms)
+
     def _turned_away(self, head: AnswerHead) -> Ending:
         """Return the ending of a request that was not run; one that names a time did not fail."""
         if head.notice.backoff_s is not None:
--- a/packages/ochreway-platform/src/ochreway_platform/answernotice.py
+++ b/packages/ochreway-platform/src/ochreway_platform/answernotice.py
@@ -2,7 +2,9 @@
 """Reading what a target says of itself from the status and the headers of its answer."""
 
 import math
+import re
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from ochreway_core.targetnotice import NO_NOTICE, TargetNotice
 
@@ -21,21 +23,31 @@
 More is a mistake, such as ms for seconds, and would take it out for good.
 """
 _NOT_LEAVING = frozenset({"", "0"})
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
-def answer_notice(status: int, headers: Mapping[str, str], leaving_header: str) -> TargetNotice:
+@dataclass(frozen=True, slots=True)
+class NoticeHeaders:
+    """Name the headers in which a kind of target says that it leaves, and names a limit."""
+
+    leaving: str
+    limit: str
+
+
+def answer_notice(status: int, headers: Mapping[str, str], names: NoticeHeaders) -> TargetNotice:
     """Return what a target says of itself.
 
     Args:
         status: the answer's HTTP status.
         headers: the answer's headers.
-        leaving_header: the name of the header in which such targets say that they leave.
+        names: the names of the headers that such targets use.
     """
     asked = headers.get(RETRY_AFTER) if status in TURNED_AWAY else None
-    leaving = headers.get(leaving_header, "").strip() not in _NOT_LEAVING
-    if asked is None and not leaving:
+    leaving = headers.get(names.leaving, "").strip() not in _NOT_LEAVING
+    limit_per_s = _limit_per_s(headers.get(names.limit))
+    if asked is None and not leaving and limit_per_s is None:
         return NO_NOTICE
-    return TargetNotice(_seconds(asked) if asked is not None else None, leaving)
+    return TargetNotice(_seconds(asked) if asked is not None else None, leaving, limit_per_s)
 
 
 def _seconds(asked: str) -> float:
@@ -48,4 +60,23 @@
     return min(found_s, BACKOFF_AT_MOST_S)
 
 
-__all__ = ["BACKOFF_AT_MOST_S", "RETRY_AFTER", "TURNED_AWAY", "UNREADABLE_S", "answer_notice"]
+def _limit_per_s(named: str | None) -> float | None:
+    """Return the limit that a header names; anything but a number above 0 names none.
+
+    By a limit of 0 nobody would send, so nobody could hear that it is over; a target that wants
+    nothing asks to be left alone for a time.
+    """
+    if named is None or not _DECIMAL.fullmatch(named.strip()):
+        return None
+    limit_per_s = float(named)
+    return limit_per_s if 0.0 < limit_per_s < math.inf else None
+
+
+__all__ = [
+    "BACKOFF_AT_MOST_S",
+    "RETRY_AFTER",
+    "TURNED_AWAY",
+    "UNREADABLE_S",
+    "NoticeHeaders",
+    "answer_notice",
+]
--- a/packages/ochreway-platform/src/ochreway_platform/httptarget.py
+++ b/packages/ochreway-platform/src/ochreway_platform/httptarget.py
@@ -12,7 +12,7 @@
 from ochreway_core.targetkind import TargetKind
 from ochreway_core.targetnotice import TargetNotice
 from ochreway_core.targetorder import TargetOrder
-from ochreway_platform.answernotice import TURNED_AWAY, answer_notice
+from ochreway_platform.answernotice import TURNED_AWAY, NoticeHeaders, answer_notice
 from ochreway_platform.errors import (
     HandOverRefused,
     TargetBroke,
@@ -25,8 +25,8 @@
 STATE_TIMEOUT_S = 1.0
 NOT_RUN = "Not-Run"
 """The header in which a target says that it did not begin what it turned away."""
-LEAVING = "Leaving"
-"""The header in which a target says that it ends soon."""
+NOTICES = NoticeHeaders(leaving="Leaving", limit="Request-Limit")
+"""The headers in which a target says that it ends soon, and how many requests a second it takes."""
 EVENT_STREAM = "text/event-stream"
 STREAM_END = b"data: [DONE]\n\n"
 EVENT_END = b"\n\n"
@@ -49,7 +49,7 @@
         self._told = told
 
     def _notice(self, response: aiohttp.ClientResponse) -> TargetNotice:
-        notice = answer_notice(response.status, response.headers, LEAVING)
+        notice = answer_notice(response.status, response.headers, NOTICES)
         self._told(notice)
         return notice
 
--- a/tests/direct/plaindialect.py
+++ b/tests/direct/plaindialect.py
@@ -8,6 +8,7 @@
 from ochreway_direct.ids import ModelName
 from ochreway_direct.ports import AnswerHead, CallerDialect, CallerTerms, ForwardTerms
 from ochreway_platform.answernotice import answer_notice
+from ochreway_platform.httptarget import NOTICES
 
 
 class PlainDialect(CallerDialect):
@@ -39,7 +40,7 @@
             "Signed" in headers,
             "Not-Run" in headers,
             "Content-Encoding" in headers,
-            answer_notice(status, headers, "Leaving"),
+            answer_notice(status, headers, NOTICES),
         )
 
     def answer(self, headers: Mapping[str, str]) -> CIMultiDict[str]:
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -42,6 +42,7 @@
 from ochreway_routing.backoffs import Backoffs
 from ochreway_routing.crashbook import CrashBook
 from ochreway_routing.retrybudget import RetryBudget
+from ochreway_routing.targetlimits import TargetLimits
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
@@ -178,6 +179,7 @@
         self.tuning = tuning
         self.targets = [Target(f"t{n}", script) for n, script in enumerate(scripts)]
         self.backoffs = Backoffs()
+        self.limits = TargetLimits()
         self.fleet = Fleet(HALL, random.Random(1), backoffs=self.backoffs)
         self.serving = Serving(self.fleet, freshness)
         self.serving.apply(configuration)
@@ -197,7 +199,7 @@
         log = EventLog("entry", "e", "critical")
         self.book = CrashBook()
         self.crashes = CrashWatch(self.book, log, self.metrics)
-        notices = NoticeWatch(self.backoffs, log, self.metrics)
+        notices = NoticeWatch(self.backoffs, self.limits, log, self.metrics)
         self.relay = Relay(
             *(self.serving, PlainDialect(), self.kept, self.single, DemandMeter()),
             *(self.tuning, self.budget, self.suspected.append, self.crashes, notices, log),
--- a/tests/direct/test_backoff.py
+++ b/tests/direct/test_backoff.py
@@ -19,6 +19,7 @@
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.errors import TargetTurnedAway
 from ochreway_routing.backoffs import Backoffs
+from ochreway_routing.targetlimits import TargetLimits
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import LoopLag
 from ochreway_runtime.metrics import Metrics
@@ -111,7 +112,7 @@
         return Coordination(
             *(self.engines, timing, CoordinatorTuning(), lambda work: work.close()),
             *(lambda: None, lambda: None, LoopLag(timing.tick_s, log), lambda _: False),
-            *(NoticeWatch(Backoffs(), log, metrics), log, metrics),
+            *(NoticeWatch(Backoffs(), TargetLimits(), log, metrics), log, metrics),
         )
 
     def listed(self, born_ms: int | None, port: int) -> ListedTarget:
--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -20,6 +20,7 @@
 from ochreway_direct.timing import DirectTiming
 from ochreway_platform.errors import TargetBroke
 from ochreway_routing.backoffs import Backoffs
+from ochreway_routing.targetlimits import TargetLimits
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import LoopLag
 from ochreway_runtime.metrics import Metrics
@@ -63,7 +64,7 @@
                 lambda: None,
                 lag,
                 lambda _: False,
-                NoticeWatch(Backoffs(), log, METRICS),
+                NoticeWatch(Backoffs(), TargetLimits(), log, METRICS),
                 log,
                 Metrics(None, "entry"),
             )
@@ -89,7 +90,7 @@
             lambda: None,
             LoopLag(timing.tick_s, log),
             lambda _: False,
-            NoticeWatch(Backoffs(), log, METRICS),
+            NoticeWatch(Backoffs(), TargetLimits(), log, METRICS),
             log,
             Metrics(None, "entry"),
         )
--- a/tests/direct/test_sharing.py
+++ b/tests/direct/test_sharing.py
@@ -21,6 +21,7 @@
 from ochreway_direct.timing import DirectTiming
 from ochreway_direct.versionsharing import VersionSharing
 from ochreway_routing.backoffs import Backoffs
+from ochreway_routing.targetlimits import TargetLimits
 from ochreway_runtime.looplag import LoopLag
 from ochreway_runtime.metrics import Metrics
 from ochreway_standins.spreadworld import SpreadEntry, SpreadWorld, VirtualLoop, virtually
@@ -58,7 +59,7 @@
     coordination = Coordination(
         *(engines, TIMING, CoordinatorTuning(), lambda work: None, lambda: None, lambda: None),
         *(LoopLag(TIMING.tick_s, log), lambda _: False),
-        *(NoticeWatch(Backoffs(), log, METRICS), log, METRICS),
+        *(NoticeWatch(Backoffs(), TargetLimits(), log, METRICS), log, METRICS),
     )
     return FleetSharing(
         *(entry.view, entry.serving, entry.lease, entry.peers, any_links, coordination),
--- a/tests/platform/test_answernotice.py
+++ b/tests/platform/test_answernotice.py
@@ -1,18 +1,25 @@
 # SPDX-License-Identifier: Apache-2.0
+import math
+
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
 
 from ochreway_core.targetnotice import NO_NOTICE, TargetNotice
-from ochreway_platform.answernotice import BACKOFF_AT_MOST_S, UNREADABLE_S, answer_notice
+from ochreway_platform.answernotice import (
+    BACKOFF_AT_MOST_S,
+    UNREADABLE_S,
+    NoticeHeaders,
+    answer_notice,
+)
 
-LEAVING = "Leaving"
+NAMES = NoticeHeaders(leaving="Leaving", limit="Limit")
 
 
 class AnswerNoticeTests(testtools.TestCase):
     def notice(self, status: int, **headers: str) -> TargetNotice:
         named = {name.replace("_", "-"): value for name, value in headers.items()}
-        return answer_notice(status, named, LEAVING)
+        return answer_notice(status, named, NAMES)
 
     def test_a_target_that_turns_away_may_say_when_to_come_back(self) -> None:
         for status in (429, 503):
@@ -34,8 +41,22 @@
             self.assertTrue(self.notice(status, Leaving="1").leaving)
             self.assertFalse(self.notice(status, Leaving="0").leaving)
 
-    @given(st.integers(100, 599), st.text(), st.text())
-    def test_any_bytes_give_a_notice(self, status: int, asked: str, leaving: str) -> None:
-        found = self.notice(status, Retry_After=asked, Leaving=leaving)
+    def test_a_target_names_in_any_answer_how_much_it_takes(self) -> None:
+        for status in (200, 409, 500, 503):
+            for value, limit_per_s in (("1", 1.0), ("2.4", 2.4), (" .5 ", 0.5), ("12.", 12.0)):
+                self.assertEqual(limit_per_s, self.notice(status, Limit=value).limit_per_s)
+
+    def test_an_odd_value_is_no_limit(self) -> None:
+        odd = ("", "0", "0.00", "-1", "+2", "nan", "inf", "1e3", "1_0", "0x4", "two", "1,5", "٣")
+        for value in (*odd, "9" * 400):
+            self.assertEqual(NO_NOTICE, self.notice(200, Limit=value))
+
+    @given(st.integers(100, 599), st.text(), st.text(), st.text())
+    def test_any_bytes_give_a_notice(
+        self, status: int, asked: str, leaving: str, limit: str
+    ) -> None:
+        found = self.notice(status, Retry_After=asked, Leaving=leaving, Limit=limit)
         if found.backoff_s is not None:
             self.assertTrue(0.0 <= found.backoff_s <= BACKOFF_AT_MOST_S)
+        if found.limit_per_s is not None:
+            self.assertTrue(0.0 < found.limit_per_s < math.inf)
