Tests: targets that name how much they take from all entries together, failing

The incident, brought about by real processes: three entries, plain servers and groups of engines that name a limit in their answers; agents beside targets; a target of the operators' old tools. Seen on the code as it is: 83 to 118 requests within 4 s where the users allow 20; 39 (20) through an agent, 134 (29) at an old target. The bound is the users' rule: one and a half times the limit and 5 more in any 4 s, from 3 s after it was first named, from entries that were told. That limits are used up, not just kept, is checked as well (seven tenths at least, while callers ask for more).

--- a/packages/ochreway-standins/src/ochreway_standins/turningaway.py
+++ b/packages/ochreway-standins/src/ochreway_standins/turningaway.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Targets that turn away what comes, on demand, and note it."""
+"""Targets that turn away what comes or name a limit, on demand, and note what came."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -18,6 +18,7 @@
         """Start with everything let through."""
         self._asks_s: float | None = None
         self._leaving = False
+        self._limit: str | None = None
         self._arrivals: list[dict[str, Any]] = []
 
     def guard(self, application: web.Application) -> web.Application:
@@ -29,11 +30,13 @@
             return await self._pass(request, handler)
 
         application.middlewares.append(passed)
+        application.on_response_prepare.append(self._name)
         return application
 
     async def _set(self, request: web.Request) -> web.Response:
         wanted = await request.json()
         self._asks_s, self._leaving = wanted.get("asks_s"), bool(wanted.get("leaving"))
+        self._limit = wanted.get("limit")
         return web.Response()
 
     async def _show(self, request: web.Request) -> web.Response:
@@ -49,9 +52,16 @@
         else:
             headers = {"Retry-After": str(self._asks_s), "Not-Run": "1"}
             answer = web.Response(status=503, headers=headers)
-        if self._leaving and not answer.prepared:
-            answer.headers["Leaving"] = "1"
         return answer
 
+    async def _name(self, request: web.Request, answer: web.StreamResponse) -> None:
+        """Say in the head of an answer, a stream's too, what is to be said now."""
+        if request.path == CONTROL:
+            return
+        if self._leaving:
+            answer.headers["Leaving"] = "1"
+        if self._limit is not None:
+            answer.headers["Request-Limit"] = self._limit
+
 
 __all__ = ["CONTROL", "TurningAway"]
--- /dev/null
+++ b/tests/processes/test_targetlimit.py
@@ -0,0 +1,149 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The incident, where agents stand beside targets, and at targets of the operators' old tools.
+
+What was seen stands in ``platform/tests/test_targetlimit.py``. Here too a target that named how
+many requests a second it takes went on getting as many as came.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+import testtools
+from aiohttp import web
+
+from ochreway_standins.site import free_port
+from tests.processes.site import ENGINES, SERVICES, Running, on_a_site
+from tests.processes.test_backoff import arrivals, confirm_on, confirmations, preferred, tell
+
+LIMIT_PER_S = 2.5
+SPAN_S = 4.0
+EXCESS = 1.5
+SLACK = 5
+"""By how much more than its limit a target may get in a span: a factor, and some requests."""
+KNOWN_AFTER_S = 3.0
+WATCHED_S = 8.0
+USED_PART = 0.7
+"""Which part of a limit is used at the least while callers ask for more."""
+WORK_S = 0.02
+PAUSE_S = 0.05
+
+
+def busiest(at_s: list[float]) -> int:
+    """Return the most that came in a span."""
+    return max((sum(first <= each < first + SPAN_S for each in at_s) for first in at_s), default=0)
+
+
+def allowed(per_s: float) -> float:
+    return EXCESS * per_s * SPAN_S + SLACK
+
+
+@dataclass
+class OldTarget:
+    """A target of old tools: note what comes, and name a limit."""
+
+    names: str | None = None
+    came_s: list[float] = field(default_factory=list)
+    port: int = 0
+
+    async def run(self, request: web.Request) -> web.Response:
+        self.came_s.append(asyncio.get_running_loop().time())
+        headers = {"Request-Limit": self.names} if self.names is not None else {}
+        return web.Response(body=b"served", headers=headers)
+
+    async def start(self) -> web.AppRunner:
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", self.run)
+        runner = web.AppRunner(application)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", self.port).start()
+        return runner
+
+
+class TargetLimitTests(testtools.TestCase):
+    def test_services_get_what_they_named_and_callers_are_told_when_one_takes_more(self) -> None:
+        async def scenario(running: Running) -> None:
+            for name in SERVICES:
+                await tell(running, name, limit=str(LIMIT_PER_S))
+            await confirm_on(running, KNOWN_AFTER_S)
+            since = {name: len(await arrivals(running, name)) for name in SERVICES}
+            answers = await confirm_on(running, WATCHED_S)
+            for name in SERVICES:
+                came = (await arrivals(running, name))[since[name] :]
+                asked = [each["at_s"] for each in came if each["path"].endswith("/confirm")]
+                self.assertLessEqual(busiest(asked), allowed(LIMIT_PER_S))
+                self.assertGreaterEqual(len(asked), USED_PART * LIMIT_PER_S * WATCHED_S)
+            refused = [content for status, content in answers if status != 200]
+            self.assertGreater(len(refused), 0)
+            self.assertEqual({"target_limit"}, {each["error"]["reason"] for each in refused})
+
+        on_a_site(scenario, service_work_s=WORK_S)
+
+    def test_one_service_that_names_a_limit_leaves_callers_to_the_other(self) -> None:
+        async def scenario(running: Running) -> None:
+            chosen = await preferred(running)
+            other = next(each for each in SERVICES if each != chosen)
+            await tell(running, chosen, limit=str(LIMIT_PER_S))
+            await confirm_on(running, KNOWN_AFTER_S)
+            since = len(await arrivals(running, chosen))
+            answers = await confirm_on(running, WATCHED_S)
+            self.assertEqual([], [each for each in answers if each[0] != 200])
+            came = confirmations((await arrivals(running, chosen))[since:])
+            self.assertLessEqual(came, LIMIT_PER_S * WATCHED_S + SLACK)
+            await tell(running, other, limit=str(LIMIT_PER_S))
+            await tell(running, chosen)
+            await confirm_on(running, KNOWN_AFTER_S)
+            since = len(await arrivals(running, chosen))
+            await confirm_on(running, KNOWN_AFTER_S)
+            after = confirmations((await arrivals(running, chosen))[since:])
+            self.assertGreater(after, 2 * LIMIT_PER_S * KNOWN_AFTER_S)
+
+        on_a_site(scenario, service_work_s=WORK_S)
+
+    def test_a_group_gets_what_its_leader_named(self) -> None:
+        async def scenario(running: Running) -> None:
+            for name in ENGINES:
+                await tell(running, name, limit=str(LIMIT_PER_S))
+
+            async def ask_on(for_s: float) -> list[bytes]:
+                end_s = asyncio.get_running_loop().time() + for_s
+                found = []
+                while asyncio.get_running_loop().time() < end_s:
+                    found.append(await running.stream(2))
+                    await asyncio.sleep(PAUSE_S)
+                return found
+
+            await ask_on(KNOWN_AFTER_S)
+            since = {name: len(await arrivals(running, name)) for name in ENGINES}
+            answers = await ask_on(WATCHED_S)
+            served = sum(each.endswith(b"data: [DONE]\n\n") for each in answers)
+            self.assertGreaterEqual(served, USED_PART * LIMIT_PER_S * WATCHED_S)
+            for name in ENGINES:
+                came: list[dict[str, Any]] = (await arrivals(running, name))[since[name] :]
+                asked = [each["at_s"] for each in came if "completions" in each["path"]]
+                self.assertLessEqual(busiest(asked), allowed(LIMIT_PER_S))
+
+        on_a_site(scenario, service_work_s=WORK_S)
+
+    def test_a_target_of_old_tools_gets_what_it_named_from_all_entries(self) -> None:
+        old = OldTarget(names="4", port=free_port())
+
+        async def scenario(running: Running) -> None:
+            runner = await old.start()
+
+            async def ask_on(for_s: float, entry: str) -> None:
+                end_s = asyncio.get_running_loop().time() + for_s
+                while asyncio.get_running_loop().time() < end_s:
+                    await running.stream(2, entry)
+                    await asyncio.sleep(PAUSE_S)
+
+            entries = ("entry-1", "entry-2")
+            await asyncio.gather(*(ask_on(KNOWN_AFTER_S, entry) for entry in entries))
+            old.came_s.clear()
+            await asyncio.gather(*(ask_on(WATCHED_S, entry) for entry in entries))
+            self.assertLessEqual(busiest(old.came_s), allowed(4.0))
+            self.assertGreaterEqual(len(old.came_s), USED_PART * 4.0 * WATCHED_S)
+            await runner.cleanup()
+
+        legacy = f'[model.legacy]\nshare_percent = 100\ntargets = ["http://127.0.0.1:{old.port}"]\n'
+        on_a_site(scenario, more=legacy)
