Agents and entries before old tools' targets keep a limit that a target names

Cause: the same as in direct entries, the limit was decoded nowhere. The class: whoever sends to a target is the only one to keep what it asks of all.

The mend: an agent is the only one before its target, so it counts what it hands over within the limit's span; its gate shows target_limit with the time, a group stays whole for its controller, what is queued and cannot be handed over in time is refused at once as not run. Entries go to other replicas or refuse with the earliest time. Targets of old tools: equal shares of the entries listed, what is left over by rank. A target with a limit is asked for its state each 10 s, and else only looked at.

--- a/packages/ochreway-core/src/ochreway_core/messages/membership.py
+++ b/packages/ochreway-core/src/ochreway_core/messages/membership.py
@@ -140,7 +140,7 @@
     ``next_s`` is when the queue's first would begin its prefill.
     ``received`` is the sequence number of the last attempt that came from the entry that the
     report is for, so the entry knows which of its own are not in the report yet.
-    ``reopens_in_s`` is for how much longer the target asked to be left alone.
+    ``reopens_in_s`` is for how much longer the target takes nothing, by what it asked for.
     ``cached`` and ``evicted`` are block hashes of the engine's prefix cache, late and with gaps.
     """
 
--- a/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/agentshell.py
@@ -59,9 +59,9 @@
 
     # The target's state
 
-    def _told(self, notice: TargetNotice) -> None:
-        if notice is not NO_NOTICE:
-            self.post(lambda now_s: self.node.on_target_notice(notice, now_s))
+    def _told(self, notice: TargetNotice, to_request: bool) -> None:
+        if notice is not NO_NOTICE or (to_request and self.node.limited):
+            self.post(lambda now_s: self.node.on_target_notice(notice, now_s, to_request))
 
     def _poll_state(self) -> None:
         if self._polling:
--- a/packages/ochreway-daemon/src/ochreway_daemon/legacyrunner.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/legacyrunner.py
@@ -12,6 +12,7 @@
 from ochreway_core.reason import Reason
 from ochreway_core.targetkind import TargetKind
 from ochreway_core.targetnotice import TargetNotice
+from ochreway_daemon.sharedlimits import SharedLimits
 from ochreway_platform.errors import PlatformError, TargetTurnedAway, TargetUnreachable
 from ochreway_platform.httptarget import HttpTarget
 from ochreway_routing.backoffs import Backoffs
@@ -24,8 +25,9 @@
 class LegacyRunner:
     """Run attempts at such targets, answering as an agent would."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(self, session: aiohttp.ClientSession, limits: SharedLimits) -> None:
         self._session = session
+        self._limits = limits
         self._running: dict[AttemptId, asyncio.Task[None]] = {}
         self._backoffs = Backoffs()
 
@@ -40,8 +42,11 @@
         if task is not None:
             task.cancel()
 
-    def _take(self, url: str, notice: TargetNotice) -> None:
-        self._backoffs.take(url, notice, asyncio.get_running_loop().time())
+    def _take(self, url: str, notice: TargetNotice, to_request: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._backoffs.take(url, notice, now_s)
+        if to_request:
+            self._limits.answered(url, notice.limit_per_s, now_s)
 
     async def run(self, url: str, submit: Submit, answer: Answer) -> None:
         """Run one attempt and answer with frames or a refusal."""
@@ -50,8 +55,13 @@
         if wait_s:
             answer(_left_alone(submit, wait_s))
             return
+        limit_s = self._limits.wait_s(url, loop.time())
+        if limit_s:
+            answer(Refusal(submit.attempt, Outcome.NOT_RUN, Reason.TARGET_LIMIT, limit_s))
+            return
+        self._limits.sent(url, loop.time())
         target = HttpTarget(self._session, url, TargetKind.MODEL)
-        target.listen(lambda notice: self._take(url, notice))
+        target.listen(lambda notice, to_request: self._take(url, notice, to_request))
         offset = 0
         try:
             async for chunk in target.run(submit, lambda: True):
--- a/packages/ochreway-daemon/src/ochreway_daemon/main.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -34,6 +34,7 @@
     first_peers,
     operator_keys,
 )
+from ochreway_daemon.sharedlimits import SharedLimits
 from ochreway_daemon.shell import Shell
 from ochreway_direct.main import main as direct_entry
 from ochreway_nodes.agent import AgentNode
@@ -169,7 +170,7 @@
             HttpTable(session, base_url, patience_s),
             HttpObjectStore(session, base_url, patience_s),
             HttpInstanceList(session, base_url, patience_s),
-            LegacyRunner(session),
+            LegacyRunner(session, SharedLimits(node.me.node, node.entries)),
             timing,
             log,
             metrics,
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/loadreports.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/loadreports.py
@@ -56,7 +56,7 @@
         """Report when due."""
         if not self._membership.leads:
             return
-        gate = self._membership.closed_because(now_s)
+        gate = self._membership.turns_away(now_s)
         changed = gate is not self._reported_gate
         self._reported_gate = gate
         told = False
@@ -88,7 +88,7 @@
             group=row.group,
             epoch=row.epoch,
             incarnation=self._membership.incarnation,
-            gate=self._membership.closed_because(now_s),
+            gate=self._membership.turns_away(now_s),
             in_flight=self._serving.running,
             queued=len(self._serving.queue),
             backlog_s=self._serving.backlog_s,
@@ -97,7 +97,7 @@
             slots=row.slots,
             cached=tuple(self._cached),
             evicted=tuple(self._evicted),
-            reopens_in_s=self._membership.backoff_s(now_s),
+            reopens_in_s=self._membership.reopens_in_s(now_s),
         )
 
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -24,6 +24,7 @@
 from ochreway_core.targetkind import TargetKind
 from ochreway_core.targetorder import TargetOrder, order_for
 from ochreway_core.timing import Timing
+from ochreway_nodes.agent.limitgate import LimitGate
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.targetstate import TargetState
 
@@ -55,6 +56,7 @@
         self.grant = MemberGrant(timing.grant_ttl_s, now_s)
         self.target = TargetState()
         self._backoff_until_s = now_s
+        self.limit = LimitGate()
         self._warm: TargetOrder | None = None
         self._warm_epoch = NO_EPOCH
         self.leaving = False
@@ -211,6 +213,26 @@
             return Reason.BACKOFF
         return closed
 
+    def turns_away(self, now_s: float) -> Reason:
+        """Return why a new request is not taken: closed, or no more than the limit, or ``NONE``.
+
+        A group whose target has had its limit's worth is whole; it only takes nothing new.
+        """
+        closed = self.closed_because(now_s)
+        if closed is Reason.NONE and self.limit.wait_s(now_s) > 0.0:
+            return Reason.TARGET_LIMIT
+        return closed
+
+    def reopens_in_s(self, now_s: float) -> float:
+        """Return how soon requests are taken again, as far as the target has a say in it."""
+        return max(self.backoff_s(now_s), self.limit.wait_s(now_s))
+
+    def name_limit(self, limit_per_s: float | None) -> None:
+        """Take the limit that the target names, or that it has none any more."""
+        before = self.limit.limit_per_s
+        if self.limit.name(limit_per_s):
+            self._outbox.log("target_limit", limit_per_s=limit_per_s or "", before=before or "")
+
     def back_off(self, for_s: float, now_s: float) -> None:
         """Give the target nothing for a while, as it asked: no request, question or order.
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
@@ -144,8 +144,17 @@
             # Another process answers: one that leaves says so in each of its answers.
             self._target_leaving = False
 
-    def on_target_notice(self, notice: TargetNotice, now_s: float) -> None:
-        """Do what the target asked for in the head of an answer: leave it alone, or leave it."""
+    def on_target_notice(
+        self, notice: TargetNotice, now_s: float, to_request: bool = False
+    ) -> None:
+        """Do what the target asked for in the head of an answer: leave it alone, or leave it.
+
+        An answer to a request that names no limit says that there is none.
+        """
+        if to_request or notice.limit_per_s is not None:
+            self.membership.name_limit(notice.limit_per_s)
+        if notice.limit_per_s is not None:
+            self._outbox.count("notice.limit")
         if notice.backoff_s:
             self.membership.back_off(notice.backoff_s, now_s)
             self.serving.tick(now_s)
@@ -158,7 +167,12 @@
 
     def may_ask(self, now_s: float) -> bool:
         """Tell whether the target may be asked for its state now."""
-        return not self.membership.backoff_s(now_s)
+        return not self.membership.backoff_s(now_s) and self.membership.limit.may_ask(now_s)
+
+    @property
+    def limited(self) -> bool:
+        """Tell whether the target has a limit."""
+        return self.membership.limit.limit_per_s is not None
 
     def on_target_stands(self, ended: bool, now_s: float) -> None:
         """Take whether the process of a target that may not be asked has ended."""
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
@@ -86,7 +86,7 @@
         row = membership.row
         if row is None or (row.group, row.epoch) != (submit.group, submit.epoch):
             return Outcome.NOT_RUN, Reason.STALE_EPOCH
-        closed = membership.closed_because(now_s)
+        closed = membership.turns_away(now_s)
         if closed is not Reason.NONE:
             return Outcome.NOT_RUN, closed
         return None
@@ -124,7 +124,8 @@
 
     def _closed_s(self, reason: Reason, now_s: float) -> float:
         """Return when to come back to a group that is closed, exactly where it is known."""
-        return self._membership.backoff_s(now_s) if reason is Reason.BACKOFF else CLOSED_RETRY_S
+        asked = reason in (Reason.BACKOFF, Reason.TARGET_LIMIT)
+        return self._membership.reopens_in_s(now_s) if asked else CLOSED_RETRY_S
 
     def _late_s(self, work: Work[AttemptRecord], now_s: float) -> float:
         """Return by how much the work is expected to miss its deadline."""
@@ -157,7 +158,7 @@
         """Hand queued work to the target while slots are free and the gate is open."""
         if not len(self.queue):
             return
-        closed = self._membership.closed_because(now_s)
+        closed = self._membership.turns_away(now_s)
         if closed is not Reason.NONE:
             for work in self.queue.take_all():
                 self._end(work.item, Outcome.NOT_RUN, closed, self._closed_s(closed, now_s))
@@ -165,12 +166,17 @@
         for work in self.queue.take_hopeless(now_s, self.meter.backlog_s):
             retry_after_s = self.retry_after_s()
             self._end(work.item, Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT, retry_after_s)
-        while self.running < self.queue.slots and self.meter.backlog_s < PREFILL_AHEAD_S:
+        while self._may_hand_more(now_s):
             following = self.queue.next()
             if following is None:
                 return
             self._hand_over(following, now_s)
 
+    def _may_hand_more(self, now_s: float) -> bool:
+        """Tell whether the target has a free slot and may be handed one more request."""
+        free = self.running < self.queue.slots and self.meter.backlog_s < PREFILL_AHEAD_S
+        return free and not self._membership.limit.wait_s(now_s)
+
     def _hand_over(self, work: Work[AttemptRecord], now_s: float) -> None:
         record = work.item
         gate = self._membership.gate
@@ -181,6 +187,7 @@
         submit = record.submit
         self._handed[submit.attempt] = record
         self.meter.started(submit.attempt, submit.blocks, work.prefill_tokens, now_s)
+        self._membership.limit.handed(now_s)
         valid_until_s = min(gate.valid_until_s(), work.deadline_s)
         self._outbox.add(HandOver(submit, valid_until_s))
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -43,6 +43,7 @@
     {
         Reason.QUEUE_FULL,
         Reason.BACKOFF,
+        Reason.TARGET_LIMIT,
         Reason.OVER_SHARE,
         Reason.DRAINING,
         Reason.LEAVING,
@@ -286,8 +287,8 @@
         if reason is Reason.TARGET_ENDED:
             target = InstanceId(call.attempt.peer.node)
             self._crashes.crashed(call.fingerprint, target, now_s)
-        if reason is Reason.BACKOFF:
-            self._router.left_alone(call.attempt.group, now_s + retry_after_s)
+        if reason in (Reason.BACKOFF, Reason.TARGET_LIMIT):
+            self._router.left_alone(call.attempt.group, now_s + retry_after_s, reason)
         fault = reason not in _NO_FAULT
         if self._router.failed(call.attempt.group, str(attempt), fault, now_s):
             self._outbox.count("ejection")
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -357,6 +357,11 @@
         if bundle is not None:
             self.limits.configure(bundle.organisation, entries)
 
+    def entries(self) -> tuple[NodeId, ...]:
+        """Return the entries that are listed, this one too."""
+        listed = (each.node for each in entries_of(self.listing))
+        return tuple(sorted({*listed, self.me.node}))
+
     def _set_replicas(self) -> None:
         rows = followed_groups(self.me.node, self.hall, self.keeper.groups(), self.listing)
         bundle = self.spread.view.bundle
--- a/packages/ochreway-platform/src/ochreway_platform/httptarget.py
+++ b/packages/ochreway-platform/src/ochreway_platform/httptarget.py
@@ -42,15 +42,15 @@
         self._check = TargetCheck()
         self._kind = kind
         self._timeout = aiohttp.ClientTimeout(total=STATE_TIMEOUT_S)
-        self._told: Told = lambda notice: None
+        self._told: Told = lambda notice, to_request: None
 
     def listen(self, told: Told) -> None:
         """Have a part told of the notices in all answers from now on."""
         self._told = told
 
-    def _notice(self, response: aiohttp.ClientResponse) -> TargetNotice:
+    def _notice(self, response: aiohttp.ClientResponse, to_request: bool = False) -> TargetNotice:
         notice = answer_notice(response.status, response.headers, NOTICES)
-        self._told(notice)
+        self._told(notice, to_request)
         return notice
 
     def _check_taken(self, response: aiohttp.ClientResponse) -> TargetNotice:
@@ -113,7 +113,7 @@
                 headers=_headers(submit),
                 timeout=timeout,
             ) as response:
-                notice = self._notice(response)
+                notice = self._notice(response, to_request=True)
                 if response.status in TURNED_AWAY and NOT_RUN in response.headers:
                     raise TargetTurnedAway(notice)
                 async for chunk in _chunks(response):
--- a/packages/ochreway-platform/src/ochreway_platform/target.py
+++ b/packages/ochreway-platform/src/ochreway_platform/target.py
@@ -24,8 +24,8 @@
     leaving: bool = False
 
 
-Told = Callable[[TargetNotice], None]
-"""Told what the head of each answer says of the target that gave it."""
+Told = Callable[[TargetNotice, bool], None]
+"""Told what the head of each answer says of the target, and whether it answers a request."""
 
 
 class Target(ABC):
--- a/packages/ochreway-routing/src/ochreway_routing/replica.py
+++ b/packages/ochreway-routing/src/ochreway_routing/replica.py
@@ -44,6 +44,8 @@
     reported_s: float = NEVER_S
     opened_s: float = NEVER_S
     reopens_s: float = NEVER_S
+    asked: Reason = Reason.BACKOFF
+    """Why it takes nothing until then."""
     slowness: float = 1.0
     own: dict[str, Sent] = field(default_factory=dict)
     """What this entry sent too late for the last report to include, oldest first."""
@@ -61,6 +63,7 @@
         self.incarnation = report.incarnation
         self.gate = report.gate
         self.reopens_s = now_s + report.reopens_in_s if report.reopens_in_s else NEVER_S
+        self.asked = report.gate
         self.in_flight = report.in_flight
         self.queued = report.queued
         self.backlog_s = report.backlog_s
@@ -99,9 +102,10 @@
             return now_s - min(oldest.sent_s, self.reported_s)
         return now_s - self.reported_s
 
-    def left_alone(self, until_s: float) -> None:
+    def left_alone(self, until_s: float, asked: Reason = Reason.BACKOFF) -> None:
         """Send nothing until a time, as the target asked or will not take anything."""
-        self.reopens_s = max(self.reopens_s, until_s)
+        if until_s > self.reopens_s:
+            self.reopens_s, self.asked = until_s, asked
 
     def backoff_s(self, now_s: float) -> float:
         """Return for how much longer the replica is to get nothing."""
--- a/packages/ochreway-routing/src/ochreway_routing/router.py
+++ b/packages/ochreway-routing/src/ochreway_routing/router.py
@@ -134,11 +134,11 @@
             replica.ended(attempt)
             replica.ejection.succeeded()
 
-    def left_alone(self, group: GroupId, until_s: float) -> None:
+    def left_alone(self, group: GroupId, until_s: float, asked: Reason = Reason.BACKOFF) -> None:
         """Choose a replica no more until a time, as its target asked."""
         replica = self.replicas.get(group)
         if replica is not None:
-            replica.left_alone(until_s)
+            replica.left_alone(until_s, asked)
 
     def failed(self, group: GroupId, attempt: str, fault: bool, now_s: float) -> bool:
         """Note that an attempt ended badly; return whether its replica is ejected by it.
@@ -163,9 +163,10 @@
 
 def _closed(known: list[ReplicaView], now_s: float) -> Refused:
     """Return the refusal when no replica takes work, with the true time where one is known."""
-    waits_s = [each.backoff_s(now_s) for each in known if each.backoff_s(now_s)]
-    if waits_s:
-        return Refused(Reason.BACKOFF, min(waits_s))
+    waiting = [each for each in known if each.backoff_s(now_s)]
+    if waiting:
+        first = min(waiting, key=lambda each: each.backoff_s(now_s))
+        return Refused(first.asked, first.backoff_s(now_s))
     reasons = [each.gate for each in known if each.gate is not Reason.NONE]
     return Refused(reasons[0] if reasons else Reason.GROUP_INCOMPLETE, CLOSED_RETRY_S)
 
--- a/tests/processes/test_targetlimit.py
+++ b/tests/processes/test_targetlimit.py
@@ -1,8 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """The incident, where agents stand beside targets, and at targets of the operators' old tools.
 
-What was seen stands in ``platform/tests/test_targetlimit.py``. Here too a target that named how
-many requests a second it takes went on getting as many as came.
+What was seen and what caused it stands in ``platform/tests/test_targetlimit.py``. Here too a target
+that named how many requests a second it takes went on getting as many as came: 39 and more within
+4 s through its agent where 20 are allowed, 134 where two entries send by themselves.
 """
 
 import asyncio
