Limits: what is kept is bounded, heartbeats tell little of them; explain, costs

A full table of 4,096 limits made each heartbeat 6.8 ms of work and 2.4 KB with 24 targets told: now limits that changed within 2 s go first (16 at most), two others in turn, and parts are sent once and then named by a mark. Windows, counts and times asked are bounded to as many targets. Explain names the limits that were reached, as they were then.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	$(BIN)/python -m ochreway_standins.slopes.logs
 	$(BIN)/python -m ochreway_standins.slopes.crashes
 	$(BIN)/python -m ochreway_standins.slopes.backoffs
+	$(BIN)/python -m ochreway_standins.slopes.targetlimits
 
 choices: setup
 	$(BIN)/python -m ochreway_standins.choicebench --seed $(SEED)
--- a/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
@@ -106,6 +106,17 @@
     return f"each place that could take it had asked to be left alone for a while{named}"
 
 
+@cause("target_limit")
+def _target_limit(story: Story, line: LogLine) -> str:
+    limits: dict[str, str] = {}
+    for each in story.lines[: story.lines.index(line)]:
+        if each.event in ("target_limit", "target_limit_heard"):
+            limits[str(each.get("target"))] = str(each.get("limit_per_s"))
+    named = ", ".join(f"{target} {per_s} a second" for target, per_s in limits.items() if per_s)
+    told = "this entry had sent its part of what each place takes that named a limit"
+    return f"{told}: {named}" if named else told
+
+
 @cause("stale_version")
 def _stale(story: Story, line: LogLine) -> str:
     told = (
--- a/packages/ochreway-cli/src/ochreway_cli/explain/story.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/story.py
@@ -33,7 +33,9 @@
     }
 )
 """What an entry tells of itself that bears on each of its requests."""
-NOTICES = frozenset({"target_backoff", "target_leaving"})
+NOTICES = frozenset(
+    {"target_backoff", "target_leaving", "target_limit", "target_limit_heard", "limit_pool"}
+)
 """What targets asked of an entry, which bears on where its requests went."""
 SCARCE = frozenset({"no_group", "queue_full"})
 """Reasons that come from the groups of a model there were, rather than from one of them."""
--- a/packages/ochreway-direct/src/ochreway_direct/noticewatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/noticewatch.py
@@ -3,11 +3,12 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import Any
 
 from ochreway_core.ids import InstanceId
 from ochreway_core.targetnotice import TargetNotice
 from ochreway_routing.backoffs import Backoffs
-from ochreway_routing.targetlimits import LimitWord, TargetLimits
+from ochreway_routing.targetlimits import KNOWN_AT_MOST, LimitWord, TargetLimits
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
@@ -86,6 +87,7 @@
             self._used.pop(instance, None)
             return
         use = self._used.setdefault(instance, LimitUse(now_s))
+        _bound(self._used)
         use.answers += 1
         if now_s - use.since_s < USE_TOLD_S:
             return
@@ -114,6 +116,7 @@
         if now_s - self._asked_s.get(instance, -ASKED_EACH_S) < each_s:
             return False
         self._asked_s[instance] = now_s
+        _bound(self._asked_s)
         return True
 
     def backed_off(self, instance: InstanceId, born_ms: int | None = None) -> bool:
@@ -133,4 +136,10 @@
         }
 
 
+def _bound(kept: dict[InstanceId, Any]) -> None:
+    """Forget what was noted first of more targets than are kept."""
+    if len(kept) > KNOWN_AT_MOST:
+        del kept[next(iter(kept))]
+
+
 __all__ = ["NoticeWatch"]
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitgate.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitgate.py
@@ -6,7 +6,7 @@
 from ochreway_direct.sendlimits.sendwindow import WRITE_MARGIN_S, SendWindow
 from ochreway_direct.targetlimits.limitpool import LimitPool
 from ochreway_routing.quota import Quota
-from ochreway_routing.targetlimits import TargetLimits
+from ochreway_routing.targetlimits import KNOWN_AT_MOST, TargetLimits
 
 
 class LimitGate:
@@ -40,6 +40,8 @@
             self._windows.pop(attempt.instance, None)
             return
         self._windows.setdefault(attempt.instance, SendWindow()).add(attempt)
+        if len(self._windows) > KNOWN_AT_MOST:
+            del self._windows[next(iter(self._windows))]
 
 
 __all__ = ["LimitGate"]
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitpool.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitpool.py
@@ -16,6 +16,8 @@
 from ochreway_direct.targetlimits.poolnews import LimitNews, PoolNews
 from ochreway_routing.quota import Quota
 
+WORKED_OUT_AT_MOST = 8192
+"""Of how many targets' limits this entry's part is kept as it was worked out."""
 LENT_S = 3.0
 """For how long parts hold without word from the keeper: a new one takes over within that time."""
 MEMBER_S = 2.0
@@ -48,10 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """Hold when an entry said that it follows this one, and what it is asked for."""
+    """Hold when an entry said that it follows this one, what it is asked for, and its mark."""
 
     heard_s: float
     asked_per_s: float
+    holds: int = 0
 
 
 class LimitPool:
@@ -72,6 +75,8 @@
         self._since_s = self._begun_s = began_s
         self._keeper_s = began_s
         self._told_s = -math.inf
+        self._mark = 0
+        self._holds = 0
         self._whole: dict[tuple[InstanceId, int], int] = {}
 
     # Who keeps the pool.
@@ -105,6 +110,7 @@
             # The others go on by these parts until they hear from the new keeper.
             self._until_s = now_s + LENT_S
         self._keeper = keeper
+        self._holds = 0
         if not self.keeps:
             return
         # A former keeper's parts are gone on with: they still add up, whoever tells of them.
@@ -115,6 +121,7 @@
     def _set(self, parts: tuple[Allotment, ...]) -> None:
         if parts != self._parts:
             self._parts = parts
+            self._mark += 1
             self._whole.clear()
 
     # Dividing, as keeper.
@@ -174,11 +181,15 @@
         tells = self.keeps and any_limit
         if tells:
             self._told_s = now_s
+        member = self._members.get(node)
+        held = member is not None and member.holds == self._mark
         return PoolNews(
             keeps=self._keeps(self._me),
             follows=node == self._keeper,
             asked_per_s=round(self._asked_per_s, 1),
-            allotments=self._parts if tells else (),
+            mark=self._mark if tells else 0,
+            holds=self._holds if node == self._keeper else 0,
+            allotments=self._parts if tells and not held else (),
             limits=limits,
         )
 
@@ -189,11 +200,18 @@
         else:
             self._keeping.discard(sender)
         if news.follows:
-            self._members[sender] = Member(now_s, news.asked_per_s)
+            self._members[sender] = Member(now_s, news.asked_per_s, news.holds)
         else:
             self._members.pop(sender, None)
-        if sender == self._keeper and news.allotments and echo_s is not None:
+        if sender == self._keeper and news.mark and echo_s is not None:
+            self._take_parts(news, echo_s)
+
+    def _take_parts(self, news: PoolNews, echo_s: float) -> None:
+        """Take the keeper's parts, or go on by those that it says still hold."""
+        if news.allotments:
             self._set(news.allotments)
+            self._holds = news.mark
+        if self._holds == news.mark:
             self._until_s = echo_s + LENT_S
 
     # What is asked.
@@ -207,6 +225,8 @@
         key = (instance, quota.requests)
         found = self._whole.get(key)
         if found is None:
+            if len(self._whole) >= WORKED_OUT_AT_MOST:
+                self._whole.clear()
             parts = (each.requests_of(self._me, quota.requests, instance) for each in self._parts)
             found = self._whole[key] = min(parts, default=0)
         return found
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitsharing.py
@@ -35,12 +35,14 @@
         self._asked_per_s = 0.0
         self._kept_pool = False
         self._news: tuple[LimitNews, ...] = ()
+        self._limited = False
 
     def beat(self, order: Sequence[NodeId], meshed: bool, now_s: float) -> None:
         """Take the entries heard now, the strongest first, and divide limits if it is due."""
         self._measure(now_s)
         self._pool.beat(order, meshed, self._asked_per_s, now_s)
         self._news = self._spread.news(now_s)
+        self._limited = self._limits.number() > 0
         if self._pool.keeps is not self._kept_pool:
             self._kept_pool = self._pool.keeps
             self._log.event("limit_pool", keeps=self._kept_pool, entries=len(order))
@@ -60,7 +62,7 @@
         Ages hold for the time of the beat, so answers to others' heartbeats tell of no limits.
         """
         limits = self._news if now_s == self._beat_s else ()
-        return self._pool.news_for(node, limits, bool(self._news), now_s)
+        return self._pool.news_for(node, limits, self._limited, now_s)
 
     def hear(
         self,
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitspread.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitspread.py
@@ -7,43 +7,50 @@
 from ochreway_direct.targetlimits.poolnews import LimitNews
 from ochreway_routing.targetlimits import LimitWord, TargetLimits
 
-TOLD_AT_MOST = 24
-"""How many targets a heartbeat tells of, at a few bytes each; the others follow in turn."""
-OVER_TOLD_S = 10.0
-"""For how long it is told that a limit is over."""
+NEWS_S = 2.0
+"""For how long it is told that a limit changed: several heartbeats, some of which may be lost."""
+NEWS_AT_MOST = 16
+IN_TURN = 2
+"""How many changed limits, and how many others in turn, a heartbeat tells of.
+
+Whoever sends to a target hears its limit itself; the others need not know it at once.
+"""
+OVER_TOLD_S = 20.0
+"""For how long it is told that a limit is over, to entries that were cut off meanwhile too."""
 
 
 class LimitSpread:
-    """Tell of limits with each heartbeat: what was heard last first, then all in turn."""
+    """Tell of limits with each heartbeat: those that changed first, then all in turn."""
 
     def __init__(self, limits: TargetLimits) -> None:
         self._limits = limits
-        self._turn = 0
+        self._turn: list[str] = []
 
     def news(self, now_s: float) -> tuple[LimitNews, ...]:
         """Return what to tell now."""
-        told = [
-            LimitNews(InstanceId(name), word.limit_per_s, now_s - word.heard_s, word.born_ms)
-            for name, word in self._limits.words()
-            if word.limit_per_s is not None or now_s - word.heard_s < OVER_TOLD_S
-        ]
-        if len(told) <= TOLD_AT_MOST:
-            return tuple(told)
-        newest = told[-TOLD_AT_MOST // 2 :]
-        rest = told[: -TOLD_AT_MOST // 2]
-        self._turn = (self._turn + TOLD_AT_MOST // 2) % len(rest)
-        return (*newest, *(rest[self._turn :] + rest[: self._turn])[: TOLD_AT_MOST // 2])
+        changed = self._limits.changed(now_s - NEWS_S)[-NEWS_AT_MOST:]
+        if not self._turn:
+            self._turn = self._limits.targets()
+        told = dict.fromkeys((*changed, *self._turn[-IN_TURN:]))
+        del self._turn[-IN_TURN:]
+        words = ((target, self._limits.word(target)) for target in told)
+        return tuple(
+            LimitNews(InstanceId(target), word.limit_per_s, now_s - word.heard_s, word.born_ms)
+            for target, word in words
+            if word is not None and _told(word, now_s)
+        )
 
     def hear(self, news: Iterable[LimitNews], delay_s: float, now_s: float) -> list[LimitNews]:
         """Take what another entry tells, which was on its way for some time; return what is new."""
-        return [
-            each
-            for each in news
-            if self._limits.take(
-                each.instance,
-                LimitWord(each.limit_per_s, now_s - each.age_s - delay_s, each.born_ms),
-            )
-        ]
+        return [each for each in news if self._take(each, now_s - delay_s, now_s)]
+
+    def _take(self, news: LimitNews, told_s: float, now_s: float) -> bool:
+        word = LimitWord(news.limit_per_s, told_s - news.age_s, news.born_ms)
+        return self._limits.take(news.instance, word, now_s)
+
+
+def _told(word: LimitWord, now_s: float) -> bool:
+    return word.limit_per_s is not None or now_s - word.heard_s < OVER_TOLD_S
 
 
-__all__ = ["LimitSpread"]
+__all__ = ["NEWS_AT_MOST", "LimitSpread"]
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/poolnews.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/poolnews.py
@@ -22,12 +22,15 @@
     """Tell who divides the limits, and how.
 
     The sender ``keeps`` the pool, or ``follows`` the receiver in it. It is asked for so many
-    requests a second. ``allotments`` are all in force; from several, each takes its least.
+    requests a second. ``allotments`` are all in force; from several, each takes its least. They
+    have a number, ``mark``, and are left out for whom ``holds`` them: then the mark goes on.
     """
 
     keeps: bool = False
     follows: bool = False
     asked_per_s: float = 0.0
+    mark: int = 0
+    holds: int = 0
     allotments: tuple[Allotment, ...] = ()
     limits: tuple[LimitNews, ...] = ()
 
--- a/packages/ochreway-routing/src/ochreway_routing/targetlimits.py
+++ b/packages/ochreway-routing/src/ochreway_routing/targetlimits.py
@@ -1,7 +1,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """How many requests a second targets take from all callers together, as they named it."""
 
-from collections.abc import Iterable
+import itertools
+from collections.abc import Callable
 from dataclasses import dataclass
 
 KNOWN_AT_MOST = 4096
@@ -28,9 +29,13 @@
         """Start with no limits; of so many targets at the most something is kept."""
         self._known_at_most = known_at_most
         self._words: dict[str, LimitWord] = {}
+        self._changed_s: dict[str, float] = {}
 
-    def take(self, target: str, word: LimitWord) -> bool:
-        """Take a word if it is newer than the one known; return whether another limit holds."""
+    def take(self, target: str, word: LimitWord, now_s: float | None = None) -> bool:
+        """Take a word if it is newer than the one known; return whether another limit holds.
+
+        It is taken ``now_s``, when it was heard or, from another entry, later.
+        """
         known = self._words.get(target)
         if known is None and word.limit_per_s is None:
             return False
@@ -39,7 +44,11 @@
         self._words.pop(target, None)
         self._make_room()
         self._words[target] = word
-        return known is None or known.limit_per_s != word.limit_per_s
+        if known is not None and known.limit_per_s == word.limit_per_s:
+            return False
+        self._changed_s.pop(target, None)
+        self._changed_s[target] = word.heard_s if now_s is None else now_s
+        return True
 
     def _make_room(self) -> None:
         """Forget limits that are over and, if that is not enough, what was heard first."""
@@ -56,9 +65,22 @@
             return None
         return word.limit_per_s
 
-    def words(self) -> Iterable[tuple[str, LimitWord]]:
-        """Return the newest word of each target, those heard last at the end."""
-        return self._words.items()
+    def word(self, target: str) -> LimitWord | None:
+        """Return the newest word of a target."""
+        return self._words.get(target)
+
+    def targets(self) -> list[str]:
+        """Return the targets of which a word is known, those heard last at the end."""
+        return list(self._words)
+
+    def changed(self, since_s: float) -> list[str]:
+        """Return the targets whose limit changed since a time, at the end those that did last."""
+        for target in list(itertools.takewhile(self._before(since_s), self._changed_s)):
+            del self._changed_s[target]
+        return list(self._changed_s)
+
+    def _before(self, since_s: float) -> Callable[[str], bool]:
+        return lambda target: self._changed_s[target] < since_s
 
     def number(self) -> int:
         """Return how many targets have a limit."""
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -138,6 +138,19 @@
         attempt = next(each for each in story.own if each.event == "attempt")
         self.assertIn("i-2 turned it away", why(story, attempt))
 
+    def test_limits_that_were_reached_are_named_as_they_were_then(self) -> None:
+        lines = (
+            text("e", 3.0, "target_limit", target="i-1", limit_per_s=1.2, before='""'),
+            text("e", 3.1, "target_limit_heard", target="i-2", limit_per_s=2.5, by="f"),
+            text("e", 3.1, "target_limit", target="i-3", limit_per_s=4.0, before='""'),
+            text("e", 3.2, "target_limit", target="i-3", limit_per_s='""', before=4.0),
+            text("e", 3.3, "refused", request="r6", status=503, reason="target_limit"),
+            text("e", 3.4, "target_limit", target="i-1", limit_per_s=9.0, before=1.2),
+        )
+        story = self.story("r6", entry=lines)
+        assert story.end is not None
+        self.assertIn("limit: i-1 1.2 a second, i-2 2.5 a second", why(story, story.end))
+
     def test_a_lack_of_groups_names_the_last_one_of_the_model(self) -> None:
         refusal = text(
             *("e", 4.0, "refused"),
--- a/tests/routing/test_targetlimits.py
+++ b/tests/routing/test_targetlimits.py
@@ -42,6 +42,14 @@
         limits.take("old", LimitWord(1.0, 10.0))
         limits.take("over", LimitWord(None, 11.0))
         limits.take("new", LimitWord(1.0, 12.0))
-        self.assertEqual(["old", "new"], [name for name, _ in limits.words()])
+        self.assertEqual(["old", "new"], limits.targets())
         limits.take("newer", LimitWord(1.0, 13.0))
-        self.assertEqual(["new", "newer"], [name for name, _ in limits.words()])
+        self.assertEqual(["new", "newer"], limits.targets())
+
+    def test_what_changed_lately_is_known(self) -> None:
+        self.limits.take("a", LimitWord(1.0, 10.0))
+        self.limits.take("b", LimitWord(1.0, 10.5), 12.0)
+        self.limits.take("a", LimitWord(1.0, 13.0))
+        self.assertEqual(["b"], self.limits.changed(11.0))
+        self.limits.take("a", LimitWord(None, 14.0))
+        self.assertEqual(["b", "a"], self.limits.changed(11.0))
