A leader that ends waits until its members know, and they keep its word

Seen: after a stop of a whole group an agent had not ended 40 s after SIGTERM. It waited until its leader, gone after 1.0 s, had been silent for 60 s. Cause: the leader went as soon as it had sent the word that members are released; nothing showed that it arrived, and a member forgot it when it was not yet leaving, or adopted a later step of the row.

The mend: each answer to a heartbeat, grant or refusal, counts as heard. A leader that ends says so each 0.1 s until all others have answered that heartbeat or a later one, or their grants have lapsed, for 3 s at the most. A member keeps the word through later steps of the same epoch, and when it is told to stop later.

--- a/packages/ochreway-core/src/ochreway_core/gate.py
+++ b/packages/ochreway-core/src/ochreway_core/gate.py
@@ -17,6 +17,8 @@
     ready: bool = False
     leaving: bool = False
     granted_once: bool = False
+    answered: int = 0
+    """The newest heartbeat that the member has answered."""
 
 
 @dataclass(slots=True)
@@ -60,6 +62,20 @@
         member.leaving = leaving
         member.granted_once = True
 
+    def answered(self, node: NodeId, sequence: int) -> None:
+        """Note that a member answered a heartbeat, by a grant or a refusal."""
+        member = self._members.get(node)
+        if member is not None and sequence in self._sent_s:
+            member.answered = max(member.answered, sequence)
+
+    def all_heard(self, sequence: int, now_s: float, but: NodeId) -> bool:
+        """Tell whether all others answered a heartbeat or a later one, or are known to be gone."""
+        return all(
+            member.answered >= sequence or now_s >= member.until_s
+            for node, member in self._members.items()
+            if node != but
+        )
+
     def knows_row(self, node: NodeId) -> bool:
         """Tell whether the member has granted this epoch at least once."""
         return self._members[node].granted_once
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -33,6 +33,10 @@
 ORDER_VALID_S = 0.5
 TARGET_SEEN_S = 2.0
 NEVER_S = -1.0e9
+FAREWELL_AGAIN_S = 0.1
+"""How often a leader that ends says so until its members have answered."""
+FAREWELL_S = 3.0
+"""How long a leader that ends waits for its members' answers at the most."""
 
 
 class Membership:
@@ -61,7 +65,8 @@
         self._warm_epoch = NO_EPOCH
         self.leaving = False
         self.released = False
-        self.said_released = False
+        self._released_from: int | None = None
+        self._released_s = now_s
         self._heard_leader_s = now_s
         self._outbox = outbox
         self._epoch_changed = epoch_changed
@@ -95,9 +100,9 @@
             if row.leader.node == self.me.node:
                 ttl_s = self.timing.leader_grant_ttl_s
                 self.gate = LeaderGate(row, ttl_s, now_s, sequence)
+            self.released = False
         self.row = row
         self._warm = None
-        self.released = False
         self._heard_leader_s = now_s
         self.grant.learn(row.epoch)
         self._heartbeat_s = -1.0e9
@@ -135,12 +140,12 @@
             self._refuse(sender, beat, reason, 0.0)
             return
         self._heard_leader_s = now_s
+        # Kept by a member that stays as well: it may be told to stop after its leader has gone.
+        self.released = beat.released
         if self.leaving and beat.released:
-            self.released = True
             self.grant.returned(beat.epoch)
             self._refuse(sender, beat, Reason.LEAVING, 0.0)
             return
-        self.released = False
         held = self.grant.request(beat.epoch, now_s)
         if held.is_err():
             self._refuse(sender, beat, held.unwrap_err().reason, held.unwrap_err().wait_s)
@@ -166,12 +171,14 @@
     def on_grant(self, sender: Peer, grant: Grant, now_s: float) -> None:
         """Count a member's grant."""
         if self.gate is not None and grant.epoch == self.gate.row.epoch:
+            self.gate.answered(sender.node, grant.sequence)
             self.gate.granted(sender.node, grant.sequence, grant.ready, grant.leaving)
 
     def on_grant_refusal(self, sender: Peer, refusal: GrantRefusal, now_s: float) -> None:
         """Send the row again to a member that does not know it."""
         if self.gate is None or refusal.epoch != self.gate.row.epoch:
             return
+        self.gate.answered(sender.node, refusal.sequence)
         self.gate.forgot_row(sender.node)
         if refusal.formation > self.gate.row.formation:
             # This leader restarted and forgot a formation that its members still know.
@@ -258,6 +265,16 @@
         elif self.target.seen_s > NEVER_S:
             self.target = replace(self.target, seen_s=now_s)
 
+    def leader_may_go(self, now_s: float) -> bool:
+        """Tell whether all members know that this leader ends, or have been told for long enough.
+
+        A member that did not hear of it would wait until its leader has been silent for long.
+        """
+        if self.gate is None or self._released_from is None:
+            return False
+        told_long = now_s - self._released_s >= FAREWELL_S
+        return told_long or self.gate.all_heard(self._released_from, now_s, self.me.node)
+
     def may_go(self, now_s: float) -> bool:
         """Tell whether this member's end would cut nothing that its group has in flight."""
         silent_s = now_s - self._heard_leader_s
@@ -301,13 +318,16 @@
 
     def tick(self, now_s: float) -> None:
         """Send heartbeats and order the target when due."""
-        if self.gate is not None and now_s - self._heartbeat_s >= self.timing.heartbeat_s:
+        if self.gate is not None and now_s - self._heartbeat_s >= self._beat_each_s():
             self._heartbeat_s = now_s
             self._beat(self.gate, now_s)
         self._order_target(now_s)
         if self.gate is not None:
             self._put_standby_in(self.gate, now_s)
 
+    def _beat_each_s(self) -> float:
+        return self.timing.heartbeat_s if self._released_from is None else FAREWELL_AGAIN_S
+
     def _put_standby_in(self, gate: LeaderGate, now_s: float) -> None:
         """Let standbys take the places of lost members, for which the table is not needed."""
         row = gate.row
@@ -337,13 +357,20 @@
         # The gate stays closed by a leaving member's last grant, or by this agent's own end, so
         # once drained the member may go.
         drained = self._drained()
-        self.said_released = drained and self.leaving
+        self._note_farewell(drained and self.leaving, sequence, now_s)
         for peer in self._others(row):
             riding = None if gate.knows_row(peer.node) else row
             released = drained and (self.leaving or gate.is_leaving(peer.node))
             beat = Heartbeat(row.group, row.epoch, row.formation, sequence, released, riding)
             self._outbox.send(peer, beat)
 
+    def _note_farewell(self, ends: bool, sequence: int, now_s: float) -> None:
+        """Note with which heartbeat the members are first told that this leader ends."""
+        if not ends:
+            self._released_from = None
+        elif self._released_from is None:
+            self._released_from, self._released_s = sequence, now_s
+
     def _others(self, row: GroupRow) -> list[Peer]:
         return [peer for peer in row.everyone if peer.node != self.me.node]
 
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
@@ -227,7 +227,7 @@
         if now_s - self._left_s < LINGER_S:
             return False
         if self.membership.leads:
-            return self.serving.drained and self.membership.said_released
+            return self.serving.drained and self.membership.leader_may_go(now_s)
         return self.membership.may_go(now_s)
 
     def _on_epoch_changed(self, now_s: float) -> None:
