--- a/tests/nodes/test_farewell.py
+++ b/tests/nodes/test_farewell.py
@@ -3,9 +3,10 @@
 
 Seen: on a planned stop of a whole group an agent had not ended 40 s after SIGTERM; it waited until
 its leader, which was gone, had been silent for a minute.
-Cause: a leader went as soon as it had sent the word that its members are released, whether or not it
-arrived. A member that had not yet been told to stop, or adopted a later step of the group's row
-after the word, forgot it. Proved by these tests, in which the first words are lost or come too early.
+Cause: a leader went as soon as it had sent the word that its members are released, whether or not
+it arrived. A member that had not yet been told to stop forgot it, and so did one that adopted a
+later step of the group's row after it. Proved by these tests: the first words are lost, or come
+too early.
 """
 
 from collections.abc import Callable
