Limits: an entry that is late with heartbeats keeps its part; no margin in the span

Cause: an entry that had been silent for a second counted as gone, so parts changed back and forth, and during a change each goes by its least part. Now 2 s of silence for the keeper, 3 s for a member, parts hold for 4 s without word.

--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
@@ -171,7 +171,7 @@
             names = [each.node for each in self._peers.all()]
             self._loans.beat(names, bool(self._peers.alive(now_s)), now_s)
         if self._limits is not None:
-            self._limits.beat(self._peers.in_order(now_s), self.meshed, now_s)
+            self._limits.beat(self._peers.in_order(), self.meshed, now_s)
         own = self._own_work(now_s)
         entries = self._to_name(now_s)
         for peer in self.contacts():
--- a/packages/ochreway-direct/src/ochreway_direct/peers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/peers.py
@@ -224,10 +224,10 @@
         order = sorted(self.alive(now_s), key=_order)
         return [record.peer for record in order[:number]]
 
-    def in_order(self, now_s: float) -> list[NodeId]:
-        """Return the entries heard lately and this one, the strongest first."""
+    def in_order(self) -> list[NodeId]:
+        """Return the entries known and this one, the strongest first."""
         mine = (-self._me.strength, self._me.peer.node)
-        return [node for _, node in sorted([mine, *map(_order, self.alive(now_s))])]
+        return [node for _, node in sorted([mine, *map(_order, self._records.values())])]
 
     def rank(self, now_s: float) -> int:
         """Return how many live entries come before this one, by strength and name."""
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/sendwindow.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/sendwindow.py
@@ -3,10 +3,11 @@
 
 from ochreway_direct.relay.attempt import Attempt
 
-WRITE_MARGIN_S = 0.1
-"""How much longer an attempt counts: a write is noted some turns of the event loop off the send."""
-HELD_S = 1.0 + WRITE_MARGIN_S
-"""For how long an attempt counts after it was written, for a limit within a second."""
+HELD_S = 1.1
+"""For how long an attempt counts after it was written: the second of the limit and a margin.
+
+A write is noted some turns of the event loop before or after the bytes leave.
+"""
 
 
 class SendWindow:
@@ -36,4 +37,4 @@
     return held_s if attempt.written_s is None else attempt.written_s + held_s - now_s
 
 
-__all__ = ["HELD_S", "WRITE_MARGIN_S", "SendWindow"]
+__all__ = ["HELD_S", "SendWindow"]
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitgate.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitgate.py
@@ -3,7 +3,7 @@
 
 from ochreway_core.ids import InstanceId
 from ochreway_direct.relay.attempt import Attempt
-from ochreway_direct.sendlimits.sendwindow import WRITE_MARGIN_S, SendWindow
+from ochreway_direct.sendlimits.sendwindow import SendWindow
 from ochreway_direct.targetlimits.limitpool import LimitPool
 from ochreway_routing.quota import Quota
 from ochreway_routing.targetlimits import KNOWN_AT_MOST, TargetLimits
@@ -32,7 +32,7 @@
         window = self._windows.get(instance)
         if window is None:
             return 0.0
-        return window.free_in_s(own, now_s, quota.span_s + WRITE_MARGIN_S)
+        return window.free_in_s(own, now_s, quota.span_s)
 
     def sent(self, attempt: Attempt) -> None:
         """Count a request that is about to be sent to its target."""
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitpool.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitpool.py
@@ -18,9 +18,11 @@
 
 WORKED_OUT_AT_MOST = 8192
 """Of how many targets' limits this entry's part is kept as it was worked out."""
-LENT_S = 3.0
+HEARD_S = 2.0
+"""For how long an entry that is silent is still taken to be there: a busy one is late at times."""
+LENT_S = 4.0
 """For how long parts hold without word from the keeper: a new one takes over within that time."""
-MEMBER_S = 2.0
+MEMBER_S = 3.0
 """For how long an entry counts as a member after it said so."""
 SPAN_S = 4.0
 """For how long what was sent by old parts counts beside what is sent by new ones."""
@@ -69,6 +71,7 @@
         self._asked_per_s = 0.0
         self._keeper: NodeId | None = None
         self._keeping: set[NodeId] = set()
+        self._heard_s: dict[NodeId, float] = {}
         self._members: dict[NodeId, Member] = {}
         self._parts: tuple[Allotment, ...] = ()
         self._until_s = -math.inf
@@ -88,10 +91,14 @@
         """
         self._meshed = meshed
         self._asked_per_s = asked_per_s
-        self._keeping.intersection_update(order)
-        self._members = {n: each for n, each in self._members.items() if n in order}
-        keeping = [node for node in order if node in self._keeping or self._keeps(node)]
-        self._follow((keeping or list(order))[0], now_s)
+        self._heard_s = {n: at for n, at in self._heard_s.items() if now_s - at < HEARD_S}
+        self._keeping.intersection_update(self._heard_s)
+        self._members = {
+            n: each for n, each in self._members.items() if now_s - each.heard_s < MEMBER_S
+        }
+        heard = [node for node in order if node == self._me or node in self._heard_s]
+        keeping = [node for node in heard if node in self._keeping or self._keeps(node)]
+        self._follow((keeping or heard)[0], now_s)
         if self.keeps:
             self._divide(now_s)
 
@@ -161,11 +168,7 @@
         """Return the parts by what members are asked for; None before all entries are known."""
         if not self._standing.settled(now_s) and now_s - self._began_s < LONE_S:
             return None
-        asked = {
-            node: each.asked_per_s
-            for node, each in self._members.items()
-            if now_s - each.heard_s < MEMBER_S
-        }
+        asked = {node: each.asked_per_s for node, each in self._members.items()}
         asked[self._me] = self._asked_per_s
         share = len(asked) / max(len(asked), self._standing.known)
         weights = _weights(asked)
@@ -195,6 +198,7 @@
 
     def hear(self, sender: NodeId, news: PoolNews, echo_s: float | None, now_s: float) -> None:
         """Take what another entry tells, with the newest time of this one's that it had heard."""
+        self._heard_s[sender] = now_s
         if news.keeps:
             self._keeping.add(sender)
         else:
