--- a/packages/ochreway-direct/src/ochreway_direct/noticewatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/noticewatch.py
@@ -14,8 +14,6 @@
 
 USE_TOLD_S = 5.0
 """How often a log tells at the most what one target with a limit got from this entry."""
-
-
 ASKED_EACH_S = 10.0
 """How often an engine with a limit is asked for its state: a question may count as a request."""
 ASKED_URGENTLY_EACH_S = 2.0
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitpool.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitpool.py
@@ -63,7 +63,12 @@
     """Keep a pool, or be a member of one."""
 
     def __init__(self, me: NodeId, standing: StandingShare, began_s: float) -> None:
-        """Start without any part; ``standing`` knows how many entries there are."""
+        """Start without any part; ``standing`` knows how many entries there are.
+
+        ``_since_s`` is when the newest parts were first told, ``_begun_s`` when the change that
+        they belong to began, ``_keeper_s`` when this entry took the pool over, and ``_told_s``
+        when it last told its parts to anybody.
+        """
         self._me = me
         self._standing = standing
         self._began_s = began_s
@@ -78,7 +83,8 @@
         self._since_s = self._begun_s = began_s
         self._keeper_s = began_s
         self._told_s = -math.inf
-        self._mark = 0
+        # Marks of a former life must not be taken for this one's.
+        self._mark = int(began_s * 1000)
         self._holds = 0
         self._whole: dict[tuple[InstanceId, int], int] = {}
 
