--- a/packages/ochreway-direct/src/ochreway_direct/crashkeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashes/crashkeeper.py
@@ -8,8 +8,8 @@
 from ochreway_core.backoff import Backoff
 from ochreway_core.ids import ChangeId, Fingerprint, InstanceId, NodeId
 from ochreway_core.table import CommitStatus, Row, Transaction
-from ochreway_direct.crashwatch import CrashWatch
-from ochreway_direct.fatalrow import PREFIX, FatalRow, key_of, read_row
+from ochreway_direct.crashes.crashwatch import CrashWatch
+from ochreway_direct.crashes.fatalrow import PREFIX, FatalRow, key_of, read_row
 from ochreway_platform.errors import TableUnavailable
 from ochreway_platform.table import Table
 from ochreway_routing.crashbook import REMEMBERED_S, CrashBook
--- a/packages/ochreway-direct/src/ochreway_direct/crashspread.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashes/crashspread.py
@@ -6,8 +6,8 @@
 from ochreway_core.crashnews import CrashNews
 from ochreway_core.ids import Fingerprint
 from ochreway_core.peer import Peer
-from ochreway_direct.crashwatch import CrashWatch
-from ochreway_direct.heartbeats import Heartbeats
+from ochreway_direct.crashes.crashwatch import CrashWatch
+from ochreway_direct.entries.heartbeats import Heartbeats
 from ochreway_routing.crashbook import CrashBook
 from ochreway_wire.links import Links
 
--- a/packages/ochreway-direct/src/ochreway_direct/dependencies.py
+++ b/packages/ochreway-direct/src/ochreway_direct/dependencies.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ochreway_core.ids import NodeId
-from ochreway_direct.peers import Peers
+from ochreway_direct.entries.peers import Peers
 from ochreway_direct.serving import Serving
 from ochreway_runtime.logs import EventLog
 
--- a/packages/ochreway-direct/src/ochreway_direct/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
@@ -6,14 +6,15 @@
 
 from ochreway_core.ids import NodeId, Version
 from ochreway_core.peer import Peer
-from ochreway_direct.cells import MESH_ENTRIES, Cells
-from ochreway_direct.coverage import Coverage
 from ochreway_direct.demandmeter import DemandMeter
-from ochreway_direct.drainkeeper import DrainKeeper
-from ochreway_direct.elsewhere import Elsewhere
+from ochreway_direct.drains.drainkeeper import DrainKeeper
+from ochreway_direct.entries.cells import MESH_ENTRIES, Cells
+from ochreway_direct.entries.coverage import Coverage
+from ochreway_direct.entries.elsewhere import Elsewhere
+from ochreway_direct.entries.knownentry import KnownEntry
+from ochreway_direct.entries.peers import Peers
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.ids import CellId
-from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.messages import (
     ConfigurationRequest,
@@ -23,7 +24,6 @@
     LeaseSighting,
     aged,
 )
-from ochreway_direct.peers import Peers
 from ochreway_direct.sendlimits.loans import Loans
 from ochreway_direct.serving import Serving
 from ochreway_direct.targetlimits.limitsharing import LimitSharing
--- a/packages/ochreway-direct/src/ochreway_direct/peers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/peers.py
@@ -6,8 +6,8 @@
 
 from ochreway_core.ids import HallId, NodeId
 from ochreway_core.peer import Peer
-from ochreway_direct.cells import Candidate
-from ochreway_direct.knownentry import KnownEntry
+from ochreway_direct.entries.cells import Candidate
+from ochreway_direct.entries.knownentry import KnownEntry
 from ochreway_direct.messages import Heartbeat, LeaseSighting
 
 NEVER_S = -1.0e9
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -14,22 +14,23 @@
 from ochreway_direct.configurationfollower import ConfigurationFollower
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
-from ochreway_direct.crashkeeper import CrashKeeper
-from ochreway_direct.crashspread import CrashSpread
-from ochreway_direct.crashwatch import CrashWatch
+from ochreway_direct.crashes.crashkeeper import CrashKeeper
+from ochreway_direct.crashes.crashspread import CrashSpread
+from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.dependencies import Dependencies
-from ochreway_direct.drainkeeper import DrainKeeper
+from ochreway_direct.drains.drainkeeper import DrainKeeper
+from ochreway_direct.drains.halldrains import HallDrains
 from ochreway_direct.earlylistener import BEGAN_S
+from ochreway_direct.entries.heartbeats import Heartbeats
+from ochreway_direct.entries.knownentry import KnownEntry
+from ochreway_direct.entries.peers import Peers
 from ochreway_direct.fleet import SAMPLED_GROUPS, Fleet
 from ochreway_direct.fleetsharing import FleetSharing
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.freshness import Freshness
-from ochreway_direct.halldrains import HallDrains
-from ochreway_direct.heartbeats import Heartbeats
 from ochreway_direct.homecheck import HomeCheck
 from ochreway_direct.homes import Homes
-from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.leasekeeper import LeaseKeeper
 from ochreway_direct.listfollower import ListFollower
@@ -47,7 +48,6 @@
     Suspicion,
 )
 from ochreway_direct.noticewatch import NoticeWatch
-from ochreway_direct.peers import Peers
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import PlatformServices
 from ochreway_direct.relay.restingbounds import RestingBounds
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleet.py
@@ -12,7 +12,7 @@
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.placecounts import PlaceCounts
 from ochreway_direct.relay.attempt import Attempt
-from ochreway_direct.sendlimit import SendLimit, Unlimited
+from ochreway_direct.sendlimits.sendlimit import SendLimit, Unlimited
 from ochreway_direct.targethealth import TargetHealth
 from ochreway_direct.targetlimits.limitgate import LimitGate
 from ochreway_routing.backoffs import Backoffs
--- a/packages/ochreway-direct/src/ochreway_direct/fleetsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleetsharing.py
@@ -6,14 +6,14 @@
 from ochreway_core.ids import Epoch
 from ochreway_core.peer import Peer
 from ochreway_direct.coordination import Coordination
+from ochreway_direct.entries.heartbeats import Heartbeats
+from ochreway_direct.entries.peers import Peers
 from ochreway_direct.fleetpublisher import FleetContent, FleetPublisher
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.groupview import GroupView
-from ochreway_direct.heartbeats import Heartbeats
 from ochreway_direct.lease import Lease
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.messages import FleetChange, FleetRequest, FleetUpdate, ListUpdate
-from ochreway_direct.peers import Peers
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import TargetReading
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
--- a/packages/ochreway-direct/src/ochreway_direct/meanswatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/meanswatch.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """Watching how near an entry is to the bounds of its instance."""
 
+from ochreway_direct.entries.peers import Peers
 from ochreway_direct.means import Means
 from ochreway_direct.memoryreader import MemoryReader
-from ochreway_direct.peers import Peers
 from ochreway_direct.pressure import Pressure
 from ochreway_direct.relay.callerconnections import CallerConnections
 from ochreway_direct.relay.restingbounds import RestingBounds
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -8,10 +8,10 @@
 from ochreway_core.message import message
 from ochreway_core.peer import Peer
 from ochreway_direct.configuration import Configuration
-from ochreway_direct.coverage import Coverage
+from ochreway_direct.entries.coverage import Coverage
+from ochreway_direct.entries.knownentry import KnownEntry
 from ochreway_direct.groupview import GroupView
 from ochreway_direct.ids import CellId
-from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.listedtarget import ListedTarget
 from ochreway_direct.sendlimits.loan import Loan
 from ochreway_direct.targetlimits.poolnews import NO_POOL_NEWS, PoolNews
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -10,7 +10,7 @@
 from ochreway_core.ids import GroupId
 from ochreway_core.outcome import Outcome
 from ochreway_core.reason import Reason
-from ochreway_direct.crashwatch import CrashWatch
+from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.ports.dialect import CallerDialect, CallerTerms
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/fleetlimit.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/fleetlimit.py
@@ -8,10 +8,10 @@
 from ochreway_direct.configuration import Service
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.relay.attempt import Attempt
-from ochreway_direct.sendlimit import SendLimit
 from ochreway_direct.sendlimits.allowance import Allowance
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.loan import LENT_S, Loan
+from ochreway_direct.sendlimits.sendlimit import SendLimit
 from ochreway_direct.sendlimits.sendwindow import HELD_S, SendWindow
 from ochreway_direct.sendlimits.standingshare import StandingShare
 from ochreway_runtime.logs import EventLog
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/standingshare.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/standingshare.py
@@ -6,7 +6,7 @@
 
 from ochreway_core.ids import InstanceId, NodeId
 from ochreway_core.rendezvous import rank
-from ochreway_direct.cells import MESH_ENTRIES
+from ochreway_direct.entries.cells import MESH_ENTRIES
 
 HEADROOM = 2
 HEADROOM_PART = 8
--- a/packages/ochreway-direct/src/ochreway_direct/versionsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/versionsharing.py
@@ -6,7 +6,7 @@
 from ochreway_core.peer import Peer
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.coordinator import Coordinator
-from ochreway_direct.heartbeats import Heartbeats
+from ochreway_direct.entries.heartbeats import Heartbeats
 from ochreway_direct.messages import ConfigurationRequest, ConfigurationUpdate
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
--- a/packages/ochreway-standins/src/ochreway_standins/limitbench.py
+++ b/packages/ochreway-standins/src/ochreway_standins/limitbench.py
@@ -7,8 +7,8 @@
 import click
 
 from ochreway_core.ids import Version
-from ochreway_direct.cells import MESH_ENTRIES
 from ochreway_direct.configuration import ColdStart, Configuration, Service
+from ochreway_direct.entries.cells import MESH_ENTRIES
 from ochreway_direct.lease import LeaseState
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_standins.choicebench import (
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -11,21 +11,21 @@
 from ochreway_core.crashnews import CrashNews
 from ochreway_core.ids import Fingerprint, HallId, InstanceId, NodeId, Version
 from ochreway_core.peer import Peer
-from ochreway_direct.cells import MESH_ENTRIES
 from ochreway_direct.configuration import Configuration, Service
-from ochreway_direct.crashspread import CrashSpread
-from ochreway_direct.crashwatch import CrashWatch
+from ochreway_direct.crashes.crashspread import CrashSpread
+from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
-from ochreway_direct.drainkeeper import DrainKeeper
+from ochreway_direct.drains.drainkeeper import DrainKeeper
+from ochreway_direct.drains.halldrains import HallDrains
+from ochreway_direct.entries.cells import MESH_ENTRIES
+from ochreway_direct.entries.heartbeats import Heartbeats
+from ochreway_direct.entries.knownentry import KnownEntry
+from ochreway_direct.entries.peers import Peers
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.fleetview import FleetView
 from ochreway_direct.freshness import Freshness
-from ochreway_direct.halldrains import HallDrains
-from ochreway_direct.heartbeats import Heartbeats
-from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.lease import Holder, Lease
 from ochreway_direct.messages import Heartbeat
-from ochreway_direct.peers import Peers
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -23,7 +23,7 @@
     Service,
     Share,
 )
-from ochreway_direct.crashwatch import CrashWatch
+from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.freshness import Freshness, KeyTrust
--- a/tests/direct/test_cells.py
+++ b/tests/direct/test_cells.py
@@ -2,7 +2,14 @@
 import testtools
 
 from ochreway_core.ids import HallId, NodeId
-from ochreway_direct.cells import CELL_ENTRIES, HEADS, MESH_ENTRIES, READERS, Candidate, Cells
+from ochreway_direct.entries.cells import (
+    CELL_ENTRIES,
+    HEADS,
+    MESH_ENTRIES,
+    READERS,
+    Candidate,
+    Cells,
+)
 
 
 def entries(number: int, halls: int = 3) -> list[Candidate]:
--- a/tests/direct/test_crashkeeper.py
+++ b/tests/direct/test_crashkeeper.py
@@ -8,9 +8,9 @@
 from ochreway_core.backoff import Backoff
 from ochreway_core.ids import Fingerprint, InstanceId, NodeId
 from ochreway_core.table import CommitReply, CommitStatus, Row, Transaction
-from ochreway_direct.crashkeeper import CrashKeeper
-from ochreway_direct.crashwatch import CrashWatch
-from ochreway_direct.fatalrow import PREFIX, FatalRow, key_of
+from ochreway_direct.crashes.crashkeeper import CrashKeeper
+from ochreway_direct.crashes.crashwatch import CrashWatch
+from ochreway_direct.crashes.fatalrow import PREFIX, FatalRow, key_of
 from ochreway_platform.errors import TableUnavailable
 from ochreway_platform.memorytable import MemoryTable
 from ochreway_routing.crashbook import REMEMBERED_S, CrashBook
--- a/tests/direct/test_means.py
+++ b/tests/direct/test_means.py
@@ -8,14 +8,14 @@
 from ochreway_core.ids import HallId, NodeId, Version
 from ochreway_core.peer import Peer
 from ochreway_direct.configuration import CallerLimits, Configuration, Service
+from ochreway_direct.entries.knownentry import KnownEntry
+from ochreway_direct.entries.peers import Peers
 from ochreway_direct.fleet import Fleet
 from ochreway_direct.freshness import Freshness, KeyTrust
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.means import FILE_DESCRIPTORS, Means, means_of
 from ochreway_direct.meanswatch import MeansWatch
 from ochreway_direct.memoryreader import MemoryReader
-from ochreway_direct.peers import Peers
 from ochreway_direct.pressure import HELD_AT_MOST_S, Pressure
 from ochreway_direct.resource import Resource
 from ochreway_direct.serving import Serving
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -3,11 +3,11 @@
 
 from ochreway_core.ids import HallId, NodeId
 from ochreway_core.peer import Peer
-from ochreway_direct.coverage import Coverage
+from ochreway_direct.entries.coverage import Coverage
+from ochreway_direct.entries.knownentry import KnownEntry
+from ochreway_direct.entries.peers import FORGOTTEN_S, SHUNNED_S, TOLD_S, Peers
 from ochreway_direct.ids import CellId
-from ochreway_direct.knownentry import KnownEntry
 from ochreway_direct.messages import FleetMark, Heartbeat, LeaseSighting
-from ochreway_direct.peers import FORGOTTEN_S, SHUNNED_S, TOLD_S, Peers
 from ochreway_direct.work import NO_WORK
 
 HALL = HallId("h")
--- a/tests/direct/test_sendlimitrelay.py
+++ b/tests/direct/test_sendlimitrelay.py
@@ -11,7 +11,7 @@
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.sendtrace import send_trace
 from ochreway_direct.relay.targetprotocol import TargetConnector
-from ochreway_direct.sendlimit import SendLimit
+from ochreway_direct.sendlimits.sendlimit import SendLimit
 from tests.direct.relaycase import RelayCase, Running
 from tests.direct.test_relay import good
 
--- a/tests/direct/test_spread.py
+++ b/tests/direct/test_spread.py
@@ -6,7 +6,7 @@
 import testtools
 
 from ochreway_core.ids import NodeId
-from ochreway_direct.cells import CELL_ENTRIES, HEADS
+from ochreway_direct.entries.cells import CELL_ENTRIES, HEADS
 from ochreway_direct.messages import FleetUpdate
 from ochreway_direct.timing import DirectTiming
 from ochreway_direct.work import NO_WORK
