One function tells lives of a target apart; what changed is bounded everywhere

It stood in the books of backoffs and of limits alike. A book that nobody asks for changes, that of targets of old tools, dropped none of them: now with the words.

--- a/packages/ochreway-routing/src/ochreway_routing/backoffs.py
+++ b/packages/ochreway-routing/src/ochreway_routing/backoffs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ochreway_core.targetnotice import TargetNotice
+from ochreway_routing.lives import older_life
 
 KNOWN_AT_MOST = 4096
 """Of how many targets something is kept: more than are listed at the size designed for, 3,000."""
@@ -46,12 +47,12 @@
         if until_s <= now_s and not notice.leaving:
             return False
         known = self._words.get(target)
-        if known is None or _older(known.born_ms, born_ms):
+        if known is None or older_life(known.born_ms, born_ms):
             self._words.pop(target, None)
             self._make_room(now_s)
             self._words[target] = _Word(born_ms, until_s, notice.leaving)
             return True
-        if _older(born_ms, known.born_ms):
+        if older_life(born_ms, known.born_ms):
             return False
         news = (notice.leaving and not known.leaving) or known.until_s <= now_s < until_s
         known.until_s = max(known.until_s, until_s)
@@ -87,7 +88,7 @@
 
     def _word(self, target: str, born_ms: int | None) -> _Word | None:
         word = self._words.get(target)
-        return None if word is None or _older(word.born_ms, born_ms) else word
+        return None if word is None or older_life(word.born_ms, born_ms) else word
 
     def number_backed_off(self, now_s: float) -> int:
         """Return how many targets are left alone for a while."""
@@ -98,9 +99,4 @@
         return sum(word.leaving for word in self._words.values())
 
 
-def _older(born_ms: int | None, than_ms: int | None) -> bool:
-    """Tell whether one life is over by another; one of which the birth is not known may be any."""
-    return born_ms is not None and than_ms is not None and born_ms < than_ms
-
-
 __all__ = ["KNOWN_AT_MOST", "Backoffs"]
--- a/packages/ochreway-routing/src/ochreway_routing/targetlimits.py
+++ b/packages/ochreway-routing/src/ochreway_routing/targetlimits.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ochreway_routing.lives import older_life
+
 KNOWN_AT_MOST = 4096
 """Of how many targets something is kept: more than are listed at the size designed for, 3,000."""
 
@@ -57,11 +59,12 @@
         self._words = {n: each for n, each in self._words.items() if each.limit_per_s is not None}
         while len(self._words) >= self._known_at_most:
             del self._words[next(iter(self._words))]
+        self._changed_s = {n: at for n, at in self._changed_s.items() if n in self._words}
 
     def limit_per_s(self, target: str, born_ms: int | None = None) -> float | None:
         """Return the limit that holds for a life of a target, or None when there is none."""
         word = self._words.get(target)
-        if word is None or _older_life(word.born_ms, born_ms):
+        if word is None or older_life(word.born_ms, born_ms):
             return None
         return word.limit_per_s
 
@@ -88,14 +91,9 @@
 
 
 def _newer(word: LimitWord, known: LimitWord) -> bool:
-    if _older_life(known.born_ms, word.born_ms):
+    if older_life(known.born_ms, word.born_ms):
         return True
-    return not _older_life(word.born_ms, known.born_ms) and word.heard_s >= known.heard_s
-
-
-def _older_life(born_ms: int | None, than_ms: int | None) -> bool:
-    """Tell whether one life is over by another; one of which the birth is not known may be any."""
-    return born_ms is not None and than_ms is not None and born_ms < than_ms
+    return not older_life(word.born_ms, known.born_ms) and word.heard_s >= known.heard_s
 
 
 __all__ = ["KNOWN_AT_MOST", "LimitWord", "TargetLimits"]
