--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -3,6 +3,7 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
+from itertools import combinations
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
@@ -14,6 +15,9 @@
 from ochreway_direct.coordinator.worth import gain
 from ochreway_direct.ids import ModelName
 
+ROUNDS_AT_MOST = 4
+"""How often groups are spread anew and engines that this leaves over are used."""
+
 
 def plan(
     spec: EngineSpec,
@@ -31,7 +35,8 @@
     however small its share of the work, and further groups of a model count for nothing beyond the
     same share of the engines, so that engines left over go to the model with the smallest groups.
     On three domains of 37 engines, with groups of 16 and 4 and half of the work each, that is 3 and
-    15 groups in place of 5 and 7.
+    15 groups in place of 5 and 7. No domain then has more than half of a model's groups, rounded
+    up, where as many groups can be placed otherwise.
 
     Args:
         spec: the models and their sizes.
@@ -48,6 +53,7 @@
     layout.fill()
     if not least:
         layout.give_each_a_group()
+        layout.spread()
     return layout.placement.placed
 
 
@@ -105,6 +111,15 @@
         self._begin_with(found)
         self.fill()
 
+    def spread(self) -> None:
+        """Move new groups of which one domain has more than half, and use what that leaves over."""
+        for _ in range(ROUNDS_AT_MOST):
+            arranged = self._evener()
+            if arranged is None:
+                return
+            self._begin_with(arranged)
+            self.fill()
+
     # What a group is worth.
 
     def _value(self, model: ModelSpec) -> float:
@@ -177,5 +192,34 @@
         found = arrange(models, wanted, rooms, kept, at_most)
         return arrange(models, wanted, rooms, {}, at_most) if found is None else found
 
+    def _evener(self) -> Counter[Slot] | None:
+        """Return places for as many groups, such that fewer models have over half in a domain."""
+        placed = self.placement.placed
+        over = _over_half(placed)
+        if not over:
+            return None
+        kept = {slot: min(n, placed[slot]) for slot, n in self._standing.items()}
+        for number in range(len(over)):
+            for left_over in combinations(sorted(over), number):
+                at_most = {
+                    name: total if name in left_over else _half(total)
+                    for name, total in self._totals.items()
+                }
+                models = [model for model in self._spec.models if model.name in at_most]
+                found = arrange(models, self._totals, self._rooms, kept, at_most)
+                if found is not None:
+                    return found
+        return None
+
+
+def _over_half(placed: Mapping[Slot, int]) -> set[ModelName]:
+    """Return the models of which a domain has more than half of the groups."""
+    totals = totals_of(placed)
+    return {slot.model for slot, number in placed.items() if number > _half(totals[slot.model])}
+
+
+def _half(groups: int) -> int:
+    return (groups + 1) // 2
+
 
 __all__ = ["plan"]
--- a/tests/direct/test_firstplans.py
+++ b/tests/direct/test_firstplans.py
@@ -6,8 +6,9 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from functools import cache
 from itertools import product
 
 import testtools
@@ -129,6 +130,35 @@
     return False
 
 
+def over_half(chosen: Mapping[Slot, int]) -> set[ModelName]:
+    """Return the models of which a domain has more than half of the groups, rounded up."""
+    totals = totals_of(chosen)
+    return {slot.model for slot, n in chosen.items() if n > (totals[slot.model] + 1) // 2}
+
+
+def can_be_within_half(
+    build: Build, totals: Mapping[ModelName, int], within: Iterable[ModelName]
+) -> bool:
+    """Tell whether as many groups can be placed with some models' spread, trying all places."""
+    domains, models = sorted(build.rooms), build.models
+    bounds = {name: (totals[name] + 1) // 2 for name in within}
+
+    @cache
+    def place(n: int, left: tuple[int, ...]) -> bool:
+        if n == len(domains):
+            return not any(left)
+        room = build.rooms[domains[n]]
+        most = (min(k, bounds.get(m.name, k)) for m, k in zip(models, left, strict=True))
+        for numbers in product(*(range(each + 1) for each in most)):
+            asked = {m.name: m.size * k for m, k in zip(models, numbers, strict=True)}
+            rest = tuple(a - k for a, k in zip(left, numbers, strict=True))
+            if room.holds(asked) and place(n + 1, rest):
+                return True
+        return False
+
+    return place(0, tuple(totals[m.name] for m in models))
+
+
 class FirstPlanProperties(testtools.TestCase):
     @BUILDS
     @given(builds())
@@ -163,3 +193,16 @@
         """Guards against engines that stay idle while requests are refused for lack of groups."""
         chosen = build.plan()
         self.assertEqual([], [m.name for m in build.models if fits_beside(build, chosen, m)])
+
+    @BUILDS
+    @given(builds(most=2, standing=False))
+    @example(Build(models_of((10, 5), (0.4, 0.6)), unlike(20, 18), {}))
+    @example(Build(models_of((4, 2), (0.75, 0.25)), unlike(34, 10), {}))
+    @example(Build(models_of((4, 2), (0.5, 0.5)), unlike(20, 18, 42, 4), {}))
+    def test_no_domain_has_more_than_half_where_that_can_be_avoided(self, build: Build) -> None:
+        """Guards against a model that is gone, or nearly so, once one domain is lost."""
+        chosen = build.plan()
+        totals, over = totals_of(chosen), over_half(chosen)
+        within = totals.keys() - over
+        for name in over:
+            self.assertFalse(can_be_within_half(build, totals, {*within, name}))
