--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -148,7 +148,8 @@
 
     async def _check_again(self, call: Call, ending: Ending) -> None:
         """Raise unless the call may be sent once more."""
-        left_s = call.left_s(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        left_s = call.left_s(now_s)
         ran = ending.outcome is Outcome.UNKNOWN
         allowed = (
             (call.route.repeatable or not ran)
@@ -159,7 +160,7 @@
         if allowed and self._budget.spend():
             return
         reason = Reason.DEADLINE_PASSED if left_s <= 0 else ending.reason
-        asked_s = self._asked_s(call)
+        asked_s = self._asked_s(call, now_s)
         if asked_s > self._tuning.retry_after_s:
             raise refusal_of(call, reason, asked_s)
         raise self._give_up(call, reason, self._tuning.retry_after_s)
@@ -170,21 +171,24 @@
         begun_s = loop.time()
         until_s = min(begun_s + self._patience_s(call), call.end_s)
         while True:
-            found = self._pick(call)
+            # One time for all of a look: a place that is free a moment later would else be taken
+            # for one that is full.
+            now_s = loop.time()
+            found = self._pick(call, now_s)
             if found is not None:
-                call.waited_s += loop.time() - begun_s
+                call.waited_s += now_s - begun_s
                 return found
             if not call.begun and self._all_closed(call):
                 raise self._give_up(call, Reason.HALL_DRAINED, self._tuning.regroup_after_s)
-            if loop.time() + self._asked_s(call) >= until_s:
-                break
+            if now_s + self._asked_s(call, now_s) >= until_s:
+                call.waited_s += now_s - begun_s
+                raise self._without_place(call, now_s)
             await asyncio.sleep(self._tuning.place_poll_s)
-        raise self._without_place(call, loop.time())
 
     def _without_place(self, call: Call, now_s: float) -> Refused | AnswerBroken:
         """Return how to end a call that found no place, by what would have to change."""
         model, after_s = call.terms.model, self._tuning.regroup_after_s
-        asked_s = self._asked_s(call)
+        asked_s = self._asked_s(call, now_s)
         if asked_s > 0.0:
             # The whole time: told less, a caller would come back to be refused once more.
             return refusal_of(call, self._asked_for(call, now_s), asked_s)
@@ -194,9 +198,8 @@
         full = self._fleet.has_group(call.service, model, call.within)
         return self._give_up(call, Reason.QUEUE_FULL if full else Reason.NO_GROUP, after_s)
 
-    def _asked_s(self, call: Call) -> float:
+    def _asked_s(self, call: Call, now_s: float) -> float:
         """Return how soon the first place takes requests again; 0 if one does, or there is none."""
-        now_s = asyncio.get_running_loop().time()
         return self._fleet.asked_wait_s(call.service, call.terms.model, call.within, now_s)
 
     def _asked_for(self, call: Call, now_s: float) -> Reason:
@@ -218,8 +221,7 @@
         begun = call.answer is not None
         return tuning.resuming_queued_at_most if begun else tuning.queued_at_most
 
-    def _pick(self, call: Call) -> Attempt | None:
-        now_s = asyncio.get_running_loop().time()
+    def _pick(self, call: Call, now_s: float) -> Attempt | None:
         if call.engine is not None:
             group = self._fleet.pick_group(
                 call.service,
