--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -32,6 +32,8 @@
 """The least time between two looks: answers of engines come in by the dozen."""
 SUSPECTED_AGAIN_S = 0.3
 """How soon a group may be suspected again: many entries notice the same silence."""
+ASK_ALL_AGAIN_S = 0.3
+"""How soon all engines may be asked again while none answers: a little longer than they have."""
 PACE_DIGITS = 1
 """How finely entries are told a group's pace: each difference is news to all of them."""
 TAKEN = frozenset({OrderOutcome.HOLDS, OrderOutcome.BEGUN})
@@ -72,6 +74,7 @@
         self._changed = True
         self._planned_s = NEVER_S
         self._phases: dict[GroupId, GroupPhase] = {}
+        self._asked_all_s = NEVER_S
         self.fenced_orders = 0
         self._started = False
         self._asked_again = False
@@ -181,6 +184,7 @@
         record.probing = False
         if record.displaced:
             return
+        record.answered_s = now_s
         record.misses = 0
         record.suspected = False
         self._changed |= record.dead or record.backed_off or record.changed_by(state)
@@ -199,13 +203,39 @@
         if record is None:
             return
         record.probing = False
+        if not record.misses:
+            record.missed_since_s = record.probed_s
         record.misses += 1
         allowed = 1 if record.suspected else self.tuning.misses_until_dead
-        if refused or record.misses >= allowed:
-            if not record.dead:
-                self._changed = True
-                self._count_loss(record, now_s)
-            record.dead = True
+        if not refused and record.misses < allowed:
+            return
+        if not refused and self._nobody_answers(record):
+            self._ask_all(now_s)
+            return
+        if not record.dead:
+            self._changed = True
+            self._count_loss(record, now_s)
+        record.dead = True
+
+    def _nobody_answers(self, silent: EngineRecord) -> bool:
+        """Tell whether no other engine answered what it was asked since one fell silent.
+
+        It may be this process, its network or all engines that stand still then, not that one.
+        """
+        others = [
+            each
+            for each in self.engines.values()
+            if each is not silent and not each.dead and not each.leaving
+        ]
+        return bool(others) and all(each.answered_s < silent.missed_since_s for each in others)
+
+    def _ask_all(self, now_s: float) -> None:
+        """Ask each engine at once, so that it shows soon whose silence it is."""
+        if now_s - self._asked_all_s < ASK_ALL_AGAIN_S:
+            return
+        self._asked_all_s = now_s
+        for record in self.engines.values():
+            record.probed_s = NEVER_S
 
     def _count_loss(self, record: EngineRecord, now_s: float) -> None:
         """Count a loss to be expected again; engines of a drained hall may be switched off."""
@@ -223,6 +253,7 @@
         record = self.engines.get(instance)
         if record is not None:
             record.probing = False
+            record.answered_s = record.probed_s
             record.backed_off = True
 
     def on_outcome(
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -26,7 +26,8 @@
     """Hold an engine's last state, how it answers, and the order it was last given.
 
     A ``displaced`` one has ended, and another instance answers at its address. One ``backed_off``
-    asked to be left alone, and is given no orders until it has answered again.
+    asked to be left alone, and is given no orders until it has answered again. The first of its
+    ``misses`` in a row was asked at ``missed_since_s``, what it last answered at ``answered_s``.
     """
 
     listed: ListedTarget
@@ -34,6 +35,8 @@
     observed_s: float = NEVER_S
     probed_s: float = NEVER_S
     misses: int = 0
+    missed_since_s: float = NEVER_S
+    answered_s: float = NEVER_S
     suspected: bool = False
     dead: bool = False
     displaced: bool = False
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -247,6 +247,33 @@
         world.coordinator.tick(world.now_s)
         self.assertEqual(before, set(world.coordinator.groups))
 
+    def test_silence_that_no_other_engine_breaks_gives_up_no_group(self) -> None:
+        """Guards against groups given up as all engines, or this process, stood still a moment."""
+        world = settled()
+        before = set(world.coordinator.groups)
+        records = list(world.coordinator.engines.values())
+        silent = records[: len(records) // 2]
+        for _ in range(2):
+            for record in silent:
+                record.probed_s = world.now_s + 0.1
+                world.coordinator.on_silence(record.instance, False, world.now_s + 0.35)
+        world.coordinator.tick(world.now_s + 0.35)
+        self.assertEqual(before, set(world.coordinator.groups))
+        self.assertEqual([], [each.instance for each in silent if each.dead])
+        asked = {probe.record.instance for probe in world.coordinator.due_probes(world.now_s + 0.4)}
+        self.assertEqual({each.instance for each in records}, asked)
+
+    def test_silence_counts_once_another_engine_has_answered_since(self) -> None:
+        world = settled()
+        silent, other, *_ = world.coordinator.engines.values()
+        silent.probed_s = world.now_s + 0.1
+        for _ in range(2):
+            world.coordinator.on_silence(silent.instance, False, world.now_s + 0.35)
+        self.assertFalse(silent.dead)
+        world.coordinator.on_state(other.instance, other.state, world.now_s + 0.4)
+        world.coordinator.on_silence(silent.instance, False, world.now_s + 0.7)
+        self.assertTrue(silent.dead)
+
     def test_engines_that_load_may_rejoin_the_model_that_they_served_last(self) -> None:
         world = settled()
         member = world.coordinator.engines[world.members(LARGE)[2]]
