--- a/tests/direct/test_earlylistener.py
+++ b/tests/direct/test_earlylistener.py
@@ -8,13 +8,12 @@
 import testtools
 
 from ochreway_direct import earlylistener
+from ochreway_standins.site import free_port
 
 
 class EarlyListenerTests(testtools.TestCase):
     def free_address(self) -> str:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return f"127.0.0.1:{probe.getsockname()[1]}"
+        return f"127.0.0.1:{free_port()}"
 
     def listen(self, address: str) -> None:
         with mock.patch.dict(os.environ, {earlylistener.VARIABLE: address}):
