--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -136,6 +136,7 @@
         )
         self.timer = TimerService(timing.tick_s)
         self.lag = LoopLag(timing.tick_s, log)
+        self.serving.lag = self.lag
         self.links = Links(
             self.me,
             LinkSettings(settings.link_key.encode(), compressed=True),
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -48,6 +48,8 @@
             raise Refused(NOT_RUN_STATUS, Reason.CONNECTIONS_FULL, self._tuning.elsewhere_after_s)
         if self._serving.closed:
             raise Refused(NOT_RUN_STATUS, Reason.STOPPING, self._tuning.elsewhere_after_s)
+        # Before the routes are read, as what is waited for may bring newer ones.
+        await self._serving.keys_proved()
         routes = self._serving.routes
         if routes is None:
             raise Refused(NOT_RUN_STATUS, Reason.NO_CONFIGURATION, self._tuning.stale_after_s)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -258,8 +258,13 @@
             born_ms=target.born_ms,
         )
 
+    async def _key_holds(self) -> bool:
+        """Tell whether the key that a call was admitted by may still be trusted."""
+        version = self._serving.version
+        return await self._serving.keys_proved() and self._serving.version == version
+
     async def _send(self, call: Call, attempt: Attempt) -> Ending:
-        if call.organisation is not None and not self._serving.keys_trusted():
+        if call.organisation is not None and not await self._key_holds():
             raise self._give_up(call, Reason.STALE_VERSION, self._tuning.regroup_after_s)
         self._check_fatal(call)
         call.sends += 1
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -11,6 +11,14 @@
 from ochreway_direct.homes import Homes
 from ochreway_direct.resource import Resource
 from ochreway_direct.routetable import RouteTable
+from ochreway_runtime.looplag import LoopLag
+
+PROOF_AWAITED_S = 0.25
+"""How long a call waits for a proof that only this process's own stall has delayed.
+
+A question to the store is answered in some 5 ms, and the first one after a stall is asked at once.
+"""
+PROOF_POLL_S = 0.01
 
 
 @dataclass(slots=True)
@@ -19,7 +27,8 @@
 
     A process that is ``stopping`` still takes requests for a while; once ``closed`` it takes none.
     ``sent_bytes`` counts what went to callers and targets, ``asked`` the requests admitted. While
-    the instance is ``short_of`` something, new callers are to go elsewhere.
+    the instance is ``short_of`` something, new callers are to go elsewhere. ``lag`` tells for how
+    long this process itself stood still.
     """
 
     fleet: Fleet
@@ -31,6 +40,7 @@
     short_of: set[Resource] = field(default_factory=set)
     routes: RouteTable | None = field(default=None)
     homes: Homes = field(default_factory=lambda: Homes({}))
+    lag: LoopLag | None = None
 
     @property
     def version(self) -> Version:
@@ -63,6 +73,26 @@
         """Tell whether known keys may be let in now."""
         return self.freshness.keys_trusted(asyncio.get_running_loop().time())
 
+    async def keys_proved(self) -> bool:
+        """Tell whether known keys may be let in, once a proof that an own stall delays has come.
+
+        Refused at once, callers would bear the delay of an entry that can serve them in a moment.
+        """
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + PROOF_AWAITED_S
+        while not self.keys_trusted():
+            if loop.time() >= until_s or not self._stall_explains(loop.time()):
+                return False
+            await asyncio.sleep(PROOF_POLL_S)
+        return True
+
+    def _stall_explains(self, now_s: float) -> bool:
+        """Tell whether the proof would be new enough, had this process not stood still since."""
+        if self.lag is None:
+            return False
+        stalled_s = self.lag.since(self.freshness.proved_s, now_s)
+        return self.freshness.proved(now_s - stalled_s)
+
     def proved(self) -> bool:
         """Tell whether the configuration is known to have been the newest lately."""
         return self.freshness.proved(asyncio.get_running_loop().time())
--- a/packages/ochreway-direct/src/ochreway_direct/versionsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/versionsharing.py
@@ -40,13 +40,18 @@
     def question_s(self) -> float | None:
         """Return for how long a question to the store may stay open, None for not asking at all."""
         timing = self._timing
-        if self._serving.routes is None or self._heartbeats.meshed:
+        if self._serving.routes is None:
+            return timing.configuration_wait_s
+        # As after a pause: what stays open for a while would prove the version too late.
+        late = self._serving.freshness.age_s(self._loop.time()) > timing.configuration_follow_s
+        if late:
+            return 0.0
+        if self._heartbeats.meshed:
             return timing.configuration_wait_s
         if self._heartbeats.reader:
             return timing.configuration_read_wait_s
         behind = self._heartbeats.newest_version > self._serving.version
-        age_s = self._serving.freshness.age_s(self._loop.time())
-        return 0.0 if behind or age_s > timing.configuration_follow_s else None
+        return 0.0 if behind else None
 
     def applied(self, configuration: Configuration) -> None:
         """Have groups formed by a new version, and tell those who do not read it themselves."""
