--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -2,7 +2,7 @@
 """An agent's part in a group: its grant, and its gate when it leads."""
 
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from ochreway_core.effects import OrderTarget
 from ochreway_core.gate import LeaderGate
@@ -39,6 +39,14 @@
 """How long a leader that ends waits for its members' answers at the most."""
 
 
+@dataclass(slots=True)
+class _Told:
+    """Hold the last grant that the leader was sent."""
+
+    leader: Peer
+    grant: Grant
+
+
 class Membership:
     """Follow the orders of the domain's controller, newest epoch and step first."""
 
@@ -73,6 +81,7 @@
         self._drained = drained
         self._heartbeat_s = -1.0e9
         self._ordered_s = -1.0e9
+        self._told: _Told | None = None
 
     def on_order(self, sender: Peer, order: Order, now_s: float) -> None:
         """Take an order from a controller."""
@@ -117,6 +126,7 @@
 
     def _leave_group(self, now_s: float, next_epoch: Epoch) -> None:
         former, self.row, gate, self.gate = self.row, None, self.gate, None
+        self._told = None
         if former is None:
             return
         if gate is not None and former.epoch != next_epoch:
@@ -151,8 +161,28 @@
             self._refuse(sender, beat, held.unwrap_err().reason, held.unwrap_err().wait_s)
             return
         grant = Grant(beat.group, beat.epoch, beat.sequence, self.ready(now_s), self.leaving)
+        self._told = _Told(sender, grant)
         self._outbox.send(sender, grant)
 
+    def _tell_readiness(self, now_s: float) -> None:
+        """Tell the leader at once when the target became ready, or no longer is.
+
+        The same heartbeat is answered again, so that the grant lasts no longer than before.
+        """
+        told = self._told
+        if told is None or not self.grant.fresh(told.grant.epoch, now_s):
+            return
+        ready = self.ready(now_s)
+        if ready is not told.grant.ready:
+            told.grant = replace(told.grant, ready=ready)
+            self._send_grant(told, now_s)
+
+    def _send_grant(self, told: _Told, now_s: float) -> None:
+        if told.leader.node == self.me.node:
+            self.on_grant(self.me, told.grant, now_s)
+        else:
+            self._outbox.send(told.leader, told.grant)
+
     def _is_of_row(self, beat: Heartbeat) -> bool:
         row = self.row
         if row is None:
@@ -180,6 +210,7 @@
             return
         self.gate.answered(sender.node, refusal.sequence)
         self.gate.forgot_row(sender.node)
+        self._beat_after(refusal.wait_s, now_s)
         if refusal.formation > self.gate.row.formation:
             # This leader restarted and forgot a formation that its members still know.
             formation = refusal.formation + 1
@@ -261,10 +292,21 @@
         One that stands is taken to have what it had; one that ended has forgotten it.
         """
         if ended:
-            self.target = TargetState()
+            self.target_gone()
         elif self.target.seen_s > NEVER_S:
             self.target = replace(self.target, seen_s=now_s)
 
+    def target_gone(self) -> None:
+        """Take it that the target's process has ended: it has forgotten what it had."""
+        self.target = TargetState()
+
+    def target_seen(self, state: TargetState) -> None:
+        """Take in what the target says it has loaded."""
+        if self.target.seen_s <= NEVER_S:
+            # What it was ordered while nobody heard of it was in vain.
+            self._ordered_s = NEVER_S
+        self.target = state
+
     def leader_may_go(self, now_s: float) -> bool:
         """Tell whether all members know that this leader ends, or have been told for long enough.
 
@@ -306,8 +348,15 @@
     def order_stands(self, order: TargetOrder, now_s: float) -> bool:
         """Tell, right before the target is ordered, whether the order still stands."""
         epoch = self.row.epoch if self.row is not None else self._warm_epoch
-        may_move = self.grant.may_move(epoch, now_s) and not self.backoff_s(now_s)
-        return self._wanted() == order and may_move
+        # One that has nothing serves no group that a former grant may still stand for.
+        may_move = self.grant.may_move(epoch, now_s) or self._target_is_empty(now_s)
+        return self._wanted() == order and may_move and not self.backoff_s(now_s)
+
+    def _target_is_empty(self, now_s: float) -> bool:
+        """Tell whether the target has said of late that it has taken no order in its life."""
+        target = self.target
+        seen = now_s - target.seen_s <= TARGET_SEEN_S
+        return seen and target.epoch == NO_EPOCH and not target.artifact
 
     def on_warm(self, sender: Peer, message: Warm, now_s: float) -> None:
         """Load an artifact while in no group."""
@@ -321,6 +370,7 @@
         if self.gate is not None and now_s - self._heartbeat_s >= self._beat_each_s():
             self._heartbeat_s = now_s
             self._beat(self.gate, now_s)
+        self._tell_readiness(now_s)
         self._order_target(now_s)
         if self.gate is not None:
             self._put_standby_in(self.gate, now_s)
@@ -349,11 +399,25 @@
         """Send heartbeats at the next tick, so that members hear of a new version."""
         self._heartbeat_s = -1.0e9
 
+    def _beat_after(self, wait_s: float, now_s: float) -> None:
+        """Send the next heartbeats when a grant that was refused can be given, if that is sooner.
+
+        Else a group whose member started again stays closed for up to a heartbeat longer.
+        """
+        if wait_s > 0.0:
+            sooner_s = now_s + wait_s - self._beat_each_s()
+            self._heartbeat_s = min(self._heartbeat_s, sooner_s)
+
     def _beat(self, gate: LeaderGate, now_s: float) -> None:
         sequence = gate.next_heartbeat(now_s)
         row = gate.row
-        if self.grant.request(row.epoch, now_s).is_ok():
-            gate.granted(self.me.node, sequence, self.ready(now_s), self.leaving)
+        held = self.grant.request(row.epoch, now_s)
+        if held.is_ok():
+            grant = Grant(row.group, row.epoch, sequence, self.ready(now_s), self.leaving)
+            self._told = _Told(self.me, grant)
+            self.on_grant(self.me, grant, now_s)
+        else:
+            self._beat_after(held.unwrap_err().wait_s, now_s)
         # The gate stays closed by a leaving member's last grant, or by this agent's own end, so
         # once drained the member may go.
         drained = self._drained()
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/node.py
@@ -139,7 +139,7 @@
 
     def on_target_state(self, state: TargetState) -> None:
         """Take in what the target says it has loaded."""
-        self.membership.target = state
+        self.membership.target_seen(state)
         if self._target_leaving and not state.leaving and state.seen_s > self._leaving_told_s:
             # Another process answers: one that leaves says so in each of its answers.
             self._target_leaving = False
@@ -195,8 +195,12 @@
     ) -> None:
         """End an attempt that the target gave up.
 
-        ``started`` tells that it may have begun, ``ended`` that its process ended under it.
+        ``started`` tells that it may have begun, ``ended`` that its process ended under it. Where
+        nobody listens, or the process ended, the gate closes until the target has answered again,
+        so that no more requests are handed to it in vain.
         """
+        if ended or not started:
+            self.membership.target_gone()
         self.serving.on_target_failed(attempt, started, now_s, ended)
 
     def may_hand_over(self, order: HandOver, now_s: float) -> bool:
--- a/tests/nodes/test_membership.py
+++ b/tests/nodes/test_membership.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
+from ochreway_core.attemptid import AttemptId
 from ochreway_core.effects import OrderTarget, Send
-from ochreway_core.ids import Epoch, Version
+from ochreway_core.ids import Epoch, Incarnation, NodeId, Version
 from ochreway_core.messages import Dismiss, Grant, GrantRefusal, Order, Release
 from ochreway_core.reason import Reason
 from ochreway_core.timing import Timing
@@ -100,3 +101,83 @@
         self.tell(agent, refusal, 10.2, "b")
         assert agent.membership.row is not None
         self.assertEqual(4, agent.membership.row.formation)
+
+
+class RepairTimeTests(LeaderCase):
+    """How soon a group closes when a target is gone, and serves again when it is back."""
+
+    def test_a_member_tells_its_leader_at_once_that_its_target_is_ready(self) -> None:
+        """Guards against groups that stay closed up to a heartbeat after their last load."""
+        agent, given = self.agent("b"), row("abc")
+        agent.on_target_state(TargetState(given.fence, "art", False, 10.0))
+        first = self.tell(agent, self.beat(given, 7, riding=True), 10.0, "a")[-1]
+        agent.on_target_state(TargetState(given.fence, "art", True, 10.2))
+        agent.on_tick(10.2)
+        told = [each.message for each in agent.take() if isinstance(each, Send)]
+        self.assertEqual([Grant(given.group, given.epoch, 7, True, False)], told)
+        assert isinstance(first, Grant)
+        self.assertFalse(first.ready)
+
+    def test_a_grant_told_again_lasts_no_longer(self) -> None:
+        agent, given = self.leader()
+        gate = agent.membership.gate
+        assert gate is not None
+        self.tell(agent, Grant(given.group, given.epoch, gate.sequence, False, False), 11.9, "b")
+        self.tell(agent, Grant(given.group, given.epoch, gate.sequence, True, False), 12.0, "b")
+        self.assertEqual(Reason.NONE, agent.membership.closed_because(12.0))
+        self.assertEqual(Reason.GROUP_INCOMPLETE, agent.membership.closed_because(10.0 + TTL_S))
+
+    def test_a_leader_counts_its_own_target_between_heartbeats(self) -> None:
+        agent, given = self.leader()
+        agent.on_target_state(TargetState(given.fence, "art", False, 10.1))
+        agent.on_tick(10.1)
+        self.assertEqual(Reason.GROUP_LOADING, agent.membership.closed_because(10.1))
+        agent.on_target_state(TargetState(given.fence, "art", True, 10.3))
+        agent.on_tick(10.3)
+        self.assertEqual(Reason.NONE, agent.membership.closed_because(10.3))
+
+    def test_a_target_where_nobody_listens_closes_the_gate_until_it_answers(self) -> None:
+        """Guards against requests handed for two seconds to a target whose process has ended."""
+        for started, ended in ((False, False), (True, True)):
+            agent, given = self.leader()
+            agent.on_target_failed(AttemptId(NodeId("e"), Incarnation(1), 1), started, 10.1, ended)
+            agent.on_tick(10.1)
+            self.assertEqual(Reason.GROUP_LOADING, agent.membership.closed_because(10.1))
+            agent.on_target_state(TargetState(given.fence, "art", True, 10.2))
+            agent.on_tick(10.2)
+            self.assertEqual(Reason.NONE, agent.membership.closed_because(10.2))
+
+    def test_a_target_that_has_nothing_loads_while_its_agent_may_not_grant_yet(self) -> None:
+        """Guards against loads that begin only after the time for which grants may stand."""
+        for artifact, epoch, due in (("", 0, True), ("other", 3, False)):
+            agent = self.agent("b")
+            self.order(agent, row("abc"), 0.5)
+            agent.on_target_state(TargetState(Epoch(epoch), artifact, bool(artifact), 0.6))
+            agent.on_tick(0.6)
+            ordered = [each for each in agent.take() if isinstance(each, OrderTarget)]
+            self.assertEqual(due, bool(ordered))
+            self.assertEqual(due, bool(ordered and agent.may_order(ordered[0], 0.7)))
+
+    def test_a_target_that_is_back_is_ordered_at_once(self) -> None:
+        agent, given = self.leader()
+        agent.on_target_failed(AttemptId(NodeId("e"), Incarnation(1), 1), True, 10.1, True)
+        agent.on_tick(10.1)
+        agent.on_target_state(TargetState(seen_s=10.5))
+        agent.take()
+        agent.on_tick(10.5)
+        self.assertTrue([each for each in agent.take() if isinstance(each, OrderTarget)])
+
+    def test_a_heartbeat_comes_when_a_refused_grant_can_be_given(self) -> None:
+        agent, given = self.leader()
+        gate = agent.membership.gate
+        assert gate is not None
+        wait_s = Timing().heartbeat_s / 2
+        refusal = GrantRefusal(
+            given.group, given.epoch, gate.sequence, Reason.GROUP_INCOMPLETE, wait_s, 0
+        )
+        self.tell(agent, refusal, 10.1, "b")
+        before = gate.sequence
+        agent.on_tick(10.1 + wait_s / 2)
+        self.assertEqual(before, gate.sequence)
+        agent.on_tick(10.1 + wait_s + 0.01)
+        self.assertEqual(before + 1, gate.sequence)
