--- a/tests/direct/test_limitpool.py
+++ b/tests/direct/test_limitpool.py
@@ -147,7 +147,7 @@
 
     def test_a_limit_is_used_again_at_once_when_the_keeper_is_lost(self) -> None:
         world = world_of(5)
-        self.name(world, 10.0)
+        self.name(world, 5.0)
         world.run(3.0)
         keeper = next(n for n, each in world.entries.items() if each.pool.keeps)
         world.leave(keeper)
