--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -220,8 +220,10 @@
             self._log.event(
                 "engine_lost", instance=record.instance, misses=record.misses, cause=cause
             )
-        else:
-            self._log.detail("engine_silent", instance=record.instance, cause=cause)
+            return
+        if not record.dead and record.misses >= self.coordinator.tuning.misses_until_dead:
+            self._metrics.count("probe.nobody_answered")
+        self._log.detail("engine_silent", instance=record.instance, cause=cause)
 
     async def _probe(self, record: EngineRecord, urgent: bool = False) -> None:
         instance = record.instance
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -338,6 +338,7 @@
             "loop_stalled_s": self.lag.since(now_s - REMEMBERED_S, now_s),
             "lease_held": float(self.lease.held),
             "groups": float(len(self.view.groups(now_s))),
+            "proofs_awaited": float(self.serving.proofs_awaited),
             "entries_heard": float(len(self.peers.alive(now_s))),
             **self._drains.gauges(),
             **self.crashes.gauges(),
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -26,7 +26,8 @@
     """Hold the newest configuration that was learned; it never goes back.
 
     A process that is ``stopping`` still takes requests for a while; once ``closed`` it takes none.
-    ``sent_bytes`` counts what went to callers and targets, ``asked`` the requests admitted. While
+    ``sent_bytes`` counts what went to callers and targets, ``asked`` the requests admitted and
+    ``proofs_awaited`` the times that one waited for a proof of the configuration. While
     the instance is ``short_of`` something, new callers are to go elsewhere. ``lag`` tells for how
     long this process itself stood still.
     """
@@ -37,6 +38,7 @@
     closed: bool = False
     sent_bytes: int = 0
     asked: int = 0
+    proofs_awaited: int = 0
     short_of: set[Resource] = field(default_factory=set)
     routes: RouteTable | None = field(default=None)
     homes: Homes = field(default_factory=lambda: Homes({}))
@@ -80,11 +82,13 @@
         """
         loop = asyncio.get_running_loop()
         until_s = loop.time() + PROOF_AWAITED_S
-        while not self.keys_trusted():
-            if loop.time() >= until_s or not self._stall_explains(loop.time()):
-                return False
-            await asyncio.sleep(PROOF_POLL_S)
-        return True
+        trusted = self.keys_trusted()
+        if not trusted and self._stall_explains(loop.time()):
+            self.proofs_awaited += 1
+            while not trusted and loop.time() < until_s:
+                await asyncio.sleep(PROOF_POLL_S)
+                trusted = self.keys_trusted()
+        return trusted
 
     def _stall_explains(self, now_s: float) -> bool:
         """Tell whether the proof would be new enough, had this process not stood still since."""
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/membership.py
@@ -298,6 +298,7 @@
 
     def target_gone(self) -> None:
         """Take it that the target's process has ended: it has forgotten what it had."""
+        self._outbox.count("target.gone")
         self.target = TargetState()
 
     def target_seen(self, state: TargetState) -> None:
