--- a/packages/ochreway-direct/src/ochreway_direct/meanswatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/bounds/meanswatch.py
@@ -1,13 +1,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """Watching how near an entry is to the bounds of its instance."""
 
+from ochreway_direct.bounds.means import Means
+from ochreway_direct.bounds.memoryreader import MemoryReader
+from ochreway_direct.bounds.pressure import Pressure
+from ochreway_direct.bounds.resource import Resource
 from ochreway_direct.entries.peers import Peers
-from ochreway_direct.means import Means
-from ochreway_direct.memoryreader import MemoryReader
-from ochreway_direct.pressure import Pressure
 from ochreway_direct.relay.callerconnections import CallerConnections
 from ochreway_direct.relay.restingbounds import RestingBounds
-from ochreway_direct.resource import Resource
 from ochreway_direct.serving import Serving
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -11,7 +11,7 @@
 from ochreway_direct.coordinator.grouprecord import GroupPhase, PhaseCause
 from ochreway_direct.coordinator.probing import URGENT
 from ochreway_direct.lastmodels import LastModels
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.order import OrderOutcome
 from ochreway_direct.planlog import PlanLog
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -18,11 +18,11 @@
 from ochreway_direct.coordinator.summary import DomainSummary, summaries
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.enginestate import EngineState
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.lastmodels import LastModels
-from ochreway_direct.listedtarget import ListedTarget
-from ochreway_direct.listing import Listing
+from ochreway_direct.lists.listedtarget import ListedTarget
+from ochreway_direct.lists.listing import Listing
 from ochreway_direct.order import Join, Order, OrderOutcome, Stage
 from ochreway_direct.platformhealth import NEVER_S
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -6,7 +6,7 @@
 from ochreway_core.ids import DomainId, Epoch, GroupId, InstanceId
 from ochreway_direct.enginestate import EngineState, Membership
 from ochreway_direct.ids import ModelName, ServiceName
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.order import Order, Stage
 
 NEVER_S = -1.0e9
--- a/packages/ochreway-direct/src/ochreway_direct/drains/drainkeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/drains/drainkeeper.py
@@ -7,7 +7,7 @@
 from ochreway_core.drainedhalls import DrainedHalls
 from ochreway_core.ids import HallId
 from ochreway_direct.drains.halldrains import HallDrains
-from ochreway_direct.fleet import Fleet
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.messages import DrainNews
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
--- a/packages/ochreway-direct/src/ochreway_direct/entries/elsewhere.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/elsewhere.py
@@ -7,7 +7,7 @@
 
 from ochreway_core.ids import NodeId
 from ochreway_direct.entries.coverage import Coverage
-from ochreway_direct.fleet import Fleet
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.ids import CellId, ModelName
 from ochreway_direct.work import NO_WORK, Work, total
 
--- a/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
@@ -13,9 +13,9 @@
 from ochreway_direct.entries.elsewhere import Elsewhere
 from ochreway_direct.entries.knownentry import KnownEntry
 from ochreway_direct.entries.peers import Peers
-from ochreway_direct.fleetview import FleetView
+from ochreway_direct.fleets.fleetview import FleetView
 from ochreway_direct.ids import CellId
-from ochreway_direct.lease import Holder, Lease
+from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.messages import (
     ConfigurationRequest,
     FleetMark,
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -11,7 +11,8 @@
 from ochreway_core.crashnews import CrashNews
 from ochreway_core.ids import GroupId, HallId, NodeId
 from ochreway_core.peer import Peer
-from ochreway_direct.configurationfollower import ConfigurationFollower
+from ochreway_direct.bounds.means import means_of
+from ochreway_direct.bounds.meanswatch import CHECK_S, MeansWatch
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.crashes.crashkeeper import CrashKeeper
@@ -25,17 +26,14 @@
 from ochreway_direct.entries.heartbeats import Heartbeats
 from ochreway_direct.entries.knownentry import KnownEntry
 from ochreway_direct.entries.peers import Peers
-from ochreway_direct.fleet import SAMPLED_GROUPS, Fleet
-from ochreway_direct.fleetsharing import FleetSharing
-from ochreway_direct.fleetview import FleetView
-from ochreway_direct.freshness import Freshness
-from ochreway_direct.homecheck import HomeCheck
-from ochreway_direct.homes import Homes
-from ochreway_direct.lease import Holder, Lease
-from ochreway_direct.leasekeeper import LeaseKeeper
-from ochreway_direct.listfollower import ListFollower
-from ochreway_direct.means import means_of
-from ochreway_direct.meanswatch import CHECK_S, MeansWatch
+from ochreway_direct.fleets.fleet import SAMPLED_GROUPS, Fleet
+from ochreway_direct.fleets.fleetsharing import FleetSharing
+from ochreway_direct.fleets.fleetview import FleetView
+from ochreway_direct.halls.homecheck import HomeCheck
+from ochreway_direct.halls.homes import Homes
+from ochreway_direct.leases.lease import Holder, Lease
+from ochreway_direct.leases.leasekeeper import LeaseKeeper
+from ochreway_direct.lists.listfollower import ListFollower
 from ochreway_direct.mechanism import Mechanism
 from ochreway_direct.messages import (
     ConfigurationRequest,
@@ -62,7 +60,9 @@
 from ochreway_direct.targetlimits.limitpool import LimitPool
 from ochreway_direct.targetlimits.limitsharing import LimitSharing
 from ochreway_direct.timing import DirectTiming
-from ochreway_direct.versionsharing import VersionSharing
+from ochreway_direct.versions.configurationfollower import ConfigurationFollower
+from ochreway_direct.versions.freshness import Freshness
+from ochreway_direct.versions.versionsharing import VersionSharing
 from ochreway_routing.backoffs import Backoffs
 from ochreway_routing.crashbook import CrashBook
 from ochreway_routing.retrybudget import RetryBudget
--- a/packages/ochreway-direct/src/ochreway_direct/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
@@ -7,13 +7,13 @@
 
 from ochreway_core.ids import GroupId, HallId, InstanceId
 from ochreway_direct.configuration import EngineSpec
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.groupview import GroupView
+from ochreway_direct.fleets.placecounts import PlaceCounts
+from ochreway_direct.fleets.targethealth import TargetHealth
 from ochreway_direct.ids import ModelName, ServiceName
-from ochreway_direct.listedtarget import ListedTarget
-from ochreway_direct.placecounts import PlaceCounts
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.sendlimits.sendlimit import SendLimit, Unlimited
-from ochreway_direct.targethealth import TargetHealth
 from ochreway_direct.targetlimits.limitgate import LimitGate
 from ochreway_routing.backoffs import Backoffs
 
--- a/packages/ochreway-direct/src/ochreway_direct/fleetpublisher.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleetpublisher.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from ochreway_core.ids import GroupId, InstanceId
-from ochreway_direct.groupview import GroupView
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.fleets.groupview import GroupView
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.messages import FleetChange, FleetUpdate
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/fleetsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleetsharing.py
@@ -8,11 +8,11 @@
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.entries.heartbeats import Heartbeats
 from ochreway_direct.entries.peers import Peers
-from ochreway_direct.fleetpublisher import FleetContent, FleetPublisher
-from ochreway_direct.fleetview import FleetView
-from ochreway_direct.groupview import GroupView
-from ochreway_direct.lease import Lease
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.fleets.fleetpublisher import FleetContent, FleetPublisher
+from ochreway_direct.fleets.fleetview import FleetView
+from ochreway_direct.fleets.groupview import GroupView
+from ochreway_direct.leases.lease import Lease
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.messages import FleetChange, FleetRequest, FleetUpdate, ListUpdate
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import TargetReading
--- a/packages/ochreway-direct/src/ochreway_direct/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleetview.py
@@ -7,10 +7,10 @@
 
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.enginestate import MemberPhase
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.lastmodels import LastModels
-from ochreway_direct.listedtarget import ListedTarget
-from ochreway_direct.listing import LAPSE_RETURN_S, Listing
+from ochreway_direct.lists.listedtarget import ListedTarget
+from ochreway_direct.lists.listing import LAPSE_RETURN_S, Listing
 from ochreway_direct.messages import FleetChange, FleetMark, FleetUpdate
 
 NEVER_S = -1.0e9
--- a/packages/ochreway-direct/src/ochreway_direct/homecheck.py
+++ b/packages/ochreway-direct/src/ochreway_direct/halls/homecheck.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from ochreway_core.ids import HallId, RegionId
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.serving import Serving
 from ochreway_runtime.logs import EventLog
 
--- a/packages/ochreway-direct/src/ochreway_direct/leasekeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/leasekeeper.py
@@ -7,7 +7,7 @@
 from ochreway_core.ids import Epoch, NodeId
 from ochreway_core.peer import Peer
 from ochreway_direct.entries.peers import Peers
-from ochreway_direct.lease import Lease
+from ochreway_direct.leases.lease import Lease
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
 from ochreway_runtime.logs import EventLog
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -15,7 +15,6 @@
 from ochreway_direct import earlylistener
 from ochreway_direct.earlylistener import BACKLOG
 from ochreway_direct.entry import DirectEntry
-from ochreway_direct.firstconfiguration import first_configuration
 from ochreway_direct.lazymetricspage import LazyMetricsPage
 from ochreway_direct.ports.platformservices import ADAPTERS
 from ochreway_direct.relay.callerserver import CallerServer
@@ -27,6 +26,7 @@
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.settings import DirectSettings, check
 from ochreway_direct.timing import DirectTiming
+from ochreway_direct.versions.firstconfiguration import first_configuration
 from ochreway_runtime import steadyloop
 from ochreway_runtime.checks import shown
 from ochreway_runtime.errors import SettingsInvalid
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -10,9 +10,9 @@
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.entries.coverage import Coverage
 from ochreway_direct.entries.knownentry import KnownEntry
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ids import CellId
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.sendlimits.loan import Loan
 from ochreway_direct.targetlimits.poolnews import NO_POOL_NEWS, PoolNews
 from ochreway_direct.work import Work
--- a/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -19,8 +19,8 @@
 from ochreway_direct.relay.errors import Refused
 from ochreway_direct.relay.refusal import NOT_RUN_STATUS
 from ochreway_direct.relay.tuning import RelayTuning
-from ochreway_direct.routetable import RouteTable
 from ochreway_direct.serving import Serving
+from ochreway_direct.versions.routetable import RouteTable
 
 LINE_EXTRA = 4
 """Bytes of a header line beside its name and value."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
@@ -3,7 +3,7 @@
 
 import asyncio
 
-from ochreway_direct.fleet import Fleet
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
 from ochreway_direct.relay.ending import Ending
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/coldtargets.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/coldtargets.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ochreway_core.ids import InstanceId
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_runtime.logs import EventLog
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from ochreway_core.ids import NodeId
-from ochreway_direct.lease import Lease
+from ochreway_direct.leases.lease import Lease
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.lender import Lender
 from ochreway_direct.sendlimits.loan import Loan
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass, field
 
 from ochreway_core.ids import NO_VERSION, Version
+from ochreway_direct.bounds.resource import Resource
 from ochreway_direct.configuration import CallerLimits, Configuration, Service
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.freshness import Freshness
-from ochreway_direct.homes import Homes
-from ochreway_direct.resource import Resource
-from ochreway_direct.routetable import RouteTable
+from ochreway_direct.fleets.fleet import Fleet
+from ochreway_direct.halls.homes import Homes
+from ochreway_direct.versions.freshness import Freshness
+from ochreway_direct.versions.routetable import RouteTable
 from ochreway_runtime.looplag import LoopLag
 
 PROOF_AWAITED_S = 0.25
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 
 from ochreway_core.ids import HallId, RegionId
-from ochreway_direct.freshness import KeyTrust
 from ochreway_direct.mechanism import Mechanism
+from ochreway_direct.versions.freshness import KeyTrust
 from ochreway_runtime import checks
 
 KEY_TRUST_SHARE = 0.9
--- a/packages/ochreway-standins/src/ochreway_standins/choicebench.py
+++ b/packages/ochreway-standins/src/ochreway_standins/choicebench.py
@@ -9,7 +9,7 @@
 import click
 
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
 from ochreway_standins.spreadworld import SpreadEntry, SpreadWorld, VirtualLoop, virtually
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -13,7 +13,7 @@
 from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.lastmodels import LastModels
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.order import Close, Join, Leave, Open, Order, OrderOutcome, Stage
 
 STEP_S = 0.05
--- a/packages/ochreway-standins/src/ochreway_standins/limitbench.py
+++ b/packages/ochreway-standins/src/ochreway_standins/limitbench.py
@@ -9,7 +9,7 @@
 from ochreway_core.ids import Version
 from ochreway_direct.configuration import ColdStart, Configuration, Service
 from ochreway_direct.entries.cells import MESH_ENTRIES
-from ochreway_direct.lease import LeaseState
+from ochreway_direct.leases.lease import LeaseState
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_standins.choicebench import (
     HALLS,
--- a/packages/ochreway-standins/src/ochreway_standins/slopes/direct.py
+++ b/packages/ochreway-standins/src/ochreway_standins/slopes/direct.py
@@ -13,9 +13,9 @@
 from ochreway_direct.coordinator import Coordinator
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
 from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
-from ochreway_direct.fleet import SAMPLED_GROUPS, Fleet
-from ochreway_direct.groupview import GroupView
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.fleets.fleet import SAMPLED_GROUPS, Fleet
+from ochreway_direct.fleets.groupview import GroupView
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_standins.engineworld import CONFIGURATION, LARGE, SERVICE, SMALL, SPEC
 from ochreway_standins.slopes.meter import cpu_us
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -21,10 +21,9 @@
 from ochreway_direct.entries.heartbeats import Heartbeats
 from ochreway_direct.entries.knownentry import KnownEntry
 from ochreway_direct.entries.peers import Peers
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.fleetview import FleetView
-from ochreway_direct.freshness import Freshness
-from ochreway_direct.lease import Holder, Lease
+from ochreway_direct.fleets.fleet import Fleet
+from ochreway_direct.fleets.fleetview import FleetView
+from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.messages import Heartbeat
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
@@ -33,6 +32,7 @@
 from ochreway_direct.sendlimits.standingshare import StandingShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
+from ochreway_direct.versions.freshness import Freshness
 from ochreway_platform.memorytable import MemoryTable
 from ochreway_routing.crashbook import CrashBook
 from ochreway_runtime.logs import EventLog
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -25,11 +25,10 @@
 )
 from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.freshness import Freshness, KeyTrust
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.fleet import Fleet
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.relay.callerconnections import CallerConnections
 from ochreway_direct.relay.callerserver import CallerServer
@@ -39,6 +38,7 @@
 from ochreway_direct.relay.targetsession import target_session
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
+from ochreway_direct.versions.freshness import Freshness, KeyTrust
 from ochreway_routing.backoffs import Backoffs
 from ochreway_routing.crashbook import CrashBook
 from ochreway_routing.retrybudget import RetryBudget
--- a/tests/direct/sendworld.py
+++ b/tests/direct/sendworld.py
@@ -12,7 +12,7 @@
 from ochreway_core.table import CommitReply, CommitStatus, Row, Transaction
 from ochreway_direct.configuration import ColdStart, Service
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.lease import Holder, Lease
+from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
--- a/tests/direct/test_backoff.py
+++ b/tests/direct/test_backoff.py
@@ -12,7 +12,7 @@
 from ochreway_direct.coordinator import Assignment, CoordinatorTuning
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.order import Leave, Order, OrderOutcome
 from ochreway_direct.ports import EngineControl
--- a/tests/direct/test_candidates.py
+++ b/tests/direct/test_candidates.py
@@ -9,7 +9,7 @@
 from ochreway_direct.coordinator.candidates import Candidates, Load, Use
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.enginestate import EngineState
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_standins.engineworld import SERVICE, SMALL
 
 
--- a/tests/direct/test_closedhalls.py
+++ b/tests/direct/test_closedhalls.py
@@ -9,9 +9,9 @@
 
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.configuration import RouteKind
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.groupview import GroupView
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.fleets.fleet import Fleet
+from ochreway_direct.fleets.groupview import GroupView
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
 from tests.direct.relaycase import (
--- a/tests/direct/test_coldtargets.py
+++ b/tests/direct/test_coldtargets.py
@@ -5,7 +5,7 @@
 
 from ochreway_core.ids import DomainId, HallId, InstanceId
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_standins.engineworld import LARGE, EngineWorld
 from tests.runtime.recordedlog import RecordedLog
--- a/tests/direct/test_configurationfollower.py
+++ b/tests/direct/test_configurationfollower.py
@@ -13,15 +13,15 @@
 from ochreway_core.ids import HallId, NodeId, Version
 from ochreway_core.peer import Peer
 from ochreway_direct.configuration import Configuration
-from ochreway_direct.configurationfollower import ConfigurationFollower
 from ochreway_direct.entry import DirectEntry
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.freshness import Freshness
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.messages import ConfigurationUpdate
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import ConfigurationReading, ConfigurationSource
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
+from ochreway_direct.versions.configurationfollower import ConfigurationFollower
+from ochreway_direct.versions.freshness import Freshness
 from ochreway_platform.errors import ConfigurationUnavailable, ConfigurationUnreadable
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -13,7 +13,7 @@
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord, PhaseCause
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.ids import ModelName, ServiceName
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.order import Order, OrderOutcome
 from ochreway_direct.ports import EngineControl
--- a/tests/direct/test_drainplanning.py
+++ b/tests/direct/test_drainplanning.py
@@ -12,7 +12,7 @@
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord, PhaseCause
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.enginestate import EngineState
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.order import Close
 from ochreway_standins.engineworld import LARGE, SERVICE, SMALL, EngineWorld
 
--- a/tests/direct/test_elsewhere.py
+++ b/tests/direct/test_elsewhere.py
@@ -6,7 +6,7 @@
 from ochreway_core.ids import HallId, NodeId
 from ochreway_direct.entries.coverage import Coverage
 from ochreway_direct.entries.elsewhere import COUNTS_TRUSTED_S, SOURCE_TRUSTED_S, Elsewhere
-from ochreway_direct.fleet import Fleet
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.ids import CellId, ModelName
 from ochreway_direct.work import Work, total, without
 
--- a/tests/direct/test_firstconfiguration.py
+++ b/tests/direct/test_firstconfiguration.py
@@ -6,10 +6,10 @@
 
 from ochreway_core.ids import HallId, Version
 from ochreway_direct.configuration import Configuration
-from ochreway_direct.firstconfiguration import first_configuration
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.freshness import Freshness
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.serving import Serving
+from ochreway_direct.versions.firstconfiguration import first_configuration
+from ochreway_direct.versions.freshness import Freshness
 
 
 class FirstConfigurationTests(testtools.TestCase):
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -5,8 +5,8 @@
 import testtools
 
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.fleet import Fleet
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_standins.engineworld import LARGE, SERVICE, SPEC
 
--- a/tests/direct/test_fleetpublisher.py
+++ b/tests/direct/test_fleetpublisher.py
@@ -4,9 +4,9 @@
 import testtools
 
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
-from ochreway_direct.fleetpublisher import FleetContent, FleetPublisher
-from ochreway_direct.fleetview import FleetView
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.fleetpublisher import FleetContent, FleetPublisher
+from ochreway_direct.fleets.fleetview import FleetView
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.messages import FleetChange, FleetMark, FleetUpdate
 from ochreway_direct.platformhealth import NEVER_S
--- a/tests/direct/test_fleetview.py
+++ b/tests/direct/test_fleetview.py
@@ -5,10 +5,10 @@
 
 from ochreway_core.ids import DomainId, Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
-from ochreway_direct.fleetview import FleetView
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.fleetview import FleetView
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ids import ModelName, ServiceName
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.messages import FleetUpdate
 from ochreway_direct.platformhealth import NEVER_S
 
--- a/tests/direct/test_halldrains.py
+++ b/tests/direct/test_halldrains.py
@@ -15,7 +15,7 @@
 from ochreway_core.ids import HallId
 from ochreway_direct.drains.drainkeeper import DrainKeeper
 from ochreway_direct.drains.halldrains import SENT_LATE_S, HallDrains
-from ochreway_direct.fleet import Fleet
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.messages import DrainNews
 from ochreway_runtime.metrics import Metrics
 from tests.runtime.recordedlog import RecordedLog
--- a/tests/direct/test_homes.py
+++ b/tests/direct/test_homes.py
@@ -19,17 +19,17 @@
 )
 from ochreway_direct.configuration import Configuration, Organisation, RouteKind
 from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.fleetview import FleetView
-from ochreway_direct.freshness import Freshness
-from ochreway_direct.groupview import GroupView
-from ochreway_direct.homecheck import HomeCheck
-from ochreway_direct.homes import Homes
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.fleets.fleet import Fleet
+from ochreway_direct.fleets.fleetview import FleetView
+from ochreway_direct.fleets.groupview import GroupView
+from ochreway_direct.halls.homecheck import HomeCheck
+from ochreway_direct.halls.homes import Homes
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.platformhealth import NEVER_S
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
+from ochreway_direct.versions.freshness import Freshness
 from ochreway_runtime.logs import EventLog
 from ochreway_standins.engineworld import LARGE, SERVICE, SMALL, SPEC, EngineWorld
 from tests.direct.relaycase import END, Headers, RelayCase, Running, event, stream_head, whole
--- a/tests/direct/test_lastmodels.py
+++ b/tests/direct/test_lastmodels.py
@@ -4,7 +4,7 @@
 from ochreway_core.ids import DomainId, Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.enginestate import EngineState, MemberPhase, Membership
 from ochreway_direct.lastmodels import LastModels
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_standins.engineworld import LARGE, SERVICE, SMALL, EngineWorld
 
 ONE = InstanceId("one")
--- a/tests/direct/test_lease.py
+++ b/tests/direct/test_lease.py
@@ -7,7 +7,7 @@
 from ochreway_core.backoff import Backoff
 from ochreway_core.ids import NodeId
 from ochreway_core.table import CommitReply, CommitStatus, Transaction
-from ochreway_direct.lease import Holder, Lease
+from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_platform.memorytable import MemoryTable
 
 
--- a/tests/direct/test_listing.py
+++ b/tests/direct/test_listing.py
@@ -2,7 +2,7 @@
 import testtools
 
 from ochreway_core.ids import InstanceId
-from ochreway_direct.listing import LAPSE_RETURN_S, Listing
+from ochreway_direct.lists.listing import LAPSE_RETURN_S, Listing
 from ochreway_direct.platformhealth import NEVER_S
 
 A, B = InstanceId("a"), InstanceId("b")
--- a/tests/direct/test_means.py
+++ b/tests/direct/test_means.py
@@ -7,19 +7,19 @@
 
 from ochreway_core.ids import HallId, NodeId, Version
 from ochreway_core.peer import Peer
+from ochreway_direct.bounds.means import FILE_DESCRIPTORS, Means, means_of
+from ochreway_direct.bounds.meanswatch import MeansWatch
+from ochreway_direct.bounds.memoryreader import MemoryReader
+from ochreway_direct.bounds.pressure import HELD_AT_MOST_S, Pressure
+from ochreway_direct.bounds.resource import Resource
 from ochreway_direct.configuration import CallerLimits, Configuration, Service
 from ochreway_direct.entries.knownentry import KnownEntry
 from ochreway_direct.entries.peers import Peers
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.freshness import Freshness, KeyTrust
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.means import FILE_DESCRIPTORS, Means, means_of
-from ochreway_direct.meanswatch import MeansWatch
-from ochreway_direct.memoryreader import MemoryReader
-from ochreway_direct.pressure import HELD_AT_MOST_S, Pressure
-from ochreway_direct.resource import Resource
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
+from ochreway_direct.versions.freshness import Freshness, KeyTrust
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
--- a/tests/direct/test_missing.py
+++ b/tests/direct/test_missing.py
@@ -10,7 +10,7 @@
 from ochreway_direct.coordinator.placement import Slot
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.ids import ModelName
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_standins.engineworld import LARGE, SERVICE, SMALL, SPEC
 
 D1, D2 = DomainId("d1"), DomainId("d2")
--- a/tests/direct/test_probing.py
+++ b/tests/direct/test_probing.py
@@ -10,7 +10,7 @@
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.enginestate import EngineState
-from ochreway_direct.listedtarget import ListedTarget
+from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.order import Leave
 from ochreway_standins.engineworld import CONFIGURATION, LARGE, SERVICE, SPEC, EngineWorld
 
--- a/tests/direct/test_routetable.py
+++ b/tests/direct/test_routetable.py
@@ -3,9 +3,9 @@
 
 from ochreway_core.ids import OrganisationId, Version
 from ochreway_direct.configuration import Configuration, Organisation, Route, RouteKind, Share
-from ochreway_direct.freshness import KEY_TRUSTS, Freshness, KeyTrust
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.routetable import RouteTable
+from ochreway_direct.versions.freshness import KEY_TRUSTS, Freshness, KeyTrust
+from ochreway_direct.versions.routetable import RouteTable
 
 
 def route(prefix: str, host: str = "care.example") -> Route:
--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -7,7 +7,7 @@
 
 from ochreway_core.ids import InstanceId, NodeId, Version
 from ochreway_direct.configuration import ColdStart, Configuration, Service
-from ochreway_direct.lease import LeaseState
+from ochreway_direct.leases.lease import LeaseState
 from ochreway_direct.sendlimits import standingshare
 from ochreway_direct.sendlimits.allowance import Allowance
 from ochreway_direct.sendlimits.lender import LAPSED_S, QUIET_S, Lender
--- a/tests/direct/test_serving.py
+++ b/tests/direct/test_serving.py
@@ -6,9 +6,9 @@
 import testtools
 
 from ochreway_core.ids import HallId
-from ochreway_direct.fleet import Fleet
-from ochreway_direct.freshness import Freshness
+from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.serving import PROOF_AWAITED_S, Serving
+from ochreway_direct.versions.freshness import Freshness
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import LoopLag
 
--- a/tests/direct/test_sharing.py
+++ b/tests/direct/test_sharing.py
@@ -11,15 +11,15 @@
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.dependencies import Dependencies
-from ochreway_direct.fleetsharing import FleetSharing
-from ochreway_direct.groupview import GroupView
+from ochreway_direct.fleets.fleetsharing import FleetSharing
+from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ids import ModelName, ServiceName
-from ochreway_direct.lease import LeaseState
+from ochreway_direct.leases.lease import LeaseState
 from ochreway_direct.messages import ConfigurationUpdate, FleetRequest, FleetUpdate
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.timing import DirectTiming
-from ochreway_direct.versionsharing import VersionSharing
+from ochreway_direct.versions.versionsharing import VersionSharing
 from ochreway_routing.backoffs import Backoffs
 from ochreway_routing.targetlimits import TargetLimits
 from ochreway_runtime.looplag import LoopLag
--- a/tests/runtime/test_steadyloop.py
+++ b/tests/runtime/test_steadyloop.py
@@ -9,7 +9,7 @@
 from ochreway_core.drainedhalls import DrainedHalls
 from ochreway_core.ids import HallId, Version
 from ochreway_direct.drains.halldrains import HallDrains
-from ochreway_direct.freshness import Freshness
+from ochreway_direct.versions.freshness import Freshness
 from ochreway_runtime import steadyclock, steadyloop
 from ochreway_runtime.metrics import Metrics
 from ochreway_runtime.steadyloop import SteadyLoop
