--- a/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
@@ -106,6 +106,7 @@
         if node.startswith("entry"):
             self.callers.entry_died(node)
         self.truth.quiet_from_s.pop(node, None)
+        self.truth.told_leaving.pop(node, None)
         self.world.clock.after(self.lasting_s(*replaced_in_s), partial(self.world.boot, node))
 
     def pause(self, node: NodeId) -> None:
--- a/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
@@ -27,6 +27,14 @@
 LIST_LEAVE_S = LIST_LAG_MOST_S + 4.0
 
 
+@dataclass(frozen=True, slots=True)
+class ToldLeaving:
+    """Hold which life of a target said that it leaves, and from when on it gets nothing new."""
+
+    life: int
+    from_s: float
+
+
 @dataclass(slots=True)
 class Truth:
     """Collect violations of one run."""
@@ -35,6 +43,7 @@
     callers: Callers
     violations: list[str] = field(default_factory=list)
     quiet_from_s: dict[NodeId, float] = field(default_factory=dict)
+    told_leaving: dict[NodeId, ToldLeaving] = field(default_factory=dict)
     halls: HallTruth = field(init=False)
     crashes: CrashTruth = field(init=False)
     backoffs: BackoffTruth = field(default_factory=BackoffTruth)
@@ -72,7 +81,14 @@
         if notice.backoff_s is not None:
             self.backoffs.turned_away(process, notice.backoff_s, now_s)
         if notice.leaving:
-            self.quiet_from_s.setdefault(process.peer.node, now_s + AGENT_LEAVE_S)
+            self._told_leaving(process.peer.node, now_s)
+
+    def _told_leaving(self, node: NodeId, now_s: float) -> None:
+        """Note that a target said of itself that it leaves; another life of it does not."""
+        life = self.world.targets[node].life
+        known = self.told_leaving.get(node)
+        if known is None or known.life != life:
+            self.told_leaving[node] = ToldLeaving(life, now_s + AGENT_LEAVE_S)
 
     def _on_hand_over(self, process: Process, order: HandOver) -> None:
         node = process.node
@@ -110,7 +126,7 @@
             self.violate(Invariant.ONE_GROUP if other else Invariant.GROUP_COMPLETE, detail)
 
     def _check_quiet(self, leader: Process, row: GroupRow, node: NodeId) -> None:
-        quiet_s = self.quiet_from_s.get(node)
+        quiet_s = self._quiet_from_s(node)
         if quiet_s is None:
             return
         if not self._can_tell(node, leader.peer.node):
@@ -119,6 +135,13 @@
         if self.world.clock.now_s > quiet_s:
             self.violate(Invariant.LEAVING_QUIET, f"{row.group}: {node} is leaving")
 
+    def _quiet_from_s(self, node: NodeId) -> float | None:
+        """Return from when on an instance gets nothing new, if it leaves or its target does."""
+        told = self.told_leaving.get(node)
+        holds = told is not None and told.life == self.world.targets[node].life
+        times_s = [self.quiet_from_s.get(node), told.from_s if told and holds else None]
+        return min((each for each in times_s if each is not None), default=None)
+
     def _check_drained(self, order: HandOver, row: GroupRow, node: NodeId) -> None:
         """Check that no entry has sent a request where it has long known not to."""
         asked = self.callers.asked.get(order.submit.request)
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -79,3 +79,8 @@
         for seed in range(1, 7):
             self.assertEqual((), Run(seed).go().violations)
         self.hold(1, ["target_limited"], 6)
+
+    def test_a_target_that_left_has_ended_and_another_life_serves(self) -> None:
+        """Found by seed 245: what a life that had ended said was held against the next one."""
+        self.assertEqual((), Run(245).go().violations)
+        self.hold(84, ["target_leaves", "fatal_request"], 2)
