--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -95,11 +95,12 @@
                 possible.remove(model)
 
     def give_each_a_group(self) -> None:
-        """Plan anew round one group of each model, where the plan has none of some model.
+        """Plan anew round one group of each model, where more models have one then.
 
         A model without a group refuses all of its callers; one that has many can spare a few.
         """
-        if all(self._totals[model.name] for model in self._spec.models):
+        served = sum(self._totals[model.name] > 0 for model in self._spec.models)
+        if served == len(self._spec.models):
             return
         first: Counter[ModelName] = Counter()
         found: Counter[Slot] = Counter()
@@ -108,8 +109,9 @@
             if arranged is not None:
                 first[model.name] = 1
                 found = arranged
-        self._begin_with(found)
-        self.fill()
+        if len(first) > served:
+            self._begin_with(found)
+            self.fill()
 
     def spread(self) -> None:
         """Move new groups of which one domain has more than half, and use what that leaves over."""
--- a/tests/direct/test_firstplans.py
+++ b/tests/direct/test_firstplans.py
@@ -206,3 +206,8 @@
         within = totals.keys() - over
         for name in over:
             self.assertFalse(can_be_within_half(build, totals, {*within, name}))
+
+    def test_engines_that_not_all_models_fit_on_are_planned_as_they_are_worth(self) -> None:
+        """Guards against a large group formed of a list's first engines in place of small ones."""
+        chosen = Build(models_of((4, 2), (0.67, 0.33)), unlike(4), {}).plan()
+        self.assertEqual({NAMES[1]: 2}, dict(totals_of(chosen)))
