--- a/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
@@ -177,7 +177,7 @@
     return mock.patch.object(KeyHome, "__init__", init)
 
 
-@guard("key_homes_move", ("at_most_once",), ("roll", "kill_entry", "kill_leader"), 12, 4)
+@guard("key_homes_move", ("at_most_once",), ("roll", "kill_entry", "kill_leader"), 4, 4)
 def _key_homes_move() -> contextlib.AbstractContextManager[Any]:
     original = View.homes
 
