--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -2,7 +2,7 @@
 """Probes without an answer, because of the engine or because this process stalled."""
 
 import asyncio
-import time
+import selectors
 
 import testtools
 
@@ -29,6 +29,35 @@
 ENGINE = ListedTarget(InstanceId("i"), ServiceName("s"), "i:1", HallId("h"), engine=STATE)
 
 
+class VirtualTimeSelector(selectors.SelectSelector):
+    """Advance a clock by the time that the loop would wait, without waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        ready = super().select(0)
+        if not ready and timeout:
+            self.now_s += timeout
+        return ready
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Run on a virtual clock, so that stalls of this test's own process do not count."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualTimeSelector()
+        super().__init__(self.clock)
+
+    def time(self) -> float:
+        return self.clock.now_s
+
+    def block(self, for_s: float) -> None:
+        """Let time pass as if the whole process stood still."""
+        self.clock.now_s += for_s
+
+
 class SilentEngines(EngineControl):
     """Never answer, and optionally block the whole process for a while."""
 
@@ -36,7 +65,9 @@
         self._blocked_s = blocked_s
 
     async def state(self, address: str, instance: InstanceId, timeout_s: float) -> EngineState:
-        time.sleep(self._blocked_s)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualTimeLoop)
+        loop.block(self._blocked_s)
         await asyncio.sleep(timeout_s)
         raise TargetBroke("no answer")
 
@@ -75,7 +106,8 @@
             await coordination._probe(record)
             return record
 
-        return asyncio.run(work())
+        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            return runner.run(work())
 
     def lost_after(self, cause: PhaseCause) -> tuple[GroupId, ...]:
         """Return the groups whose calls are abandoned after a group was dissolved for a cause."""
