--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
@@ -0,0 +1,69 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Bound on the groups of a model that are closed although they have not failed."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from ochreway_core.ids import GroupId
+from ochreway_direct.coordinator.callers import models_with_callers
+from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
+from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.ids import ModelName, ServiceName
+
+
+class Closings:
+    """Decide how many serving groups may be closed for better ones.
+
+    A closed group's requests take seconds to end, and its replacement takes about a second to form.
+    The last serving group of a model with callers is therefore not closed, and where fewer would
+    serve than are planned, one is closed at a time. The next is closed once a replacement serves.
+    """
+
+    def __init__(self, state: CoordinatorState) -> None:
+        self._state = state
+        self.kept: set[GroupId] = set()
+
+    def reset_kept(self) -> None:
+        """Discard the groups that were kept in the last tick."""
+        self.kept.clear()
+
+    def record_kept(self, groups: Iterable[GroupRecord]) -> None:
+        """Record groups that only this bound keeps from being closed, for the log."""
+        self.kept.update(group.group for group in groups)
+
+    def is_last(self, group: GroupRecord) -> bool:
+        """Return whether a group is the last serving one of a model with callers."""
+        if group.model not in self._models_with_callers(group.service):
+            return False
+        return self._count(group.service, GroupPhase.SERVING)[group.model] <= 1
+
+    def allowance(
+        self, service: ServiceName, planned: Mapping[ModelName, int]
+    ) -> Counter[ModelName]:
+        """Return how many groups of each model may be closed now.
+
+        Args:
+            service: the service of the groups.
+            planned: the number of planned groups of each model.
+        """
+        serving = self._count(service, GroupPhase.SERVING)
+        changing = self._count(
+            service, GroupPhase.FORMING, GroupPhase.CLOSING, GroupPhase.DISSOLVING
+        )
+        called = self._models_with_callers(service)
+        allowed: Counter[ModelName] = Counter()
+        for model, number in serving.items():
+            beyond_plan = number - planned.get(model, 0)
+            at_most = number - 1 if model in called else number
+            allowed[model] = min(at_most, max(beyond_plan, 0 if changing[model] else 1))
+        return allowed
+
+    def _models_with_callers(self, service: ServiceName) -> frozenset[ModelName]:
+        return models_with_callers(self._state.specs[service], self._state.demand)
+
+    def _count(self, service: ServiceName, *phases: GroupPhase) -> Counter[ModelName]:
+        groups = self._state.groups_of(service)
+        return Counter(group.model for group in groups if group.phase in phases)
+
+
+__all__ = ["Closings"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -5,14 +5,15 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from ochreway_core.ids import DomainId, InstanceId
+from ochreway_core.ids import DomainId, GroupId, InstanceId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.capacities import capacities_after_loading, current_capacities
 from ochreway_direct.coordinator.census import Census, EnginesByDomain, take_census
+from ochreway_direct.coordinator.closings import Closings
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import SPANNING
 from ochreway_direct.coordinator.missing import place_missing_groups
-from ochreway_direct.coordinator.placement import GroupSlot
+from ochreway_direct.coordinator.placement import GroupSlot, groups_per_model
 from ochreway_direct.coordinator.planner import Planner
 from ochreway_direct.coordinator.reservation import reserved_engines
 from ochreway_direct.coordinator.spanning import SpanningFormation
@@ -46,13 +47,15 @@
 class PlanSummary:
     """Demand, planned groups and current groups of a plan, the latter inside domains only.
 
-    A demand that is not ``measured`` is derived from configured shares.
+    A demand that is not ``measured`` is derived from configured shares. ``kept`` groups are not
+    closed for better ones because their model has callers and too few other groups serve.
     """
 
     measured: bool
     model_demand: Mapping[ModelName, float]
     wanted: Mapping[GroupSlot, int]
     current: Mapping[GroupSlot, int]
+    kept: tuple[GroupId, ...] = ()
 
 
 class Formation:
@@ -66,12 +69,14 @@
             lambda: Planner(state.tuning)
         )
         self._spanning = SpanningFormation(state)
-        self._trading = Trading(state)
-        self._swapping = Swapping(state)
+        self._closings = Closings(state)
+        self._trading = Trading(state, self._closings)
+        self._swapping = Swapping(state, self._closings)
 
     def form_groups(self, service: ServiceName, spec: EngineSpec, now_s: float) -> Outlook:
         """Form the groups that can be formed now; return what remains for loads of weights."""
         census = take_census(self._state, service)
+        self._closings.reset_kept()
         if self._state.tuning.swapping:
             self._swapping.close_slow_groups(census, now_s)
         free, current = census.free, census.current
@@ -84,7 +89,6 @@
         wanted = self._planners_now[service].plan(
             spec, (model_demand,), capacities, inside, downtime_share, threshold
         )
-        self.plans[service] = PlanSummary(self._state.demand.measured, model_demand, wanted, inside)
         later = self._planners_after_loading[service].plan(
             spec,
             (model_demand,),
@@ -98,6 +102,10 @@
             spec, model_demand, wanted, missing, census, self._state.downtime_share
         )
         awaited = self._form_wanted(service, spec, wanted, census, reserved, now_s)
+        kept = tuple(sorted(self._closings.kept))
+        self.plans[service] = PlanSummary(
+            self._state.demand.measured, model_demand, wanted, inside, kept
+        )
         awaiting_domains = {slot.domain for slot in awaited}
         spare: EnginesByDomain = defaultdict(list)
         spare.update(
@@ -124,6 +132,7 @@
         awaited = set()
         surplus = Counter(census.current)
         surplus.subtract(wanted)
+        planned = groups_per_model(wanted)
         for slot in sorted(wanted, key=lambda each: (each.domain, each.model)):
             model = spec.model(slot.model)
             assert model is not None
@@ -131,7 +140,9 @@
                 reserved_here = reserved.get(slot, ())
                 if not self._form(service, spec, model, census, slot.domain, reserved_here, now_s):
                     if self._state.tuning.trading:
-                        self._trading.close_for(service, model, slot, surplus, census, now_s)
+                        self._trading.close_for(
+                            service, model, slot, surplus, planned, census, now_s
+                        )
                     awaited.add(slot)
                     break
         return awaited
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/swapping.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/swapping.py
@@ -2,6 +2,7 @@
 """Closing of groups that a slow member slows down, if substitutes are available."""
 
 from ochreway_direct.coordinator.census import Census
+from ochreway_direct.coordinator.closings import Closings
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.grouprecord import (
     SPANNING,
@@ -16,11 +17,12 @@
     """Close groups that run at a slow member's pace, one per domain at a time.
 
     A new group is then formed from the other members and free engines of the domain, with slow
-    engines as the last choice.
+    engines as the last choice. The last serving group of a model with callers is not closed.
     """
 
-    def __init__(self, state: CoordinatorState) -> None:
+    def __init__(self, state: CoordinatorState, closings: Closings) -> None:
         self._state = state
+        self._closings = closings
 
     def close_slow_groups(self, census: Census, now_s: float) -> None:
         """Close each group whose slow members can be replaced."""
@@ -30,7 +32,11 @@
             slow = self._slow_members(group)
             if not slow or self._state.has_closing_group(group.domain):
                 continue
-            if self._substitutes(group, census) >= len(slow):
+            if self._substitutes(group, census) < len(slow):
+                continue
+            if self._closings.is_last(group):
+                self._closings.record_kept([group])
+            else:
                 group.close_timeout_s = self._state.closing_time_s(
                     group, self._state.tuning.swap_close_s
                 )
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
@@ -2,20 +2,23 @@
 """Closing of groups whose engines complete a group of higher utility."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from ochreway_direct.configuration import ModelSpec
 from ochreway_direct.coordinator.census import Census
+from ochreway_direct.coordinator.closings import Closings
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord, PhaseCause
 from ochreway_direct.coordinator.placement import GroupSlot
 from ochreway_direct.coordinator.state import CoordinatorState
-from ochreway_direct.ids import ServiceName
+from ochreway_direct.ids import ModelName, ServiceName
 
 
 class Trading:
     """Close groups that exceed the plan, if a wanted group can then be formed."""
 
-    def __init__(self, state: CoordinatorState) -> None:
+    def __init__(self, state: CoordinatorState, closings: Closings) -> None:
         self._state = state
+        self._closings = closings
 
     def close_for(
         self,
@@ -23,16 +26,20 @@
         model: ModelSpec,
         slot: GroupSlot,
         surplus: Counter[GroupSlot],
+        planned: Mapping[ModelName, int],
         census: Census,
         now_s: float,
     ) -> None:
         """Close as many groups as a wanted one needs engines from; none if that is not enough.
 
+        Groups that serve callers are closed within the bound of ``Closings``.
+
         Args:
             service: the service of the groups.
             model: the model of the wanted group.
             slot: the group slot of the wanted group.
             surplus: the number of groups of each group slot beyond the plan.
+            planned: the number of planned groups of each model.
             census: the engines that are in no group, or about to be in none.
             now_s: the current time.
         """
@@ -41,18 +48,28 @@
         soon_free = [*census.free[slot.domain], *census.survivors[slot.domain]]
         lacking = model.size - sum(record.can_join(model.name) for record in soon_free)
         left = Counter(surplus)
-        to_close = []
+        allowed = self._closings.allowance(service, planned)
+        to_close: list[GroupRecord] = []
+        kept: list[GroupRecord] = []
         for group in self._state.groups_of(service):
             group_slot = GroupSlot(group.domain, group.model)
             if group.phase is not GroupPhase.SERVING or left[group_slot] <= 0 or lacking <= 0:
                 continue
             joinable = self._count_joinable(group, model, slot)
-            if joinable > 0:
-                to_close.append(group)
-                left[group_slot] -= 1
-                lacking -= joinable
+            if joinable <= 0:
+                continue
+            if allowed[group.model] <= 0:
+                kept.append(group)
+                continue
+            to_close.append(group)
+            allowed[group.model] -= 1
+            left[group_slot] -= 1
+            lacking -= joinable
         if lacking > 0:
-            to_close = self._exchangeable(service, model, slot, census)
+            allowed = self._closings.allowance(service, planned)
+            to_close = self._exchangeable(service, model, slot, allowed, census)
+        if not to_close:
+            self._closings.record_kept(kept)
         for group in to_close:
             group.enter(GroupPhase.CLOSING, now_s, PhaseCause.TRADED)
         for group in to_close:
@@ -65,6 +82,7 @@
         service: ServiceName,
         model: ModelSpec,
         slot: GroupSlot,
+        allowed: Mapping[ModelName, int],
         census: Census,
     ) -> list[GroupRecord]:
         """Return a replaceable group of another model that has the members a wanted group lacks.
@@ -81,6 +99,8 @@
                 continue
             if group.model == model.name or self._count_joinable(group, model, slot) < lacking:
                 continue
+            if allowed[group.model] <= 0:
+                continue
             spares = [r for r in free if r.can_join(group.model) and not r.can_join(model.name)]
             if len(spares) >= lacking and self._has_serving_peer(service, group):
                 return [group]
--- /dev/null
+++ b/tests/direct/test_closings.py
@@ -0,0 +1,85 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Groups that have not failed are closed for better ones only while others serve their callers."""
+
+import testtools
+
+from ochreway_core.ids import DomainId
+from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, PhaseCause
+from ochreway_standins.engineworld import LARGE, SMALL, EngineWorld
+
+NO_LOADS = CoordinatorTuning(loading_share=0.0)
+ONE, TWO, THREE = DomainId("d1"), DomainId("d2"), DomainId("d3")
+
+
+def spanning_world(groups: int, offered: float = 3.0) -> EngineWorld:
+    """Return a world where the large model has only groups that span domains."""
+    world = EngineWorld(domains=0, tuning=NO_LOADS)
+    domains = (ONE,) * 3 + ((TWO,) * 3 if groups == 1 else (TWO,) * 3 + (THREE,) * 2)
+    for domain in domains:
+        world.add(domain, LARGE.name)
+    world.coordinator.demand.update({LARGE.name: offered, SMALL.name: 3.6}, world.now_s)
+    world.run_until(lambda: world.serving(LARGE) == groups, 8.0)
+    return world
+
+
+class Causes:
+    """Causes for which groups began to close, and the fewest groups that served."""
+
+    def __init__(self, world: EngineWorld) -> None:
+        self._world = world
+        self.fewest = world.serving(LARGE)
+        self.most_closing = 0
+        self.closed: set[PhaseCause] = set()
+
+    def watch(self) -> None:
+        groups = self._world.coordinator.groups.values()
+        closing = [each for each in groups if each.phase is GroupPhase.CLOSING]
+        self.most_closing = max(self.most_closing, len(closing))
+        self.closed.update(each.cause for each in closing)
+        self.fewest = min(self.fewest, self._world.serving(LARGE))
+
+
+class TradedGroupTests(testtools.TestCase):
+    def test_two_spanning_groups_are_traded_one_at_a_time(self) -> None:
+        """Guards against a model refused for seconds because both its groups closed at once."""
+        world = spanning_world(2)
+        for domain in (ONE, TWO, TWO):
+            world.add(domain, LARGE.name)
+        for engine in world.engines.values():
+            engine.busy_for_s = 1.0
+        causes = Causes(world)
+        world.run(20.0, causes.watch)
+        self.assertIn(PhaseCause.TRADED, causes.closed)
+        self.assertEqual(1, causes.most_closing)
+        self.assertGreaterEqual(causes.fewest, 1)
+        self.assertEqual(2, world.views_inside())
+        self.assertEqual([], world.violations)
+
+    def test_the_only_group_is_not_closed_as_soon_as_it_has_opened(self) -> None:
+        """Guards against 4.4 s without a group because a better one became possible."""
+        world = spanning_world(1)
+        world.add(ONE, LARGE.name)
+        causes = Causes(world)
+        world.run(12.0, causes.watch)
+        self.assertEqual(set(), causes.closed)
+        self.assertEqual(1, causes.fewest)
+
+    def test_the_only_group_is_kept_until_a_replacement_serves(self) -> None:
+        """Guards against a spanning group that is closed while its replacement forms."""
+        world = spanning_world(1)
+        for _ in range(LARGE.size):
+            world.add(ONE, LARGE.name)
+        causes = Causes(world)
+        world.run(8.0, causes.watch)
+        self.assertEqual(1, world.views_inside())
+        self.assertEqual(1, causes.fewest)
+
+    def test_the_only_group_of_a_model_without_callers_is_traded(self) -> None:
+        """Guards against engines that a model without callers keeps from a better group."""
+        world = spanning_world(1)
+        world.coordinator.demand.update({SMALL.name: 3.6}, world.now_s)
+        world.add(ONE, LARGE.name)
+        world.run_until(lambda: world.views_inside() == 1, 8.0)
+        spanning = [g for g in world.coordinator.groups.values() if g.domain == SPANNING]
+        self.assertEqual([], spanning)
