--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -8,8 +8,10 @@
 from ochreway_core.targetnotice import TargetNotice
 from ochreway_direct.coordinator import Assignment, Coordinator, CoordinatorTuning
 from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.formation import PlanSummary
 from ochreway_direct.coordinator.grouprecord import GroupPhase, PhaseCause
 from ochreway_direct.coordinator.probing import URGENT_CAUSES
+from ochreway_direct.ids import ServiceName
 from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.noticewatch import NoticeWatch
@@ -74,6 +76,7 @@
         self._lost_since_s: dict[GroupId, float] = {}
         self._summary_due_s = 0.0
         self._plan_log = PlanLog(log)
+        self._counted_plans: dict[ServiceName, PlanSummary] = {}
 
     def begin(
         self,
@@ -125,6 +128,10 @@
 
     def _log_plans(self, now_s: float) -> None:
         for service, plan in self.coordinator.plans.items():
+            if plan is not self._counted_plans.get(service):
+                self._counted_plans[service] = plan
+                if plan.covered:
+                    self._metrics.count("plan.covered")
             if self._plan_log.due(service, now_s):
                 self._plan_log.log_plan(
                     service, plan, self.coordinator.count_loading(service), now_s
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -7,6 +7,7 @@
 
 from ochreway_core.ids import DomainId, GroupId, InstanceId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
+from ochreway_direct.coordinator.callers import models_with_callers
 from ochreway_direct.coordinator.capacities import capacities_after_loading, current_capacities
 from ochreway_direct.coordinator.census import Census, EnginesByDomain, take_census
 from ochreway_direct.coordinator.closings import Closings
@@ -49,6 +50,7 @@
 
     A demand that is not ``measured`` is derived from configured shares. ``kept`` groups are not
     closed for better ones because their model has callers and too few other groups serve.
+    ``covered`` models have callers and got groups that they would not have by utility alone.
     """
 
     measured: bool
@@ -56,6 +58,7 @@
     wanted: Mapping[GroupSlot, int]
     current: Mapping[GroupSlot, int]
     kept: tuple[GroupId, ...] = ()
+    covered: tuple[ModelName, ...] = ()
 
 
 class Formation:
@@ -86,25 +89,31 @@
         model_demand = self._state.demand.by_model(spec, engines)
         scenarios = self._state.demand.scenarios(spec, engines)
         downtime_share, threshold = self._state.downtime_share, self._state.min_utility
-        wanted = self._planners_now[service].plan(
-            spec, (model_demand,), capacities, inside, downtime_share, threshold
+        called = self._called(spec)
+        plan_now = self._planners_now[service].plan(
+            spec, (model_demand,), capacities, inside, downtime_share, threshold, called
         )
-        later = self._planners_after_loading[service].plan(
+        wanted = plan_now.groups
+        plan_later = self._planners_after_loading[service].plan(
             spec,
             (model_demand,),
             capacities_after_loading(spec, capacities),
             inside,
             downtime_share,
             threshold,
+            called,
         )
+        later = plan_later.groups
         missing = place_missing_groups(spec, wanted, later, census)
         reserved = reserved_engines(
-            spec, model_demand, wanted, missing, census, self._state.downtime_share
+            *(spec, model_demand, wanted, missing, census, downtime_share),
+            *(called, self._state.tuning.min_groups),
         )
         awaited = self._form_wanted(service, spec, wanted, census, reserved, now_s)
         kept = tuple(sorted(self._closings.kept))
         self.plans[service] = PlanSummary(
-            self._state.demand.measured, model_demand, wanted, inside, kept
+            *(self._state.demand.measured, model_demand, wanted, inside),
+            *(kept, tuple(sorted({*plan_now.covered, *plan_later.covered}))),
         )
         awaiting_domains = {slot.domain for slot in awaited}
         spare: EnginesByDomain = defaultdict(list)
@@ -119,6 +128,12 @@
             scenarios, wanted, later, missing, frozenset(awaited), free, census.survivors
         )
 
+    def _called(self, spec: EngineSpec) -> frozenset[ModelName]:
+        """Return the models with callers, which keep a minimum of groups if one is set."""
+        if self._state.tuning.min_groups <= 0:
+            return frozenset()
+        return models_with_callers(spec, self._state.demand)
+
     def _form_wanted(
         self,
         service: ServiceName,
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -9,6 +9,7 @@
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.arrangement import arrange
 from ochreway_direct.coordinator.capacity import Capacity
+from ochreway_direct.coordinator.groupplan import GroupPlan
 from ochreway_direct.coordinator.placement import GroupSlot, Placement, groups_per_model
 from ochreway_direct.coordinator.shares import work_shares
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
@@ -28,6 +29,22 @@
     tuning: CoordinatorTuning,
     min_utility: float | None = None,
 ) -> Counter[GroupSlot]:
+    """Return the number of groups for each group slot, by utility alone."""
+    return make_plan(
+        spec, scenarios, capacities, current, downtime_share, tuning, min_utility
+    ).groups
+
+
+def make_plan(
+    spec: EngineSpec,
+    scenarios: Sequence[Mapping[ModelName, float]],
+    capacities: Mapping[DomainId, Capacity],
+    current: Mapping[GroupSlot, int],
+    downtime_share: float,
+    tuning: CoordinatorTuning,
+    min_utility: float | None = None,
+    called: frozenset[ModelName] = frozenset(),
+) -> GroupPlan:
     """Return the number of groups for each group slot.
 
     Groups are added while all of them fit, the one with the highest utility per engine first.
@@ -38,6 +55,10 @@
     and 15 groups instead of 5 and 7. No domain then has more than half of a model's groups, rounded
     up, if as many groups can be placed that way.
 
+    A model in ``called`` has fewer than ``tuning.min_groups`` groups only if one more does not fit
+    beside the groups of each other such model, of which at most as many count. Each has a group if
+    one of each fits. Utility decides which model gets a group first within that number.
+
     Args:
         spec: the models and their sizes.
         scenarios: the work that may be offered for each model, in groups kept busy; the utility of
@@ -47,6 +68,7 @@
         downtime_share: the share of time for which the loss of one engine stops its group.
         tuning: the weights.
         min_utility: the utility per engine that a group needs, if not that of ``tuning``.
+        called: the models that have callers.
     """
     threshold = tuning.least_gain if min_utility is None else min_utility
     layout = _Layout(spec, scenarios, capacities, current, downtime_share, tuning, threshold)
@@ -54,7 +76,8 @@
     if not threshold:
         layout.cover_every_model()
         layout.balance()
-    return layout.placement.placed
+    covered = layout.keep_min_groups(called, tuning.min_groups)
+    return GroupPlan(layout.placement.placed, covered)
 
 
 class _Layout:
@@ -113,6 +136,60 @@
             self._restart_with(best_arrangement)
             self.fill()
 
+    def keep_min_groups(self, called: frozenset[ModelName], number: int) -> tuple[ModelName, ...]:
+        """Plan again from up to ``number`` groups of each called model; return who gained some.
+
+        The plan is kept if no called model gets more groups, up to that number.
+        """
+        models = [model for model in self._spec.models if model.name in called]
+        kept = Counter({model.name: min(self._totals[model.name], number) for model in models})
+        if all(kept[model.name] >= number for model in models):
+            return ()
+        planned = self._totals
+        arranged = self._arranged_within(models, self._widest(models, kept), kept, number)
+        if arranged is None:
+            self._totals = planned
+            return ()
+        self._restart_with(arranged)
+        self.fill()
+        return tuple(name for name in kept if planned[name] < min(self._totals[name], number))
+
+    def _widest(self, models: Sequence[ModelSpec], kept: Counter[ModelName]) -> Counter[ModelName]:
+        """Return the given groups, or one group of each model that fits if those are more models.
+
+        The models with the highest utility come first.
+        """
+        served = sum(kept[model.name] > 0 for model in models)
+        if served == len(models):
+            return kept
+        self._totals = Counter()
+        single: Counter[ModelName] = Counter()
+        for model in sorted(models, key=self._utility_per_engine, reverse=True):
+            if self._arranged(single + Counter({model.name: 1})) is not None:
+                single[model.name] = 1
+        return single if len(single) > served else kept
+
+    def _arranged_within(
+        self,
+        models: Sequence[ModelSpec],
+        start: Counter[ModelName],
+        kept: Counter[ModelName],
+        number: int,
+    ) -> Counter[GroupSlot] | None:
+        """Add groups up to ``number`` for each model; return their slots, or None if unchanged."""
+        self._totals = Counter(start)
+        arrangement = None if start == kept else self._arranged(start)
+        possible = [model for model in models if start[model.name] < number]
+        while possible:
+            model = max(possible, key=self._preference)
+            arranged = self._arranged(self._totals + Counter({model.name: 1}))
+            if arranged is not None:
+                self._totals[model.name] += 1
+                arrangement = arranged
+            if arranged is None or self._totals[model.name] >= number:
+                possible.remove(model)
+        return arrangement
+
     def balance(self) -> None:
         """Move new groups if one domain has more than half, and use the engines left over."""
         for _ in range(MAX_BALANCING_ROUNDS):
@@ -184,16 +261,21 @@
     def _arranged_with(
         self, covered: Mapping[ModelName, int], model: ModelSpec
     ) -> Counter[GroupSlot] | None:
-        """Return group slots for one group of each covered model and of one more, if they all fit.
+        """Return group slots for one group of each covered model and of one more, if they fit."""
+        return self._arranged({**covered, model.name: 1})
+
+    def _arranged(self, wanted: Mapping[ModelName, int]) -> Counter[GroupSlot] | None:
+        """Return group slots for the given numbers of groups, if they all fit.
 
         Current groups keep their domain if the others fit beside them.
         """
-        wanted = {**covered, model.name: 1}
-        current_slots = sorted(
-            slot for slot, n in self._current.items() if n and slot.model in wanted
-        )
-        kept = {slot: 1 for slot in {each.model: each for each in current_slots}.values()}
-        max_groups = dict.fromkeys((each.name for each in self._spec.models), 1)
+        kept: dict[GroupSlot, int] = {}
+        left = Counter(wanted)
+        for slot in sorted(self._current, reverse=True):
+            if number := min(self._current[slot], left[slot.model]):
+                kept[slot] = number
+                left[slot.model] -= number
+        max_groups = {each.name: wanted.get(each.name, 0) for each in self._spec.models}
         models, domain_capacities = self._spec.models, self._capacities
         arrangement = arrange(models, wanted, domain_capacities, kept, max_groups)
         return (
@@ -232,4 +314,4 @@
     return (groups + 1) // 2
 
 
-__all__ = ["plan"]
+__all__ = ["make_plan", "plan"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
@@ -1,14 +1,14 @@
 # SPDX-License-Identifier: Apache-2.0
 """Cached plan, made again only when its inputs change."""
 
-from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.configuration import EngineSpec
 from ochreway_direct.coordinator.capacity import Capacity
-from ochreway_direct.coordinator.layout import plan
+from ochreway_direct.coordinator.groupplan import GroupPlan
+from ochreway_direct.coordinator.layout import make_plan
 from ochreway_direct.coordinator.placement import GroupSlot
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.ids import ModelName
@@ -27,6 +27,7 @@
     current: Mapping[GroupSlot, int]
     downtime_share: float
     min_utility: float
+    called: frozenset[ModelName]
 
 
 class Planner:
@@ -35,7 +36,7 @@
     def __init__(self, tuning: CoordinatorTuning) -> None:
         self._tuning = tuning
         self._inputs: _Inputs | None = None
-        self._plan: Counter[GroupSlot] = Counter()
+        self._plan = GroupPlan()
 
     def plan(
         self,
@@ -45,16 +46,18 @@
         current: Mapping[GroupSlot, int],
         downtime_share: float,
         min_utility: float,
-    ) -> Counter[GroupSlot]:
-        """Return the number of groups for each group slot."""
+        called: frozenset[ModelName],
+    ) -> GroupPlan:
+        """Return the planned groups; ``called`` are the models that have callers."""
         rounded = tuple(
             self._rounded_scenario(n, model_demand) for n, model_demand in enumerate(scenarios)
         )
-        inputs = _Inputs(spec, rounded, capacities, current, downtime_share, min_utility)
+        inputs = _Inputs(spec, rounded, capacities, current, downtime_share, min_utility, called)
         if inputs != self._inputs:
             self._inputs = inputs
-            self._plan = plan(
-                spec, rounded, capacities, current, downtime_share, self._tuning, min_utility
+            self._plan = make_plan(
+                *(spec, rounded, capacities, current, downtime_share),
+                *(self._tuning, min_utility, called),
             )
         return self._plan
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/reservation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/reservation.py
@@ -22,6 +22,8 @@
     missing: Mapping[GroupSlot, int],
     census: Census,
     downtime_share: float,
+    called: frozenset[ModelName],
+    min_groups: int,
 ) -> dict[GroupSlot, set[InstanceId]]:
     """Return the engines that new groups of each group slot must not use.
 
@@ -37,6 +39,8 @@
         missing: the groups that lack weights, where they are to be completed.
         census: the free engines.
         downtime_share: the share of time for which the loss of one engine stops its group.
+        called: the models with callers, which come first up to ``min_groups`` groups.
+        min_groups: that number of groups.
     """
     totals = groups_per_model(formable)
 
@@ -55,10 +59,11 @@
             continue
         next_utility = utility_per_engine(model, totals[model.name])
         for other in spec.models:
-            if (
-                other is not model
-                and utility_per_engine(other, totals[other.name] - 1) < next_utility
-            ):
+            if other is model:
+                continue
+            is_beyond = totals[other.name] > (min_groups if other.name in called else 0)
+            comes_first = model.name in called and totals[model.name] < min_groups and is_beyond
+            if comes_first or (utility_per_engine(other, totals[other.name] - 1) < next_utility):
                 reserved[GroupSlot(slot.domain, other.name)].update(r.instance for r in joinable)
     return reserved
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -44,6 +44,8 @@
         trade_answers: the time, in usual answers, that a traded group has to end its requests
             while a further group of its model serves, as it has not failed.
         trade_close_s: the minimum of that time.
+        min_groups: the number of groups that each model with callers keeps before any model gets
+            more, where they fit; 0 leaves it to utility.
     """
 
     first_start: bool = False
@@ -84,6 +86,7 @@
     loads_spare: int = 2
     loads_unseen_share: float = 0.5
     trade_answers: float = 1.0
+    min_groups: int = 0
 
     def loads_at_most(self, per_s: float) -> int:
         """Return the maximum number of loads in one window."""
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -469,6 +469,7 @@
         spanning=settings.has(Mechanism.SPANNING_GROUPS),
         trading=settings.has(Mechanism.TRADING),
         swapping=settings.has(Mechanism.SWAPPING),
+        min_groups=settings.min_groups,
     )
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -89,6 +89,9 @@
 @option("--descriptors", 0, "Maximum number of open files and sockets; 0: unbounded.")
 @option("--memory-mb", 0.0, "Maximum memory of this process; 0: unbounded.")
 @option("--link-mbps", 0.0, "Bandwidth of this instance's link; 0: unknown.")
+@option(
+    "--min-groups", 0, "Groups that each model with callers keeps before any gets more; 0: off."
+)
 @option("--without", "", "Comma-separated mechanisms to disable; for measurements.")
 @click.option("--check", "only_check", is_flag=True, help="Print the settings and stop.")
 def main(only_check: bool, **options: Any) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/planlog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/planlog.py
@@ -56,6 +56,8 @@
             wanted=slots_text(plan.wanted),
             standing=slots_text(plan.current),
             loading=loading,
+            kept=",".join(plan.kept),
+            covered=",".join(plan.covered),
         )
 
 
@@ -72,6 +74,8 @@
     before = logged.plan
     if (before.wanted, before.current) != (plan.wanted, plan.current):
         return True
+    if (before.kept, before.covered) != (plan.kept, plan.covered):
+        return True
     if before.measured != plan.measured or bool(logged.loading) != bool(loading):
         return True
     return any(
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -54,6 +54,7 @@
     descriptors: int = 0
     memory_mb: float = 0.0
     link_mbps: float = 0.0
+    min_groups: int = 0
     without: tuple[str, ...] = ()
 
     def has(self, mechanism: Mechanism) -> bool:
@@ -153,6 +154,7 @@
     "descriptors": checks.not_negative,
     "memory_mb": checks.not_negative,
     "link_mbps": checks.not_negative,
+    "min_groups": checks.not_negative,
     "without": _check_mechanisms,
 }
 
--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -10,6 +10,7 @@
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.formation import PlanSummary
 from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord, PhaseCause
 from ochreway_direct.enginestate import EngineState
 from ochreway_direct.ids import ModelName, ServiceName
@@ -77,11 +78,10 @@
 
         return asyncio.run(work())
 
-    def lost_after(self, cause: PhaseCause) -> tuple[GroupId, ...]:
-        """Return the groups whose calls are abandoned after a group was dissolved for a cause."""
+    def coordination(self, metrics: Metrics) -> Coordination:
         log = EventLog("entry", "e", "error")
         timing = DirectTiming()
-        coordination = Coordination(
+        return Coordination(
             SilentEngines(0.0),
             timing,
             CoordinatorTuning(),
@@ -92,8 +92,23 @@
             lambda _: False,
             NoticeWatch(Backoffs(), TargetLimits(), log, METRICS),
             log,
-            Metrics(None, "entry"),
+            metrics,
         )
+
+    def test_each_plan_with_a_covered_model_is_counted_once(self) -> None:
+        """Guards against a count of ticks in place of plans."""
+        metrics = Metrics(None, "entry")
+        coordination = self.coordination(metrics)
+        plans = coordination.coordinator._formation.plans
+        for n, covered in enumerate(((), (ModelName("m"),), (ModelName("m"),))):
+            plans[ServiceName("s")] = PlanSummary(True, {}, {}, {}, (), covered)
+            for tick in range(3):
+                coordination.run_tick(n + 0.1 * tick)
+        self.assertEqual(2, metrics.counters["plan.covered"])
+
+    def lost_after(self, cause: PhaseCause) -> tuple[GroupId, ...]:
+        """Return the groups whose calls are abandoned after a group was dissolved for a cause."""
+        coordination = self.coordination(Metrics(None, "entry"))
         group = GroupRecord(
             *(GroupId("g"), Epoch(1), ServiceName("s"), DomainId("d"), ModelName("m")),
             members=(InstanceId("i"),),
@@ -110,7 +125,8 @@
         self.assertEqual((), self.lost_after(PhaseCause.ENDED))
 
     def test_calls_of_a_group_that_is_lost_or_had_its_time_are_abandoned(self) -> None:
-        for cause in (PhaseCause.MEMBER_SILENT, PhaseCause.OVERDUE):
+        lost = (PhaseCause.MEMBER_SILENT, PhaseCause.OVERDUE, PhaseCause.WEIGHTS_MISSING)
+        for cause in lost:
             self.assertEqual(("g",), self.lost_after(cause))
 
     def test_an_engine_that_does_not_answer_is_silent(self) -> None:
--- a/tests/direct/test_planlog.py
+++ b/tests/direct/test_planlog.py
@@ -1,9 +1,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """Log event with the plan of the lease holder."""
 
+from dataclasses import replace
+
 import testtools
 
-from ochreway_core.ids import DomainId
+from ochreway_core.ids import DomainId, GroupId
 from ochreway_direct.coordinator.formation import PlanSummary
 from ochreway_direct.coordinator.placement import GroupSlot
 from ochreway_direct.ids import ModelName, ServiceName
@@ -47,6 +49,16 @@
         self.assertEqual("small@d1:1", line["standing"])
         self.assertEqual(3, line["loading"])
 
+    def test_groups_that_are_kept_and_models_that_are_covered_are_logged(self) -> None:
+        """Guards against plans that an operator cannot explain from needs and engines."""
+        self.log.log_plan(SERVICE, plan(1.0, 7.0), 0, 0.0)
+        kept = replace(plan(1.0, 7.0), kept=(GroupId("large-4"), GroupId("large-5")))
+        self.log.log_plan(SERVICE, kept, 0, 1.0)
+        self.log.log_plan(SERVICE, replace(kept, covered=(LARGE,)), 0, 2.0)
+        fields = [(line["kept"], line["covered"]) for line in self.recorder.events]
+        kept_names = "large-4,large-5"
+        self.assertEqual([("", ""), (kept_names, ""), (kept_names, "large")], fields)
+
     def test_an_unchanged_plan_is_not_logged_again(self) -> None:
         for n in range(100):
             self.log.log_plan(SERVICE, plan(1.0, 7.0 + 0.01 * (n % 2)), 3 + n % 2, float(n))
--- a/tests/direct/test_settings.py
+++ b/tests/direct/test_settings.py
@@ -36,10 +36,11 @@
             OCHREWAY_LOG_LEVEL="loud",
             OCHREWAY_WITHOUT="trading,magic",
             OCHREWAY_HALL_REGIONS="h1=r1,h2",
+            OCHREWAY_MIN_GROUPS="-1",
         )
         self.assertEqual(2, code)
         flags = ("name", "adapter", "link-key", "caller-listen", "platform-url", "peer", "grace-s")
-        for flag in (*flags, "key-revoke-ms", "log-level", "without", "hall-regions"):
+        for flag in (*flags, "key-revoke-ms", "log-level", "without", "hall-regions", "min-groups"):
             self.assertIn(f"--{flag}: ", output)
         self.assertNotIn("short", output)
 
