--- a/tests/direct/test_mingroups.py
+++ b/tests/direct/test_mingroups.py
@@ -192,6 +192,19 @@
         self.assertGreaterEqual(min(fewest), 2)
         self.assertEqual([], world.violations)
 
+    def test_a_model_whose_weights_no_engine_has_gets_them_while_the_other_serves(self) -> None:
+        """Guards against a minimum that is planned and never formed for lack of weights."""
+        world = EngineWorld(domains=0, tuning=CoordinatorTuning(min_groups=1))
+        for _ in range(8):
+            world.add(NEAR, SMALL.name)
+        self.offer(world)
+        world.run_until(lambda: world.serving(SMALL) == 4, 10.0)
+        fewest: list[int] = []
+        world.run(LARGE.load_s + 8.0, lambda: fewest.append(world.serving(SMALL)))
+        self.assertEqual(1, world.serving(LARGE))
+        self.assertGreaterEqual(min(fewest), 2)
+        self.assertEqual([], world.violations)
+
     def test_the_next_holder_forms_the_group_for_which_others_were_closed(self) -> None:
         """Guards against a model left without a group by a holder that ends halfway."""
         world = self.world(1)
--- a/tests/direct/test_waysback.py
+++ b/tests/direct/test_waysback.py
@@ -6,7 +6,7 @@
 import testtools
 
 from ochreway_core.ids import DomainId, HallId, InstanceId
-from ochreway_direct.coordinator import CoordinatorTuning
+from ochreway_direct.coordinator import Assignment, CoordinatorTuning
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.waysback import choose_ways_back
 from ochreway_direct.enginestate import EngineState
@@ -88,19 +88,20 @@
             for _ in range(LARGE.size):
                 world.add(domain, SMALL.name)
         world.coordinator.demand.update({LARGE.name: 0.06, SMALL.name: 26.0}, world.now_s)
-        world.run_until(lambda: world.serving(SMALL) == 4, 10.0)
         asked: list[InstanceId] = []
         give = world._give
 
-        def watch(assignment: object) -> None:
-            order, instance = assignment.order, assignment.instance  # type: ignore[attr-defined]
-            if isinstance(order, Stage) and instance in grouped(world):
-                asked.append(instance)
-            give(assignment)  # type: ignore[arg-type]
+        def watch(assignment: Assignment) -> None:
+            if isinstance(assignment.order, Stage):
+                asked.append(assignment.instance)
+            give(assignment)
 
         world._give = watch  # type: ignore[method-assign]
-        world.run(30.0)
-        self.assertEqual([], asked)
+        world.run(60.0)
+        # Only the groups of one domain make room for the planned large group.
+        self.assertEqual(LARGE.size, len(asked))
+        self.assertEqual(1, len({world.engines[each].domain for each in asked}))
+        self.assertEqual((1, 2), (world.serving(LARGE), world.serving(SMALL)))
 
 
 class ChosenDomainTests(testtools.TestCase):
