--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/capacities.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/capacities.py
@@ -2,9 +2,9 @@
 """Capacity of each domain, now and after loading weights."""
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
-from ochreway_core.ids import DomainId
+from ochreway_core.ids import DomainId, GroupId
 from ochreway_direct.configuration import EngineSpec
 from ochreway_direct.coordinator.capacity import Ability, Capacity
 from ochreway_direct.coordinator.census import Census
@@ -13,11 +13,11 @@
 
 
 def current_capacities(
-    state: CoordinatorState, spec: EngineSpec, census: Census
+    state: CoordinatorState, spec: EngineSpec, census: Census, fixed: Collection[GroupId] = ()
 ) -> dict[DomainId, Capacity]:
     """Count engines that are in groups, free or about to be free, by the weights that they have.
 
-    If no engine of a domain has any weights, all can join any model by loading them.
+    Members of ``fixed`` groups are left out, as they cannot be planned in other groups. If no engine of a domain has any weights, all can join any model by loading them.
     """
     counts_by_domain: dict[DomainId, Counter[Ability]] = defaultdict(Counter)
     for domain in {group.domain for group in census.groups} | census.free.keys():
@@ -27,7 +27,7 @@
                 _all_models(spec) if cold else _joinable_models(spec, record)
             ] += 1
     for group in census.groups:
-        if group.phase in CURRENT_PHASES:
+        if group.phase in CURRENT_PHASES and group.group not in fixed:
             for instance in group.members:
                 record = state.engines[instance]
                 counts_by_domain[record.domain][_joinable_models(spec, record) | {group.model}] += 1
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
@@ -6,7 +6,7 @@
 
 from ochreway_core.ids import GroupId
 from ochreway_direct.coordinator.callers import models_with_callers
-from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
+from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
 from ochreway_direct.coordinator.state import CoordinatorState
 from ochreway_direct.ids import ModelName, ServiceName
 
@@ -37,6 +37,22 @@
             return False
         return self._count(group.service, GroupPhase.SERVING)[group.model] <= 1
 
+    def fixed_spanning(self, service: ServiceName) -> frozenset[GroupId]:
+        """Return the spanning groups that serve as the last ones of models with callers.
+
+        Their engines are no capacity inside domains before another group serves, as a plan that
+        counts on them would wait for a group that is not closed. They are recorded as kept.
+        """
+        fixed = [
+            group
+            for group in self._state.groups_of(service)
+            if group.domain == SPANNING
+            and group.phase is GroupPhase.SERVING
+            and self.is_last(group)
+        ]
+        self.record_kept(fixed)
+        return frozenset(group.group for group in fixed)
+
     def allowance(
         self, service: ServiceName, planned: Mapping[ModelName, int]
     ) -> Counter[ModelName]:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -84,7 +84,9 @@
             self._swapping.close_slow_groups(census, now_s)
         free, current = census.free, census.current
         inside = Counter({slot: n for slot, n in current.items() if slot.domain != SPANNING})
-        capacities = current_capacities(self._state, spec, census)
+        capacities = current_capacities(
+            self._state, spec, census, self._closings.fixed_spanning(service)
+        )
         engines = sum(capacity.total for capacity in capacities.values())
         model_demand = self._state.demand.by_model(spec, engines)
         scenarios = self._state.demand.scenarios(spec, engines)
--- a/tests/direct/test_closings.py
+++ b/tests/direct/test_closings.py
@@ -75,6 +75,25 @@
         self.assertEqual(1, world.views_inside())
         self.assertEqual(1, causes.fewest)
 
+    def test_a_replacement_for_the_only_group_is_planned_from_other_engines(self) -> None:
+        """Guards against a plan that waits for engines of a group that is not closed."""
+        world = EngineWorld(domains=0)
+        for domain in (ONE,) * 3 + (TWO,) * 3:
+            world.add(domain, LARGE.name)
+        world.coordinator.demand.update({LARGE.name: 3.0, SMALL.name: 0.3}, world.now_s)
+        world.run_until(lambda: world.serving(LARGE) == 1, 8.0)
+        for staged in (LARGE, *(SMALL,) * 5):
+            world.add(ONE, staged.name)
+        world.run(1.0)
+        (plan,) = world.coordinator.plans.values()
+        (spanning,) = (g for g in world.coordinator.groups.values() if g.domain == SPANNING)
+        self.assertEqual((spanning.group,), plan.kept)
+        causes = Causes(world)
+        took_s = world.run_until(lambda: world.serving(LARGE) == 2, 40.0)
+        causes.watch()
+        self.assertLess(took_s, LARGE.load_s + 8.0)
+        self.assertEqual(set(), causes.closed)
+
     def test_the_only_group_of_a_model_without_callers_is_traded(self) -> None:
         """Guards against engines that a model without callers keeps from a better group."""
         world = spanning_world(1)
--- a/tests/direct/test_mingroups.py
+++ b/tests/direct/test_mingroups.py
@@ -5,7 +5,7 @@
 model have more utility per engine.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -13,17 +13,22 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from ochreway_core.ids import DomainId
+from ochreway_core.ids import DomainId, HallId, InstanceId
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.coordinator.callers import models_with_callers
 from ochreway_direct.coordinator.capacity import Capacity
+from ochreway_direct.coordinator.census import Census
 from ochreway_direct.coordinator.demand import MIN_DEMAND, Demand
+from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.groupplan import GroupPlan
 from ochreway_direct.coordinator.grouprecord import GroupPhase
 from ochreway_direct.coordinator.layout import make_plan
 from ochreway_direct.coordinator.placement import GroupSlot, groups_per_model
+from ochreway_direct.coordinator.reservation import reserved_engines
+from ochreway_direct.enginestate import EngineState
 from ochreway_direct.ids import ModelName
-from ochreway_standins.engineworld import LARGE, SMALL, EngineWorld
+from ochreway_direct.lists.listedtarget import ListedTarget
+from ochreway_standins.engineworld import LARGE, SERVICE, SMALL, SPEC, EngineWorld
 from tests.direct.test_firstplans import (
     BUILDS,
     DOWNTIME_SHARE,
@@ -215,3 +220,26 @@
         world.run_until(lambda: world.serving(LARGE) == 1, 8.0)
         self.assertGreaterEqual(world.serving(SMALL), 2)
         self.assertEqual([], world.violations)
+
+
+class ReservationTests(testtools.TestCase):
+    """Engines of a large group that lacks one, which could also join small groups."""
+
+    def reserved(self, called: frozenset[ModelName], small_groups: int) -> set[InstanceId]:
+        census = Census(defaultdict(list), defaultdict(list), frozenset({NEAR}), (), Counter())
+        state = EngineState(NEAR, None, (SMALL.name,))
+        for n in range(LARGE.size - 1):
+            listed = ListedTarget(InstanceId(f"e{n}"), SERVICE, "a:1", HallId("h"), False, 24)
+            census.free[NEAR].append(EngineRecord(listed, state, last_model=LARGE.name))
+        work = {LARGE.name: LARGE_CALLERS, SMALL.name: 26.0}
+        formable = {GroupSlot(NEAR, SMALL.name): small_groups}
+        missing = {GroupSlot(NEAR, LARGE.name): 1}
+        against = reserved_engines(SPEC, work, formable, missing, census, 0.0, called, 1)
+        return against.get(GroupSlot(NEAR, SMALL.name), set())
+
+    def test_engines_of_a_covered_group_are_kept_from_groups_beyond_the_minimum(self) -> None:
+        """Guards against a covered group whose weights are evicted while it lacks one engine."""
+        called = frozenset({LARGE.name, SMALL.name})
+        self.assertEqual(set(), self.reserved(frozenset(), small_groups=2))
+        self.assertEqual({"e0", "e1", "e2"}, self.reserved(called, small_groups=2))
+        self.assertEqual(set(), self.reserved(called, small_groups=1))
