--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/capacities.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/capacities.py
@@ -17,7 +17,8 @@
 ) -> dict[DomainId, Capacity]:
     """Count engines that are in groups, free or about to be free, by the weights that they have.
 
-    Members of ``fixed`` groups are left out, as they cannot be planned in other groups. If no engine of a domain has any weights, all can join any model by loading them.
+    Members of ``fixed`` groups are left out, as they cannot be planned in other groups. If no
+    engine of a domain has any weights, all can join any model by loading them.
     """
     counts_by_domain: dict[DomainId, Counter[Ability]] = defaultdict(Counter)
     for domain in {group.domain for group in census.groups} | census.free.keys():
