--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
@@ -8,6 +8,7 @@
 from ochreway_direct.coordinator.callers import models_with_callers
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
 from ochreway_direct.coordinator.state import CoordinatorState
+from ochreway_direct.coordinator.worth import groups_needed
 from ochreway_direct.ids import ModelName, ServiceName
 
 
@@ -15,8 +16,10 @@
     """Decide how many serving groups may be closed for better ones.
 
     A closed group's requests take seconds to end, and its replacement takes about a second to form.
-    The last serving group of a model with callers is therefore not closed, and where fewer would
-    serve than are planned, one is closed at a time. The next is closed once a replacement serves.
+    The last serving group of a model with callers is therefore not closed while it carries their
+    requests at its pace. One that spans domains or has a slow member may not: most of its callers
+    are refused or late until it is replaced. Where fewer would serve than are planned, one is
+    closed at a time. The next is closed once a replacement serves.
     """
 
     def __init__(self, state: CoordinatorState) -> None:
@@ -31,14 +34,22 @@
         """Record groups that only this bound keeps from being closed, for the log."""
         self.kept.update(group.group for group in groups)
 
-    def is_last(self, group: GroupRecord) -> bool:
-        """Return whether a group is the last serving one of a model with callers."""
+    def is_needed(self, group: GroupRecord) -> bool:
+        """Return whether a group is the last serving one of a model and carries its requests."""
         if group.model not in self._models_with_callers(group.service):
             return False
-        return self._count(group.service, GroupPhase.SERVING)[group.model] <= 1
+        if self._count(group.service, GroupPhase.SERVING)[group.model] > 1:
+            return False
+        return self._carries_demand(group)
+
+    def _carries_demand(self, group: GroupRecord) -> bool:
+        """Return whether a group alone serves the work that is offered for its model."""
+        spec = self._state.specs[group.service]
+        offered = self._state.demand.offered.get(group.model, 0.0)
+        return groups_needed(spec, offered) * self._state.pace_of(group) <= 1.0
 
     def fixed_spanning(self, service: ServiceName) -> frozenset[GroupId]:
-        """Return the spanning groups that serve as the last ones of models with callers.
+        """Return the spanning groups that serve and are not to be closed.
 
         Their engines are no capacity inside domains before another group serves, as a plan that
         counts on them would wait for a group that is not closed. They are recorded as kept.
@@ -48,7 +59,7 @@
             for group in self._state.groups_of(service)
             if group.domain == SPANNING
             and group.phase is GroupPhase.SERVING
-            and self.is_last(group)
+            and self.is_needed(group)
         ]
         self.record_kept(fixed)
         return frozenset(group.group for group in fixed)
@@ -66,14 +77,25 @@
         changing = self._count(
             service, GroupPhase.FORMING, GroupPhase.CLOSING, GroupPhase.DISSOLVING
         )
-        called = self._models_with_callers(service)
+        needed = self._needed_models(service)
         allowed: Counter[ModelName] = Counter()
         for model, number in serving.items():
             beyond_plan = number - planned.get(model, 0)
-            at_most = number - 1 if model in called else number
+            at_most = number - 1 if model in needed else number
             allowed[model] = min(at_most, max(beyond_plan, 0 if changing[model] else 1))
         return allowed
 
+    def _needed_models(self, service: ServiceName) -> frozenset[ModelName]:
+        """Return the models with callers of which not all serving groups may be closed."""
+        called = self._models_with_callers(service)
+        return frozenset(
+            group.model
+            for group in self._state.groups_of(service)
+            if group.phase is GroupPhase.SERVING
+            and group.model in called
+            and self._carries_demand(group)
+        )
+
     def _models_with_callers(self, service: ServiceName) -> frozenset[ModelName]:
         return models_with_callers(self._state.specs[service], self._state.demand)
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -9,7 +9,7 @@
 from ochreway_direct.coordinator.demand import Demand
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.formation import Formation, PlanSummary
-from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
+from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
 from ochreway_direct.coordinator.lifecycle import GroupLifecycle
 from ochreway_direct.coordinator.loadlimit import LoadLimit
 from ochreway_direct.coordinator.probing import Probe, Probing
@@ -324,9 +324,7 @@
             leader = self.engines.get(group.leader)
             if group.phase is not GroupPhase.SERVING or leader is None:
                 continue
-            pace = max(self.engines[each].state.pace for each in group.members)
-            if group.domain == SPANNING:
-                pace *= self._state.specs[group.service].far_factor
+            pace = self._state.pace_of(group)
             listed = leader.listed
             group_views.append(
                 GroupView(
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -9,7 +9,7 @@
 from ochreway_direct.coordinator.assignment import Assignment
 from ochreway_direct.coordinator.demand import Demand
 from ochreway_direct.coordinator.enginerecord import EngineRecord
-from ochreway_direct.coordinator.grouprecord import GroupPhase, GroupRecord
+from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase, GroupRecord
 from ochreway_direct.coordinator.loadlimit import LoadLimit
 from ochreway_direct.coordinator.lossmeter import LossMeter
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
@@ -142,6 +142,12 @@
     def _group_domains(self, group: GroupRecord) -> set[DomainId]:
         return {self.engines[each].domain for each in group.members if each in self.engines}
 
+    def pace_of(self, group: GroupRecord) -> float:
+        """Return how many times slower than usual a group is: as its slowest member, or farther."""
+        members = [self.engines[each] for each in group.members if each in self.engines]
+        pace = max((each.state.pace for each in members), default=1.0)
+        return pace * (self.specs[group.service].far_factor if group.domain == SPANNING else 1.0)
+
     def closing_time_s(self, group: GroupRecord, others_s: float) -> float:
         """Return how long a closing group's requests may take to end.
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/swapping.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/swapping.py
@@ -17,7 +17,8 @@
     """Close groups that run at a slow member's pace, one per domain at a time.
 
     A new group is then formed from the other members and free engines of the domain, with slow
-    engines as the last choice. The last serving group of a model with callers is not closed.
+    engines as the last choice. The last serving group of a model is kept
+    while it carries its callers' requests.
     """
 
     def __init__(self, state: CoordinatorState, closings: Closings) -> None:
@@ -34,7 +35,7 @@
                 continue
             if self._substitutes(group, census) < len(slow):
                 continue
-            if self._closings.is_last(group):
+            if self._closings.is_needed(group):
                 self._closings.record_kept([group])
             else:
                 group.close_timeout_s = self._state.closing_time_s(
