--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/candidates.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/candidates.py
@@ -29,20 +29,6 @@
     SERVING = 4
 
 
-class LoadTier(IntEnum):
-    """Class of a load; loads of a lower one begin first, whatever their utility."""
-
-    PLANNED = 0
-    """By utility: completes a planned group, or there is no minimum of groups."""
-    WAY_BACK = 1
-    """Weights for one more group of a model with callers, on an engine outside groups."""
-    FURTHER = 2
-
-
-Rank = tuple[LoadTier, float, Use]
-"""Sort key of a load."""
-
-
 @dataclass(frozen=True, slots=True)
 class Load:
     """Load of a model's weights on an engine, and its utility."""
@@ -51,12 +37,11 @@
     model: ModelSpec
     use: Use
     utility: float
-    tier: LoadTier = LoadTier.PLANNED
 
     @property
-    def rank(self) -> Rank:
+    def rank(self) -> tuple[float, Use]:
         """Return the sort key; the load with the lowest key begins first."""
-        return self.tier, -round(self.utility, UTILITY_DIGITS), self.use
+        return -round(self.utility, UTILITY_DIGITS), self.use
 
 
 class Candidates:
@@ -78,7 +63,7 @@
         self._kinds: dict[DomainId, dict[Hashable, list[EngineRecord]]] = defaultdict(dict)
         for record in records:
             self._kinds[record.domain].setdefault(kind_of(record), []).append(record)
-        self._queue: list[tuple[Rank, DomainId]] = []
+        self._queue: list[tuple[tuple[float, Use], DomainId]] = []
         self._loads: dict[DomainId, Load] = {}
         for domain in self._kinds:
             self._refresh(domain)
@@ -108,4 +93,4 @@
         self._refresh(domain)
 
 
-__all__ = ["Candidates", "Load", "LoadTier", "Use"]
+__all__ = ["Candidates", "Load", "Use"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/loadworth.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/loadworth.py
@@ -64,10 +64,6 @@
         )
         return substitute + (self._completion(slot.model, inventory) if completes else 0.0)
 
-    def completes_group(self, slot: GroupSlot) -> bool:
-        """Return whether one more engine helps to complete a planned group."""
-        return self._completion(slot.model, self.inventory(slot)) > 0.0
-
     def of_last_free(self, slot: GroupSlot) -> float:
         """Return the utility of the last of the free engines that can join."""
         inventory = self.inventory(slot)
@@ -122,4 +118,4 @@
         return sum(utilities) / len(utilities)
 
 
-__all__ = ["LOAD_HORIZON_S", "LoadUtility", "Inventory"]
+__all__ = ["LoadUtility", "Inventory"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -3,19 +3,16 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Hashable, Iterable, Mapping
-from dataclasses import replace
 
 from ochreway_core.ids import InstanceId
 from ochreway_direct.configuration import EngineSpec, ModelSpec
-from ochreway_direct.coordinator.callers import models_with_callers
-from ochreway_direct.coordinator.candidates import Candidates, Load, LoadTier, Use
+from ochreway_direct.coordinator.candidates import Candidates, Load, Use
 from ochreway_direct.coordinator.enginerecord import EngineRecord
 from ochreway_direct.coordinator.formation import Outlook
 from ochreway_direct.coordinator.grouprecord import GroupPhase
 from ochreway_direct.coordinator.loadworth import Inventory, LoadUtility
 from ochreway_direct.coordinator.placement import GroupSlot, groups_per_model
 from ochreway_direct.coordinator.state import CURRENT_PHASES, CoordinatorState
-from ochreway_direct.coordinator.waysback import WaysBack, choose_ways_back
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.order import Stage
 
@@ -39,7 +36,6 @@
         if allowed <= 0:
             return
         uses = self._uses(service, outlook)
-        ways_back = self._ways_back(service, spec, outlook)
         utility = self._load_utility(service, spec, outlook, uses)
         loadable = [
             record
@@ -52,7 +48,7 @@
             return uses[record.instance], joinable, record.state.staged, record.state.model
 
         candidates = Candidates(
-            loadable, kind_of, lambda some: self._best_load(spec, utility, ways_back, some, uses)
+            loadable, kind_of, lambda some: self._best_load(spec, utility, some, uses)
         )
         while allowed > 0 and (load := candidates.peek()) is not None:
             if not self._begin_load(service, load, now_s):
@@ -100,16 +96,6 @@
             if group.phase in CURRENT_PHASES
         )
 
-    def _ways_back(
-        self, service: ServiceName, spec: EngineSpec, outlook: Outlook
-    ) -> WaysBack | None:
-        """Return where weights for one more group are wanted, or None without a minimum."""
-        if self._state.tuning.min_groups <= 0:
-            return None
-        called = models_with_callers(spec, self._state.demand)
-        free = [record for records in outlook.free.values() for record in records]
-        return choose_ways_back(spec, called, free, self._state.count_loading(service))
-
     def _load_utility(
         self,
         service: ServiceName,
@@ -144,22 +130,18 @@
         self,
         spec: EngineSpec,
         utility: LoadUtility,
-        ways_back: WaysBack | None,
         records: Iterable[EngineRecord],
         uses: Mapping[InstanceId, Use],
     ) -> Load | None:
+        loads = [
+            candidate
+            for record in records
+            for model in spec.models
+            if (candidate := self._candidate(utility, record, model, uses[record.instance]))
+        ]
+        best = min(loads, key=lambda each: each.rank, default=None)
         threshold = MIN_LOAD_UTILITY if self._state.demand.measured else 0.0
-        loads = []
-        for record in records:
-            for model in spec.models:
-                load = self._candidate(utility, record, model, uses[record.instance])
-                if load is not None and ways_back is not None:
-                    load = _tiered(load, utility, ways_back)
-                if load is not None and (
-                    load.tier is LoadTier.WAY_BACK or load.utility > threshold
-                ):
-                    loads.append(load)
-        return min(loads, key=lambda each: each.rank, default=None)
+        return best if best is not None and best.utility > threshold else None
 
     def _candidate(
         self, utility: LoadUtility, record: EngineRecord, model: ModelSpec, use: Use
@@ -215,25 +197,6 @@
         return True
 
 
-def _tiered(load: Load, utility: LoadUtility, ways_back: WaysBack) -> Load | None:
-    """Return a load in its tier, or None if it would evict the weights of a way back.
-
-    Planned groups come first, and may take such weights. A load on a member of a group that is
-    wanted is no way back.
-    """
-    record = load.record
-    slot = GroupSlot(record.domain, load.model.name)
-    if load.use is not Use.SERVING and utility.completes_group(slot):
-        return load
-    if load.use in (Use.SERVING, Use.SURPLUS) or record.membership is not None:
-        return replace(load, tier=LoadTier.FURTHER)
-    evicted = [GroupSlot(record.domain, m) for m in record.state.staged if m != record.last_model]
-    if any(ways_back.needs_copy(lost, utility.inventory(lost)) for lost in evicted):
-        return None
-    is_wanted = ways_back.lacks_copy(slot, utility.inventory(slot))
-    return replace(load, tier=LoadTier.WAY_BACK if is_wanted else LoadTier.FURTHER)
-
-
 def _count_engines(inventory: Inventory, use: Use, number: int) -> None:
     """Add engines to an inventory according to their use."""
     match use:
