--- a/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
@@ -6,7 +6,7 @@
 
 from ochreway_core.ids import NodeId, Version
 from ochreway_core.peer import Peer
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
 from ochreway_direct.drains.drainkeeper import DrainKeeper
 from ochreway_direct.entries.cells import MAX_MESH_ENTRIES, Cells
 from ochreway_direct.entries.coverage import Coverage
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -18,7 +18,7 @@
 from ochreway_direct.crashes.crashkeeper import CrashKeeper
 from ochreway_direct.crashes.crashspread import CrashSpread
 from ochreway_direct.crashes.crashwatch import CrashWatch
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
 from ochreway_direct.dependencies import Dependencies
 from ochreway_direct.drains.drainkeeper import DrainKeeper
 from ochreway_direct.drains.halldrains import HallDrains
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -11,7 +11,7 @@
 from ochreway_core.reason import Reason
 from ochreway_direct.configuration import Organisation, Route
 from ochreway_direct.coordinator.demand import work_s
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
 from ochreway_direct.relay.call import Call
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -11,7 +11,7 @@
 from ochreway_core.outcome import Outcome
 from ochreway_core.reason import Reason
 from ochreway_direct.crashes.crashwatch import CrashWatch
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.ports.dialect import CallerDialect, CallerTerms
 from ochreway_direct.relay.admission import Admission
--- a/packages/ochreway-standins/src/ochreway_standins/grouplab/day.py
+++ b/packages/ochreway-standins/src/ochreway_standins/grouplab/day.py
@@ -11,7 +11,7 @@
 from ochreway_core.ids import DomainId, GroupId, InstanceId
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.coordinator.demand import work_s
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
 from ochreway_direct.enginestate import MemberPhase
 from ochreway_direct.ids import ModelName
 from ochreway_standins.engineworld import FOREVER_S, STEP_S, EngineWorld, FakeEngine
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -14,7 +14,7 @@
 from ochreway_direct.configuration import Configuration, Service
 from ochreway_direct.crashes.crashspread import CrashSpread
 from ochreway_direct.crashes.crashwatch import CrashWatch
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
 from ochreway_direct.drains.drainkeeper import DrainKeeper
 from ochreway_direct.drains.halldrains import HallDrains
 from ochreway_direct.entries.cells import MAX_MESH_ENTRIES
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -24,7 +24,7 @@
     Share,
 )
 from ochreway_direct.crashes.crashwatch import CrashWatch
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
 from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ids import ServiceName
--- a/tests/direct/test_demandmeter.py
+++ b/tests/direct/test_demandmeter.py
@@ -11,7 +11,7 @@
 import testtools
 
 from ochreway_direct.coordinator.demand import MIN_MEASUREMENT_S, Demand
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
 from ochreway_direct.ids import ModelName
 from ochreway_standins.engineworld import SPEC
 
