--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/decayingsum.py
@@ -0,0 +1,36 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Exponentially decaying sum."""
+
+import math
+
+DECAY_S = 5.0
+"""Time constant of the decay: half a wave of the load, and some hundred requests long."""
+
+
+class DecayingSum:
+    """Add up amounts that lose their weight with the time constant ``DECAY_S``."""
+
+    __slots__ = ("_sum", "_updated_s")
+
+    def __init__(self) -> None:
+        self._sum = 0.0
+        self._updated_s: float | None = None
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Add an amount at a time."""
+        self._sum = self.at(now_s) + amount
+        self._updated_s = now_s
+
+    def withdraw(self, amount: float, added_s: float, now_s: float) -> None:
+        """Take back an amount that was added at ``added_s``, with the weight that is left of it."""
+        left = amount * math.exp(-max(0.0, now_s - added_s) / DECAY_S)
+        self._sum = max(0.0, self.at(now_s) - left)
+        self._updated_s = now_s
+
+    def at(self, now_s: float) -> float:
+        """Return the sum at a time."""
+        elapsed_s = now_s - self._updated_s if self._updated_s is not None else 0.0
+        return self._sum * math.exp(-elapsed_s / DECAY_S)
+
+
+__all__ = ["DECAY_S", "DecayingSum"]
--- a/packages/ochreway-direct/src/ochreway_direct/demand/demandmeter.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/demandmeter.py
@@ -2,12 +2,12 @@
 """Rate of work offered to this entry for each model."""
 
 import math
+from collections import defaultdict
 from collections.abc import Mapping
 
+from ochreway_direct.demand.decayingsum import DECAY_S, DecayingSum
 from ochreway_direct.ids import ModelName
 
-DECAY_S = 5.0
-"""Time constant of the decay: half a wave of the load, and some hundred requests long."""
 MIN_MEASURED_S = 0.5
 """Minimum time over which a rate is computed, as a single first request gives none."""
 
@@ -21,16 +21,20 @@
     """
 
     def __init__(self) -> None:
-        self._sums: dict[ModelName, float] = {}
-        self._last_recorded_s: dict[ModelName, float] = {}
+        self._sums: defaultdict[ModelName, DecayingSum] = defaultdict(DecayingSum)
         self._first_recorded_s: float | None = None
 
     def record_work(self, model: ModelName, work_s: float, now_s: float) -> None:
         """Add the work of an arriving request, in seconds of a group."""
         if self._first_recorded_s is None:
             self._first_recorded_s = now_s
-        self._sums[model] = self._decayed_sum(model, now_s) + work_s
-        self._last_recorded_s[model] = now_s
+        self._sums[model].add(work_s, now_s)
+
+    def withdraw_work(
+        self, model: ModelName, work_s: float, recorded_s: float, now_s: float
+    ) -> None:
+        """Take back work that was recorded at ``recorded_s``, as it was not a first try."""
+        self._sums[model].withdraw(work_s, recorded_s, now_s)
 
     def offered(self, now_s: float) -> Mapping[ModelName, float]:
         """Return the current rate of offered work for each model."""
@@ -38,11 +42,7 @@
             return {}
         measured_s = max(MIN_MEASURED_S, now_s - self._first_recorded_s)
         effective_s = DECAY_S * (1.0 - math.exp(-measured_s / DECAY_S))
-        return {model: self._decayed_sum(model, now_s) / effective_s for model in self._sums}
-
-    def _decayed_sum(self, model: ModelName, now_s: float) -> float:
-        elapsed_s = now_s - self._last_recorded_s.get(model, now_s)
-        return self._sums.get(model, 0.0) * math.exp(-elapsed_s / DECAY_S)
+        return {model: each.at(now_s) / effective_s for model, each in self._sums.items()}
 
 
 __all__ = ["MIN_MEASURED_S", "DECAY_S", "DemandMeter"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -19,6 +19,7 @@
 from ochreway_direct.crashes.crashspread import CrashSpread
 from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demand.demandmeter import DemandMeter
+from ochreway_direct.demand.firsttries import FirstTries
 from ochreway_direct.dependencies import Dependencies
 from ochreway_direct.drains.drainkeeper import DrainKeeper
 from ochreway_direct.drains.halldrains import HallDrains
@@ -129,6 +130,7 @@
         self.serving = Serving(fleet, freshness, homes=Homes(settings.region_of))
         self.health = PlatformHealth()
         self.meter = DemandMeter()
+        self.first_tries = FirstTries(self.meter, metrics, self._loop.time())
         self.retry_budget = RetryBudget(settings.retries_per_request)
         known_entry = KnownEntry(self.me, HallId(settings.hall), settings.strength)
         self.peers = Peers(known_entry, timing.peer_silent_s)
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -139,7 +139,7 @@
                 services.dialect,
                 pooled_session,
                 single_session,
-                entry.meter,
+                entry.first_tries,
                 RelayTuning(),
             ),
             *(entry.retry_budget, entry.suspect, entry.crashes, entry.notices, log, metrics),
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -11,7 +11,7 @@
 from ochreway_core.reason import Reason
 from ochreway_direct.configuration import Organisation, Route
 from ochreway_direct.coordinator.demand import work_s
-from ochreway_direct.demand.demandmeter import DemandMeter
+from ochreway_direct.demand.firsttries import FirstTries
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
 from ochreway_direct.relay.call import Call
@@ -29,9 +29,9 @@
 class Admission:
     """Turn requests into calls according to the configuration in force."""
 
-    def __init__(self, serving: Serving, meter: DemandMeter, tuning: RelayTuning) -> None:
+    def __init__(self, serving: Serving, first_tries: FirstTries, tuning: RelayTuning) -> None:
         self._serving = serving
-        self._meter = meter
+        self._first_tries = first_tries
         self._tuning = tuning
 
     async def admit(self, request: web.BaseRequest, terms: CallerTerms) -> Call:
@@ -140,7 +140,9 @@
         call.work_s = work_s(
             service.engine, call.terms.model, call.terms.prompt_tokens, call.terms.answer_tokens
         )
-        self._meter.record_work(call.terms.model, call.work_s, call.started_s)
+        self._first_tries.record_arrival(
+            call.fingerprint, call.terms.model, call.work_s, call.started_s
+        )
 
 
 def _fingerprint(call: Call) -> Fingerprint:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -11,7 +11,7 @@
 from ochreway_core.outcome import Outcome
 from ochreway_core.reason import Reason
 from ochreway_direct.crashes.crashwatch import CrashWatch
-from ochreway_direct.demand.demandmeter import DemandMeter
+from ochreway_direct.demand.firsttries import FirstTries
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.ports.dialect import CallerDialect, CallerTerms
 from ochreway_direct.relay.admission import Admission
@@ -38,7 +38,7 @@
         dialect: CallerDialect,
         pooled: aiohttp.ClientSession,
         single_use: aiohttp.ClientSession,
-        meter: DemandMeter,
+        first_tries: FirstTries,
         tuning: RelayTuning,
         budget: RetryBudget,
         suspect: Callable[[GroupId], None],
@@ -49,9 +49,10 @@
     ) -> None:
         """Create a relay; ``suspect`` is called with each group whose leader lost contact."""
         self._serving = serving
+        self._first_tries = first_tries
         self._fleet = serving.fleet
         self._dialect = dialect
-        self._admission = Admission(serving, meter, tuning)
+        self._admission = Admission(serving, first_tries, tuning)
         self._exchange = Exchange(serving, dialect, pooled, single_use, tuning, notices)
         self._tuning = tuning
         self._call_log = CallLog(log, serving)
@@ -85,6 +86,8 @@
         except Refused as refused:
             self._metrics.count(f"refused.{refused.reason.value}")
             self._call_log.refused(terms.request, call, refused)
+            if call is not None and refused.status == NOT_RUN_STATUS:
+                self._expect_return(call)
             return self._refusal(terms, refused)
         except AnswerBroken as broken:
             self._metrics.count(f"broken.{broken.reason.value}")
@@ -96,6 +99,12 @@
             self._metrics.count(f"refused.{Reason.CALLER_GONE.value}")
             raise asyncio.CancelledError from error
 
+    def _expect_return(self, call: Call) -> None:
+        """Record the refusal of a call whose work was counted, as its caller may return."""
+        if call.work_s > 0.0:
+            now_s = asyncio.get_running_loop().time()
+            self._first_tries.record_refusal(call.fingerprint, call.left_s(now_s), now_s)
+
     def _refusal(self, terms: CallerTerms, refused: Refused) -> web.Response:
         headers = self._dialect.refusal(terms.request, refused.retry_after_s)
         answer = web.Response(
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -25,6 +25,7 @@
 )
 from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demand.demandmeter import DemandMeter
+from ochreway_direct.demand.firsttries import FirstTries
 from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ids import ServiceName
@@ -200,8 +201,11 @@
         self.book = CrashBook()
         self.crashes = CrashWatch(self.book, log, self.metrics)
         notices = NoticeWatch(self.backoffs, self.limits, log, self.metrics)
+        now_s = asyncio.get_running_loop().time()
+        self.meter = DemandMeter()
+        self.first_tries = FirstTries(self.meter, self.metrics, now_s)
         self.relay = Relay(
-            *(self.serving, PlainDialect(), self.pooled, self.single_use, DemandMeter()),
+            *(self.serving, PlainDialect(), self.pooled, self.single_use, self.first_tries),
             *(self.tuning, self.budget, self.suspected.append, self.crashes, notices, log),
             self.metrics,
         )
