--- a/packages/ochreway-direct/src/ochreway_direct/demand/firsttries.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/firsttries.py
@@ -35,6 +35,7 @@
     ) -> None:
         """Record an admitted request and its work, in seconds of a group."""
         self._tries.add(1.0, now_s)
+        self._recent.record_arrival(fingerprint, now_s)
         if self._recent.take_return(fingerprint, now_s):
             self._record_return(now_s)
             return
@@ -44,6 +45,7 @@
 
     def record_refusal(self, fingerprint: Fingerprint, left_s: float, now_s: float) -> None:
         """Record that a request was refused as not run, ``left_s`` before its deadline."""
+        self._recent.record_refusal(fingerprint, now_s)
         if left_s <= 0.0:
             return
         self._recent.expect_return(fingerprint, now_s + left_s, now_s)
@@ -61,9 +63,12 @@
         """Apply the refusals of another entry.
 
         Work that was counted here later than a refusal is taken back. Otherwise the next request
-        with its fingerprint is a return.
+        with its fingerprint is a return. Where several callers send the same request, a refusal
+        would excuse one of them at every entry, so it is not applied.
         """
         for fingerprint, age_s, left_s in refusals.items()[:MAX_REFUSALS]:
+            if self._recent.is_common(fingerprint):
+                continue
             refused_s = now_s - age_s
             counted = self._recent.take_counted(fingerprint, refused_s)
             if counted is not None:
--- a/packages/ochreway-direct/src/ochreway_direct/demand/recentrequest.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/recentrequest.py
@@ -12,12 +12,15 @@
 
     Attributes:
         touched_s: when it was last changed.
+        unrefused: requests that came here, less those that were refused here. One caller has one
+            at most, as it returns only after a refusal.
         counted: the newest work that was counted and not taken back.
         returns: refusals whose return has not been seen.
         returns_until_s: until when a later request counts as a return.
     """
 
     touched_s: float
+    unrefused: int = 0
     counted: CountedWork | None = None
     returns: int = 0
     returns_until_s: float = 0.0
--- a/packages/ochreway-direct/src/ochreway_direct/demand/recentrequests.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/recentrequests.py
@@ -27,6 +27,20 @@
         """Remember a request whose work was counted."""
         self._touch(fingerprint, work.counted_s).counted = work
 
+    def record_arrival(self, fingerprint: Fingerprint, now_s: float) -> None:
+        """Remember that a request came here."""
+        self._touch(fingerprint, now_s).unrefused += 1
+
+    def record_refusal(self, fingerprint: Fingerprint, now_s: float) -> None:
+        """Remember that a request was refused here."""
+        request = self._touch(fingerprint, now_s)
+        request.unrefused = max(0, request.unrefused - 1)
+
+    def is_common(self, fingerprint: Fingerprint) -> bool:
+        """Return whether several callers send the same request to this entry."""
+        request = self._requests.get(bytes.fromhex(fingerprint))
+        return request is not None and request.unrefused > 1
+
     def expect_return(self, fingerprint: Fingerprint, until_s: float, now_s: float) -> None:
         """Remember that a refused request may return until a time, at most ``DECAY_S`` from now."""
         request = self._touch(fingerprint, now_s)
@@ -54,7 +68,9 @@
     def _touch(self, fingerprint: Fingerprint, now_s: float) -> RecentRequest:
         """Return the record of a fingerprint as the newest one, and drop the oldest ones."""
         key = bytes.fromhex(fingerprint)
-        request = self._requests.pop(key, None) or RecentRequest(now_s)
+        request = self._requests.pop(key, None)
+        if request is None or now_s - request.touched_s > DECAY_S:
+            request = RecentRequest(now_s)
         request.touched_s = now_s
         self._requests[key] = request
         while True:
--- a/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
@@ -3,10 +3,11 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from ochreway_core.ids import NodeId, Version
 from ochreway_core.peer import Peer
-from ochreway_direct.demand.demandmeter import DemandMeter
+from ochreway_direct.demand.firsttries import FirstTries
 from ochreway_direct.drains.drainkeeper import DrainKeeper
 from ochreway_direct.entries.cells import MAX_MESH_ENTRIES, Cells
 from ochreway_direct.entries.coverage import Coverage
@@ -67,7 +68,7 @@
         serving: Serving,
         view: FleetView,
         lease: Lease,
-        meter: DemandMeter,
+        first_tries: FirstTries,
         drains: DrainKeeper,
         on_list_changed: Callable[[], None],
         mesh_entries: int = MAX_MESH_ENTRIES,
@@ -83,7 +84,7 @@
         self._serving = serving
         self._view = view
         self._lease = lease
-        self._meter = meter
+        self._first_tries = first_tries
         self._drains = drains
         self._on_list_changed = on_list_changed
         self._mesh_entries = mesh_entries
@@ -178,9 +179,11 @@
             self._loans.refresh(names, bool(self._peers.alive(now_s)), now_s)
         if self._limits is not None:
             self._limits.tick(self._peers.ranked_nodes(), self.meshed, now_s)
-        own = self._own_work(now_s)
+        contacts = self.contacts()
+        refusals = self._first_tries.take_refusals(now_s, len(contacts))
+        own = replace(self._own_work(now_s), refusals=refusals)
         entries = self._entries_to_name(now_s)
-        for peer in self.contacts():
+        for peer in contacts:
             self._links.send(peer, self._heartbeat(peer, own, entries, True, now_s))
 
     def _connect_seeds(self) -> None:
@@ -191,7 +194,12 @@
 
     def _own_work(self, now_s: float) -> Work:
         fleet = self._serving.fleet
-        return Work(dict(fleet.under_way()), dict(fleet.unread()), dict(self._meter.offered(now_s)))
+        return Work(
+            dict(fleet.under_way()),
+            dict(fleet.unread()),
+            dict(self._first_tries.meter.offered(now_s)),
+            self._first_tries.measured_s(now_s),
+        )
 
     def _heartbeat(
         self, peer: Peer, own: Work, entries: tuple[KnownEntry, ...], wanted: bool, now_s: float
@@ -211,7 +219,8 @@
             fleet=self._view.mark(now_s),
             cell=self._own_cell,
             coverage=coverage,
-            work=self._work_for(peer.node, coverage, own),
+            # Refusals are the sender's own whatever the coverage, so that none is reported twice.
+            work=replace(self._work_for(peer.node, coverage, own), refusals=own.refusals),
             entries=entries,
             drains=self._drains.current_news(now_s),
             loan=self._loans.lend(peer.node, now_s) if self._loans is not None else None,
@@ -270,6 +279,7 @@
         self._lease.record_incarnation(Holder(sender.node, heartbeat.incarnation))
         if heartbeat.holder is not None:
             self._lease.record_revision(heartbeat.holder.revision, now_s)
+        self._first_tries.on_refusals(heartbeat.work.refusals, now_s)
         if self._accepts_coverage(heartbeat.coverage):
             covered = self._covered_entries(heartbeat)
             self.remote_work.add_report(
--- a/packages/ochreway-direct/src/ochreway_direct/work.py
+++ b/packages/ochreway-direct/src/ochreway_direct/work.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from ochreway_direct.demand.refusals import NO_REFUSALS, Refusals
 from ochreway_direct.ids import ModelName
 
 
@@ -12,12 +13,16 @@
 class Work:
     """Hold the requests under way and unread prompt tokens at each target, and the offered work.
 
-    ``offered`` is the rate of arriving work for each model, in fully busy groups.
+    ``offered`` is the rate of arriving work for each model, in fully busy groups. ``measured_s``
+    is for how long an entry has measured it, the longest time of several entries, or None where no
+    entry reports it. ``refusals`` are the sender's own: a sum of work has none.
     """
 
     under_way: dict[str, int] = field(default_factory=dict)
     unread: dict[str, int] = field(default_factory=dict)
     offered: dict[ModelName, float] = field(default_factory=dict)
+    measured_s: float | None = None
+    refusals: Refusals = NO_REFUSALS
 
 
 NO_WORK = Work()
@@ -28,22 +33,34 @@
     under_way: Counter[str] = Counter()
     unread: Counter[str] = Counter()
     offered: dict[ModelName, float] = {}
+    measured_s: float | None = None
     for work in works:
         under_way.update(work.under_way)
         unread.update(work.unread)
         for model, rate in work.offered.items():
             offered[model] = offered.get(model, 0.0) + rate
-    return Work(dict(under_way), dict(unread), offered)
+        measured_s = longest(measured_s, work.measured_s)
+    return Work(dict(under_way), dict(unread), offered, measured_s)
 
 
 def subtract_work(work: Work, part: Work) -> Work:
-    """Return a sum reduced by a part of it, with no count below zero."""
+    """Return a sum reduced by a part of it, with no count below zero.
+
+    If the part has the longest time of measurement, that of the rest is not known, and is 0.
+    """
     offered = {m: max(0.0, rate - part.offered.get(m, 0.0)) for m, rate in work.offered.items()}
     return Work(
         dict(Counter(work.under_way) - Counter(part.under_way)),
         dict(Counter(work.unread) - Counter(part.unread)),
         offered,
+        0.0 if part.measured_s and part.measured_s == work.measured_s else work.measured_s,
     )
 
 
-__all__ = ["NO_WORK", "Work", "sum_work", "subtract_work"]
+def longest(measured_s: float | None, other_s: float | None) -> float | None:
+    """Return the longer of two times of measurement, or None if neither is known."""
+    known = [each for each in (measured_s, other_s) if each is not None]
+    return max(known, default=None)
+
+
+__all__ = ["NO_WORK", "Work", "longest", "sum_work", "subtract_work"]
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -15,6 +15,7 @@
 from ochreway_direct.crashes.crashspread import CrashSpread
 from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demand.demandmeter import DemandMeter
+from ochreway_direct.demand.firsttries import FirstTries
 from ochreway_direct.drains.drainkeeper import DrainKeeper
 from ochreway_direct.drains.halldrains import HallDrains
 from ochreway_direct.entries.cells import MAX_MESH_ENTRIES
@@ -117,10 +118,12 @@
             *(EventLog("entry", name, "error"), Metrics(None, "entry")),
         )
         self.meter = DemandMeter()
+        self.metrics = metrics
+        self.first_tries = FirstTries(self.meter, metrics, began_s)
         self.loans = Loans(name, self.limit, self.lease, self._asked)
         self.heartbeats = Heartbeats(
             *("1", me, seeds, self.peers, links, self.serving, self.view, self.lease),
-            *(self.meter, self.drains, lambda: None, mesh_entries, self.loans),
+            *(self.first_tries, self.drains, lambda: None, mesh_entries, self.loans),
         )
         self.crashes = CrashBook()
         watch = CrashWatch(self.crashes, log, metrics)
