--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
@@ -6,6 +6,8 @@
 
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.shares import work_shares
+from ochreway_direct.demand.decayingsum import DECAY_S
+from ochreway_direct.demand.offeredwork import OfferedWork
 from ochreway_direct.ids import ModelName
 
 MIN_DEMAND = 0.05
@@ -47,10 +49,29 @@
         """Apply the offered work; it is used once it was measured for long enough."""
         if sum(offered.values()) <= 0:
             return
+        since_s = self._note_requests(now_s)
+        if now_s - since_s >= MIN_MEASUREMENT_S:
+            self.offered = dict(offered)
+
+    def follow(self, own: OfferedWork, others: OfferedWork, now_s: float) -> None:
+        """Apply the work offered to this entry and to all others, as far as it is settled.
+
+        An entry that has just started goes by what the others report. If none of them has run for
+        longer, the former demand stays, which is that of the configured shares after a start.
+        """
+        total = own.plus(others)
+        if total.any:
+            self._note_requests(now_s)
+        if own.measured_s is None or own.measured_s >= DECAY_S:
+            self.update(total.rates, now_s)
+        elif others.settled:
+            self.update(others.rates, now_s)
+
+    def _note_requests(self, now_s: float) -> float:
+        """Return since when requests are known; the first ones set it."""
         if self.measured_since_s is None:
             self.measured_since_s = now_s
-        if now_s - self.measured_since_s >= MIN_MEASUREMENT_S:
-            self.offered = dict(offered)
+        return self.measured_since_s
 
     @property
     def measured(self) -> bool:
--- a/packages/ochreway-direct/src/ochreway_direct/demand/firsttries.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/firsttries.py
@@ -5,6 +5,7 @@
 from ochreway_direct.demand.countedwork import CountedWork
 from ochreway_direct.demand.decayingsum import DECAY_S, DecayingSum
 from ochreway_direct.demand.demandmeter import DemandMeter
+from ochreway_direct.demand.offeredwork import OfferedWork
 from ochreway_direct.demand.recentrequests import RecentRequests
 from ochreway_direct.demand.refusalqueue import MAX_REFUSALS, RefusalQueue
 from ochreway_direct.demand.refusals import Refusals
@@ -77,6 +78,10 @@
             elif refused_s + left_s > now_s:
                 self._recent.expect_return(fingerprint, refused_s + left_s, now_s)
 
+    def offered(self, now_s: float) -> OfferedWork:
+        """Return the work of first tries, and for how long it was measured."""
+        return OfferedWork(self.meter.offered(now_s), self.measured_s(now_s))
+
     def measured_s(self, now_s: float) -> float:
         """Return for how long this entry has measured."""
         return now_s - self._started_s
--- a/packages/ochreway-direct/src/ochreway_direct/entries/remotework.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/remotework.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass
 
 from ochreway_core.ids import NodeId
+from ochreway_direct.demand.offeredwork import OfferedWork
 from ochreway_direct.entries.coverage import Coverage
 from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.ids import CellId, ModelName
-from ochreway_direct.work import NO_WORK, Work, sum_work
+from ochreway_direct.work import NO_WORK, Work, longest, sum_work
 
 SOURCE_TIMEOUT_S = 0.75
 """Silence after which the report of a cell's other head is accepted: two heartbeats and delay."""
@@ -122,6 +123,18 @@
             rates.update(report.work.offered)
         return rates
 
+    def offered_work(self) -> OfferedWork:
+        """Return the work offered to other entries, and the longest time of its measurement.
+
+        The time is unknown if it is in any report that tells of work.
+        """
+        measured_s: float | None = 0.0
+        for report in self._reports.values():
+            if report.work.measured_s is None and report.work.offered:
+                return OfferedWork(self.offered(), None)
+            measured_s = longest(measured_s, report.work.measured_s)
+        return OfferedWork(self.offered(), measured_s)
+
 
 def _key(sender: NodeId, coverage: Coverage, cell: CellId) -> str:
     keys = {
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -129,7 +129,7 @@
         freshness = Freshness(settings.key_trust_s, settings.key_trust)
         self.serving = Serving(fleet, freshness, homes=Homes(settings.region_of))
         self.health = PlatformHealth()
-        self.meter = DemandMeter()
+        self.meter = DemandMeter(self._loop.time())
         self.first_tries = FirstTries(self.meter, metrics, self._loop.time())
         self.retry_budget = RetryBudget(settings.retries_per_request)
         known_entry = KnownEntry(self.me, HallId(settings.hall), settings.strength)
@@ -408,9 +408,8 @@
             self.suspect(group)
 
     def _update_demand(self, now_s: float) -> None:
-        offered = self._heartbeats.remote_work.offered()
-        offered.update(self.meter.offered(now_s))
-        self.coordination.coordinator.demand.update(offered, now_s)
+        others = self._heartbeats.remote_work.offered_work()
+        self.coordination.coordinator.demand.follow(self.first_tries.offered(now_s), others, now_s)
 
     def suspect(self, group: GroupId) -> None:
         """Have the members of a group probed at once, as its leader fell silent or disconnected."""
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -117,7 +117,7 @@
             *(HallDrains(HALL_DRAIN_S), self.fleet, lambda halls: None, self._halls_changed),
             *(EventLog("entry", name, "error"), Metrics(None, "entry")),
         )
-        self.meter = DemandMeter()
+        self.meter = DemandMeter(began_s)
         self.metrics = metrics
         self.first_tries = FirstTries(self.meter, metrics, began_s)
         self.loans = Loans(name, self.limit, self.lease, self._asked)
