--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -18,7 +18,8 @@
 from ochreway_direct.crashes.crashkeeper import CrashKeeper
 from ochreway_direct.crashes.crashspread import CrashSpread
 from ochreway_direct.crashes.crashwatch import CrashWatch
-from ochreway_direct.demandmeter import DemandMeter
+from ochreway_direct.demand.demandmeter import DemandMeter
+from ochreway_direct.demand.firsttries import FirstTries
 from ochreway_direct.dependencies import Dependencies
 from ochreway_direct.drains.drainkeeper import DrainKeeper
 from ochreway_direct.drains.halldrains import HallDrains
@@ -84,8 +85,13 @@
 """
 SUSPECT_SILENCE_S = 0.3
 """How long all answers of a group have to stall before its members are probed at once."""
+SILENCE_CHECK_S = 0.05
+"""How often silent groups are looked for.
+
+Members of groups that answer are probed rarely, so that the loss of one shows by silence first.
+"""
 SUSPECT_INTERVAL_S = 0.15
-"""How often silent groups are looked for, and the minimum time between suspicions of one group."""
+"""Minimum time between suspicions of one group."""
 
 
 class DirectEntry:
@@ -128,7 +134,8 @@
         freshness = Freshness(settings.key_trust_s, settings.key_trust)
         self.serving = Serving(fleet, freshness, homes=Homes(settings.region_of))
         self.health = PlatformHealth()
-        self.meter = DemandMeter()
+        self.meter = DemandMeter(self._loop.time())
+        self.first_tries = FirstTries(self.meter, metrics, self._loop.time())
         self.retry_budget = RetryBudget(settings.retries_per_request)
         known_entry = KnownEntry(self.me, HallId(settings.hall), settings.strength)
         self.peers = Peers(known_entry, timing.peer_silent_s)
@@ -186,7 +193,7 @@
             self.serving,
             self.view,
             self.lease,
-            self.meter,
+            self.first_tries,
             self._drains,
             lambda: self._sharing.update_fleet(),
             loans=self._loans,
@@ -303,7 +310,7 @@
         self.timer.every(timing.heartbeat_s, self._crash_spread.announce_again)
         self.timer.every(CHECK_INTERVAL_S, self.resources.check)
         if self.settings.has(Mechanism.SILENCE_SUSPECTED):
-            self.timer.every(SUSPECT_INTERVAL_S, self._suspect_silent_groups)
+            self.timer.every(SILENCE_CHECK_S, self._suspect_silent_groups)
         self.timer.every(timing.fleet_update_s, lambda _: self._sharing.publish())
         self.timer.every(COUNTERS_LOG_INTERVAL_S, lambda _: self._log_counters())
         self.spawn(self.timer.run())
@@ -345,6 +352,7 @@
             **self.crashes.gauges(),
             **self.notices.gauges(),
             **self._target_limits.gauges(now_s),
+            **self.first_tries.gauges(now_s),
             "halls_without_region": float(len(self._home_check.unknown_halls)),
             "targets_cold": float(self._cold.cold_count(now_s)),
             "loans_taken": float(self._limit.borrowed_total(now_s)),
@@ -405,9 +413,8 @@
             self.suspect(group)
 
     def _update_demand(self, now_s: float) -> None:
-        offered = self._heartbeats.remote_work.offered()
-        offered.update(self.meter.offered(now_s))
-        self.coordination.coordinator.demand.update(offered, now_s)
+        others = self._heartbeats.remote_work.offered_work()
+        self.coordination.coordinator.demand.follow(self.first_tries.offered(now_s), others, now_s)
 
     def suspect(self, group: GroupId) -> None:
         """Have the members of a group probed at once, as its leader fell silent or disconnected."""
