--- a/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
+++ b/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
@@ -1,23 +1,25 @@
 # SPDX-License-Identifier: Apache-2.0
-"""A bounded queue that shares a replica's slots between organisations.
+"""A bounded queue that shares slots between organisations.
 
-Within a priority class the organisation with the least weighted service goes first, and
+Work that must run goes first, then the most urgent class: by effective priority, then by the
+route's own. Within a class the organisation with the least weighted service goes first, and
 within an organisation the work with the earliest deadline. Every few dispatches the oldest work of
 the lowest class goes first, so that nothing starves. When the queue is full, work of an
 organisation that is over its share is displaced by work of one that is under its share, so unused
-shares are usable by others and reclaimed on demand.
+shares are usable by others and reclaimed on demand. Where ``Displacement.BY_CLASS`` is chosen,
+shares decide only within a class, and a more urgent class displaces a less urgent one.
 """
 
 from bisect import insort
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Generic, TypeVar
 
 from result import Err, Ok, Result
 
-from ochreway_core.priority import Priority
 from ochreway_core.reason import Reason
-from ochreway_routing.work import Work
+from ochreway_routing.work import Urgency, Work
 
 T = TypeVar("T")
 
@@ -25,6 +27,13 @@
 """Every how many dispatches the oldest work of the lowest class goes first."""
 
 
+class Displacement(Enum):
+    """Define which work a full queue drops for new work."""
+
+    BY_SHARE = "by_share"
+    BY_CLASS = "by_class"
+
+
 @dataclass(slots=True)
 class _Share(Generic[T]):
     weight: float = 1.0
@@ -32,15 +41,33 @@
     served: float = 0.0
     running: int = 0
     queued: int = 0
-    by_priority: dict[Priority, list[Work[T]]] = field(
-        default_factory=lambda: {each: [] for each in Priority}
-    )
+    by_class: dict[Urgency, list[Work[T]]] = field(default_factory=dict)
+
+    def waiting(self, urgency: Urgency) -> list[Work[T]]:
+        """Return the work of one class, in order."""
+        return self.by_class.get(urgency, [])
+
+    def add(self, work: Work[T]) -> None:
+        """Add work in order."""
+        insort(self.by_class.setdefault(work.urgency, []), work, key=_precedence)
+        self.queued += 1
+
+    def remove(self, work: Work[T]) -> None:
+        """Remove work; classes without work are dropped."""
+        waiting = self.by_class[work.urgency]
+        del waiting[next(n for n, each in enumerate(waiting) if each is work)]
+        self.queued -= 1
+        if not waiting:
+            del self.by_class[work.urgency]
 
 
 class FairQueue(Generic[T]):
     """Queue work until a slot is free."""
 
-    def __init__(self, capacity: int, slots: int) -> None:
+    def __init__(
+        self, capacity: int, slots: int, displacement: Displacement = Displacement.BY_SHARE
+    ) -> None:
+        self._displacement = displacement
         self.capacity = capacity
         self.slots = slots
         self._shares: dict[str, _Share[T]] = {}
@@ -64,13 +91,14 @@
         share = self._share(work.organisation)
         displaced = None
         if self._length >= self.capacity:
-            displaced = self._displace_for(work, share)
+            by_class = self._displacement is Displacement.BY_CLASS
+            find = self._displace_by_class if by_class else self._displace_for
+            displaced = find(work, share)
             if displaced is None:
                 return Err(Reason.QUEUE_FULL if self._has_one_organisation() else Reason.OVER_SHARE)
         if not share.queued and not share.running:
             share.served = max(share.served, self._virtual_time)
-        insort(share.by_priority[work.priority], work, key=_deadline)
-        share.queued += 1
+        share.add(work)
         self._length += 1
         self.tokens += work.cost_tokens
         return Ok(displaced)
@@ -89,20 +117,22 @@
         return len(ahead), sum(each.prefill_tokens for each in ahead)
 
     def _ahead_in(self, share: _Share[T], work: Work[T]) -> list[Work[T]]:
-        higher = [each for each in Priority if each < work.priority]
-        ahead = [each for priority in higher for each in share.by_priority[priority]]
-        same = share.by_priority[work.priority]
-        return ahead + [each for each in same if each.deadline_s <= work.deadline_s]
+        higher = sorted(each for each in share.by_class if each < work.urgency)
+        ahead = [each for urgency in higher for each in share.waiting(urgency)]
+        same = share.waiting(work.urgency)
+        return ahead + [each for each in same if _precedence(each) <= _precedence(work)]
 
-    def dequeue(self) -> Work[T] | None:
-        """Remove and return the next work, and count it as running for its organisation."""
-        if not self._length:
+    def dequeue(self, fits: Callable[[Work[T]], bool] = lambda _: True) -> Work[T] | None:
+        """Remove and return the next work that fits, and count it as running.
+
+        Work that does not fit keeps its turn.
+        """
+        work = next((each for each in self._in_order() if fits(each)), None)
+        if work is None:
             return None
         self._dispatched += 1
-        work = self._choose()
         share = self._share(work.organisation)
-        share.by_priority[work.priority].remove(work)
-        self._update_totals(work, share)
+        self._drop(work, share)
         self._virtual_time = max(self._virtual_time, share.served)
         share.served += work.cost_tokens / share.weight
         share.running += 1
@@ -116,10 +146,9 @@
     def remove_by_identity(self, identities: "set[int]") -> None:
         """Remove the work whose ``id()`` is among the identities."""
         for share in self._shares.values():
-            for waiting in share.by_priority.values():
+            for waiting in list(share.by_class.values()):
                 for work in [each for each in waiting if id(each) in identities]:
-                    waiting.remove(work)
-                    self._update_totals(work, share)
+                    self._drop(work, share)
 
     def remove_all(self) -> list[Work[T]]:
         """Remove and return all work."""
@@ -139,22 +168,45 @@
     def iter_queued(self) -> Iterable[Work[T]]:
         """Yield the queued work."""
         for share in self._shares.values():
-            for each in share.by_priority.values():
+            for each in share.by_class.values():
                 yield from each
 
+    def most_urgent(self) -> Urgency | None:
+        """Return the most urgent class that waits, or None if nothing waits."""
+        return min(self.classes(), default=None)
+
+    def classes(self) -> set[Urgency]:
+        """Return the classes that wait."""
+        return {urgency for share in self._shares.values() for urgency in share.by_class}
+
     def _share(self, organisation: str) -> _Share[T]:
         return self._shares.setdefault(organisation, _Share())
 
-    def _update_totals(self, work: Work[T], share: _Share[T]) -> None:
-        share.queued -= 1
+    def _drop(self, work: Work[T], share: _Share[T]) -> None:
+        share.remove(work)
         self._length -= 1
         self.tokens -= work.cost_tokens
 
-    def _choose(self) -> Work[T]:
-        if self._dispatched % LOWER_CLASS_INTERVAL == 0:
-            return self._oldest_of_lowest_class()
-        guaranteed = [each for each in self._waiting_shares() if self._under_guarantee(each)]
-        return _first_of_least_served(guaranteed or self._waiting_shares())
+    def _in_order(self) -> Iterator[Work[T]]:
+        """Yield the work in the order in which it is next dequeued; some is yielded twice."""
+        if not self._length:
+            return
+        if (self._dispatched + 1) % LOWER_CLASS_INTERVAL == 0 and not self._must_run():
+            yield self._oldest_of_lowest_class()
+        shares = self._waiting_shares()
+        guaranteed = [each for each in shares if self._under_guarantee(each)]
+        for group in (guaranteed, shares):
+            for urgency in sorted({each for share in group for each in share.by_class}):
+                candidates = [share for share in group if urgency in share.by_class]
+                candidates.sort(key=lambda share: share.served)
+                # Work that returned as told goes before all organisations' other work.
+                for returned in (True, False):
+                    for share in candidates:
+                        yield from (w for w in share.by_class[urgency] if w.returned is returned)
+
+    def _must_run(self) -> bool:
+        urgency = self.most_urgent()
+        return urgency is not None and not urgency[0]
 
     def _waiting_shares(self) -> list[_Share[T]]:
         return [share for share in self._shares.values() if share.queued]
@@ -163,9 +215,9 @@
         return share.running < share.guaranteed_share * self.slots
 
     def _oldest_of_lowest_class(self) -> Work[T]:
-        lowest = max(work.priority for work in self.iter_queued())
+        lowest = max(self.classes())
         return min(
-            (work for work in self.iter_queued() if work.priority is lowest),
+            (work for work in self.iter_queued() if work.urgency == lowest),
             key=lambda work: work.queued_s,
         )
 
@@ -175,30 +227,36 @@
             return self._displace_lower_class(work, share)
         if (share.queued + 1) / share.weight >= largest.queued / largest.weight:
             return None
-        return self._drop_last(largest)
+        return self._drop_last(largest, max(largest.by_class))
 
     def _displace_lower_class(self, work: Work[T], share: _Share[T]) -> Work[T] | None:
-        lowest = max(each for each in Priority if share.by_priority[each])
-        return self._drop_last(share) if lowest > work.priority else None
+        lowest = max(share.by_class)
+        return self._drop_last(share, lowest) if lowest > work.urgency else None
 
-    def _drop_last(self, share: _Share[T]) -> Work[T]:
-        lowest = max(each for each in Priority if share.by_priority[each])
-        work = share.by_priority[lowest].pop()
-        self._update_totals(work, share)
+    def _displace_by_class(self, work: Work[T], share: _Share[T]) -> Work[T] | None:
+        lowest = max(self.classes(), default=work.urgency)
+        if lowest < work.urgency or not lowest[0]:
+            return None
+        holders = [each for each in self._waiting_shares() if lowest in each.by_class]
+        if not holders:
+            return None
+        largest = max(holders, key=lambda each: len(each.by_class[lowest]) / each.weight)
+        own = (len(share.waiting(lowest)) + 1) / share.weight
+        if lowest == work.urgency and own >= len(largest.by_class[lowest]) / largest.weight:
+            return None
+        return self._drop_last(largest, lowest)
+
+    def _drop_last(self, share: _Share[T], urgency: Urgency) -> Work[T]:
+        work = share.by_class[urgency][-1]
+        self._drop(work, share)
         return work
 
     def _has_one_organisation(self) -> bool:
         return len(self._waiting_shares()) <= 1
 
 
-def _deadline(work: Work[T]) -> float:
-    return work.deadline_s
-
-
-def _first_of_least_served(shares: list[_Share[T]]) -> Work[T]:
-    highest = min(each for share in shares for each in Priority if share.by_priority[each])
-    candidates = [share for share in shares if share.by_priority[highest]]
-    return min(candidates, key=lambda share: share.served).by_priority[highest][0]
+def _precedence(work: Work[T]) -> tuple[bool, float]:
+    return (not work.returned, work.deadline_s)
 
 
-__all__ = ["FairQueue", "LOWER_CLASS_INTERVAL"]
+__all__ = ["LOWER_CLASS_INTERVAL", "Displacement", "FairQueue"]
--- a/packages/ochreway-routing/src/ochreway_routing/work.py
+++ b/packages/ochreway-routing/src/ochreway_routing/work.py
@@ -4,26 +4,37 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from ochreway_core.priority import Priority
-
 T = TypeVar("T")
 
+Urgency = tuple[bool, int, int]
+"""Class of work: whether it may be refused, its effective priority and its route's priority."""
+
 
 @dataclass(frozen=True, slots=True)
 class Work(Generic[T]):
     """Describe one work item to the fair queue.
 
-    ``expected_run_s`` is the minimum time that it is expected to run.
+    ``expected_run_s`` is the minimum time that it is expected to run. Work that ``must_run`` cannot
+    be refused, and goes before all other. Work that ``returned`` at the time that its caller was
+    told goes before other work of its class.
     """
 
     item: T
     organisation: str
-    priority: Priority
+    priority: int
     cost_tokens: float
     prefill_tokens: float
     deadline_s: float
     expected_run_s: float
     queued_s: float
+    route_priority: int = 0
+    must_run: bool = False
+    returned: bool = False
+
+    @property
+    def urgency(self) -> Urgency:
+        """Return the class of the work; a lower one is more urgent."""
+        return (not self.must_run, self.priority, self.route_priority)
 
 
-__all__ = ["Work"]
+__all__ = ["Urgency", "Work"]
