--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
@@ -5,6 +5,8 @@
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping
 
+from reactivex.subject import Subject
+
 from ochreway_core.ids import GroupId, HallId, InstanceId
 from ochreway_direct.configuration import EngineSpec
 from ochreway_direct.fleets.groupview import GroupView
@@ -12,6 +14,7 @@
 from ochreway_direct.fleets.targethealth import TargetHealth
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.lists.listedtarget import ListedTarget
+from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.sendlimits.sendlimit import SendLimit, Unlimited
 from ochreway_direct.targetlimits.limitgate import LimitGate
@@ -90,6 +93,8 @@
         self._remote_load = RemoteCounts()
         self._remote_unread = RemoteCounts()
         self._health: dict[InstanceId, TargetHealth] = defaultdict(TargetHealth)
+        self.changes: Subject[None] = Subject()
+        """Emits when a place may have become free."""
 
     # Updates of the view.
 
@@ -100,6 +105,7 @@
         self._by_service = defaultdict(list)
         for group in self._groups.values():
             self._by_service[group.service].append(group)
+        self.changes.on_next(None)
 
     def abandon(self, group: GroupId) -> None:
         """Abandon the attempts at a group that has lost a member."""
@@ -113,10 +119,12 @@
     def set_leaving(self, leaving: Iterable[InstanceId]) -> None:
         """Replace the engines that are leaving; their groups get no new requests."""
         self._leaving = frozenset(leaving)
+        self.changes.on_next(None)
 
     def set_closed_halls(self, halls: frozenset[HallId]) -> None:
         """Replace the halls that get no new requests."""
         self._closed_halls = halls
+        self.changes.on_next(None)
 
     def set_remote_work(
         self, source: str, counts: Mapping[str, int], unread: Mapping[str, int] | None = None
@@ -124,11 +132,13 @@
         """Replace a source's counts of attempts and unread prompt tokens at each target."""
         self._remote_load.set_report(source, counts)
         self._remote_unread.set_report(source, unread or {})
+        self.changes.on_next(None)
 
     def drop_remote_work(self, source: str) -> None:
         """Drop the counts of a source."""
         self._remote_load.drop_report(source)
         self._remote_unread.drop_report(source)
+        self.changes.on_next(None)
 
     # Queries and choices.
 
@@ -201,6 +211,25 @@
                 silent.append(group)
         return silent
 
+    def place_facts(
+        self,
+        service: ServiceName,
+        model: ModelName,
+        slots: int,
+        within: frozenset[HallId] | None,
+        now_s: float,
+    ) -> PlaceFacts:
+        """Return the facts by which the queue of a model decides."""
+        groups = [each.group for each in self.eligible_groups(service, model, within)]
+        return PlaceFacts(
+            groups=len(groups),
+            slots=slots,
+            load=sum(self.load(each) for each in groups),
+            own=sum(len(self._under_way.get(each, ())) for each in groups),
+            sources=self._remote_load.source_count(),
+            blocked_s=self.send_wait_s(service, model, within, now_s) if groups else 0.0,
+        )
+
     def has_serving_group(self, service: ServiceName) -> bool:
         """Return whether any group of a service is known to serve."""
         return bool(self._by_service.get(service))
@@ -391,7 +420,9 @@
     # Attempts under way.
 
     def begin(self, attempt: Attempt) -> None:
-        """Count an attempt at its target, as it is sent."""
+        """Count an attempt at its target, as it is sent or gets a place; once if it does both."""
+        if attempt in self._under_way.get(attempt.candidate, ()):
+            return
         self._limit.record_sent(attempt)
         if self._gate is not None:
             self._gate.record_sent(attempt)
@@ -422,6 +453,7 @@
         if not running:
             del self._under_way[attempt.candidate]
         self._health[attempt.instance].record_attempt(failed)
+        self.changes.on_next(None)
 
 
 def halls_of(group: GroupView) -> frozenset[HallId]:
--- a/packages/ochreway-direct/src/ochreway_direct/fleets/remotecounts.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/remotecounts.py
@@ -29,6 +29,10 @@
         """Return the sum for a target over all sources."""
         return self._totals[target_id]
 
+    def source_count(self) -> int:
+        """Return how many sources report counts."""
+        return len(self._reports)
+
     def _subtract(self, numbers: Mapping[str, int]) -> None:
         for target_id, number in numbers.items():
             self._totals[target_id] -= number
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -210,7 +210,12 @@
         return None
 
     def gauges() -> dict[str, float]:
-        return {**entry.gauges(), "open_calls": relay.open_calls, **connections.gauges()}
+        return {
+            **entry.gauges(),
+            **relay.queues.gauges(),
+            "open_calls": relay.open_calls,
+            **connections.gauges(),
+        }
 
     server = web.Server(LazyMetricsPage(metrics, gauges).answer, access_log=None)
     return await _listen(web.ServerRunner(server, shutdown_timeout=0.1), settings.metrics_listen)
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Queue of calls that wait for a place at a group."""
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -0,0 +1,232 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Decisions about the calls that wait for one model."""
+
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Hashable
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from ochreway_core.ids import HallId
+from ochreway_core.reason import Reason
+from ochreway_direct.configuration import EngineSpec
+from ochreway_direct.queueing.forecast import Forecast
+from ochreway_direct.queueing.outlook import Outlook
+from ochreway_direct.queueing.placefacts import PlaceFacts
+from ochreway_direct.queueing.promises import Promise, Promises
+from ochreway_direct.queueing.queuetuning import QueueTuning
+from ochreway_direct.queueing.waiting import Waiting
+from ochreway_routing.fairqueue import Displacement, FairQueue
+from ochreway_routing.work import Work
+
+Place = TypeVar("Place")
+
+FactsOf = Callable[[frozenset[HallId] | None], PlaceFacts]
+"""Return the facts of the groups within some halls, or of all."""
+
+
+class CallQueue:
+    """Order the waiting calls of a model, and decide who gets a place, waits or is refused.
+
+    Time and facts are given with each decision, which has no other input and no side effects
+    outside of the queue.
+    """
+
+    def __init__(
+        self,
+        spec: EngineSpec,
+        max_queued: int,
+        max_queued_resuming: int,
+        rng: random.Random,
+        tuning: QueueTuning,
+    ) -> None:
+        """Start empty.
+
+        Args:
+            spec: the engines of the service.
+            max_queued: number of requests that a group may get beyond its slots.
+            max_queued_resuming: the same for calls whose answer has begun.
+            rng: source of randomness that spreads return times.
+            tuning: bounds and time constants.
+        """
+        self._max_queued = max_queued
+        self._max_queued_resuming = max_queued_resuming
+        self._rng = rng
+        self._tuning = tuning
+        self._queue: FairQueue[Waiting] = FairQueue(
+            capacity=tuning.max_length, slots=spec.slots, displacement=Displacement.BY_CLASS
+        )
+        self._works: dict[Waiting, Work[Waiting]] = {}
+        self.forecast = Forecast(spec)
+        self.promises = Promises(tuning)
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def waiting(self) -> list[Waiting]:
+        """Return the calls that wait."""
+        return list(self._works)
+
+    def advance(self, facts: PlaceFacts, now_s: float) -> None:
+        """Update the measured rate of places; called before the queue changes."""
+        self.forecast.advance(facts, bool(self._works), now_s)
+
+    def offer(
+        self, waiting: Waiting, facts: PlaceFacts, longest_objective_s: float, now_s: float
+    ) -> Result[Waiting | None, Reason]:
+        """Queue a call; return the call that it displaced, or why it is refused."""
+        if waiting.first_try:
+            waiting.returned = self.promises.redeem(waiting.fingerprint, now_s)
+        work = waiting.work()
+        if waiting.first_try:
+            self.forecast.record_arrival(work.urgency, now_s)
+        self._queue.capacity = self._capacity(facts, longest_objective_s)
+        offered = self._queue.offer(work)
+        if isinstance(offered, Err):
+            return offered
+        self._works[waiting] = work
+        displaced = offered.unwrap()
+        if displaced is None:
+            return Ok(None)
+        del self._works[displaced.item]
+        return Ok(displaced.item)
+
+    def leave(self, waiting: Waiting) -> None:
+        """Remove a call that does not wait any more; one that is not queued is ignored."""
+        work = self._works.pop(waiting, None)
+        if work is not None:
+            self._queue.remove_by_identity({id(work)})
+
+    def release(self, organisation: str) -> None:
+        """Count a place of an organisation's call as given back."""
+        self._queue.release_slot(organisation)
+
+    def take(
+        self, pick: Callable[[Waiting, int], Place | None], facts_of: FactsOf, now_s: float
+    ) -> tuple[Waiting, Place] | None:
+        """Remove the next call that gets a place, and return it with its place.
+
+        Args:
+            pick: returns a place for a call, if a group with at most the given number of requests
+                beyond its slots has one.
+            facts_of: facts of the groups.
+            now_s: the time.
+        """
+        failed: set[Hashable] = set()
+        places: list[Place] = []
+
+        def fits(work: Work[Waiting]) -> bool:
+            waiting = work.item
+            max_queued = self._beyond_slots(work, facts_of(waiting.within), now_s)
+            key = (max_queued, waiting.within, waiting.tried)
+            if key in failed:
+                return False
+            place = pick(waiting, max_queued)
+            if place is None:
+                failed.add(key)
+                return False
+            places.append(place)
+            return True
+
+        work = self._queue.dequeue(fits)
+        if work is None:
+            return None
+        del self._works[work.item]
+        if now_s > work.item.entered_s:
+            self.forecast.record_place(work.item.forecast_s, now_s - work.item.entered_s)
+        return work.item, places[0]
+
+    def outlooks(self, facts_of: FactsOf, now_s: float) -> list[tuple[Waiting, Outlook]]:
+        """Return what is expected of each call, in the order in which they go.
+
+        Calls that are to be refused do not count as ahead of others.
+        """
+        all_groups = facts_of(None).groups
+        ahead: Counter[frozenset[HallId] | None] = Counter()
+        found = []
+        for work in self._queue.planned():
+            waiting = work.item
+            facts = facts_of(waiting.within)
+            rank = sum(ahead.values())
+            if waiting.within is not None:
+                part = facts.groups / all_groups if all_groups else 0.0
+                before = ahead[waiting.within] + part * ahead[None]
+            else:
+                before = float(rank)
+            wait_s = self._wait_s(work, before, facts, now_s)
+            outlook = Outlook(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
+            if outlook.spare_s >= 0.0:
+                ahead[waiting.within] += 1
+                if waiting.forecast_s is None:
+                    waiting.forecast_s = wait_s
+            found.append((waiting, outlook))
+        return found
+
+    def last_outlook(self, waiting: Waiting, facts: PlaceFacts, now_s: float) -> Outlook:
+        """Return what would be expected of a call behind all that wait."""
+        rank = len(self._queue)
+        wait_s = self._wait_s(waiting.work(), rank, facts, now_s)
+        return Outlook(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
+
+    def return_after_s(
+        self,
+        waiting: Waiting,
+        outlook: Outlook,
+        facts: PlaceFacts,
+        longest_s: float,
+        now_s: float,
+    ) -> float:
+        """Return after what time a refused caller is told to return, at most ``longest_s``.
+
+        A place that is expected by then is promised to it alone. Otherwise, no place is promised,
+        and the time is random, so that callers who are refused together do not return together.
+        """
+        rate_per_s = self.forecast.places_per_s(facts)
+        promising = not waiting.must_run and math.isfinite(outlook.wait_s)
+        if rate_per_s and promising:
+            at_s = self.promises.first_free_s(now_s + outlook.wait_s, 1.0 / rate_per_s)
+            promise = Promise(at_s, waiting.work().urgency)
+            if at_s - now_s <= longest_s and self.promises.add(waiting.fingerprint, promise, now_s):
+                return at_s - now_s
+        return longest_s * self._rng.uniform(self._tuning.min_returned_share, 1.0)
+
+    def _capacity(self, facts: PlaceFacts, longest_objective_s: float) -> int:
+        """Return how many calls may wait: as many as get a place within the longest objective.
+
+        While there is no group, it is the number that a first group takes at once.
+        """
+        rate_per_s = self.forecast.places_per_s(facts)
+        if not rate_per_s:
+            return min(self._tuning.max_length, facts.slots)
+        in_time = math.ceil(rate_per_s * longest_objective_s)
+        return min(self._tuning.max_length, max(1, in_time))
+
+    def _beyond_slots(self, work: Work[Waiting], facts: PlaceFacts, now_s: float) -> int:
+        """Return how many requests beyond its slots a group may have to get this call."""
+        if work.item.resuming:
+            return self._max_queued_resuming
+        if work.must_run:
+            return self._max_queued
+        if work.urgency != self._queue.most_urgent():
+            return 0
+        expected = self.forecast.more_urgent_expected(work.urgency, facts, now_s)
+        return 0 if expected else self._max_queued
+
+    def _wait_s(self, work: Work[Waiting], ahead: float, facts: PlaceFacts, now_s: float) -> float:
+        wait_s = self.forecast.wait_s(ahead, work.urgency, facts, now_s)
+        if work.returned or not len(self.promises) or not math.isfinite(wait_s):
+            return wait_s
+        promised = self.promises.count(work.urgency, now_s + wait_s, now_s)
+        return self.forecast.wait_s(ahead + promised, work.urgency, facts, now_s)
+
+    def _spare_s(self, waiting: Waiting, wait_s: float, now_s: float) -> float:
+        if waiting.must_run:
+            return waiting.latest_s - now_s
+        if not math.isfinite(wait_s):
+            return waiting.entered_s + waiting.patience_s - now_s
+        return waiting.latest_s - now_s - wait_s - self.forecast.first_part_s
+
+
+__all__ = ["CallQueue", "FactsOf"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/modelqueue.py
@@ -0,0 +1,25 @@
+# SPDX-License-Identifier: Apache-2.0
+"""The queue of one model, with the tasks that wait in it."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.queueing.callqueue import CallQueue
+from ochreway_direct.queueing.queuedcall import QueuedCall
+from ochreway_direct.queueing.waiting import Waiting
+
+
+@dataclass(slots=True, eq=False)
+class ModelQueue:
+    """Hold a model's queue, its waiting tasks and the timer that checks it next."""
+
+    service: ServiceName
+    model: ModelName
+    slots: int
+    queue: CallQueue
+    calls: dict[Waiting, QueuedCall] = field(default_factory=dict)
+    timer: asyncio.TimerHandle | None = None
+
+
+__all__ = ["ModelQueue"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -24,6 +24,8 @@
         on_trial: whether it is sent once to find out if such requests still end targets.
         target: the target it was last sent to.
         waited_s: time spent waiting for a target that can take it.
+        queue_rank: number of calls that were to go first as it was refused, if it was queued.
+        forecast_s: expected wait for a place as it was refused, if it was queued.
         first_part_s: when the answer began.
         last_forwarded_s: when a part of the answer was last forwarded to the caller.
     """
@@ -46,6 +48,8 @@
     on_trial: bool = False
     target: InstanceId | None = None
     waited_s: float = 0.0
+    queue_rank: int | None = None
+    forecast_s: float | None = None
     tried: set[InstanceId] = field(default_factory=set)
     resume_after: str | None = None
     answer: web.StreamResponse | None = None
--- a/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
@@ -69,6 +69,9 @@
             fields["places"] = len(
                 self._fleet.eligible_groups(call.service, call.terms.model, call.allowed_halls)
             )
+            if call.forecast_s is not None:
+                fields["rank"] = call.queue_rank
+                fields["forecast_s"] = round(call.forecast_s, DURATION_DIGITS)
         self._log.failure("refused", **fields)
 
     def broken(self, call: Call | None, request: str, broken: AnswerBroken) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -14,6 +14,7 @@
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.ports.dialect import CallerDialect, CallerTerms
+from ochreway_direct.queueing.callqueues import CallQueues
 from ochreway_direct.relay.admission import Admission
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
@@ -59,6 +60,9 @@
         self._budget = budget
         self._suspect = suspect
         self._crashes = crashes
+        self.queues = CallQueues(
+            *(serving, self._pick_candidate, self._queue_error, tuning, metrics)
+        )
         self.open_calls = 0
         self.accepted_calls = 0
 
@@ -166,6 +170,12 @@
         raise self._give_up(call, reason, self._tuning.retry_after_s)
 
     async def _choose_candidate(self, call: Call) -> Attempt:
+        """Choose where to send a call, waiting while no target can take it."""
+        if self.queues.applies_to(call):
+            return await self.queues.place(call)
+        return await self._poll_candidate(call)
+
+    async def _poll_candidate(self, call: Call) -> Attempt:
         """Choose where to send a call, waiting briefly while no target can take it."""
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
@@ -174,7 +184,7 @@
             # One time for the whole check: otherwise a target that becomes free during it would
             # be reported as full.
             now_s = loop.time()
-            chosen = self._pick_candidate(call, now_s)
+            chosen = self._pick_candidate(call, self._max_queued(call), now_s)
             if chosen is not None:
                 call.waited_s += now_s - begun_s
                 return chosen
@@ -198,6 +208,25 @@
         full = self._fleet.has_group(call.service, model, call.allowed_halls)
         return self._give_up(call, Reason.QUEUE_FULL if full else Reason.NO_GROUP, after_s)
 
+    def _queue_error(
+        self, call: Call, reason: Reason | None, after_s: float, now_s: float
+    ) -> Refused | AnswerBroken:
+        """Return the error for a call that its queue refuses; without a reason, as if it polled."""
+        requested_s = self._candidate_wait_s(call, now_s)
+        if reason is None and requested_s > after_s:
+            return refusal_of(call, self._wait_reason(call, now_s), requested_s)
+        return self._give_up(call, reason or self._full_reason(call, now_s), after_s)
+
+    def _full_reason(self, call: Call, now_s: float) -> Reason:
+        """Return why no target has a place for a call."""
+        model = call.terms.model
+        if self._candidate_wait_s(call, now_s) > 0.0:
+            return self._wait_reason(call, now_s)
+        if self._fleet.send_wait_s(call.service, model, call.allowed_halls, now_s) > 0.0:
+            return Reason.SEND_LIMIT
+        full = self._fleet.has_group(call.service, model, call.allowed_halls)
+        return Reason.QUEUE_FULL if full else Reason.NO_GROUP
+
     def _candidate_wait_s(self, call: Call, now_s: float) -> float:
         """Return how soon a target takes requests again; 0 if one does now, or there is none."""
         return self._fleet.requested_wait_s(
@@ -223,14 +252,14 @@
         answer_begun = call.answer is not None
         return tuning.max_queued_resuming if answer_begun else tuning.max_queued
 
-    def _pick_candidate(self, call: Call, now_s: float) -> Attempt | None:
+    def _pick_candidate(self, call: Call, max_queued: int, now_s: float) -> Attempt | None:
         if call.engine is not None:
             group = self._fleet.pick_group(
                 call.service,
                 call.terms.model,
                 call.tried,
                 call.engine,
-                self._max_queued(call),
+                max_queued,
                 call.terms.prompt_tokens,
                 call.allowed_halls,
                 now_s,
@@ -266,9 +295,11 @@
         return await self._serving.wait_for_trusted_keys() and self._serving.version == version
 
     async def _send(self, call: Call, attempt: Attempt) -> Ending:
-        if call.organisation is not None and not await self._key_still_valid():
-            raise self._give_up(call, Reason.STALE_VERSION, self._tuning.retry_after_regroup_s)
-        self._check_fatal(call)
+        try:
+            await self._check_may_send(call)
+        except BaseException:
+            self.queues.give_back(attempt)
+            raise
         call.sends += 1
         call.target = attempt.instance
         self._fleet.begin(attempt)
@@ -278,6 +309,13 @@
             return ending
         finally:
             self._fleet.end(attempt, ending.failed, asyncio.get_running_loop().time())
+            self.queues.on_ended(attempt, call, ending.outcome is Outcome.ANSWERED)
+
+    async def _check_may_send(self, call: Call) -> None:
+        """Raise unless the call's key is still trusted and it is not known to end its targets."""
+        if call.organisation is not None and not await self._key_still_valid():
+            raise self._give_up(call, Reason.STALE_VERSION, self._tuning.retry_after_regroup_s)
+        self._check_fatal(call)
 
 
 __all__ = ["Relay"]
--- a/packages/ochreway-direct/src/ochreway_direct/versions/routetable.py
+++ b/packages/ochreway-direct/src/ochreway_direct/versions/routetable.py
@@ -22,10 +22,34 @@
             for organisation in configuration.organisations
             for key in organisation.keys
         }
+        self.ordered_services = self._services_of_several_priorities()
         home_lists = [each.homes for each in configuration.routes]
         home_lists += [each.homes for each in configuration.organisations]
         self.homes: frozenset[RegionId] = frozenset().union(*home_lists)
 
+    def _services_of_several_priorities(self) -> frozenset[ServiceName]:
+        """Return the services with engines to which routes of different priority lead."""
+        priorities: defaultdict[ServiceName, set[int]] = defaultdict(set)
+        for route in self.configuration.routes:
+            for share in route.shares:
+                priorities[share.service].add(route.priority)
+        return frozenset(
+            service.name
+            for service in self.configuration.services
+            if service.engine is not None and len(priorities[service.name]) > 1
+        )
+
+    def longest_objective_s(self, name: ServiceName) -> float:
+        """Return the longest objective of the routes that lead to a service; 0 without any."""
+        return max(
+            (
+                route.objective_s
+                for route in self.configuration.routes
+                if any(share.service == name for share in route.shares)
+            ),
+            default=0.0,
+        )
+
     @property
     def version(self) -> Version:
         """Return the version of the indexed configuration."""
--- a/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
+++ b/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
@@ -95,7 +95,7 @@
             find = self._displace_by_class if by_class else self._displace_for
             displaced = find(work, share)
             if displaced is None:
-                return Err(Reason.QUEUE_FULL if self._has_one_organisation() else Reason.OVER_SHARE)
+                return Err(self._full_reason(work, share, by_class))
         if not share.queued and not share.running:
             share.served = max(share.served, self._virtual_time)
         share.add(work)
@@ -171,6 +171,43 @@
             for each in share.by_class.values():
                 yield from each
 
+    def planned(self) -> list[Work[T]]:
+        """Return all work in the order in which it goes if none is added.
+
+        Guaranteed shares are not taken into account.
+        """
+        served = {name: share.served for name, share in self._shares.items()}
+        weights = {name: share.weight for name, share in self._shares.items()}
+        waiting: dict[Urgency, dict[str, list[Work[T]]]] = {}
+        for name, share in self._shares.items():
+            for urgency, each in share.by_class.items():
+                waiting.setdefault(urgency, {})[name] = list(each)
+        order: list[Work[T]] = []
+        while waiting:
+            turn = (self._dispatched + len(order) + 1) % LOWER_CLASS_INTERVAL == 0
+            first = min(waiting)
+            if turn and first[0]:
+                urgency = max(waiting)
+                work = min(
+                    (each for queued in waiting[urgency].values() for each in queued),
+                    key=lambda each: each.queued_s,
+                )
+            else:
+                urgency = first
+                work = min(
+                    (queued[0] for queued in waiting[urgency].values()),
+                    key=lambda each: (not each.returned, served[each.organisation]),
+                )
+            queued = waiting[urgency][work.organisation]
+            del queued[next(n for n, each in enumerate(queued) if each is work)]
+            if not queued:
+                del waiting[urgency][work.organisation]
+            if not waiting[urgency]:
+                del waiting[urgency]
+            served[work.organisation] += work.cost_tokens / weights[work.organisation]
+            order.append(work)
+        return order
+
     def most_urgent(self) -> Urgency | None:
         """Return the most urgent class that waits, or None if nothing waits."""
         return min(self.classes(), default=None)
@@ -251,8 +288,14 @@
         self._drop(work, share)
         return work
 
-    def _has_one_organisation(self) -> bool:
-        return len(self._waiting_shares()) <= 1
+    def _full_reason(self, work: Work[T], share: _Share[T], by_class: bool) -> Reason:
+        """Return why work is refused: by its class, the queue is full for all organisations."""
+        rivals = self._waiting_shares()
+        if by_class:
+            rivals = [each for each in rivals if work.urgency in each.by_class]
+            if share not in rivals:
+                return Reason.QUEUE_FULL
+        return Reason.QUEUE_FULL if len(rivals) <= 1 else Reason.OVER_SHARE
 
 
 def _precedence(work: Work[T]) -> tuple[bool, float]:
