--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -59,6 +59,7 @@
             capacity=tuning.max_length, slots=spec.slots, displacement=Displacement.BY_CLASS
         )
         self._works: dict[Waiting, Work[Waiting]] = {}
+        self._in_time = 0
         self.forecast = Forecast(spec)
         self.promises = Promises(tuning)
 
@@ -77,10 +78,14 @@
         self, waiting: Waiting, facts: PlaceFacts, longest_objective_s: float, now_s: float
     ) -> Result[Waiting | None, Reason]:
         """Queue a call; return the call that it displaced, or why it is refused."""
-        if waiting.first_try:
-            waiting.returned = self.promises.redeem(waiting.fingerprint, now_s)
+        promise = self.promises.redeem(waiting.fingerprint, now_s) if waiting.first_try else None
+        if promise is not None:
+            # The objective of a caller counts from its first try.
+            waiting.objective_end_s = min(waiting.objective_end_s, promise.objective_end_s)
+            waiting.returned = promise.has_place
+            waiting.late = waiting.objective_end_s <= now_s and not waiting.returned
         work = waiting.work()
-        if waiting.first_try:
+        if waiting.first_try and promise is None:
             self.forecast.record_arrival(work.urgency, now_s)
         self._queue.capacity = self._capacity(facts, longest_objective_s)
         offered = self._queue.offer(work)
@@ -134,8 +139,7 @@
         if work is None:
             return None
         del self._works[work.item]
-        if now_s > work.item.entered_s:
-            self.forecast.record_place(work.item.forecast_s, now_s - work.item.entered_s)
+        self.forecast.record_place(work.item.forecast_s, now_s - work.item.entered_s)
         return work.item, places[0]
 
     def outlooks(self, facts_of: FactsOf, now_s: float) -> list[tuple[Waiting, Outlook]]:
@@ -146,6 +150,7 @@
         all_groups = facts_of(None).groups
         ahead: Counter[frozenset[HallId] | None] = Counter()
         found = []
+        older = self._older_of_lowest()
         for work in self._queue.planned():
             waiting = work.item
             facts = facts_of(waiting.within)
@@ -155,7 +160,9 @@
                 before = ahead[waiting.within] + part * ahead[None]
             else:
                 before = float(rank)
-            wait_s = self._wait_s(work, before, facts, now_s)
+            wait_s = self._wait_s(work, before, facts, now_s, older.get(waiting))
+            if self._becomes_late(waiting, wait_s, now_s):
+                self._set_late(work)
             outlook = Outlook(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
             if outlook.spare_s >= 0.0:
                 ahead[waiting.within] += 1
@@ -183,25 +190,29 @@
         A place that is expected by then is promised to it alone. Otherwise, no place is promised,
         and the time is random, so that callers who are refused together do not return together.
         """
-        rate_per_s = self.forecast.places_per_s(facts)
-        promising = not waiting.must_run and math.isfinite(outlook.wait_s)
-        if rate_per_s and promising:
-            at_s = self.promises.first_free_s(now_s + outlook.wait_s, 1.0 / rate_per_s)
-            promise = Promise(at_s, waiting.work().urgency)
+        urgency = waiting.work().urgency
+        spare_per_s = self.forecast.spare_places_per_s(urgency, facts, now_s)
+        if spare_per_s and not waiting.must_run and math.isfinite(outlook.wait_s):
+            at_s = self.promises.first_free_s(now_s + outlook.wait_s, 1.0 / spare_per_s)
+            promise = Promise(at_s, urgency, waiting.objective_end_s)
             if at_s - now_s <= longest_s and self.promises.add(waiting.fingerprint, promise, now_s):
                 return at_s - now_s
-        return longest_s * self._rng.uniform(self._tuning.min_returned_share, 1.0)
+        after_s = longest_s * self._rng.uniform(self._tuning.min_returned_share, 1.0)
+        if not waiting.must_run:
+            promise = Promise(now_s + after_s, urgency, waiting.objective_end_s, has_place=False)
+            self.promises.add(waiting.fingerprint, promise, now_s)
+        return after_s
 
     def _capacity(self, facts: PlaceFacts, longest_objective_s: float) -> int:
         """Return how many calls may wait: as many as get a place within the longest objective.
 
-        While there is no group, it is the number that a first group takes at once.
+        While there is no group, it stays as it was, or is what a first group takes at once.
         """
         rate_per_s = self.forecast.places_per_s(facts)
-        if not rate_per_s:
-            return min(self._tuning.max_length, facts.slots)
-        in_time = math.ceil(rate_per_s * longest_objective_s)
-        return min(self._tuning.max_length, max(1, in_time))
+        if rate_per_s:
+            self._in_time = max(1, math.ceil(rate_per_s * longest_objective_s))
+            return min(self._tuning.max_length, self._in_time)
+        return min(self._tuning.max_length, max(facts.slots, self._in_time))
 
     def _beyond_slots(self, work: Work[Waiting], facts: PlaceFacts, now_s: float) -> int:
         """Return how many requests beyond its slots a group may have to get this call."""
@@ -209,17 +220,54 @@
             return self._max_queued_resuming
         if work.must_run:
             return self._max_queued
+        if self._queue.has_turn(work):
+            # Groups that are kept full by a more urgent class have no free slot for another.
+            return self._max_queued
         if work.urgency != self._queue.most_urgent():
             return 0
-        expected = self.forecast.more_urgent_expected(work.urgency, facts, now_s)
-        return 0 if expected else self._max_queued
-
-    def _wait_s(self, work: Work[Waiting], ahead: float, facts: PlaceFacts, now_s: float) -> float:
-        wait_s = self.forecast.wait_s(ahead, work.urgency, facts, now_s)
+        lent = 0
+        while lent < self._max_queued and not self.forecast.more_urgent_expected(
+            work.urgency, lent + 1, facts, now_s
+        ):
+            lent += 1
+        return lent
+
+    def _becomes_late(self, waiting: Waiting, wait_s: float, now_s: float) -> bool:
+        """Return whether a call is now expected to miss its objective, and must not go first.
+
+        The earliest objective goes first, so under steady excess load it would be one that is
+        missed, and all answers would be late.
+        """
+        if waiting.late or waiting.must_run or waiting.returned or not math.isfinite(wait_s):
+            return False
+        return now_s + wait_s + self.forecast.first_part_s > waiting.objective_end_s
+
+    def _set_late(self, work: Work[Waiting]) -> None:
+        work.item.late = True
+        late = self._works[work.item] = work.item.work()
+        self._queue.replace(work, late)
+
+    def _older_of_lowest(self) -> dict[Waiting, int]:
+        """Return how many older calls of its class each call of the lowest class has."""
+        lowest = max(self._queue.classes(), default=None)
+        waiting = [each for each, work in self._works.items() if work.urgency == lowest]
+        waiting.sort(key=lambda each: each.entered_s)
+        return {each: number for number, each in enumerate(waiting)}
+
+    def _wait_s(
+        self,
+        work: Work[Waiting],
+        ahead: float,
+        facts: PlaceFacts,
+        now_s: float,
+        older: int | None = None,
+    ) -> float:
+        wait_s = self.forecast.wait_s(ahead, work.urgency, facts, now_s, older)
         if work.returned or not len(self.promises) or not math.isfinite(wait_s):
             return wait_s
         promised = self.promises.count(work.urgency, now_s + wait_s, now_s)
-        return self.forecast.wait_s(ahead + promised, work.urgency, facts, now_s)
+        ahead += promised
+        return self.forecast.wait_s(ahead, work.urgency, facts, now_s, older)
 
     def _spare_s(self, waiting: Waiting, wait_s: float, now_s: float) -> float:
         if waiting.must_run:
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/forecast.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/forecast.py
@@ -14,6 +14,11 @@
 """Weight of a new sample in the moving averages."""
 PRIOR_PLACES = 5.0
 """Number of places by which the expected rate is trusted before any were measured."""
+MAX_CORRECTION = 2.0
+"""Bound on the correction of the expected rate.
+
+A forecast that is too low has calls refused, and then fewer places are measured to correct it.
+"""
 LIKELY_ARRIVALS = 0.5
 """Expected number of arrivals from which one counts as expected."""
 
@@ -34,6 +39,7 @@
         self._places = 0.0
         self._expected_places = 0.0
         self._updated_s: float | None = None
+        self._waited_for = False
         self._arrivals: defaultdict[Urgency, RateMeter] = defaultdict(RateMeter)
 
     # Measurements
@@ -51,15 +57,22 @@
         self.first_part_s += LEARN_WEIGHT * (first_part_s - self.first_part_s)
 
     def record_place(self, forecast_s: float | None, waited_s: float) -> None:
-        """Record that a call got a place, and how long it was expected to wait for it."""
-        self._places += 1.0
+        """Record that a call got a place, and how long it was expected to wait for it.
+
+        Only places that calls waited for count, as time without waiting calls does not count.
+        """
+        if self._waited_for:
+            self._places += 1.0
         if forecast_s is not None and math.isfinite(forecast_s):
             self.error_s += LEARN_WEIGHT * (abs(forecast_s - waited_s) - self.error_s)
 
     def advance(self, facts: PlaceFacts, waiting: bool, now_s: float) -> None:
         """Count the places that were expected since the last update, if calls waited for them."""
-        elapsed_s = 0.0 if self._updated_s is None else max(0.0, now_s - self._updated_s)
+        elapsed_s = 0.0 if self._updated_s is None else now_s - self._updated_s
         self._updated_s = now_s
+        if elapsed_s <= 0.0:
+            return
+        self._waited_for = waiting
         decay = math.exp(-elapsed_s / DECAY_S)
         self._places *= decay
         self._expected_places *= decay
@@ -71,23 +84,56 @@
     def places_per_s(self, facts: PlaceFacts) -> float:
         """Return the rate at which waiting calls of this entry get places."""
         correction = (PRIOR_PLACES + self._places) / (PRIOR_PLACES + self._expected_places)
-        return self._full_rate_per_s(facts) * correction
-
-    def wait_s(self, ahead: float, urgency: Urgency, facts: PlaceFacts, now_s: float) -> float:
+        bounded = min(MAX_CORRECTION, max(1.0 / MAX_CORRECTION, correction))
+        return self._full_rate_per_s(facts) * bounded
+
+    def wait_s(
+        self,
+        ahead: float,
+        urgency: Urgency,
+        facts: PlaceFacts,
+        now_s: float,
+        older: int | None = None,
+    ) -> float:
         """Return how long a call waits for its place; infinite if no place is known to come.
 
-        More urgent calls that arrive meanwhile go first, except for the turns of the lowest class.
+        Args:
+            ahead: number of calls that go first if none is added.
+            urgency: class of the call; more urgent calls that arrive meanwhile go first.
+            facts: facts of the groups.
+            now_s: the time.
+            older: number of older calls of its class if that is the lowest one, which gets a place
+                every few dispatches whatever arrives.
         """
         rate_per_s = self.places_per_s(facts)
         if not rate_per_s:
             return math.inf
+        least_per_s = rate_per_s / LOWER_CLASS_INTERVAL
         left_per_s = rate_per_s - self._more_urgent_per_s(urgency, now_s)
-        return facts.blocked_s + (ahead + 1.0) / max(left_per_s, rate_per_s / LOWER_CLASS_INTERVAL)
+        wait_s = (ahead + 1.0) / max(left_per_s, least_per_s)
+        if older is not None:
+            wait_s = min(wait_s, (older + 1.0) / least_per_s)
+        return facts.blocked_s + wait_s
+
+    def spare_places_per_s(self, urgency: Urgency, facts: PlaceFacts, now_s: float) -> float:
+        """Return the rate of places that new calls of a class and more urgent ones leave.
 
-    def more_urgent_expected(self, urgency: Urgency, facts: PlaceFacts, now_s: float) -> bool:
-        """Return whether a more urgent call is expected before a slot becomes free."""
-        slot_s = self._run_s / max(1, facts.groups * facts.slots)
-        return self._more_urgent_per_s(urgency, now_s) * slot_s >= LIKELY_ARRIVALS
+        It is at least the part that the lowest class gets, so that some who return get a place.
+        """
+        rate_per_s = self.places_per_s(facts)
+        new_per_s = sum(each.per_s(now_s) for u, each in self._arrivals.items() if u <= urgency)
+        return max(rate_per_s - new_per_s, rate_per_s / LOWER_CLASS_INTERVAL)
+
+    def more_urgent_expected(
+        self, urgency: Urgency, slots: int, facts: PlaceFacts, now_s: float
+    ) -> bool:
+        """Return whether a more urgent call is expected before some slots become free.
+
+        Both are of all entries; the arrivals elsewhere are taken to be like those here.
+        """
+        frees_s = slots * self._run_s / max(1, facts.groups * facts.slots)
+        arrivals_per_s = self._more_urgent_per_s(urgency, now_s) / facts.share
+        return arrivals_per_s * frees_s >= LIKELY_ARRIVALS
 
     def _more_urgent_per_s(self, urgency: Urgency, now_s: float) -> float:
         return sum(meter.per_s(now_s) for u, meter in self._arrivals.items() if u < urgency)
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/promises.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/promises.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Places that refused callers were told to return for."""
+"""Return times of refused callers, and the places that are kept for them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ochreway_core.ids import Fingerprint
 from ochreway_direct.queueing.queuetuning import QueueTuning
@@ -10,14 +10,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Promise:
-    """Hold when a caller is expected back, and the class of its call."""
+    """Hold when a caller is expected back, the class of its call, and whether a place is kept.
+
+    ``objective_end_s`` is the end of the objective of the caller's first try.
+    """
 
     at_s: float
     urgency: Urgency
+    objective_end_s: float
+    has_place: bool = True
 
 
 class Promises:
-    """Keep the promised places, no two of them closer than the interval between places."""
+    """Keep return times; no two promised places are closer than the interval between places."""
 
     def __init__(self, tuning: QueueTuning) -> None:
         self._tuning = tuning
@@ -26,10 +31,15 @@
     def __len__(self) -> int:
         return len(self._promises)
 
+    def has_place(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a place is kept for a caller."""
+        promise = self._promises.get(fingerprint)
+        return promise is not None and promise.has_place
+
     def first_free_s(self, from_s: float, interval_s: float) -> float:
-        """Return the first time from ``from_s`` that is an interval away from every promise."""
+        """Return the first time from ``from_s`` an interval away from every promised place."""
         at_s = from_s
-        for taken_s in sorted(each.at_s for each in self._promises.values()):
+        for taken_s in sorted(each.at_s for each in self._promises.values() if each.has_place):
             if taken_s - at_s >= interval_s:
                 break
             at_s = max(at_s, taken_s + interval_s)
@@ -46,17 +56,23 @@
         self._promises[fingerprint] = promise
         return True
 
-    def redeem(self, fingerprint: Fingerprint, now_s: float) -> bool:
-        """End the promise to a caller who is back; return whether it came as told."""
+    def redeem(self, fingerprint: Fingerprint, now_s: float) -> Promise | None:
+        """End the promise to a caller who is back and return it, or None if there is none.
+
+        Who comes earlier than told, or without a promised place, has no place.
+        """
         self.expire(now_s)
         promise = self._promises.pop(fingerprint, None)
-        return promise is not None and now_s >= promise.at_s - self._tuning.returned_early_s
+        if promise is None or now_s >= promise.at_s - self._tuning.returned_early_s:
+            return promise
+        return replace(promise, has_place=False)
 
     def count(self, urgency: Urgency, until_s: float, now_s: float) -> int:
         """Return how many promised places of this class or more urgent ones come until a time."""
         self.expire(now_s)
         return sum(
-            each.urgency <= urgency and each.at_s <= until_s for each in self._promises.values()
+            each.has_place and each.urgency <= urgency and each.at_s <= until_s
+            for each in self._promises.values()
         )
 
     def expire(self, now_s: float) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/waiting.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/waiting.py
@@ -20,6 +20,7 @@
         resuming: whether its answer has begun.
         must_run: whether it may have run, so that it cannot be refused.
         returned: whether it was refused here, and is back as told.
+        late: whether it is expected to miss its objective.
         within: halls that it may be served in, or None for any.
         tried: targets that it is not sent to any more.
         forecast_s: how long it was expected to wait as it came.
@@ -38,6 +39,7 @@
     resuming: bool = False
     must_run: bool = False
     returned: bool = False
+    late: bool = False
     within: frozenset[HallId] | None = None
     tried: frozenset[InstanceId] = frozenset()
     forecast_s: float | None = None
@@ -56,6 +58,7 @@
             route_priority=self.route_priority,
             must_run=self.must_run,
             returned=self.returned,
+            late=self.late,
         )
 
 
--- a/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
+++ b/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
@@ -138,6 +138,13 @@
         share.running += 1
         return work
 
+    def replace(self, work: Work[T], by: Work[T]) -> None:
+        """Replace queued work by the same with another place in the order."""
+        self._drop(work, self._share(work.organisation))
+        self._share(by.organisation).add(by)
+        self._length += 1
+        self.tokens += by.cost_tokens
+
     def release_slot(self, organisation: str) -> None:
         """Count one running item of the organisation as ended."""
         share = self._share(organisation)
@@ -208,6 +215,10 @@
             order.append(work)
         return order
 
+    def has_turn(self, work: Work[T]) -> bool:
+        """Return whether work goes next because it is the oldest of the lowest class."""
+        return self._is_turn_of_lowest() and work is self._oldest_of_lowest_class()
+
     def most_urgent(self) -> Urgency | None:
         """Return the most urgent class that waits, or None if nothing waits."""
         return min(self.classes(), default=None)
@@ -228,7 +239,7 @@
         """Yield the work in the order in which it is next dequeued; some is yielded twice."""
         if not self._length:
             return
-        if (self._dispatched + 1) % LOWER_CLASS_INTERVAL == 0 and not self._must_run():
+        if self._is_turn_of_lowest():
             yield self._oldest_of_lowest_class()
         shares = self._waiting_shares()
         guaranteed = [each for each in shares if self._under_guarantee(each)]
@@ -241,9 +252,10 @@
                     for share in candidates:
                         yield from (w for w in share.by_class[urgency] if w.returned is returned)
 
-    def _must_run(self) -> bool:
+    def _is_turn_of_lowest(self) -> bool:
         urgency = self.most_urgent()
-        return urgency is not None and not urgency[0]
+        turn = (self._dispatched + 1) % LOWER_CLASS_INTERVAL == 0
+        return turn and urgency is not None and urgency[0]
 
     def _waiting_shares(self) -> list[_Share[T]]:
         return [share for share in self._shares.values() if share.queued]
@@ -298,8 +310,8 @@
         return Reason.QUEUE_FULL if len(rivals) <= 1 else Reason.OVER_SHARE
 
 
-def _precedence(work: Work[T]) -> tuple[bool, float]:
-    return (not work.returned, work.deadline_s)
+def _precedence(work: Work[T]) -> tuple[bool, bool, float]:
+    return (not work.returned, work.late, work.deadline_s)
 
 
 __all__ = ["LOWER_CLASS_INTERVAL", "Displacement", "FairQueue"]
--- a/packages/ochreway-routing/src/ochreway_routing/work.py
+++ b/packages/ochreway-routing/src/ochreway_routing/work.py
@@ -16,7 +16,8 @@
 
     ``expected_run_s`` is the minimum time that it is expected to run. Work that ``must_run`` cannot
     be refused, and goes before all other. Work that ``returned`` at the time that its caller was
-    told goes before other work of its class.
+    told goes before other work of its class. Work that is ``late`` goes after the other work of
+    its organisation and class, as it would make that late, too.
     """
 
     item: T
@@ -30,6 +31,7 @@
     route_priority: int = 0
     must_run: bool = False
     returned: bool = False
+    late: bool = False
 
     @property
     def urgency(self) -> Urgency:
--- a/tests/routing/test_fairqueue.py
+++ b/tests/routing/test_fairqueue.py
@@ -5,7 +5,7 @@
 
 from ochreway_core.priority import Priority
 from ochreway_core.reason import Reason
-from ochreway_routing.fairqueue import LOWER_CLASS_INTERVAL, FairQueue
+from ochreway_routing.fairqueue import LOWER_CLASS_INTERVAL, Displacement, FairQueue
 from ochreway_routing.work import Work
 
 
@@ -104,3 +104,120 @@
             taken.append(following.item)
         self.assertEqual(sorted(kept), sorted(taken))
         self.assertAlmostEqual(0.0, queue.tokens)
+
+
+def classed(name: str, organisation: str = "a", priority: int = 1, **more: object) -> Work[str]:
+    queued_s = more.pop("queued_s", 0.0)
+    return Work(name, organisation, priority, 1.0, 0.0, 9.0, 0.0, queued_s, **more)  # type: ignore[arg-type]
+
+
+class OrderTests(testtools.TestCase):
+    """The order that direct entries add to that of native ones."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.queue: FairQueue[str] = FairQueue(8, 4, Displacement.BY_CLASS)
+
+    def offer(self, *works: Work[str]) -> None:
+        for each in works:
+            self.assertTrue(self.queue.offer(each).is_ok())
+
+    def order(self) -> list[str]:
+        planned = [each.item for each in self.queue.planned()]
+        taken = []
+        while (following := self.queue.dequeue()) is not None:
+            taken.append(following.item)
+        self.assertEqual(planned, taken)
+        return taken
+
+    def test_the_priority_of_the_route_decides_within_an_effective_priority(self) -> None:
+        """Guards against an organisation's priority that levels its routes."""
+        self.offer(classed("late", route_priority=2), classed("soon", route_priority=0))
+        self.assertEqual(["soon", "late"], self.order())
+
+    def test_work_that_must_run_goes_first(self) -> None:
+        """Guards against new work before work that cannot be refused."""
+        self.offer(classed("new", priority=0), classed("resumed", priority=2, must_run=True))
+        self.assertEqual(["resumed", "new"], self.order())
+
+    def test_returned_work_goes_first_in_its_class_only(self) -> None:
+        self.offer(
+            classed("urgent", priority=0),
+            classed("other", "b"),
+            classed("returned", "a", returned=True),
+        )
+        self.assertEqual(["urgent", "returned", "other"], self.order())
+
+    def test_late_work_goes_after_the_rest_of_its_organisation(self) -> None:
+        """Guards against one late call that makes all calls behind it late."""
+        self.offer(classed("late", late=True), classed("in time"))
+        self.assertEqual(["in time", "late"], self.order())
+
+    def test_replaced_work_is_queued_once(self) -> None:
+        first, second = classed("first"), classed("second")
+        self.offer(first, second)
+        self.queue.replace(first, classed("first", late=True))
+        self.assertEqual(2, len(self.queue))
+        self.assertEqual(["second", "first"], self.order())
+
+    def test_work_that_does_not_fit_keeps_its_turn(self) -> None:
+        """Guards against a queue that waits for work whose only place is taken."""
+        self.offer(classed("a"), classed("b", "b"))
+        taken = self.queue.dequeue(lambda work: work.item == "b")
+        assert taken is not None
+        self.assertEqual("b", taken.item)
+        self.assertIsNone(self.queue.dequeue(lambda _: False))
+        self.assertEqual(["a"], self.order())
+
+    def test_more_urgent_work_displaces_the_least_urgent(self) -> None:
+        """Guards against a full queue of less urgent work that refuses urgent work."""
+        self.offer(*(classed(str(n), priority=1 + n % 2) for n in range(8)))
+        displaced = self.queue.offer(classed("urgent", priority=0)).unwrap()
+        assert displaced is not None
+        self.assertEqual(2, displaced.priority)
+
+    def test_less_urgent_work_displaces_nothing(self) -> None:
+        """Guards against an urgent call that gives way to an organisation with fewer calls."""
+        self.offer(*(classed(str(n), priority=1) for n in range(8)))
+        refused = self.queue.offer(classed("least", "b", priority=2))
+        self.assertEqual(Reason.QUEUE_FULL, refused.unwrap_err())
+
+    def test_an_organisation_over_its_share_gives_way_within_its_class(self) -> None:
+        """Guards against one organisation that fills the queue of a class."""
+        self.offer(*(classed(str(n)) for n in range(7)), classed("small", "b"))
+        displaced = self.queue.offer(classed("small2", "b")).unwrap()
+        assert displaced is not None
+        self.assertEqual("a", displaced.organisation)
+        self.assertEqual(Reason.OVER_SHARE, self.queue.offer(classed("more")).unwrap_err())
+
+    def test_work_that_must_run_is_not_displaced(self) -> None:
+        """Guards against a call that may have run and is refused."""
+        self.offer(*(classed(str(n), must_run=True) for n in range(8)))
+        self.assertTrue(self.queue.offer(classed("urgent", priority=0)).is_err())
+        self.assertTrue(self.queue.offer(classed("more", must_run=True)).is_err())
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abc"),
+                st.integers(0, 2),
+                st.booleans(),
+                st.booleans(),
+                st.floats(0, 9),
+            ),
+            max_size=30,
+        ),
+        st.integers(0, 10),
+    )
+    def test_the_plan_is_the_order(
+        self, offers: list[tuple[str, int, bool, bool, float]], before: int
+    ) -> None:
+        """Guards against forecasts by another order than that in which calls go."""
+        self.queue = FairQueue(100, 4, Displacement.BY_CLASS)
+        self.offer(*(classed(f"before{n}") for n in range(before)))
+        while self.queue.dequeue() is not None:
+            pass
+        for n, (organisation, priority, must_run, returned, queued_s) in enumerate(offers):
+            more = {"must_run": must_run, "returned": returned, "queued_s": queued_s}
+            self.offer(classed(str(n), organisation, priority, **more))
+        self.assertEqual(len(offers), len(self.order()))
