--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -19,7 +19,7 @@
 from ochreway_direct.queueing.queuetuning import QueueTuning
 from ochreway_direct.queueing.waiting import Waiting
 from ochreway_routing.fairqueue import Displacement, FairQueue
-from ochreway_routing.work import Work
+from ochreway_routing.work import Urgency, Work
 
 Place = TypeVar("Place")
 
@@ -66,10 +66,6 @@
     def __len__(self) -> int:
         return len(self._queue)
 
-    def waiting(self) -> list[Waiting]:
-        """Return the calls that wait."""
-        return list(self._works)
-
     def advance(self, facts: PlaceFacts, now_s: float) -> None:
         """Update the measured rate of places; called before the queue changes."""
         self.forecast.advance(facts, bool(self._works), now_s)
@@ -121,14 +117,18 @@
         """
         failed: set[Hashable] = set()
         places: list[Place] = []
+        most_urgent, turn = self._queue.most_urgent(), self._queue.turn()
 
         def fits(work: Work[Waiting]) -> bool:
             waiting = work.item
-            max_queued = self._beyond_slots(work, facts_of(waiting.within), now_s)
-            key = (max_queued, waiting.within, waiting.tried)
-            if key in failed:
+            first = work is turn or work.urgency == most_urgent
+            key = (first, work.urgency, waiting.resuming, waiting.within, waiting.tried)
+            if key in failed and work is not turn:
                 return False
-            place = pick(waiting, max_queued)
+            facts = facts_of(waiting.within)
+            # Groups that are kept full by a more urgent class have no free slot for another.
+            lent = self._max_queued if work is turn else self._lent(work.urgency, facts, now_s)
+            place = pick(waiting, self._beyond_slots(work, lent if first else 0))
             if place is None:
                 failed.add(key)
                 return False
@@ -214,20 +214,17 @@
             return min(self._tuning.max_length, self._in_time)
         return min(self._tuning.max_length, max(facts.slots, self._in_time))
 
-    def _beyond_slots(self, work: Work[Waiting], facts: PlaceFacts, now_s: float) -> int:
+    def _beyond_slots(self, work: Work[Waiting], lent: int) -> int:
         """Return how many requests beyond its slots a group may have to get this call."""
         if work.item.resuming:
             return self._max_queued_resuming
-        if work.must_run:
-            return self._max_queued
-        if self._queue.has_turn(work):
-            # Groups that are kept full by a more urgent class have no free slot for another.
-            return self._max_queued
-        if work.urgency != self._queue.most_urgent():
-            return 0
+        return self._max_queued if work.must_run else lent
+
+    def _lent(self, urgency: Urgency, facts: PlaceFacts, now_s: float) -> int:
+        """Return how many requests beyond its slots a group may have to get the first class."""
         lent = 0
         while lent < self._max_queued and not self.forecast.more_urgent_expected(
-            work.urgency, lent + 1, facts, now_s
+            urgency, lent + 1, facts, now_s
         ):
             lent += 1
         return lent
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
@@ -34,6 +34,10 @@
 """Minimum time to the next check of a queue, so that rounding does not make it spin."""
 
 
+CHECK_INTERVAL_S = 0.02
+"""Minimum time between two checks of all forecasts of a queue, which bounds their cost."""
+
+
 class CallQueues:
     """Give places to calls in the order of their queue, when an event may have freed one.
 
@@ -290,6 +294,9 @@
         """
         if not queue.calls:
             return None
+        if now_s < queue.checked_s + CHECK_INTERVAL_S:
+            return queue.checked_s + CHECK_INTERVAL_S - now_s
+        queue.checked_s = now_s
         lenient_s = self._lenient_s(now_s)
         blocked_s = facts_of(None).blocked_s
         waits_s = [blocked_s] if 0.0 < blocked_s < math.inf else []
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/modelqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/modelqueue.py
@@ -2,6 +2,7 @@
 """The queue of one model, with the tasks that wait in it."""
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 
 from ochreway_direct.ids import ModelName, ServiceName
@@ -12,13 +13,14 @@
 
 @dataclass(slots=True, eq=False)
 class ModelQueue:
-    """Hold a model's queue, its waiting tasks and the timer that checks it next."""
+    """Hold a model's queue, its waiting tasks, its timer, and when forecasts were last checked."""
 
     service: ServiceName
     model: ModelName
     slots: int
     queue: CallQueue
     calls: dict[Waiting, QueuedCall] = field(default_factory=dict)
+    checked_s: float = -math.inf
     timer: asyncio.TimerHandle | None = None
 
 
--- a/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
+++ b/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
@@ -215,9 +215,9 @@
             order.append(work)
         return order
 
-    def has_turn(self, work: Work[T]) -> bool:
-        """Return whether work goes next because it is the oldest of the lowest class."""
-        return self._is_turn_of_lowest() and work is self._oldest_of_lowest_class()
+    def turn(self) -> Work[T] | None:
+        """Return the oldest work of the lowest class if it is to go next, else None."""
+        return self._oldest_of_lowest_class() if self._is_turn_of_lowest() else None
 
     def most_urgent(self) -> Urgency | None:
         """Return the most urgent class that waits, or None if nothing waits."""
