--- a/tests/direct/test_callqueues.py
+++ b/tests/direct/test_callqueues.py
@@ -242,7 +242,7 @@
             bench.fleet.drop_remote_work("e")
             bench.end(await waiting)
 
-        self.run_bench(work, objective_s=1.5)
+        self.run_bench(work, objective_s=0.6)
 
     def test_a_call_whose_time_is_over_after_a_stall_is_not_sent(self) -> None:
         """Guards against requests that are sent after the caller has given up."""
