--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import aiohttp
 import testtools
@@ -134,6 +134,8 @@
     tuning = RelayTuning()
     budget: tuple[float, float] = (0.15, 30.0)
     key_trust = KeyTrust.WHILE_PROVED
+    queued = False
+    """Whether a second route has another priority, so that calls of engines are queued."""
 
     def configuration(self) -> Configuration:
         shares = (Share(SERVICE if self.kind is RouteKind.STREAM else PLAIN_SERVICE, 1),)
@@ -141,9 +143,12 @@
             *("r", "care.example", "/a/", self.kind, self.resumable, False, self.attempts),
             *(4.0, 0.4, 0.2, 1, shares),
         )
+        routes = (route,)
+        if self.queued:
+            routes += (replace(route, name="urgent", prefix="/urgent/", priority=0),)
         organisation = Organisation(OrganisationId("ann"), ("secret",))
         services = (Service(SERVICE, 100, SPEC), Service(PLAIN_SERVICE, 100))
-        return Configuration(Version(1), (route,), services, (organisation,), self.limits)
+        return Configuration(Version(1), routes, services, (organisation,), self.limits)
 
     def run_with_relay(
         self,
