--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -297,6 +297,8 @@
         self.timer.ticks.subscribe(SuspensionDetector(self.log, self.metrics).tick)
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
+        # Shares of limits change with heartbeats.
+        self.timer.every(timing.heartbeat_s, lambda _: self.serving.fleet.announce_change())
         self.timer.every(timing.heartbeat_s, self._dependencies.check)
         self.timer.every(timing.heartbeat_s, self._home_check.check)
         self.timer.every(timing.heartbeat_s, lambda _: self._update_retry_budget())
--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Choose a group or target for each request, by the load that all entries put on it."""
 
+import math
 import random
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping
@@ -140,6 +141,10 @@
         self._remote_unread.drop_report(source)
         self.changes.on_next(None)
 
+    def announce_change(self) -> None:
+        """Have waiting calls checked, as limits may have changed."""
+        self.changes.on_next(None)
+
     # Queries and choices.
 
     def group(self, group: GroupId) -> GroupView | None:
@@ -220,14 +225,23 @@
         now_s: float,
     ) -> PlaceFacts:
         """Return the facts by which the queue of a model decides."""
-        groups = [each.group for each in self.eligible_groups(service, model, within)]
+        eligible = self.eligible_groups(service, model, within)
+        groups = [each.group for each in eligible]
+        waits_s = [
+            max(
+                self._limit.wait_s(service, each.leader, now_s),
+                self._requested_wait_s(each.leader, each.born_ms, now_s),
+            )
+            for each in eligible
+        ]
         return PlaceFacts(
             groups=len(groups),
             slots=slots,
             load=sum(self.load(each) for each in groups),
             own=sum(len(self._under_way.get(each, ())) for each in groups),
             sources=self._remote_load.source_count(),
-            blocked_s=self.send_wait_s(service, model, within, now_s) if groups else 0.0,
+            blocked_s=min(waits_s, default=0.0),
+            next_window_s=min((each for each in waits_s if each > 0.0), default=math.inf),
         )
 
     def has_serving_group(self, service: ServiceName) -> bool:
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
@@ -298,8 +298,8 @@
             return queue.checked_s + CHECK_INTERVAL_S - now_s
         queue.checked_s = now_s
         lenient_s = self._lenient_s(now_s)
-        blocked_s = facts_of(None).blocked_s
-        waits_s = [blocked_s] if 0.0 < blocked_s < math.inf else []
+        windows_s = {facts_of(each.within).next_window_s for each in queue.calls}
+        waits_s = [each for each in windows_s if each < math.inf]
         for waiting, outlook in queue.queue.outlooks(facts_of, now_s):
             if outlook.spare_s >= 0.0:
                 waits_s.append(outlook.spare_s)
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/placefacts.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/placefacts.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an entry knows of the places of a model."""
 
+import math
 from dataclasses import dataclass
 
 
@@ -15,6 +16,7 @@
         own: number of this entry's attempts among them.
         sources: number of other sources that report attempts.
         blocked_s: time until a group may be sent a request, by limits and backoffs.
+        next_window_s: time until the next group may be sent a request that may not now.
     """
 
     groups: int
@@ -23,6 +25,7 @@
     own: int = 0
     sources: int = 0
     blocked_s: float = 0.0
+    next_window_s: float = math.inf
 
     @property
     def share(self) -> float:
--- a/tests/direct/test_callqueues.py
+++ b/tests/direct/test_callqueues.py
@@ -155,6 +155,31 @@
 
         self.run_bench(work)
 
+    def test_a_window_that_ends_beside_a_full_group_wakes_a_call(self) -> None:
+        """Guards against calls that wait for a full group while another may be sent to."""
+
+        async def work(bench: Bench) -> None:
+            loop = asyncio.get_running_loop()
+            until_s = loop.time() + 0.1
+            other = replace(GROUP, group=GroupId("g2"), leader=InstanceId("t1"))
+
+            class Window(ScriptedLimit):
+                def allows(self, _: object, instance: str, now_s: float) -> bool:
+                    return self.wait_s(_, instance, now_s) <= 0.0
+
+                def wait_s(self, _: object, instance: str, now_s: float) -> float:
+                    return max(0.0, until_s - loop.time()) if instance == "t1" else 0.0
+
+            bench.fleet._limit = Window()
+            bench.fleet.set_groups([GROUP, other])
+            bench.fleet.set_remote_work("e", FULL)
+            attempt = await bench.queues.place(bench.call())
+            self.assertEqual("g2", attempt.candidate)
+            self.assertLess(loop.time() - until_s, 0.05)
+            bench.end(attempt)
+
+        self.run_bench(work)
+
     def test_no_wake_up_is_lost_in_any_order_of_events(self) -> None:
         """Guards against lost wake-ups, lost places, and two calls on one place."""
 
