--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
@@ -97,6 +97,24 @@
             Refused: if the call is refused; it is not sent any more.
             AnswerBroken: the same for a call whose answer has begun.
         """
+        loop = asyncio.get_running_loop()
+        while True:
+            attempt = await self._wait(call)
+            if call.left_s(loop.time()) <= 0.0:
+                # The process was suspended after the place was given.
+                self.give_back(attempt)
+                raise self._refuse(call, Reason.DEADLINE_PASSED, 0.0, loop.time())
+            if not self.is_withdrawn(attempt):
+                return attempt
+            self.give_back(attempt)
+
+    def is_withdrawn(self, attempt: Attempt) -> bool:
+        """Return whether the group of a place was lost before the call was sent."""
+        if attempt not in self._given or attempt.group is None:
+            return False
+        return attempt.lost or self._fleet.group(attempt.group) is None
+
+    async def _wait(self, call: Call) -> Attempt:
         loop = asyncio.get_running_loop()
         now_s = loop.time()
         queue = self._queue_of(call)
@@ -107,17 +125,12 @@
         if not queued.future.done():
             self._metrics.count("queue.waited")
         try:
-            attempt = await queued.future
+            return await queued.future
         except asyncio.CancelledError:
             self._on_cancelled(queue, queued)
             raise
         finally:
             call.waited_s += loop.time() - now_s
-        if call.left_s(loop.time()) <= 0.0:
-            # The process was suspended after the place was given.
-            self.give_back(attempt)
-            raise self._refuse(call, Reason.DEADLINE_PASSED, 0.0, loop.time())
-        return attempt
 
     def give_back(self, attempt: Attempt) -> None:
         """Give back a place whose call is not sent."""
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -300,6 +300,9 @@
         except BaseException:
             self.queues.give_back(attempt)
             raise
+        if self.queues.is_withdrawn(attempt):
+            self.queues.give_back(attempt)
+            return Ending(Outcome.NOT_RUN, Reason.GROUP_INCOMPLETE, failed=False)
         call.sends += 1
         call.target = attempt.instance
         self._fleet.begin(attempt)
--- a/tests/direct/test_callqueues.py
+++ b/tests/direct/test_callqueues.py
@@ -253,6 +253,39 @@
 
         self.run_bench(work)
 
+    def test_a_place_at_a_group_that_is_lost_before_the_call_is_sent_is_given_back(self) -> None:
+        """Guards against calls that count as run although nothing was sent."""
+
+        async def work(bench: Bench) -> None:
+            other = replace(GROUP, group=GroupId("g2"), leader=InstanceId("t1"))
+            bench.fleet.set_remote_work("e", FULL)
+            waiting = bench.wait(bench.call())
+            await settle()
+            bench.fleet.drop_remote_work("e")
+            bench.queues._update_all()
+            self.assertEqual(1, bench.fleet.under_way()["g"])
+            bench.fleet.set_groups([other])
+            bench.fleet.abandon(GROUP.group)
+            attempt = await waiting
+            self.assertEqual("g2", attempt.candidate)
+            bench.end(attempt)
+
+        self.run_bench(work)
+
+    def test_calls_that_only_closed_halls_could_take_are_refused(self) -> None:
+        """Guards against callers who wait for a hall that is drained."""
+
+        async def work(bench: Bench) -> None:
+            bench.fleet.set_remote_work("e", FULL)
+            waiting = bench.wait(bench.call())
+            await settle()
+            bench.fleet.set_closed_halls(frozenset({HALL}))
+            refused = (await asyncio.gather(waiting, return_exceptions=True))[0]
+            assert isinstance(refused, Refused)
+            self.assertIs(Reason.HALL_DRAINED, refused.reason)
+
+        self.run_bench(work)
+
     def test_a_stall_does_not_refuse_calls_that_can_be_served_at_once(self) -> None:
         """Guards against refusals after a stall, before freed places were noticed."""
 
--- a/tests/direct/test_queuerelay.py
+++ b/tests/direct/test_queuerelay.py
@@ -111,6 +111,24 @@
 
         self.run_with_relay(work, answer)
 
+    def test_a_group_that_is_lost_before_a_call_is_sent_has_not_run_it(self) -> None:
+        """Guards against an answer that says that a request may have run when it was not sent."""
+
+        async def work(running: RunningRelay) -> None:
+            check = running.relay._check_may_send
+
+            async def slow(call: Call) -> None:
+                await check(call)
+                running.fleet.set_groups([])
+
+            running.relay._check_may_send = slow  # type: ignore[method-assign]
+            reply = await running.send_request(URGENT)
+            self.assertEqual((503, b"no_group\n"), (reply.status, reply.body))
+            self.assertEqual([], running.targets[0].seen)
+            self.assertEqual({}, running.fleet.under_way())
+
+        self.run_with_relay(work, answer)
+
     def test_a_refusal_is_logged_with_rank_and_forecast(self) -> None:
         async def work(running: RunningRelay) -> None:
             lines: list[dict[str, object]] = []
