--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
@@ -1,10 +1,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """Choose a group or target for each request, by the load that all entries put on it."""
 
+import math
 import random
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping
 
+from reactivex.subject import Subject
+
 from ochreway_core.ids import GroupId, HallId, InstanceId
 from ochreway_direct.configuration import EngineSpec
 from ochreway_direct.fleets.groupview import GroupView
@@ -12,6 +15,7 @@
 from ochreway_direct.fleets.targethealth import TargetHealth
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.lists.listedtarget import ListedTarget
+from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.sendlimits.sendlimit import SendLimit, Unlimited
 from ochreway_direct.targetlimits.limitgate import LimitGate
@@ -90,6 +94,8 @@
         self._remote_load = RemoteCounts()
         self._remote_unread = RemoteCounts()
         self._health: dict[InstanceId, TargetHealth] = defaultdict(TargetHealth)
+        self.changes: Subject[None] = Subject()
+        """Emits when a place may have become free."""
 
     # Updates of the view.
 
@@ -100,6 +106,7 @@
         self._by_service = defaultdict(list)
         for group in self._groups.values():
             self._by_service[group.service].append(group)
+        self.changes.on_next(None)
 
     def abandon(self, group: GroupId) -> None:
         """Abandon the attempts at a group that has lost a member."""
@@ -113,10 +120,12 @@
     def set_leaving(self, leaving: Iterable[InstanceId]) -> None:
         """Replace the engines that are leaving; their groups get no new requests."""
         self._leaving = frozenset(leaving)
+        self.changes.on_next(None)
 
     def set_closed_halls(self, halls: frozenset[HallId]) -> None:
         """Replace the halls that get no new requests."""
         self._closed_halls = halls
+        self.changes.on_next(None)
 
     def set_remote_work(
         self, source: str, counts: Mapping[str, int], unread: Mapping[str, int] | None = None
@@ -124,11 +133,17 @@
         """Replace a source's counts of attempts and unread prompt tokens at each target."""
         self._remote_load.set_report(source, counts)
         self._remote_unread.set_report(source, unread or {})
+        self.changes.on_next(None)
 
     def drop_remote_work(self, source: str) -> None:
         """Drop the counts of a source."""
         self._remote_load.drop_report(source)
         self._remote_unread.drop_report(source)
+        self.changes.on_next(None)
+
+    def announce_change(self) -> None:
+        """Have waiting calls checked, as limits may have changed."""
+        self.changes.on_next(None)
 
     # Queries and choices.
 
@@ -201,6 +216,34 @@
                 silent.append(group)
         return silent
 
+    def place_facts(
+        self,
+        service: ServiceName,
+        model: ModelName,
+        slots: int,
+        within: frozenset[HallId] | None,
+        now_s: float,
+    ) -> PlaceFacts:
+        """Return the facts by which the queue of a model decides."""
+        eligible = self.eligible_groups(service, model, within)
+        groups = [each.group for each in eligible]
+        waits_s = [
+            max(
+                self._limit.wait_s(service, each.leader, now_s),
+                self._requested_wait_s(each.leader, each.born_ms, now_s),
+            )
+            for each in eligible
+        ]
+        return PlaceFacts(
+            groups=len(groups),
+            slots=slots,
+            load=sum(self.load(each) for each in groups),
+            own=sum(len(self._under_way.get(each, ())) for each in groups),
+            sources=self._remote_load.source_count(),
+            blocked_s=min(waits_s, default=0.0),
+            next_window_s=min((each for each in waits_s if each > 0.0), default=math.inf),
+        )
+
     def has_serving_group(self, service: ServiceName) -> bool:
         """Return whether any group of a service is known to serve."""
         return bool(self._by_service.get(service))
@@ -391,7 +434,9 @@
     # Attempts under way.
 
     def begin(self, attempt: Attempt) -> None:
-        """Count an attempt at its target, as it is sent."""
+        """Count an attempt at its target, as it is sent or gets a place; once if it does both."""
+        if attempt in self._under_way.get(attempt.candidate, ()):
+            return
         self._limit.record_sent(attempt)
         if self._gate is not None:
             self._gate.record_sent(attempt)
@@ -422,6 +467,7 @@
         if not running:
             del self._under_way[attempt.candidate]
         self._health[attempt.instance].record_attempt(failed)
+        self.changes.on_next(None)
 
 
 def halls_of(group: GroupView) -> frozenset[HallId]:
