--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/tuning.py
@@ -19,9 +19,8 @@
         list_whole_at_most_s: the time after which they begin in any case.
         probes_per_s: the maximum rate of probes over all engines; each takes about 0.3 ms of
             processor time.
-        probe_heard_s: the probe interval of members whose group answers entries. The loss of a
-            member shows there as silence, on which all members are probed at once; these probes
-            only decide whether one has become slow.
+        probe_heard_s: the probe interval of members whose group answers entries, where silence is
+            noticed at once.
         probe_free_s: the probe interval of free engines, whose changes the list shows.
         probe_drained_s: the probe interval of engines in drained halls, which get no orders.
         order_retry_s: the delay after which an order is repeated.
@@ -54,7 +53,7 @@
     list_whole_s: float = 1.0
     list_whole_at_most_s: float = 4.0
     probes_per_s: float = 800.0
-    probe_heard_s: float = 3.0
+    probe_heard_s: float = 1.0
     probe_changing_s: float = 0.1
     probe_serving_s: float = 0.5
     probe_free_s: float = 2.0
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -85,13 +85,8 @@
 """
 SUSPECT_SILENCE_S = 0.3
 """How long all answers of a group have to stall before its members are probed at once."""
-SILENCE_CHECK_S = 0.05
-"""How often silent groups are looked for.
-
-Members of groups that answer are probed rarely, so that the loss of one shows by silence first.
-"""
 SUSPECT_INTERVAL_S = 0.15
-"""Minimum time between suspicions of one group."""
+"""How often silent groups are looked for, and the minimum time between suspicions of one group."""
 
 
 class DirectEntry:
@@ -312,7 +307,7 @@
         self.timer.every(timing.heartbeat_s, self._crash_spread.announce_again)
         self.timer.every(CHECK_INTERVAL_S, self.resources.check)
         if self.settings.has(Mechanism.SILENCE_SUSPECTED):
-            self.timer.every(SILENCE_CHECK_S, self._suspect_silent_groups)
+            self.timer.every(SUSPECT_INTERVAL_S, self._suspect_silent_groups)
         self.timer.every(timing.fleet_update_s, lambda _: self._sharing.publish())
         self.timer.every(COUNTERS_LOG_INTERVAL_S, lambda _: self._log_counters())
         self.spawn(self.timer.run())
