--- a/packages/ochreway-core/src/ochreway_core/reason.py
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -43,6 +43,7 @@
     KEY_TAKEN = "key_taken"
     KEY_ANSWERED = "key_answered"
     KEY_HOMES_UNREACHABLE = "key_homes_unreachable"
+    MEMORY_FULL = "memory_full"
     CONNECTIONS_FULL = "connections_full"
     STOPPING = "stopping"
     CALLER_GONE = "caller_gone"
--- a/packages/ochreway-direct/src/ochreway_direct/bounds/resourcebounds.py
+++ b/packages/ochreway-direct/src/ochreway_direct/bounds/resourcebounds.py
@@ -13,6 +13,8 @@
 """Share of sockets for idle connections to targets, beside the busy ones and the links."""
 MIN_CONNECTIONS = 16
 """Lower limit of each bound, so that an entry with few descriptors still serves some callers."""
+HELD_SHARE = 0.25
+"""Share of the memory for bodies, and for answers that callers have not read yet."""
 BYTES_PER_MBPS = 125_000.0
 BYTES_PER_MB = 1e6
 
@@ -24,6 +26,7 @@
     callers: int | None = None
     idle: int | None = None
     memory_bytes: float | None = None
+    held_bytes: int | None = None
     link_bytes_per_s: float | None = None
 
 
@@ -38,6 +41,7 @@
         callers=callers,
         idle=idle,
         memory_bytes=settings.memory_mb * BYTES_PER_MB or None,
+        held_bytes=int(HELD_SHARE * settings.memory_mb * BYTES_PER_MB) or None,
         link_bytes_per_s=settings.link_mbps * BYTES_PER_MBPS or None,
     )
 
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
@@ -0,0 +1,165 @@
+# SPDX-License-Identifier: Apache-2.0
+"""What an entry holds for callers: bodies, and answers read ahead of them."""
+
+import asyncio
+
+from ochreway_core.ids import OrganisationId
+from ochreway_direct.buffering.callerreader import CallerReader
+from ochreway_direct.buffering.endcause import EndCause
+from ochreway_direct.buffering.heldbytes import HeldBytes, StalledSince, never_stalled
+from ochreway_direct.buffering.heldlimits import HeldLimits
+from ochreway_direct.buffering.holding import Holding
+from ochreway_direct.buffering.unread import Unread
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+
+CHECK_INTERVAL_S = 0.1
+"""How often it is checked which callers have stopped reading."""
+HAND_OVER_S = 1.0
+"""How long a whole answer may take from its hand-over until it is written."""
+SHARE_DIGITS = 3
+AGE_DIGITS = 3
+
+
+class Buffers:
+    """Keep the sum of what is held under its limit, and end callers that do not read."""
+
+    def __init__(
+        self,
+        limits: HeldLimits,
+        log: EventLog,
+        metrics: Metrics,
+        stalled_since: StalledSince = never_stalled,
+    ) -> None:
+        self.limits = limits
+        self._held = HeldBytes(limits, stalled_since)
+        self._log = log
+        self._metrics = metrics
+        self._readers: dict[asyncio.Transport, CallerReader] = {}
+
+    @property
+    def unread_bytes(self) -> int:
+        """Return the number of bytes of answers that callers have not read yet."""
+        self._refresh(_now_s())
+        return self._held.unread_bytes
+
+    def request_holding(self) -> Holding:
+        """Return an empty holding for the body of a request."""
+        return Holding(self._held, self._admit)
+
+    def answer_holding(self) -> Holding:
+        """Return an empty holding for an answer of which nothing was written yet."""
+        return Holding(self._held, self._make_room)
+
+    def reader(
+        self, transport: asyncio.Transport, organisation: OrganisationId | None, request: str
+    ) -> CallerReader:
+        """Return the reader for the next answer on a caller's connection.
+
+        The connection's buffer then takes up to the limit for an answer before writes wait.
+        """
+        reader = self._readers.get(transport)
+        if reader is None:
+            reader = CallerReader(transport, Unread(organisation, request))
+        reader.unread.organisation, reader.unread.request = organisation, request
+        high_bytes = self.limits.answer_bytes
+        transport.set_write_buffer_limits(high=high_bytes, low=high_bytes)
+        return reader
+
+    def is_full(self, reader: CallerReader, more_bytes: int) -> bool:
+        """Return whether an answer would be ahead of its caller by its limit with more bytes."""
+        pending_bytes = reader.transport.get_write_buffer_size()
+        return pending_bytes + more_bytes > self.limits.answer_bytes
+
+    def wrote(self, reader: CallerReader, size_bytes: int, now_s: float) -> None:
+        """Record that bytes were written to a caller's connection."""
+        pending_bytes = reader.pending_bytes()
+        if not pending_bytes and not reader.unread.held_bytes:
+            return
+        self._update(reader, size_bytes, pending_bytes, now_s)
+        if self._held.excess_bytes():
+            self._refresh(now_s)
+            self._end_excess(now_s)
+
+    def hand_over(self, reader: CallerReader, size_bytes: int, now_s: float) -> None:
+        """Record a whole answer that is written next; its write does not wait for the caller."""
+        before_bytes = reader.pending_bytes()
+        high_bytes = max(self.limits.answer_bytes, before_bytes + 2 * size_bytes)
+        reader.transport.set_write_buffer_limits(high=high_bytes)
+        reader.keep_until_s = now_s + HAND_OVER_S
+        self._update(reader, size_bytes, before_bytes + size_bytes, now_s)
+
+    def check(self, now_s: float) -> None:
+        """End the callers that have stopped reading."""
+        self._refresh(now_s)
+        readers = [each.unread for each in self._readers.values()]
+        self._end(self._held.stopped(readers, now_s), EndCause.STOPPED, now_s)
+        self._end_excess(now_s)
+
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges for the metrics page."""
+        total_bytes = self._held.total_bytes
+        return {
+            "held_bytes": float(total_bytes),
+            "held_bytes_share": round(total_bytes / self.limits.total_bytes, SHARE_DIGITS),
+        }
+
+    def _admit(self, more_bytes: int) -> bool:
+        return self._held.admits(more_bytes) and self._make_room(more_bytes)
+
+    def _make_room(self, more_bytes: int) -> bool:
+        """Return whether more bytes of a body fit, once slow readers were ended for them."""
+        if not self._held.excess_bytes(more_bytes):
+            return True
+        now_s = _now_s()
+        self._refresh(now_s)
+        readers = [each.unread for each in self._readers.values()]
+        chosen = self._held.to_end_for(more_bytes, readers, now_s)
+        if chosen is None:
+            return False
+        self._end(chosen, EndCause.MEMORY, now_s)
+        return True
+
+    def _end_excess(self, now_s: float) -> None:
+        readers = [each.unread for each in self._readers.values()]
+        self._end(self._held.to_end(readers, now_s), EndCause.MEMORY, now_s)
+
+    def _refresh(self, now_s: float) -> None:
+        for reader in list(self._readers.values()):
+            self._update(reader, 0, reader.pending_bytes(), now_s)
+
+    def _update(
+        self, reader: CallerReader, added_bytes: int, held_bytes: int, now_s: float
+    ) -> None:
+        self._held.update(reader.unread, added_bytes, held_bytes, now_s)
+        if held_bytes or now_s < reader.keep_until_s:
+            self._readers[reader.transport] = reader
+        else:
+            self._readers.pop(reader.transport, None)
+
+    def _end(self, chosen: list[Unread], cause: EndCause, now_s: float) -> None:
+        """Abort the connections of readers, so that their answers visibly break off."""
+        if not chosen:
+            return
+        ended = [each for each in self._readers.values() if each.unread in chosen]
+        for reader in ended:
+            unread = reader.unread
+            self._log.failure(
+                "reader_ended",
+                cause=cause.value,
+                organisation=unread.organisation or "",
+                request=unread.request,
+                bytes=unread.held_bytes,
+                age_s=round(self._held.age_s(unread, now_s), AGE_DIGITS),
+            )
+            self._metrics.count("reader.ended")
+            reader.transport.abort()
+            reader.keep_until_s = 0.0
+            self._update(reader, 0, 0, now_s)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["CHECK_INTERVAL_S", "Buffers"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -13,6 +13,9 @@
 from ochreway_core.peer import Peer
 from ochreway_direct.bounds.resourcebounds import bounds_of
 from ochreway_direct.bounds.resourcewatch import CHECK_INTERVAL_S, ResourceWatch
+from ochreway_direct.buffering.buffers import CHECK_INTERVAL_S as READER_CHECK_INTERVAL_S
+from ochreway_direct.buffering.buffers import Buffers
+from ochreway_direct.buffering.heldlimits import HeldLimits
 from ochreway_direct.coordination import Coordination
 from ochreway_direct.coordinator import CoordinatorTuning
 from ochreway_direct.crashes.crashkeeper import CrashKeeper
@@ -138,6 +141,7 @@
         self.timer = TimerService(timing.tick_s)
         self.lag = LoopLag(timing.tick_s, log)
         self.serving.lag = self.lag
+        self.buffers = self._new_buffers()
         self.links = Links(
             self.me,
             LinkSettings(settings.link_key.encode(), compressed=True),
@@ -263,6 +267,13 @@
         self._tick_due_s = 0.0
         self._suspected_until_s: dict[GroupId, float] = {}
 
+    def _new_buffers(self) -> Buffers | None:
+        """Return the buffers for callers, if memory is bounded."""
+        held_bytes = bounds_of(self.settings).held_bytes
+        if held_bytes is None:
+            return None
+        return Buffers(HeldLimits(held_bytes), self.log, self.metrics, self.lag.stalled_since)
+
     def _backoff(self, timing: DirectTiming) -> Backoff:
         return Backoff(timing.backoff_base_s, timing.backoff_max_s, self._random)
 
@@ -302,6 +313,8 @@
         self.timer.every(timing.heartbeat_s, lambda _: self._update_retry_budget())
         self.timer.every(timing.heartbeat_s, self._crash_spread.announce_again)
         self.timer.every(CHECK_INTERVAL_S, self.resources.check)
+        if self.buffers is not None:
+            self.timer.every(READER_CHECK_INTERVAL_S, self.buffers.check)
         if self.settings.has(Mechanism.SILENCE_SUSPECTED):
             self.timer.every(SUSPECT_INTERVAL_S, self._suspect_silent_groups)
         self.timer.every(timing.fleet_update_s, lambda _: self._sharing.publish())
@@ -350,6 +363,7 @@
             "loans_taken": float(self._limit.borrowed_total(now_s)),
             "loans_made": float(self._loans.outstanding(now_s)),
             **self.resources.gauges(),
+            **(self.buffers.gauges() if self.buffers is not None else {}),
         }
 
     def _update_retry_budget(self) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -143,6 +143,7 @@
                 RelayTuning(),
             ),
             *(entry.retry_budget, entry.suspect, entry.crashes, entry.notices, log, metrics),
+            buffers=entry.buffers,
         )
         try:
             await entry.start()
@@ -178,7 +179,8 @@
     while loop.time() < end_s:
         await asyncio.sleep(STOP_POLL_S)
         entry.serving.closed = loop.time() - begun_s > LINGER_S
-        if relay.open_calls == 0 and entry.serving.closed:
+        unread_bytes = entry.buffers.unread_bytes if entry.buffers is not None else 0
+        if relay.open_calls == 0 and entry.serving.closed and not unread_bytes:
             return
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -9,6 +9,9 @@
 from ochreway_core.fingerprint import fingerprint_of
 from ochreway_core.ids import Fingerprint
 from ochreway_core.reason import Reason
+from ochreway_direct.buffering.bodyreader import read_whole
+from ochreway_direct.buffering.holding import Holding
+from ochreway_direct.buffering.memoryfull import MemoryFull
 from ochreway_direct.configuration import Organisation, Route
 from ochreway_direct.coordinator.demand import work_s
 from ochreway_direct.demandmeter import DemandMeter
@@ -34,17 +37,19 @@
         self._meter = meter
         self._tuning = tuning
 
-    async def admit(self, request: web.BaseRequest, terms: CallerTerms) -> Call:
-        """Return the call for a request.
+    async def admit(
+        self, request: web.BaseRequest, terms: CallerTerms, holding: Holding | None = None
+    ) -> Call:
+        """Return the call for a request, whose body is counted in ``holding`` if there is one.
 
         Raises:
-            Refused: if the request is invalid or unauthorised, keys cannot be trusted now, or
-                none of the halls it is restricted to is left.
+            Refused: if the request is invalid or unauthorised, its body does not fit into memory,
+                keys cannot be trusted now, or none of the halls it is restricted to is left.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         self._check_headers(request)
-        body = await self._read_body(request)
+        body = await self._read_body(request, holding)
         if isinstance(request.protocol, CallerProtocol) and request.protocol.refused:
             raise Refused(
                 NOT_RUN_STATUS, Reason.CONNECTIONS_FULL, self._tuning.retry_after_elsewhere_s
@@ -88,10 +93,17 @@
         if size_bytes + len(request.raw_path) > self._serving.limits.header_bytes:
             raise Refused(431, Reason.TOO_LARGE)
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(self, request: web.BaseRequest, holding: Holding | None) -> bytes:
         try:
             async with asyncio.timeout(self._serving.limits.idle_timeout_s):
-                return await request.read()
+                if holding is None:
+                    return await request.read()
+                length_bytes, max_bytes = request.content_length, self._serving.limits.body_bytes
+                return await read_whole(request.content, length_bytes, holding, max_bytes)
+        except MemoryFull as error:
+            raise Refused(
+                NOT_RUN_STATUS, Reason.MEMORY_FULL, self._tuning.retry_after_elsewhere_s
+            ) from error
         except web.HTTPRequestEntityTooLarge as error:
             raise Refused(413, Reason.TOO_LARGE) from error
         except TimeoutError as error:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -18,6 +18,7 @@
         born_ms: start time that identifies the target's incarnation, if it is known.
         status: HTTP status of the answer, 0 before it arrives.
         notice: what the target reported about itself in the answer's headers.
+        awaits_caller: whether the answer is not read, as its caller does not read it.
         written_s: when the last part of the request was handed to the connection. The request is
             certainly written once any answer is received or the attempt has ended.
         is_last: whether the call may make no further attempt. Such an attempt is not abandoned, as
@@ -41,6 +42,7 @@
     born_ms: int | None = None
     status: int = 0
     notice: TargetNotice = NO_NOTICE
+    awaits_caller: bool = False
     _timeout: asyncio.Timeout | None = field(default=None)
 
     def set_timeout(self, timeout: asyncio.Timeout) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from ochreway_core.ids import Fingerprint, HallId, InstanceId, OrganisationId
+from ochreway_direct.buffering.callerreader import CallerReader
 from ochreway_direct.configuration import EngineSpec, Route
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
@@ -24,6 +25,9 @@
         on_trial: whether it is sent once to find out if such requests still end targets.
         target: the target it was last sent to.
         waited_s: time spent waiting for a target that can take it.
+        reader: the caller's connection as the reader of the answer, if what it has not read is
+            bounded.
+        complete: whether the whole answer was handed to the caller's connection.
         first_part_s: when the answer began.
         last_forwarded_s: when a part of the answer was last forwarded to the caller.
     """
@@ -49,6 +53,8 @@
     tried: set[InstanceId] = field(default_factory=set)
     resume_after: str | None = None
     answer: web.StreamResponse | None = None
+    reader: CallerReader | None = None
+    complete: bool = False
     first_part_s: float | None = None
     last_forwarded_s: float | None = None
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -3,7 +3,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import aiohttp
 from aiohttp import web
@@ -11,6 +11,12 @@
 
 from ochreway_core.outcome import Outcome
 from ochreway_core.reason import Reason
+from ochreway_direct.buffering.bodypieces import PIECE_BYTES, pieces_of
+from ochreway_direct.buffering.bodyreader import read_whole
+from ochreway_direct.buffering.buffers import Buffers
+from ochreway_direct.buffering.callerreader import CallerReader
+from ochreway_direct.buffering.holding import Holding
+from ochreway_direct.buffering.memoryfull import MemoryFull
 from ochreway_direct.configuration import RouteKind
 from ochreway_direct.noticewatch import NoticeWatch
 from ochreway_direct.ports.dialect import AnswerHead, CallerDialect, ForwardTerms
@@ -29,6 +35,8 @@
 """Approximate size of the headers of a request or an answer."""
 EVENT_OVERHEAD_BYTES = 60
 """Approximate overhead of the chunk and the packet that carry an event."""
+READ_BUFFER_BYTES = 16 * 1024
+"""How much of a target's answer its connection may hold when what is held is bounded."""
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
 
@@ -37,6 +45,10 @@
 
     A call that may not be repeated gets a new connection. A kept one may be closed by the target
     while the request is written, and then it is unknown whether the request ran.
+
+    With ``buffers``, answers are read ahead of their callers up to a limit: the buffer of the
+    caller's connection takes what the caller has not read. A call resumes after the last event that
+    was handed to that buffer, as the connection delivers its events before any that follow.
     """
 
     def __init__(
@@ -47,6 +59,7 @@
         single_use: aiohttp.ClientSession,
         tuning: RelayTuning,
         notices: NoticeWatch,
+        buffers: Buffers | None = None,
     ) -> None:
         self._serving = serving
         self._fleet = serving.fleet
@@ -55,6 +68,7 @@
         self._single_use_session = single_use
         self._tuning = tuning
         self._notices = notices
+        self._buffers = buffers
 
     async def send(self, call: Call, attempt: Attempt) -> Ending:
         """Send a call with a timeout that is extended as the answer arrives.
@@ -69,12 +83,13 @@
             ) as bound:
                 attempt.set_timeout(bound)
                 return await self._send_and_forward(call, attempt)
-        except TimeoutError:
-            if attempt.lost:
-                return Ending(Outcome.UNKNOWN, Reason.GROUP_INCOMPLETE)
-            late = call.left_s(loop.time()) <= 0
-            reason = Reason.DEADLINE_PASSED if late else Reason.TARGET_FAILED
-            return Ending(Outcome.UNKNOWN, reason, lost_contact=True)
+        except TimeoutError as error:
+            if call.complete:
+                # Nothing may follow the end of the answer, which its caller has not read so far.
+                raise CallerGone from error
+            return self._timed_out(call, attempt)
+        except MemoryFull:
+            return Ending(Outcome.UNKNOWN, Reason.MEMORY_FULL, failed=False)
         except SendWithheld:
             return Ending(Outcome.NOT_RUN, Reason.BACKOFF, failed=False)
         except CONNECT_ERRORS:
@@ -84,6 +99,17 @@
                 Outcome.UNKNOWN, Reason.TARGET_FAILED, lost_contact=True, disconnected=True
             )
 
+    def _timed_out(self, call: Call, attempt: Attempt) -> Ending:
+        unwritten = self._buffers is not None and attempt.written_s is None
+        outcome = Outcome.NOT_RUN if unwritten else Outcome.UNKNOWN
+        if attempt.lost:
+            return Ending(outcome, Reason.GROUP_INCOMPLETE)
+        if attempt.awaits_caller:
+            return Ending(outcome, Reason.DEADLINE_PASSED, failed=False)
+        late = call.left_s(asyncio.get_running_loop().time()) <= 0
+        reason = Reason.DEADLINE_PASSED if late else Reason.TARGET_FAILED
+        return Ending(outcome, reason, lost_contact=True)
+
     def _first_answer_deadline_s(self, call: Call, now_s: float) -> float:
         """Return until when to wait for a first answer: shorter if another target may answer."""
         route, tuning = call.route, self._tuning
@@ -161,26 +187,44 @@
             resume_after=call.resume_after,
         )
         self._serving.sent_bytes += len(call.body) + HEADERS_OVERHEAD_BYTES
+        headers = self._dialect.forward(call.request.headers, terms)
+        data: bytes | AsyncIterator[bytes] | None = call.body or None
+        read_bytes = None
+        if self._buffers is not None:
+            read_bytes = READ_BUFFER_BYTES
+            if len(call.body) > PIECE_BYTES:
+                headers["Content-Length"] = str(len(call.body))
+                data = pieces_of(call.body)
         session = self._pooled_session if call.route.repeatable else self._single_use_session
         with send_guard(lambda: self._notices.wait_s(attempt.instance, attempt.born_ms) <= 0.0):
             response = await session.request(
                 call.request.method,
                 URL(f"http://{attempt.address}{call.request.raw_path}", encoded=True),
-                headers=self._dialect.forward(call.request.headers, terms),
+                headers=headers,
                 skip_auto_headers=SUPPRESSED_HEADERS,
-                data=call.body or None,
+                data=data,
                 allow_redirects=False,
+                read_bufsize=read_bytes,
                 trace_request_ctx=attempt,
             )
         async with response:
             yield response
 
     async def _finish_body(self, response: aiohttp.ClientResponse) -> None:
-        with contextlib.suppress(*CONNECTION_ERRORS):
-            await response.read()
+        try:
+            with contextlib.suppress(*CONNECTION_ERRORS):
+                await self._read_body(response)
+        except MemoryFull:
+            response.close()
+
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        if self._buffers is None:
+            return await response.read()
+        with self._buffers.answer_holding() as holding:
+            return await read_whole(response.content, response.content_length, holding)
 
     async def _forward_body(self, call: Call, response: aiohttp.ClientResponse) -> Ending:
-        body = await response.read()
+        body = await self._read_body(response)
         if call.answer is not None:
             return Ending(Outcome.UNKNOWN, Reason.TARGET_FAILED)
         may_retry = call.runs + 1 < call.route.attempts_at_most and call.route.repeatable
@@ -191,18 +235,39 @@
         )
         self._serving.sent_bytes += len(body) + HEADERS_OVERHEAD_BYTES
         self._close_if_stopping(answer)
+        self._hand_over(call, len(body))
         return Ending.answered(answer, failed=response.status >= 500)
 
+    def _hand_over(self, call: Call, size_bytes: int) -> None:
+        """Count a whole answer as unread from now on, as its holding has ended."""
+        transport = call.request.transport
+        if self._buffers is not None and transport is not None:
+            reader = self._buffers.reader(transport, call.organisation, call.terms.request)
+            now_s = asyncio.get_running_loop().time()
+            self._buffers.hand_over(reader, size_bytes, now_s)
+
     def _close_if_stopping(self, answer: web.StreamResponse) -> None:
         if self._serving.stopping:
             answer.force_close()
 
     async def _forward_stream(
         self, call: Call, attempt: Attempt, response: aiohttp.ClientResponse
+    ) -> Ending:
+        if self._buffers is None:
+            return await self._forward_parts(call, attempt, response)
+        with self._buffers.answer_holding() as incomplete:
+            return await self._forward_parts(call, attempt, response, incomplete)
+
+    async def _forward_parts(
+        self,
+        call: Call,
+        attempt: Attempt,
+        response: aiohttp.ClientResponse,
+        incomplete: Holding | None = None,
     ) -> Ending:
         loop = asyncio.get_running_loop()
         splitter = EventSplitter()
-        pause_s = max(self._tuning.min_stall_s, self._tuning.stall_pauses * call.route.pause_s)
+        pause_s = self._pause_s(call)
         async for piece in response.content.iter_any():
             events = splitter.feed(piece)
             now_s = loop.time()
@@ -211,12 +276,18 @@
             if events:
                 # Recorded first: a cancelled write may have reached the caller all the same.
                 call.resume_after = splitter.last_id or call.resume_after
-                await self._forward_events(call, response, events)
-                call.last_forwarded_s = now_s
+                await self._forward_events(call, attempt, response, events)
+                call.last_forwarded_s = now_s if self._buffers is None else loop.time()
+            if incomplete is not None:
+                incomplete.resize(len(splitter.incomplete()))
         if splitter.incomplete():
             return Ending(Outcome.UNKNOWN, Reason.ANSWER_SHORT, disconnected=True)
         try:
             answer = await self._start_answer(call, response)
+            if self._buffers is not None:
+                # Its target is done, so only the caller can hold up the rest.
+                call.complete = attempt.is_last = True
+                attempt.extend(call.end_s)
             await answer.write_eof()
         except OSError as error:
             raise CallerGone from error
@@ -234,17 +305,54 @@
             call.answer = answer
             call.first_part_s = asyncio.get_running_loop().time()
             await answer.prepare(call.request)
+            if self._buffers is not None:
+                transport = call.request.transport
+                if transport is None:
+                    raise ConnectionResetError("caller's connection is closed")
+                call.reader = self._buffers.reader(transport, call.organisation, call.terms.request)
         return call.answer
 
     async def _forward_events(
-        self, call: Call, response: aiohttp.ClientResponse, events: bytes
+        self, call: Call, attempt: Attempt, response: aiohttp.ClientResponse, events: bytes
     ) -> None:
         try:
             answer = await self._start_answer(call, response)
             self._serving.sent_bytes += len(events) + EVENT_OVERHEAD_BYTES
-            await answer.write(events)
+            if self._buffers is None or call.reader is None:
+                await answer.write(events)
+            elif self._buffers.is_full(call.reader, len(events)):
+                with self._awaiting_caller(call, attempt, call.reader, response):
+                    await answer.write(events)
+                self._buffers.wrote(call.reader, 0, asyncio.get_running_loop().time())
+            else:
+                await answer.write(events)
+                now_s = asyncio.get_running_loop().time()
+                self._buffers.wrote(call.reader, len(events), now_s)
         except OSError as error:
             raise CallerGone from error
 
+    @contextlib.contextmanager
+    def _awaiting_caller(
+        self,
+        call: Call,
+        attempt: Attempt,
+        reader: CallerReader,
+        response: aiohttp.ClientResponse,
+    ) -> Iterator[None]:
+        """Suspend the timeout of an attempt whose answer waits for its caller.
+
+        The target is not read meanwhile, so its silence means nothing.
+        """
+        attempt.extend(call.end_s)
+        attempt.awaits_caller = True
+        with reader.blocking(response.content):
+            yield
+        attempt.awaits_caller = False
+        attempt.extend(min(call.end_s, asyncio.get_running_loop().time() + self._pause_s(call)))
+
+    def _pause_s(self, call: Call) -> float:
+        """Return how long a target may be silent within its answer."""
+        return max(self._tuning.min_stall_s, self._tuning.stall_pauses * call.route.pause_s)
+
 
 __all__ = ["HEADERS_OVERHEAD_BYTES", "Exchange"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -10,6 +10,8 @@
 from ochreway_core.ids import GroupId
 from ochreway_core.outcome import Outcome
 from ochreway_core.reason import Reason
+from ochreway_direct.buffering.buffers import Buffers
+from ochreway_direct.buffering.holding import Holding
 from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.demandmeter import DemandMeter
 from ochreway_direct.noticewatch import NoticeWatch
@@ -46,13 +48,18 @@
         notices: NoticeWatch,
         log: EventLog,
         metrics: Metrics,
+        buffers: Buffers | None = None,
     ) -> None:
-        """Create a relay; ``suspect`` is called with each group whose leader lost contact."""
+        """Create a relay; ``suspect`` is called with each group whose leader lost contact.
+
+        Without ``buffers``, what is held for callers is not bounded.
+        """
         self._serving = serving
         self._fleet = serving.fleet
         self._dialect = dialect
         self._admission = Admission(serving, meter, tuning)
-        self._exchange = Exchange(serving, dialect, pooled, single_use, tuning, notices)
+        self._exchange = Exchange(serving, dialect, pooled, single_use, tuning, notices, buffers)
+        self._buffers = buffers
         self._tuning = tuning
         self._call_log = CallLog(log, serving)
         self._metrics = metrics
@@ -67,15 +74,20 @@
         self.open_calls += 1
         self.accepted_calls += 1
         try:
-            return await self._answer(request)
+            if self._buffers is None:
+                return await self._answer(request)
+            with self._buffers.request_holding() as holding:
+                return await self._answer(request, holding)
         finally:
             self.open_calls -= 1
 
-    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _answer(
+        self, request: web.BaseRequest, holding: Holding | None = None
+    ) -> web.StreamResponse:
         terms = self._dialect.read(request.headers)
         call: Call | None = None
         try:
-            call = await self._admission.admit(request, terms)
+            call = await self._admission.admit(request, terms, holding)
             self._check_fatal(call)
             self._budget.earn()
             self._serving.admitted += 1
@@ -152,7 +164,8 @@
         left_s = call.left_s(now_s)
         ran = ending.outcome is Outcome.UNKNOWN
         allowed = (
-            (call.route.repeatable or not ran)
+            ending.reason is not Reason.MEMORY_FULL
+            and (call.route.repeatable or not ran)
             and call.runs < call.route.attempts_at_most
             and call.sends < call.route.attempts_at_most + self._tuning.max_extra_sends
             and left_s > self._tuning.min_time_left_s
