--- a/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
@@ -15,7 +15,9 @@
 
 CHECK_INTERVAL_S = 0.1
 """How often it is checked which callers have stopped reading."""
-HAND_OVER_S = 1.0
+UNBOUNDED_BYTES = 1 << 62
+"""Limit of a connection's buffer under which its writes never wait."""
+HAND_OVER_S = 0.25
 """How long a whole answer may take from its hand-over until it is written."""
 SHARE_DIGITS = 3
 AGE_DIGITS = 3
@@ -56,36 +58,29 @@
     ) -> CallerReader:
         """Return the reader for the next answer on a caller's connection.
 
-        The connection's buffer then takes up to the limit for an answer before writes wait.
+        Writes to the connection do not wait any more; ``wrote`` says when to wait for the caller.
         """
         reader = self._readers.get(transport)
         if reader is None:
             reader = CallerReader(transport, Unread(organisation, request))
+            transport.set_write_buffer_limits(high=UNBOUNDED_BYTES)
         reader.unread.organisation, reader.unread.request = organisation, request
-        high_bytes = self.limits.answer_bytes
-        transport.set_write_buffer_limits(high=high_bytes, low=high_bytes)
         return reader
 
-    def is_full(self, reader: CallerReader, more_bytes: int) -> bool:
-        """Return whether an answer would be ahead of its caller by its limit with more bytes."""
-        pending_bytes = reader.transport.get_write_buffer_size()
-        return pending_bytes + more_bytes > self.limits.answer_bytes
-
-    def wrote(self, reader: CallerReader, size_bytes: int, now_s: float) -> None:
-        """Record that bytes were written to a caller's connection."""
+    def wrote(self, reader: CallerReader, size_bytes: int, now_s: float) -> bool:
+        """Record that bytes were written; return whether the answer is ahead by its limit."""
         pending_bytes = reader.pending_bytes()
         if not pending_bytes and not reader.unread.held_bytes:
-            return
+            return False
         self._update(reader, size_bytes, pending_bytes, now_s)
         if self._held.excess_bytes():
             self._refresh(now_s)
             self._end_excess(now_s)
+        return pending_bytes > self.limits.answer_bytes
 
     def hand_over(self, reader: CallerReader, size_bytes: int, now_s: float) -> None:
-        """Record a whole answer that is written next; its write does not wait for the caller."""
+        """Record a whole answer that is written next."""
         before_bytes = reader.pending_bytes()
-        high_bytes = max(self.limits.answer_bytes, before_bytes + 2 * size_bytes)
-        reader.transport.set_write_buffer_limits(high=high_bytes)
         reader.keep_until_s = now_s + HAND_OVER_S
         self._update(reader, size_bytes, before_bytes + size_bytes, now_s)
 
@@ -98,6 +93,7 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges for the metrics page."""
+        self._refresh(_now_s())
         total_bytes = self._held.total_bytes
         return {
             "held_bytes": float(total_bytes),
@@ -105,16 +101,18 @@
         }
 
     def _admit(self, more_bytes: int) -> bool:
-        return self._held.admits(more_bytes) and self._make_room(more_bytes)
+        """Return whether more bytes of a request body fit; callers that read do not give way."""
+        min_behind_s = self.limits.min_behind_s
+        return self._held.admits(more_bytes) and self._make_room(more_bytes, min_behind_s)
 
-    def _make_room(self, more_bytes: int) -> bool:
+    def _make_room(self, more_bytes: int, min_behind_s: float = 0.0) -> bool:
         """Return whether more bytes of a body fit, once slow readers were ended for them."""
         if not self._held.excess_bytes(more_bytes):
             return True
         now_s = _now_s()
         self._refresh(now_s)
         readers = [each.unread for each in self._readers.values()]
-        chosen = self._held.to_end_for(more_bytes, readers, now_s)
+        chosen = self._held.to_end_for(more_bytes, readers, min_behind_s, now_s)
         if chosen is None:
             return False
         self._end(chosen, EndCause.MEMORY, now_s)
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/callerreader.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/callerreader.py
@@ -2,14 +2,16 @@
 """A caller's connection as the reader of what is written to it."""
 
 import asyncio
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass
 
 import aiohttp
 
 from ochreway_direct.buffering.unread import Unread
 
+ROOM_POLL_INTERVAL_S = 0.01
+"""How often it is checked whether a caller has read; its buffer lasts for longer at any usual
+rate."""
+
 
 @dataclass(slots=True, eq=False)
 class CallerReader:
@@ -34,12 +36,21 @@
             pending_bytes += self._source.total_bytes - self._taken_bytes
         return pending_bytes
 
-    @contextmanager
-    def blocking(self, source: aiohttp.StreamReader) -> Iterator[None]:
-        """Count what arrives from a source, all of which was taken so far, within the context."""
+    async def wait_for_room(self, limit_bytes: int, source: aiohttp.StreamReader) -> None:
+        """Wait until no more than a limit is unread, and count what arrives from a source.
+
+        All that the source has received so far was taken from it. The wait leaves nothing behind
+        when it is cancelled, unlike a cancelled drain of the connection, which fails later ones.
+
+        Raises:
+            ConnectionResetError: if the connection is closed.
+        """
         self._source, self._taken_bytes = source, source.total_bytes
         try:
-            yield
+            while self.transport.get_write_buffer_size() > limit_bytes:
+                if self.transport.is_closing():
+                    raise ConnectionResetError("caller's connection is closed")
+                await asyncio.sleep(ROOM_POLL_INTERVAL_S)
         finally:
             self._source = None
 
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/heldbytes.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/heldbytes.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Sum of what an entry holds for callers, and whose answers are ended to bound it."""
 
+import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -8,8 +9,13 @@
 from ochreway_direct.buffering.heldlimits import HeldLimits
 from ochreway_direct.buffering.unread import Unread
 
-AGE_STEP_S = 0.5
-"""Ages within one step count as equal, and the bytes of the organisation decide."""
+AGE_RATIO = 1.25
+"""Readers are equally slow while their ages differ by less than this ratio.
+
+A fixed difference would end callers that read beside those that do not, while all are young.
+"""
+MIN_AGE_S = 0.01
+"""Ages below this count as equal."""
 LOW_SHARE = 0.9
 """Share of the limit down to which answers are ended, so that not each event ends one."""
 StalledSince = Callable[[float, float], float]
@@ -74,16 +80,15 @@
         return self._slowest(readers, self.total_bytes - low_bytes, now_s)
 
     def to_end_for(
-        self, more_bytes: int, readers: list[Unread], now_s: float
+        self, more_bytes: int, readers: list[Unread], min_behind_s: float, now_s: float
     ) -> list[Unread] | None:
         """Return the readers to be ended so that a body fits, or None if it cannot fit.
 
-        Only readers that are clearly behind give way to a body.
+        Only readers whose oldest unread byte has at least an age of ``min_behind_s`` give way.
         """
         excess_bytes = self.excess_bytes(more_bytes)
         if not excess_bytes:
             return []
-        min_behind_s = self.limits.min_behind_s
         behind = [each for each in readers if self.age_s(each, now_s) >= min_behind_s]
         if sum(each.held_bytes for each in behind) < excess_bytes:
             return None
@@ -91,16 +96,22 @@
 
     def _slowest(self, readers: list[Unread], needed_bytes: int, now_s: float) -> list[Unread]:
         """Return the slowest readers that hold the needed bytes together, the slowest first."""
+        holding = [each for each in readers if each.held_bytes]
+        ages_s = {each: self.age_s(each, now_s) for each in holding}
+        oldest_s = max(ages_s.values(), default=0.0)
         by_organisation: Counter[OrganisationId | None] = Counter()
-        for each in readers:
+        for each in holding:
             by_organisation[each.organisation] += each.held_bytes
 
-        def slowness(reader: Unread) -> tuple[int, int, int]:
-            step = int(self.age_s(reader, now_s) / AGE_STEP_S)
-            return step, by_organisation[reader.organisation], reader.held_bytes
+        def order(reader: Unread) -> tuple[int, int, int]:
+            return (
+                _steps_younger(ages_s[reader], oldest_s),
+                -by_organisation[reader.organisation],
+                -reader.held_bytes,
+            )
 
         chosen: list[Unread] = []
-        for each in sorted((r for r in readers if r.held_bytes), key=slowness, reverse=True):
+        for each in sorted(holding, key=order):
             if needed_bytes <= 0:
                 break
             chosen.append(each)
@@ -111,4 +122,10 @@
         return now_s - since_s - self._stalled_since(since_s, now_s)
 
 
+def _steps_younger(age_s: float, oldest_s: float) -> int:
+    """Return by how many steps of the age ratio an age is below the oldest one."""
+    ratio = max(oldest_s, MIN_AGE_S) / max(age_s, MIN_AGE_S)
+    return int(math.log(ratio, AGE_RATIO))
+
+
 __all__ = ["HeldBytes", "StalledSince", "never_stalled"]
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/heldlimits.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/heldlimits.py
@@ -23,7 +23,7 @@
         total_bytes: limit on the sum of bodies and unread answers.
         slow_reader_s: how long a caller may read nothing of what is held for it.
         min_behind_s: age of its oldest unread byte from which an answer may be ended to make room
-            for a body.
+            for the body of a request.
     """
 
     total_bytes: int
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -27,7 +27,6 @@
         waited_s: time spent waiting for a target that can take it.
         reader: the caller's connection as the reader of the answer, if what it has not read is
             bounded.
-        complete: whether the whole answer was handed to the caller's connection.
         first_part_s: when the answer began.
         last_forwarded_s: when a part of the answer was last forwarded to the caller.
     """
@@ -54,7 +53,6 @@
     resume_after: str | None = None
     answer: web.StreamResponse | None = None
     reader: CallerReader | None = None
-    complete: bool = False
     first_part_s: float | None = None
     last_forwarded_s: float | None = None
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -3,7 +3,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 
 import aiohttp
 from aiohttp import web
@@ -83,10 +83,7 @@
             ) as bound:
                 attempt.set_timeout(bound)
                 return await self._send_and_forward(call, attempt)
-        except TimeoutError as error:
-            if call.complete:
-                # Nothing may follow the end of the answer, which its caller has not read so far.
-                raise CallerGone from error
+        except TimeoutError:
             return self._timed_out(call, attempt)
         except MemoryFull:
             return Ending(Outcome.UNKNOWN, Reason.MEMORY_FULL, failed=False)
@@ -284,10 +281,6 @@
             return Ending(Outcome.UNKNOWN, Reason.ANSWER_SHORT, disconnected=True)
         try:
             answer = await self._start_answer(call, response)
-            if self._buffers is not None:
-                # Its target is done, so only the caller can hold up the rest.
-                call.complete = attempt.is_last = True
-                attempt.extend(call.end_s)
             await answer.write_eof()
         except OSError as error:
             raise CallerGone from error
@@ -318,35 +311,28 @@
         try:
             answer = await self._start_answer(call, response)
             self._serving.sent_bytes += len(events) + EVENT_OVERHEAD_BYTES
-            if self._buffers is None or call.reader is None:
-                await answer.write(events)
-            elif self._buffers.is_full(call.reader, len(events)):
-                with self._awaiting_caller(call, attempt, call.reader, response):
-                    await answer.write(events)
-                self._buffers.wrote(call.reader, 0, asyncio.get_running_loop().time())
-            else:
-                await answer.write(events)
+            await answer.write(events)
+            if self._buffers is not None and call.reader is not None:
                 now_s = asyncio.get_running_loop().time()
-                self._buffers.wrote(call.reader, len(events), now_s)
+                if self._buffers.wrote(call.reader, len(events), now_s):
+                    await self._wait_for_caller(call, attempt, call.reader, response.content)
         except OSError as error:
             raise CallerGone from error
 
-    @contextlib.contextmanager
-    def _awaiting_caller(
-        self,
-        call: Call,
-        attempt: Attempt,
-        reader: CallerReader,
-        response: aiohttp.ClientResponse,
-    ) -> Iterator[None]:
-        """Suspend the timeout of an attempt whose answer waits for its caller.
+    async def _wait_for_caller(
+        self, call: Call, attempt: Attempt, reader: CallerReader, source: aiohttp.StreamReader
+    ) -> None:
+        """Wait for the caller of an answer that is read ahead by its limit.
 
         The target is not read meanwhile, so its silence means nothing.
+
+        Raises:
+            OSError: if the caller's connection is closed.
         """
+        assert self._buffers is not None
         attempt.extend(call.end_s)
         attempt.awaits_caller = True
-        with reader.blocking(response.content):
-            yield
+        await reader.wait_for_room(self._buffers.limits.answer_bytes, source)
         attempt.awaits_caller = False
         attempt.extend(min(call.end_s, asyncio.get_running_loop().time() + self._pause_s(call)))
 
--- a/tests/direct/relaycase.py
+++ b/tests/direct/relaycase.py
@@ -14,6 +14,8 @@
 from yarl import URL
 
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId, OrganisationId, Version
+from ochreway_direct.buffering.buffers import Buffers
+from ochreway_direct.buffering.heldlimits import HeldLimits
 from ochreway_direct.configuration import (
     CallerLimits,
     Configuration,
@@ -134,6 +136,7 @@
     tuning = RelayTuning()
     budget: tuple[float, float] = (0.15, 30.0)
     key_trust = KeyTrust.WHILE_PROVED
+    held: HeldLimits | None = None
 
     def configuration(self) -> Configuration:
         shares = (Share(SERVICE if self.kind is RouteKind.STREAM else PLAIN_SERVICE, 1),)
@@ -154,7 +157,9 @@
         async def run() -> None:
             freshness = Freshness(key_trust_s, self.key_trust)
             budget = RetryBudget(*self.budget)
-            running = RunningRelay(self.configuration(), scripts, freshness, self.tuning, budget)
+            running = RunningRelay(
+                self.configuration(), scripts, freshness, self.tuning, budget, self.held
+            )
             try:
                 await running.start()
                 await work(running)
@@ -174,7 +179,9 @@
         freshness: Freshness,
         tuning: RelayTuning,
         budget: RetryBudget,
+        held: HeldLimits | None = None,
     ) -> None:
+        self.held = held
         self.budget = budget
         self.tuning = tuning
         self.targets = [Target(f"t{n}", script) for n, script in enumerate(scripts)]
@@ -197,6 +204,7 @@
         self.pooled = target_session(to_targets)
         self.single_use = target_session(TargetConnector(keep_alive=False))
         log = EventLog("entry", "e", "critical")
+        self.buffers = Buffers(self.held, log, self.metrics) if self.held else None
         self.book = CrashBook()
         self.crashes = CrashWatch(self.book, log, self.metrics)
         notices = NoticeWatch(self.backoffs, self.limits, log, self.metrics)
@@ -204,6 +212,7 @@
             *(self.serving, PlainDialect(), self.pooled, self.single_use, DemandMeter()),
             *(self.tuning, self.budget, self.suspected.append, self.crashes, notices, log),
             self.metrics,
+            self.buffers,
         )
         self.caller_connections = CallerConnections()
         server = CallerServer(self.serving, self.relay, self.caller_connections)
