--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -98,7 +98,8 @@
             async with asyncio.timeout(self._serving.limits.idle_timeout_s):
                 if holding is None:
                     return await request.read()
-                length_bytes, max_bytes = request.content_length, self._serving.limits.body_bytes
+                max_bytes = self._serving.limits.body_bytes or None
+                length_bytes = request.content_length
                 return await read_whole(request.content, length_bytes, holding, max_bytes)
         except MemoryFull as error:
             raise Refused(
