--- a/tests/direct/test_slowreaders.py
+++ b/tests/direct/test_slowreaders.py
@@ -488,7 +488,9 @@
             running.body = b"x" * self.body_bytes
             target = running.targets[0]
             pending = asyncio.ensure_future(running.send_request())
-            await self.wait_until(lambda: bool(target.writers))
+            async with asyncio.timeout(3.0):
+                while not target.writers:
+                    await asyncio.sleep(0)
             target.writers[0].transport.pause_reading()  # type: ignore[attr-defined]
             await asyncio.sleep(0.3)
             self.assertEqual(([], False), (target.seen, pending.done()))
