--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from ochreway_core.ids import Fingerprint, HallId, InstanceId, OrganisationId
+from ochreway_direct.buffering.callerreader import CallerReader
 from ochreway_direct.configuration import EngineSpec, Route
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
@@ -26,6 +27,8 @@
         waited_s: time spent waiting for a target that can take it.
         queue_rank: number of calls that were to go first as it was refused, if it was queued.
         forecast_s: expected wait for a place as it was refused, if it was queued.
+        reader: the caller's connection as the reader of the answer, if what it has not read is
+            bounded.
         first_part_s: when the answer began.
         last_forwarded_s: when a part of the answer was last forwarded to the caller.
     """
@@ -53,6 +56,7 @@
     tried: set[InstanceId] = field(default_factory=set)
     resume_after: str | None = None
     answer: web.StreamResponse | None = None
+    reader: CallerReader | None = None
     first_part_s: float | None = None
     last_forwarded_s: float | None = None
 
