--- a/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
@@ -3,6 +3,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from ochreway_core.ids import NodeId, Version
 from ochreway_core.peer import Peer
@@ -25,6 +26,7 @@
     aged,
 )
 from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.serving import Serving
 from ochreway_direct.targetlimits.limitsharing import LimitSharing
 from ochreway_direct.targetlimits.poolnews import NO_POOL_NEWS
@@ -175,7 +177,8 @@
         self._connect_seeds()
         if self._loans is not None:
             names = [each.node for each in self._peers.all_peers()]
-            self._loans.refresh(names, bool(self._peers.alive(now_s)), now_s)
+            alive = [record.peer.node for record in self._peers.alive(now_s)]
+            self._loans.refresh(names, bool(alive), now_s, alive)
         if self._limits is not None:
             self._limits.tick(self._peers.ranked_nodes(), self.meshed, now_s)
         own = self._own_work(now_s)
@@ -219,9 +222,11 @@
         )
 
     def _sighting(self, now_s: float) -> LeaseSighting | None:
+        loans = self._loans.news(now_s) if self._loans is not None else None
         if self._lease.held:
-            return LeaseSighting(self._me.peer, self._lease.revision)
-        return self._peers.sighting(now_s)
+            return LeaseSighting(self._me.peer, self._lease.revision, loans=loans)
+        sighting = self._peers.sighting(now_s)
+        return replace(sighting, loans=loans) if sighting is not None else None
 
     def _coverage(self, node: NodeId) -> Coverage:
         """Return whose work to report to another entry."""
@@ -277,17 +282,29 @@
             )
         # Halls first: a version must not be applied before the drained halls are known.
         self._drains.on_drain_news(heartbeat.drains, self._valid_echo_s(heartbeat, now_s))
-        if self._loans is not None:
-            self._loans.borrow(heartbeat.loan, self._valid_echo_s(heartbeat, now_s), now_s)
+        new_lease = self._on_loans(sender, heartbeat, now_s)
         if self._limits is not None:
             echo_s, delay_s = self._valid_echo_s(heartbeat, now_s), _delay_s(heartbeat, now_s)
             self._limits.on_news(sender.node, heartbeat.pool, echo_s, delay_s, now_s)
         self._on_version(sender, heartbeat, now_s)
         self._compare_views(sender, heartbeat, now_s)
-        if heartbeat.wanted and sender.node not in self._contacts:
+        if new_lease or (heartbeat.wanted and sender.node not in self._contacts):
             answer = self._heartbeat(sender, self._own_work(now_s), (), False, now_s)
             self._links.send(sender, answer)
 
+    def _on_loans(self, sender: Peer, heartbeat: Heartbeat, now_s: float) -> bool:
+        """Process the loans of a heartbeat; return whether its sender acquired a newer lease.
+
+        A new holder lends once it has been told what its borrowers still hold.
+        """
+        if self._loans is None:
+            return False
+        holder = heartbeat.holder
+        process = Borrower(sender.node, heartbeat.incarnation, sender.address)
+        is_newer = self._loans.on_news(process, holder.loans if holder else None, now_s)
+        self._loans.borrow(heartbeat.loan, self._valid_echo_s(heartbeat, now_s), now_s)
+        return is_newer and holder is not None and holder.peer.node == sender.node
+
     def _accepts_coverage(self, coverage: Coverage) -> bool:
         """Return whether this entry uses reports with the given coverage.
 
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -51,7 +51,10 @@
 from ochreway_direct.relay.idlelimits import IdleLimits
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
+from ochreway_direct.sendlimits.loankeeper import LoanKeeper
+from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
@@ -175,7 +178,14 @@
             log,
             metrics,
         )
-        self._loans = Loans(self.me.node, self._limit, self.lease, self._offered_by_entry)
+        loan_register = LoanRegister(services.table, self.lease, self._backoff(timing))
+        self._loans = Loans(
+            Borrower(self.me.node, incarnation, self.me.address),
+            self._limit,
+            self.lease,
+            self._offered_by_entry,
+            register=loan_register,
+        )
         self._target_limits = LimitSharing(limits, pool, lambda: self.serving.admitted, log)
         self._heartbeats = Heartbeats(
             incarnation,
@@ -192,6 +202,10 @@
             loans=self._loans,
             limits=self._target_limits,
         )
+        self._loan_keeper = LoanKeeper(
+            *(self._loans, loan_register, self.lease, self._static_share),
+            *(lambda: self._heartbeats.send(self._loop.time()), log, metrics),
+        )
         crash_book = CrashBook()
         self.crashes = CrashWatch(crash_book, log, metrics, settings.has(Mechanism.FATAL_REFUSED))
         self._crash_spread = CrashSpread(crash_book, self.crashes, self._heartbeats, self.links)
@@ -310,6 +324,7 @@
         self.spawn(self._configurations.run())
         self.spawn(self._list_follower.run())
         self.spawn(self._lease_keeper.run())
+        self.spawn(self._loan_keeper.run(timing.tick_s))
         self.spawn(self._crash_keeper.run())
 
     async def stop(self) -> None:
@@ -349,6 +364,7 @@
             "targets_cold": float(self._cold.cold_count(now_s)),
             "loans_taken": float(self._limit.borrowed_total(now_s)),
             "loans_made": float(self._loans.outstanding(now_s)),
+            "loans_unanswered": float(len(self._loans.unanswered(now_s))),
             **self.resources.gauges(),
         }
 
--- a/packages/ochreway-direct/src/ochreway_direct/leases/lease.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/lease.py
@@ -2,7 +2,7 @@
 """Lease of the one entry that forms groups, stored as a row in the platform's table."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from ochreway_core.backoff import Backoff
@@ -20,10 +20,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Holder:
-    """Incarnation of a process."""
+    """Incarnation of a process; in a row, also the term for which it holds the lease.
+
+    A term begins when the lease is acquired, and is named after that write. A process of the
+    previous build names none.
+    """
 
     node: NodeId
     incarnation: str
+    term: str = ""
+
+    def is_same_process(self, other: "Holder") -> bool:
+        """Return whether both are the same incarnation, in whatever term."""
+        return (self.node, self.incarnation) == (other.node, other.incarnation)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +58,9 @@
 class Lease:
     """Acquire, renew and release the lease; each write requires the row as it was last read.
 
-    If a write has no reply, its outcome is determined by reading the row back.
+    If a write has no reply, its outcome is determined by reading the row back. ``term`` is that of
+    this holder, and ``former_term`` that of the row which its acquisition replaced, or empty if
+    that is not known.
     """
 
     def __init__(self, table: Table, holder: Holder, renew_s: float, backoff: Backoff) -> None:
@@ -63,6 +74,9 @@
         self.state = LeaseState.ABSENT
         self.revision = ABSENT
         self.row: LeaseRow | None = None
+        self._row_revision = ABSENT
+        self.term = ""
+        self.former_term = ""
         self.acquired_revision = ABSENT
         self.renewed_s = 0.0
         self.unchanged_since_s = 0.0
@@ -125,19 +139,24 @@
         if revision != self.revision or self.unchanged_since_s == 0.0:
             self.revision = revision
             self.unchanged_since_s = now_s
-        self.row = _decode_row(row)
+        self.row = decode_lease_row(row)
+        self._row_revision = revision
 
     async def acquire(self, now_s: float) -> bool:
         """Acquire the lease if the row is as last read; return whether it was acquired."""
-        if not await self._write(released=False, now_s=now_s):
+        replaced = self.row if self._row_revision == self.revision else None
+        former_term = replaced.holder.term if replaced is not None else ""
+        change = self._next_change()
+        if not await self._write(change, term=change, released=False, now_s=now_s):
             return False
         self.state = LeaseState.HELD
         self.acquired_revision = self.revision
+        self.term, self.former_term = change, former_term
         return True
 
     async def renew(self, now_s: float) -> None:
         """Renew the lease, or observe that it was lost."""
-        await self._write(released=False, now_s=now_s)
+        await self._write(self._next_change(), self.term, released=False, now_s=now_s)
 
     async def release(self, now_s: float) -> bool:
         """Release the lease for others to acquire at once; return whether that was written.
@@ -149,16 +168,19 @@
             return True
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                return await self._write(released=True, now_s=now_s)
+                change = self._next_change()
+                return await self._write(change, self.term, released=True, now_s=now_s)
         except TimeoutError:
             return False
         finally:
             self.state = LeaseState.ABSENT
 
-    async def _write(self, released: bool, now_s: float) -> bool:
+    def _next_change(self) -> ChangeId:
         self._changes += 1
-        change = ChangeId(f"{self._holder.node}/{self._holder.incarnation}/{self._changes}")
-        content = encode(LeaseRow(self._holder, change, released))
+        return ChangeId(f"{self._holder.node}/{self._holder.incarnation}/{self._changes}")
+
+    async def _write(self, change: ChangeId, term: str, released: bool, now_s: float) -> bool:
+        content = encode(LeaseRow(replace(self._holder, term=term), change, released))
         conditions = (Condition(LEASE_KEY, self.revision),)
         reply = await self._table.commit(Transaction(change, conditions, {LEASE_KEY: content}))
         if reply.status is CommitStatus.COMMITTED:
@@ -178,9 +200,9 @@
         except TableUnavailable:
             return False
         row = rows.get(LEASE_KEY)
-        stored = _decode_row(row)
+        stored = decode_lease_row(row)
         if row is not None and row.revision != self.revision and stored is not None:
-            is_own = stored.holder == self._holder
+            is_own = stored.holder.is_same_process(self._holder)
             if not is_own:
                 self.state = LeaseState.ABSENT
             self._apply_row(row, now_s)
@@ -200,7 +222,8 @@
         self.unchanged_since_s = now_s
 
 
-def _decode_row(row: Row | None) -> LeaseRow | None:
+def decode_lease_row(row: Row | None) -> LeaseRow | None:
+    """Return the lease as a row states it, or None if there is none or it cannot be read."""
     if row is None:
         return None
     try:
@@ -209,4 +232,4 @@
         return None
 
 
-__all__ = ["LEASE_KEY", "Holder", "Lease", "LeaseRow", "LeaseState"]
+__all__ = ["LEASE_KEY", "Holder", "Lease", "LeaseRow", "LeaseState", "decode_lease_row"]
--- a/packages/ochreway-direct/src/ochreway_direct/leases/leasekeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/leasekeeper.py
@@ -23,7 +23,8 @@
     Args:
         spawn: runs a task until the process stops.
         on_acquired: called with the epoch above which groups may be formed now.
-        on_renewed: called after each renewal, to announce it to others at once.
+        on_renewed: called after the lease was acquired or renewed, to announce it to others at
+            once.
         is_head: whether this process is in contact with all others. One that is not waits longer,
             so that those that are acquire the lease first.
     """
@@ -130,6 +131,7 @@
         self._log.event("lease_taken", revision=self._lease.acquired_revision)
         self._metrics.count("lease.taken")
         self._on_acquired(Epoch(self._lease.acquired_revision * EPOCHS_PER_REVISION))
+        self._on_renewed()
 
 
 __all__ = ["LeaseKeeper"]
--- a/packages/ochreway-direct/src/ochreway_direct/messages.py
+++ b/packages/ochreway-direct/src/ochreway_direct/messages.py
@@ -14,17 +14,22 @@
 from ochreway_direct.ids import CellId
 from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.sendlimits.loan import Loan
+from ochreway_direct.sendlimits.loannews import LoanNews
 from ochreway_direct.targetlimits.poolnews import NO_POOL_NEWS, PoolNews
 from ochreway_direct.work import Work
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseSighting:
-    """Identify the holder of the lease, and how long ago its claim was last received."""
+    """Identify the holder of the lease, and how long ago its claim was last received.
+
+    ``loans`` reports the loans of the sender, whoever holds the lease.
+    """
 
     peer: Peer
     revision: int
     silent_s: float = 0.0
+    loans: LoanNews | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/fleetlimit.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/fleetlimit.py
@@ -2,7 +2,7 @@
 """This entry's share of the fleet-wide limit on requests to targets that may be cold."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from ochreway_core.ids import InstanceId, NodeId
 from ochreway_direct.configuration import Service
@@ -10,7 +10,8 @@
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.sendlimits.allowance import Allowance
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
-from ochreway_direct.sendlimits.loan import LOAN_DURATION_S, Loan
+from ochreway_direct.sendlimits.heldloans import HeldLoans
+from ochreway_direct.sendlimits.loan import Loan
 from ochreway_direct.sendlimits.sendlimit import SendLimit
 from ochreway_direct.sendlimits.sendwindow import WINDOW_S, SendWindow
 from ochreway_direct.sendlimits.standingshare import StaticShare
@@ -51,26 +52,33 @@
         self._send_from_s = started_s + WINDOW_S
         self._log = log
         self._metrics = metrics
-        self._loan = Loan()
-        self._loan_end_s = -math.inf
+        self._started_s = started_s
+        self.held = HeldLoans()
         self._has_loan = False
         self._windows: dict[InstanceId, SendWindow] = {}
 
     # Updates
 
-    def update_entries(self, names: Iterable[NodeId], any_alive: bool, now_s: float) -> None:
-        """Update the known entries and whether any is alive; log a loan that has lapsed."""
-        self._static_share.update_entries(names, any_alive, now_s)
+    def update_entries(
+        self,
+        names: Iterable[NodeId],
+        any_alive: bool,
+        now_s: float,
+        alive: Collection[NodeId] = (),
+    ) -> None:
+        """Update the known entries and those that are alive; log a loan that has lapsed."""
+        self._static_share.update_entries(names, any_alive, now_s, alive)
         self._windows = {i: w for i, w in self._windows.items() if w.count(now_s)}
-        if self._has_loan and now_s >= self._loan_end_s:
+        if self._has_loan and not self.held.total(now_s):
             self._has_loan = False
             self._log.event("loan_lapsed")
 
     def borrow(self, loan: Loan, echo_s: float, now_s: float) -> None:
         """Accept a loan, valid from this entry's time that its heartbeat echoes."""
-        self._loan = loan
-        self._loan_end_s = echo_s + LOAN_DURATION_S
-        if loan.shares and not self._has_loan and now_s < self._loan_end_s:
+        if not self.held.accept(loan, echo_s, now_s):
+            self._metrics.count("loan.refused")
+            return
+        if not self._has_loan and self.held.total(now_s):
             self._has_loan = True
             shares = ",".join(f"{name}:{share}" for name, share in sorted(loan.shares.items()))
             self._log.event("loan", shares=shares)
@@ -93,11 +101,15 @@
 
     def loan_of(self, service: ServiceName, now_s: float) -> int:
         """Return the requests per second this entry has borrowed for each target of a service."""
-        return self._loan.shares.get(service, 0) if now_s < self._loan_end_s else 0
+        return self.held.share_of(service, now_s)
 
     def borrowed_total(self, now_s: float) -> int:
         """Return the sum of what this entry has borrowed."""
-        return sum(self._loan.shares.values()) if now_s < self._loan_end_s else 0
+        return self.held.total(now_s)
+
+    def running_s(self, now_s: float) -> float:
+        """Return how long this process has run."""
+        return now_s - self._started_s
 
     def allows(self, service: ServiceName, instance: InstanceId, now_s: float) -> bool:
         """Return whether a target may be sent another request now."""
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
@@ -3,19 +3,21 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from ochreway_core.ids import NodeId
 from ochreway_direct.ids import ServiceName
+from ochreway_direct.sendlimits.formerloans import FormerLoans
+from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
 from ochreway_direct.sendlimits.loan import LOAN_DURATION_S, Loan
+from ochreway_direct.sendlimits.loannews import LoanNews
+from ochreway_direct.sendlimits.loansrow import Borrower
 
 MAX_RENEWAL_AGE_S = 3.0
 """How long after the start of its last successful renewal a holder lends: 1.5 renewal intervals."""
-MAX_WRITE_DELAY_S = 0.6
-"""Longest time to connect to a target before a request that is under way is written."""
-LOAN_LAPSE_S = LOAN_DURATION_S + MAX_WRITE_DELAY_S + 1.0 + 0.2
-"""Time after which nothing sent under a loan counts: one second of the limit plus a margin."""
+LOAN_LAPSE_S = LOAN_DURATION_S + SENT_LAPSE_S
+"""Time after which nothing sent under a loan counts."""
 NEW_HOLDER_DELAY_S = MAX_RENEWAL_AGE_S + LOAN_LAPSE_S
 """How long a new holder lends nothing, so that all loans of the former one have lapsed."""
 MIN_WEIGHT = 0.05
@@ -38,6 +40,9 @@
         self._new_holder_delay_s = new_holder_delay_s
         self._loan_lapse_s = loan_lapse_s
         self._lease_taken_s = math.inf
+        self.former = FormerLoans()
+        self._early_news: dict[Borrower, tuple[LoanNews, float]] = {}
+        self._may_hold_until_s: dict[Borrower, float] = {}
         self._outstanding: dict[ServiceName, dict[NodeId, list[_OutstandingLoan]]] = defaultdict(
             dict
         )
@@ -45,13 +50,62 @@
     def on_lease_taken(self, now_s: float) -> None:
         """Record that the lease was acquired now."""
         self._lease_taken_s = now_s
+        self.former = FormerLoans()
+        self._early_news = {}
+
+    def on_register_read(self, borrowers: Iterable[Borrower]) -> None:
+        """Record all processes to which former holders may have lent."""
+        self.former.on_register_read(borrowers)
+        early_news, self._early_news = self._early_news, {}
+        for sender, (news, received_s) in early_news.items():
+            self._apply_news(sender, news, received_s)
+
+    def on_news(self, sender: Borrower, news: LoanNews, lease: int, now_s: float) -> None:
+        """Record what a process still holds, if it has heard of this holder's lease."""
+        if news.lease < lease or self.wait_over(now_s):
+            return
+        if self.former.known:
+            self._apply_news(sender, news, now_s)
+        else:
+            self._early_news[sender] = (news, now_s)
+
+    def _apply_news(self, sender: Borrower, news: LoanNews, now_s: float) -> None:
+        if not self.former.on_answer(sender, news.running_s, now_s):
+            return
+        for held in news.held:
+            counts_until_s = now_s + held.ends_in_s + self._loan_lapse_s - LOAN_DURATION_S
+            self._extend(sender, counts_until_s)
+            for service, share in held.shares.items():
+                loans = self._outstanding[service].setdefault(sender.node, [])
+                loans.append(_OutstandingLoan(share, counts_until_s))
+
+    def wait_over(self, now_s: float) -> bool:
+        """Return whether all loans of former holders have lapsed for want of time alone."""
+        return now_s - self._lease_taken_s >= self._new_holder_delay_s
+
+    def knows_former(self, now_s: float) -> bool:
+        """Return whether every process that may hold a former loan is known or has none left."""
+        return self.former.known or self.wait_over(now_s)
 
     def may_lend(self, renewed_s: float, now_s: float) -> bool:
         """Return whether loans may be made with a lease that was last renewed at ``renewed_s``."""
         return (
-            now_s - self._lease_taken_s >= self._new_holder_delay_s
-            and now_s - renewed_s < MAX_RENEWAL_AGE_S
-        )
+            self.wait_over(now_s) or self.former.resolved(now_s)
+        ) and now_s - renewed_s < MAX_RENEWAL_AGE_S
+
+    def possible_borrowers(self, now_s: float) -> frozenset[Borrower]:
+        """Return the processes that may hold a loan of this or a former holder."""
+        self._may_hold_until_s = {b: s for b, s in self._may_hold_until_s.items() if s > now_s}
+        former = () if self.wait_over(now_s) else self.former.possible(now_s)
+        return frozenset((*self._may_hold_until_s, *former))
+
+    def record_borrower(self, borrower: Borrower, now_s: float) -> None:
+        """Record that a process is lent to now."""
+        self._extend(borrower, now_s + self._loan_lapse_s)
+
+    def _extend(self, borrower: Borrower, until_s: float) -> None:
+        known_s = self._may_hold_until_s.get(borrower, -math.inf)
+        self._may_hold_until_s[borrower] = max(known_s, until_s)
 
     def lend(
         self,
@@ -113,4 +167,4 @@
     return math.floor(exact[node]) + (node in order[:leftover])
 
 
-__all__ = ["LOAN_LAPSE_S", "MAX_RENEWAL_AGE_S", "MAX_WRITE_DELAY_S", "NEW_HOLDER_DELAY_S", "Lender"]
+__all__ = ["LOAN_LAPSE_S", "MAX_RENEWAL_AGE_S", "NEW_HOLDER_DELAY_S", "Lender"]
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loan.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loan.py
@@ -13,10 +13,14 @@
 class Loan:
     """Hold how many requests per second a service's targets may get beyond the static share.
 
-    It is valid from the time that its heartbeat echoes, on the borrower's clock.
+    It is valid from the time that its heartbeat echoes, on the borrower's clock. ``lease`` is the
+    acquired revision of the lease under which it was made, and ``incarnation`` the borrower's
+    process; a process of the previous build states neither.
     """
 
     shares: dict[ServiceName, int] = field(default_factory=dict)
+    lease: int = 0
+    incarnation: str = ""
 
 
 __all__ = ["LOAN_DURATION_S", "Loan"]
--- /dev/null
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
@@ -0,0 +1,155 @@
+# SPDX-License-Identifier: Apache-2.0
+"""Task that keeps the register of borrowers, and finds out what former borrowers hold."""
+
+import asyncio
+from collections.abc import Callable
+
+from ochreway_core.ids import NodeId
+from ochreway_direct.leases.lease import Lease
+from ochreway_direct.sendlimits.loanregister import LoanRegister
+from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.loansrow import Borrower
+from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_runtime.logs import EventLog
+from ochreway_runtime.metrics import Metrics
+
+REGISTER_READ_INTERVAL_S = 0.3
+"""How often an entry that does not know the other entries yet reads the register."""
+WRITE_INTERVAL_S = 0.1
+"""Minimum time between two writes, so that entries that start together are written together."""
+PROBE_INTERVAL_S = 0.3
+"""How often the processes that have not answered are checked for having ended."""
+PROBE_TIMEOUT_S = 0.25
+
+
+class LoanKeeper:
+    """Register borrowers before they are lent to, and resolve the loans of former holders.
+
+    Args:
+        on_ready: called when loans can be made under a lease, to make them at once.
+    """
+
+    def __init__(
+        self,
+        loans: Loans,
+        register: LoanRegister,
+        lease: Lease,
+        static_share: StaticShare,
+        on_ready: Callable[[], None],
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Start without having read the register."""
+        self._loans = loans
+        self._register = register
+        self._lease = lease
+        self._static_share = static_share
+        self._on_ready = on_ready
+        self._log = log
+        self._metrics = metrics
+        self._lease_ready = 0
+        self._lease_read = 0
+        self._entries_read_s = -REGISTER_READ_INTERVAL_S
+        self._written_s = -WRITE_INTERVAL_S
+        self._probed_s = -PROBE_INTERVAL_S
+
+    async def run(self, tick_s: float) -> None:
+        """Keep the register until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(tick_s)
+            await self.update(loop.time())
+            await self._probe_unanswered()
+
+    async def update(self, now_s: float) -> None:
+        """Read or write the register, if that is due."""
+        if not self._loans.is_called_for or not self._register.may_retry(now_s):
+            return
+        if not self._lease.held:
+            await self._read_entries(now_s)
+            return
+        self._loans.on_lease(now_s)
+        if self._register.unread and not await self._read_register(now_s):
+            return
+        await self._write_register(now_s)
+        if self._loans.may_lend(now_s) and self._lease_ready != self._lease.acquired_revision:
+            self._lease_ready = self._lease.acquired_revision
+            self._log.event("loans_ready", lease=self._lease_ready)
+            self._on_ready()
+
+    async def _read_entries(self, now_s: float) -> None:
+        """Read which other entries are registered, until this one knows them."""
+        share = self._static_share
+        if share.has_register or share.is_settled(now_s):
+            return
+        if now_s - self._entries_read_s < REGISTER_READ_INTERVAL_S:
+            return
+        self._entries_read_s = now_s
+        self._metrics.count("loan.register_read")
+        row = await self._register.read_in_force(now_s)
+        if row is not None:
+            share.on_register([each.node for each in row.borrowers], row.entries, now_s)
+
+    async def _read_register(self, now_s: float) -> bool:
+        """Read the row after the lease was acquired, or after a write of unknown outcome."""
+        lease = self._lease.acquired_revision
+        self._metrics.count("loan.register_read")
+        if not await self._register.read(now_s) or self._lease.acquired_revision != lease:
+            return False
+        if self._lease_read != lease:
+            self._lease_read = lease
+            self._take_over()
+        return True
+
+    def _take_over(self) -> None:
+        """Use the row of the former holder, if that was written under its last lease."""
+        row, former_term = self._register.row, self._lease.former_term
+        lease = self._lease.acquired_revision
+        if row is None or not former_term or row.term != former_term:
+            self._log.event("loans_unknown", lease=lease)
+            return
+        self._loans.lender.on_register_read(row.borrowers)
+        self._log.event("loans_registered", lease=lease, borrowers=len(row.borrowers))
+
+    async def _write_register(self, now_s: float) -> None:
+        if not self._lease.held or not self._loans.lender.knows_former(now_s):
+            return
+        if now_s - self._written_s < WRITE_INTERVAL_S:
+            return
+        borrowers = self._loans.desired_borrowers(now_s)
+        entries = self._static_share.known_entries | {each.node for each in borrowers}
+        if borrowers == self._register.registered and self._names_all(entries):
+            return
+        self._written_s = now_s
+        if await self._register.write(borrowers, entries, now_s):
+            self._metrics.count("loan.register_written")
+        else:
+            self._metrics.count("loan.register_unavailable")
+
+    def _names_all(self, entries: frozenset[NodeId]) -> bool:
+        row = self._register.row
+        return row is not None and entries <= set(row.entries)
+
+    async def _probe_unanswered(self) -> None:
+        """Find out which borrowers that have not answered have ended."""
+        loop = asyncio.get_running_loop()
+        unanswered = self._loans.unanswered(loop.time())
+        if not unanswered or loop.time() - self._probed_s < PROBE_INTERVAL_S:
+            return
+        self._probed_s = loop.time()
+        await asyncio.gather(*(self._probe(each) for each in unanswered if each.address))
+
+    async def _probe(self, borrower: Borrower) -> None:
+        host, _, port = borrower.address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+            writer.close()
+        except ConnectionRefusedError:
+            self._loans.lender.former.on_ended(borrower, asyncio.get_running_loop().time())
+            self._log.event("borrower_ended", borrower=borrower.node)
+        except (TimeoutError, OSError):
+            return
+
+
+__all__ = ["LoanKeeper"]
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
@@ -1,68 +1,153 @@
 # SPDX-License-Identifier: Apache-2.0
 """Exchange of loans with heartbeats."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from ochreway_core.ids import NodeId
 from ochreway_direct.leases.lease import Lease
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.lender import Lender
 from ochreway_direct.sendlimits.loan import Loan
+from ochreway_direct.sendlimits.loannews import LoanNews
+from ochreway_direct.sendlimits.loanregister import LoanRegister
+from ochreway_direct.sendlimits.loansrow import Borrower
 
 
 class Loans:
     """Lend while this entry holds the lease, and borrow from its holder.
 
     Args:
-        me: this entry.
+        me: this process.
         limit: the limit that borrowed shares add to.
         lease: the coordinator's lease.
         weights: returns the demand at each connected entry, including this one.
         lender: makes the loans; by default with the usual times.
+        register: names the borrowers in the table. Without one, a new holder of the lease always
+            waits until the loans of the former one have lapsed.
     """
 
     def __init__(
         self,
-        me: NodeId,
+        me: Borrower,
         limit: FleetLimit,
         lease: Lease,
         weights: Callable[[float], Mapping[NodeId, float]],
         lender: Lender | None = None,
+        register: LoanRegister | None = None,
     ) -> None:
         self._me = me
         self._limit = limit
         self._lease = lease
         self._weights = weights
-        self._lender = lender or Lender()
+        self.lender = lender or Lender()
+        self.register = register
         self._lease_taken_at = 0
+        self._processes: dict[NodeId, Borrower] = {me.node: me}
 
-    def refresh(self, names: Iterable[NodeId], any_alive: bool, now_s: float) -> None:
+    # Messages.
+
+    def refresh(
+        self,
+        names: Iterable[NodeId],
+        any_alive: bool,
+        now_s: float,
+        alive: Collection[NodeId] = (),
+    ) -> None:
         """Update the known entries, and lend to this entry itself."""
-        self._limit.update_entries(names, any_alive, now_s)
-        loan = self.lend(self._me, now_s)
+        nodes = {*names, self._me.node}
+        self._processes = {n: each for n, each in self._processes.items() if n in nodes}
+        self._limit.update_entries(nodes - {self._me.node}, any_alive, now_s, alive)
+        self.on_lease(now_s)
+        self._count_own_loans(now_s)
+        loan = self.lend(self._me.node, now_s)
         if loan is not None:
             self._limit.borrow(loan, now_s, now_s)
 
+    def on_lease(self, now_s: float) -> None:
+        """Prepare to lend under a lease that was acquired since the last call."""
+        if self._lease.held and self._lease_taken_at != self._lease.acquired_revision:
+            self._lease_taken_at = self._lease.acquired_revision
+            self._limit.held.observe_lease(self._lease_taken_at)
+            self.lender.on_lease_taken(now_s)
+            if self.register is not None:
+                self.register.discard()
+
+    def _count_own_loans(self, now_s: float) -> None:
+        news = self.news(now_s)
+        if news is not None and self._lease.held:
+            self.lender.on_news(self._me, news, self._lease_taken_at, now_s)
+
     def lend(self, node: NodeId, now_s: float) -> Loan | None:
         """Return the loan for a heartbeat that is sent to an entry now, if any."""
         if not self._lease.held:
             return None
-        if self._lease_taken_at != self._lease.acquired_revision:
-            self._lease_taken_at = self._lease.acquired_revision
-            self._lender.on_lease_taken(now_s)
+        self.on_lease(now_s)
         amounts = self._limit.lendable()
-        if not amounts or not self._lender.may_lend(self._lease.renewed_s, now_s):
+        if not amounts or not self.lender.may_lend(self._lease.renewed_s, now_s):
             return None
-        return self._lender.lend(node, amounts, self._weights(now_s), now_s)
+        if self.register is None:
+            return self.lender.lend(node, amounts, self._weights(now_s), now_s)
+        borrower = self._processes.get(node)
+        if borrower is None or not self.register.is_registered(borrower) or self._is_superseded():
+            return None
+        loan = self.lender.lend(node, amounts, self._weights(now_s), now_s)
+        self.lender.record_borrower(borrower, now_s)
+        return Loan(loan.shares, self._lease_taken_at, borrower.incarnation)
+
+    def _is_superseded(self) -> bool:
+        """Return whether this entry has heard of a newer lease than its own."""
+        return self._limit.held.newest_lease > self._lease_taken_at
 
     def borrow(self, loan: Loan | None, echo_s: float | None, now_s: float) -> None:
         """Accept a heartbeat's loan, if it echoes a time of this incarnation."""
-        if loan is not None and echo_s is not None:
+        if loan is None or echo_s is None:
+            return
+        if loan.incarnation in ("", self._me.incarnation):
             self._limit.borrow(loan, echo_s, now_s)
 
+    def news(self, now_s: float) -> LoanNews | None:
+        """Return the report of this entry's loans; None without a cold start rate."""
+        if self.register is None or not self._limit.allowances():
+            return None
+        held = self._limit.held
+        return LoanNews(held.newest_lease, held.report(now_s), self._limit.running_s(now_s))
+
+    def on_news(self, sender: Borrower, news: LoanNews | None, now_s: float) -> bool:
+        """Record another process and its loans; return whether it knows of a newer lease."""
+        self._processes[sender.node] = sender
+        if news is None or self.register is None:
+            return False
+        if self._lease.held:
+            self.on_lease(now_s)
+            self.lender.on_news(sender, news, self._lease_taken_at, now_s)
+        return self._limit.held.observe_lease(news.lease)
+
+    # Register.
+
+    def desired_borrowers(self, now_s: float) -> frozenset[Borrower]:
+        """Return the processes to register: those that may hold a loan, and all in contact."""
+        in_contact = (self._processes.get(node) for node in self._weights(now_s))
+        known = (each for each in in_contact if each is not None)
+        return frozenset((*known, *self.lender.possible_borrowers(now_s)))
+
+    @property
+    def is_called_for(self) -> bool:
+        """Return whether a service of the configuration has a cold start rate."""
+        return bool(self._limit.allowances())
+
+    def unanswered(self, now_s: float) -> frozenset[Borrower]:
+        """Return the processes whose former loans this holder of the lease does not know yet."""
+        if not self._lease.held or self.lender.wait_over(now_s):
+            return frozenset()
+        return self.lender.former.unanswered()
+
+    def may_lend(self, now_s: float) -> bool:
+        """Return whether this entry lends now."""
+        return self._lease.held and self.lender.may_lend(self._lease.renewed_s, now_s)
+
     def outstanding(self, now_s: float) -> int:
         """Return how much this entry has lent as holder of the lease."""
-        return sum(self._lender.outstanding(name, now_s) for name in self._limit.lendable())
+        return sum(self.lender.outstanding(name, now_s) for name in self._limit.lendable())
 
 
 __all__ = ["Loans"]
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/standingshare.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/standingshare.py
@@ -2,7 +2,7 @@
 """Static share of an allowance, computed by each entry from the entries it knows."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from ochreway_core.ids import InstanceId, NodeId
 from ochreway_core.rendezvous import rank
@@ -20,6 +20,11 @@
 By then all names have been propagated: heartbeats name all entries within 32 of them, and those of
 a mesh within three.
 """
+REGISTERED_SETTLE_S = 0.9
+"""How long an entry of a mesh is connected to all registered entries before it relies on them.
+
+Within three heartbeats each of them names all entries.
+"""
 ALONE_TIMEOUT_S = 20.0
 """How long an isolated entry relies on the number of entries that it knew.
 
@@ -45,9 +50,37 @@
         self._last_connected_s = started_s
         self._ever_connected = seeds <= 1
         self._ranks: dict[InstanceId, int] = {}
+        self._registered: frozenset[NodeId] = frozenset()
+        self._all_connected_since_s: float | None = None
 
-    def update_entries(self, names: Iterable[NodeId], any_alive: bool, now_s: float) -> None:
-        """Record the names of other entries, and whether any of them is alive now."""
+    @property
+    def has_register(self) -> bool:
+        """Return whether the registered entries are known since this entry was last connected."""
+        return bool(self._registered)
+
+    def on_register(
+        self, borrowers: Iterable[NodeId], names: Iterable[NodeId], now_s: float
+    ) -> None:
+        """Record the entries that the register names, as borrowers and as counted by its writer."""
+        self._registered = frozenset(borrowers) - {self._me}
+        self._all_connected_since_s = None
+        for name in (*self._registered, *names):
+            if name != self._me:
+                self._last_seen_s[name] = now_s
+        self._ranks.clear()
+
+    def update_entries(
+        self,
+        names: Iterable[NodeId],
+        any_alive: bool,
+        now_s: float,
+        alive: Collection[NodeId] = (),
+    ) -> None:
+        """Record the names of other entries, whether any is alive now, and which are."""
+        if not self._registered or not self._registered <= set(alive):
+            self._all_connected_since_s = None
+        elif self._all_connected_since_s is None:
+            self._all_connected_since_s = now_s
         before = set(self._last_seen_s)
         for name in names:
             self._last_seen_s[name] = now_s
@@ -58,16 +91,35 @@
             self._ranks.clear()
         if not any_alive:
             return
-        if not self._ever_connected or now_s - self._last_connected_s > ALONE_TIMEOUT_S:
+        was_alone = now_s - self._last_connected_s > ALONE_TIMEOUT_S
+        if not self._ever_connected or was_alone:
             self._connected_since_s = now_s
+        if was_alone:
+            # Entries may have joined unnoticed since the register was read.
+            self._registered = frozenset()
+            self._all_connected_since_s = None
         self._ever_connected = True
         self._last_connected_s = now_s
 
     def is_settled(self, now_s: float) -> bool:
         """Return whether all entries are known, except for a few new ones."""
         alone = self._last_seen_s and now_s - self._last_connected_s > ALONE_TIMEOUT_S
-        settle_s = MESH_SETTLE_S if self.entry_count <= MAX_MESH_ENTRIES else SETTLE_S
-        return self._ever_connected and not alone and now_s - self._connected_since_s >= settle_s
+        if alone or not self._ever_connected:
+            return False
+        meshed = self.entry_count <= MAX_MESH_ENTRIES
+        settle_s = MESH_SETTLE_S if meshed else SETTLE_S
+        return now_s - self._connected_since_s >= settle_s or (
+            meshed and self._is_connected_to_registered(now_s)
+        )
+
+    def _is_connected_to_registered(self, now_s: float) -> bool:
+        since_s = self._all_connected_since_s
+        return since_s is not None and now_s - since_s >= REGISTERED_SETTLE_S
+
+    @property
+    def known_entries(self) -> frozenset[NodeId]:
+        """Return the other entries that are counted."""
+        return frozenset(self._last_seen_s)
 
     @property
     def entry_count(self) -> int:
@@ -116,6 +168,7 @@
     "ENTRY_RETENTION_S",
     "MESH_SETTLE_S",
     "MIN_HEADROOM",
+    "REGISTERED_SETTLE_S",
     "SETTLE_S",
     "StaticShare",
 ]
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -29,6 +29,7 @@
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
@@ -117,7 +118,7 @@
             *(EventLog("entry", name, "error"), Metrics(None, "entry")),
         )
         self.meter = DemandMeter()
-        self.loans = Loans(name, self.limit, self.lease, self._asked)
+        self.loans = Loans(Borrower(name, "1"), self.limit, self.lease, self._asked)
         self.heartbeats = Heartbeats(
             *("1", me, seeds, self.peers, links, self.serving, self.view, self.lease),
             *(self.meter, self.drains, lambda: None, mesh_entries, self.loans),
--- a/tests/direct/sendworld.py
+++ b/tests/direct/sendworld.py
@@ -19,6 +19,7 @@
 from ochreway_direct.sendlimits.lender import Lender
 from ochreway_direct.sendlimits.loan import Loan
 from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_platform.errors import TableUnavailable
 from ochreway_platform.memorytable import MemoryTable
@@ -114,7 +115,9 @@
             **({} if world.guards.new_holder_waits else {"new_holder_delay_s": 0.0}),
             **({} if world.guards.loans_counted else {"loan_lapse_s": 0.0}),
         )
-        self.loans = Loans(name, self.limit, self.lease, self._weights, lender)
+        self.loans = Loans(
+            Borrower(name, str(incarnation)), self.limit, self.lease, self._weights, lender
+        )
         self.last_received: dict[NodeId, tuple[float, float]] = {}
         self.names: set[NodeId] = set()
         self.weight = 1.0
