--- a/tests/direct/test_sendlimitproperty.py
+++ b/tests/direct/test_sendlimitproperty.py
@@ -67,6 +67,9 @@
         name = self.entry(step.which).name
         self.world.cut_links |= {frozenset((name, other)) for other in self.world.entries}
 
+    def run_on(self, _: Step) -> None:
+        """Do nothing but let time pass."""
+
     def heal(self, _: Step) -> None:
         self.world.cut_links.clear()
         self.world.delays_s.clear()
@@ -97,6 +100,24 @@
     def restart(self, step: Step) -> None:
         self.world.start_entry(self.entry(step.which).name)
 
+    def restart_all(self, _: Step) -> None:
+        for name in list(self.world.entries):
+            self.world.start_entry(name)
+
+    def restart_old(self, step: Step) -> None:
+        self.world.start_entry(self.entry(step.which).name, previous_build=True)
+
+    def hand_over(self, step: Step) -> None:
+        for entry in self.world.entries.values():
+            entry.release_lease(self.world.now_s + entry.clock_s)
+        self.take(step)
+
+    def store_late(self, step: Step) -> None:
+        """Let a write whose answer was lost take effect now."""
+        held_up = self.entry(step.which).table.held_up
+        if held_up is not None:
+            self.world.table.commit_now(held_up)
+
     def leave(self, step: Step) -> None:
         if len(self.world.entries) > 2:
             del self.world.entries[self.entry(step.which).name]
@@ -113,8 +134,10 @@
 ACTIONS: dict[str, Callable[[Scenario, Step], None]] = {
     name: getattr(Scenario, name)
     for name in (
+        "run_on",
         *("burst", "burst_all", "demand", "cut", "isolate", "heal", "delay", "take"),
         *("store_cut", "store_deaf", "store_heal", "freeze", "wake", "restart", "leave", "join"),
+        *("restart_all", "restart_old", "hand_over", "store_late"),
     )
 }
 TIMES = st.sampled_from((0.0, 0.1, 0.3, 0.5, 0.9, 1.0, 1.2, 2.0, 3.0, 7.0))
@@ -182,6 +205,166 @@
 """Every entry restarts within the second."""
 
 
+def holder_killed(wait_s: float) -> list[Step]:
+    """The holder borrowed everything, sends a burst and is killed."""
+    return [
+        *(step("demand", 0, s=7.0, then_s=9.6), step("demand", 3, s=7.0)),
+        *(step("burst", 0), step("leave", 0), step("take", 1, then_s=wait_s), step("burst_all")),
+    ]
+
+
+def holder_frozen(wait_s: float) -> list[Step]:
+    """The holder borrowed everything, is frozen, and wakes when another one holds the lease."""
+    return [
+        *(step("demand", 0, s=7.0, then_s=8.0), step("demand", 0), step("demand", 3, s=7.0)),
+        step("freeze", 0),
+        *(step("take", 2, then_s=wait_s), step("burst", 3), step("wake", 0), step("burst", 0)),
+        *(step("burst_all", then_s=0.3), step("burst_all")),
+    ]
+
+
+def cut_off(wait_s: float) -> list[Step]:
+    """A borrower is cut off during a planned hand-over, and returns with its old loan."""
+    return [
+        *(*ONE_BORROWER, *MOVE_LOAN, step("isolate", 1), step("hand_over", 2, then_s=wait_s)),
+        *(step("heal"), step("burst", 1, then_s=0.3), step("burst_all")),
+    ]
+
+
+def handed_over(wait_s: float) -> list[Step]:
+    """The loan of a borrower moves to another one during a planned hand-over."""
+    return [
+        *(*ONE_BORROWER, *MOVE_LOAN, step("hand_over", 2, then_s=wait_s), step("burst_all")),
+        *(step("run_on", then_s=0.6), step("burst_all")),
+    ]
+
+
+def handed_over_with_a_loan_under_way(wait_s: float) -> list[Step]:
+    """A loan arrives after its borrower has told a new holder that it holds none."""
+    return [
+        *(step("demand", 3, s=7.0, then_s=8.0), step("demand", 3), step("demand", 1, s=7.0)),
+        *(step("run_on", then_s=3.0 + wait_s), step("delay", 0, s=0.4, then_s=0.3)),
+        *(step("demand", 4, s=7.0), step("demand", 1), step("hand_over", 2, then_s=0.2)),
+        *(step("cut", 1, 2, then_s=0.7), step("burst_all", then_s=0.3), step("burst_all")),
+    ]
+
+
+def handed_over_twice(wait_s: float) -> list[Step]:
+    """A borrower that is cut off has its loan from the holder before the former one."""
+    return [
+        *(*ONE_BORROWER, *MOVE_LOAN, step("isolate", 1), step("hand_over", 2, then_s=wait_s)),
+        *(step("burst", 1), step("hand_over", 4, then_s=0.9), step("burst_all")),
+    ]
+
+
+JOINED_BORROWER = [step("demand", 5, s=7.0, then_s=8.0), step("demand", 5)]
+"""An entry that has joined borrows everything that may be lent."""
+
+
+def joined(wait_s: float) -> list[Step]:
+    """An entry joins, borrows everything and is cut off during a planned hand-over."""
+    return [
+        *(step("join"), *JOINED_BORROWER, step("demand", 3, s=7.0), step("isolate", 5)),
+        *(step("hand_over", 2, then_s=wait_s), step("burst_all")),
+    ]
+
+
+def previous_build_between(wait_s: float) -> list[Step]:
+    """A holder of the previous build lends to an entry that joins, and then ends."""
+    return [
+        *(step("restart_old", 4, then_s=3.0), step("hand_over", 4, then_s=8.0), step("join")),
+        *(*JOINED_BORROWER, step("demand", 3, s=7.0), step("isolate", 5), step("restart", 4)),
+        *(step("take", 2, then_s=wait_s), step("burst", 5, then_s=0.9), step("burst_all")),
+    ]
+
+
+def late_write(wait_s: float) -> list[Step]:
+    """A write that leaves a borrower out takes effect after the borrower was lent to again."""
+    return [
+        *(step("join", then_s=8.0), step("isolate", 5, then_s=3.0 + wait_s)),
+        *(step("store_cut", 0, then_s=0.6), step("heal", then_s=0.6)),
+        *(step("store_heal", 0, then_s=0.3), step("store_late", 0)),
+        *(*JOINED_BORROWER, step("demand", 3, s=7.0), step("isolate", 5)),
+        *(step("hand_over", 2, then_s=0.9), step("burst_all")),
+    ]
+
+
+def dark_table(wait_s: float) -> list[Step]:
+    """The table is unavailable as soon as a new holder has taken the lease."""
+    return [
+        *(*ONE_BORROWER, *MOVE_LOAN, step("isolate", 1), step("hand_over", 2)),
+        *(step("store_cut", 2, then_s=wait_s), step("burst_all")),
+    ]
+
+
+def all_killed(wait_s: float) -> list[Step]:
+    """All entries are killed while they use their loans, and start again at once."""
+    return [
+        *(*ONE_BORROWER, step("burst_all"), step("restart_all"), step("take", 1, then_s=wait_s)),
+        step("burst_all"),
+    ]
+
+
+def all_killed_but_one(wait_s: float) -> list[Step]:
+    """All entries are killed except one that is cut off and has borrowed everything."""
+    return [
+        *(*ONE_BORROWER, step("isolate", 1), step("restart", 0), step("restart", 2)),
+        *(step("restart", 3), step("restart", 4), step("demand", 3, s=7.0), step("take", 2)),
+        *(step("run_on", then_s=wait_s), step("burst_all", then_s=0.3), step("burst_all")),
+    ]
+
+
+WAITS_S = tuple(tenths / 10 for tenths in range(22))
+
+
+class ChangeOfHolderTests(testtools.TestCase):
+    """No change of the holder sends more than a target bears; each check finds a planted fault."""
+
+    def assert_needed(self, steps: Callable[[float], list[Step]], without: Guards) -> None:
+        """Check that steps respect the limit at all times, and break it at some without a guard."""
+        sent = [Scenario().run(steps(wait_s)) for wait_s in WAITS_S]
+        self.assertLessEqual(max(sent), ALLOWANCE)
+        sent_with_fault = (Scenario(without).run(steps(wait_s)) for wait_s in WAITS_S)
+        self.assertTrue(any(each > ALLOWANCE for each in sent_with_fault), "fault not found")
+
+    def test_a_holder_is_killed(self) -> None:
+        self.assert_needed(holder_killed, Guards(ended_processes_counted=False))
+
+    def test_a_frozen_holder_wakes_with_its_loan(self) -> None:
+        self.assert_needed(holder_frozen, Guards(answers_awaited=False))
+
+    def test_an_entry_that_was_cut_off_returns_with_its_loan(self) -> None:
+        self.assert_needed(cut_off, Guards(answers_awaited=False))
+
+    def test_a_planned_hand_over(self) -> None:
+        self.assert_needed(handed_over, Guards(held_loans_counted=False))
+
+    def test_a_loan_is_under_way_during_a_hand_over(self) -> None:
+        self.assert_needed(handed_over_with_a_loan_under_way, Guards(older_leases_refused=False))
+
+    def test_two_hand_overs_in_quick_succession(self) -> None:
+        self.assert_needed(handed_over_twice, Guards(former_borrowers_kept=False))
+
+    def test_an_entry_joins_and_borrows(self) -> None:
+        self.assert_needed(joined, Guards(borrowers_registered=False))
+
+    def test_a_process_of_the_previous_build_held_the_lease_in_between(self) -> None:
+        self.assert_needed(previous_build_between, Guards(row_of_former_lease_only=False))
+
+    def test_a_write_without_a_reply_takes_effect_late(self) -> None:
+        self.assert_needed(late_write, Guards(lost_writes_doubted=False))
+
+    def test_the_table_is_dark_after_a_hand_over(self) -> None:
+        without = Guards(dark_table_waited_for=False, borrowers_registered=False)
+        self.assert_needed(dark_table, without)
+
+    def test_all_entries_are_killed_at_once(self) -> None:
+        self.assert_needed(all_killed, Guards(starts_silent=False))
+
+    def test_all_entries_are_killed_except_one_that_is_cut_off(self) -> None:
+        self.assert_needed(all_killed_but_one, Guards(answers_awaited=False))
+
+
 class GuardTests(testtools.TestCase):
     def assert_needed(self, steps: list[Step], without: Guards) -> None:
         """Check that steps respect the limit with a guard, and break it without."""
--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -10,6 +10,7 @@
 from ochreway_direct.leases.lease import LeaseState
 from ochreway_direct.sendlimits import standingshare
 from ochreway_direct.sendlimits.allowance import Allowance
+from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
 from ochreway_direct.sendlimits.lender import LOAN_LAPSE_S, NEW_HOLDER_DELAY_S, Lender
 from ochreway_direct.sendlimits.loan import LOAN_DURATION_S
 from ochreway_direct.sendlimits.sendwindow import WINDOW_S
@@ -209,7 +210,18 @@
     def entries(self) -> list[SendEntry]:
         return list(self.world.entries.values())
 
-    def test_a_new_holder_lends_after_the_loss_of_one(self) -> None:
+    def test_a_new_holder_lends_soon_after_the_loss_of_one(self) -> None:
+        """Guards against a wait for all loans where it is known who had them."""
+        self.lend()
+        del self.world.entries[NodeId("e0")]
+        other = self.entry(1)
+        self.assertTrue(other.take_lease(self.world.now_s + other.clock_s))
+        self.world.run(SENT_LAPSE_S + 1.0)
+        self.assertEqual(LENDABLE, self.loans())
+
+    def test_a_new_holder_waits_after_the_loss_of_one_of_the_previous_build(self) -> None:
+        self.world.start_entry(NodeId("e0"), previous_build=True)
+        self.world.run(SETTLE_S)
         self.lend()
         del self.world.entries[NodeId("e0")]
         other = self.entry(1)
