--- a/tests/direct/test_lease.py
+++ b/tests/direct/test_lease.py
@@ -5,9 +5,10 @@
 import testtools
 
 from ochreway_core.backoff import Backoff
+from ochreway_core.codec import from_fields, to_fields
 from ochreway_core.ids import NodeId
 from ochreway_core.table import CommitReply, CommitStatus, Transaction
-from ochreway_direct.leases.lease import Holder, Lease
+from ochreway_direct.leases.lease import Holder, Lease, LeaseRow
 from ochreway_platform.memorytable import MemoryTable
 
 
@@ -161,3 +162,51 @@
             self.assertGreater(other.acquired_revision, one.acquired_revision)
 
         asyncio.run(work())
+
+    def test_a_later_holder_knows_the_term_of_the_former_one(self) -> None:
+        async def work() -> None:
+            table = MemoryTable()
+            one, other = lease(table, "one"), lease(table, "other")
+            await one.observe(1.0)
+            await one.acquire(1.0)
+            await one.renew(2.0)
+            await other.observe(2.2)
+            await other.acquire(5.0)
+            self.assertEqual([one.term, ""], [other.former_term, one.former_term])
+            self.assertNotEqual(one.term, other.term)
+
+        asyncio.run(work())
+
+    def test_a_holder_that_acquires_its_lease_again_begins_another_term(self) -> None:
+        async def work() -> None:
+            held = lease(MemoryTable(), "one")
+            await held.observe(1.0)
+            await held.acquire(1.0)
+            first_term = held.term
+            await held.release(2.0)
+            await held.observe(2.1)
+            await held.acquire(2.1)
+            self.assertEqual(first_term, held.former_term)
+            self.assertNotEqual(first_term, held.term)
+
+        asyncio.run(work())
+
+    def test_the_term_is_unknown_if_the_row_changed_since_it_was_read(self) -> None:
+        async def work() -> None:
+            table = MemoryTable()
+            one, other = lease(table, "one"), lease(table, "other")
+            await one.observe(1.0)
+            await one.acquire(1.0)
+            await other.observe(1.2)
+            await one.renew(2.0)
+            other.record_revision(one.revision, 2.1)
+            self.assertTrue(await other.acquire(5.0))
+            self.assertEqual("", other.former_term)
+
+        asyncio.run(work())
+
+    def test_a_row_of_the_previous_build_has_no_term(self) -> None:
+        row = LeaseRow(Holder(NodeId("one"), "1"), "c", False)
+        plain = to_fields(row)
+        del plain[0]["term"]
+        self.assertEqual(row, from_fields(LeaseRow, plain))
--- a/tests/direct/test_sendlimitproperty.py
+++ b/tests/direct/test_sendlimitproperty.py
@@ -9,13 +9,18 @@
 from hypothesis import strategies as st
 
 from ochreway_core.ids import InstanceId, NodeId
-from tests.direct.sendworld import ALLOWANCE, LENDABLE, Guards, SendEntry, SendWorld
+from ochreway_direct.configuration import ColdStart, Service
+from tests.direct.sendworld import ALLOWANCE, COLD, LENDABLE, SERVICE, Guards, SendEntry, SendWorld
 
 TARGET = InstanceId("i")
 SEEDS = 5
 MAX_JOINS = 2
 """As many as a static share has headroom for, in case no entry learns of them."""
 BURST_REQUESTS = 80
+LARGE = Service(SERVICE, 100, cold_start=ColdStart(26.0, 3.0))
+LARGE_ALLOWANCE = 43
+LARGE_LENDABLE = 13
+"""The rest is divided into static shares of several requests each."""
 ALL_GUARDS = Guards()
 
 
@@ -33,8 +38,8 @@
 class Scenario:
     """Carry out steps on a world."""
 
-    def __init__(self, guards: Guards = ALL_GUARDS) -> None:
-        self.world = SendWorld(SEEDS, guards)
+    def __init__(self, guards: Guards = ALL_GUARDS, service: Service = COLD) -> None:
+        self.world = SendWorld(SEEDS, guards, service)
         self._joined = 0
         self.world.run(11.0)
         self.take(step("take"))
@@ -168,6 +173,16 @@
         self.assertLessEqual(scenario.run(steps), ALLOWANCE)
         self.assertLessEqual(scenario.world.max_borrowed, LENDABLE)
 
+    @seed(2)
+    @settings(max_examples=150, deadline=None, database=None)
+    @given(STEPS)
+    def test_nor_does_one_where_static_shares_grow_once_all_are_known(
+        self, steps: list[Step]
+    ) -> None:
+        scenario = Scenario(service=LARGE)
+        self.assertLessEqual(scenario.run(steps), LARGE_ALLOWANCE)
+        self.assertLessEqual(scenario.world.max_borrowed, LARGE_LENDABLE)
+
 
 ONE_BORROWER = [step("demand", 1, s=7.0, then_s=8.0)]
 """The second entry borrows everything that may be lent."""
@@ -289,6 +304,15 @@
     ]
 
 
+def bound_raised(wait_s: float) -> list[Step]:
+    """A borrower that had no loan gets one and is cut off during a planned hand-over."""
+    return [
+        *(step("demand", 0, s=7.0, then_s=8.0), step("demand", 0), step("demand", 3, s=7.0)),
+        *(step("run_on", then_s=4.5), step("isolate", 3), step("demand", 1, s=7.0)),
+        *(step("hand_over", 2, then_s=wait_s), step("burst_all", then_s=0.3), step("burst_all")),
+    ]
+
+
 def dark_table(wait_s: float) -> list[Step]:
     """The table is unavailable as soon as a new holder has taken the lease."""
     return [
@@ -320,14 +344,25 @@
 class ChangeOfHolderTests(testtools.TestCase):
     """No change of the holder sends more than a target bears; each check finds a planted fault."""
 
-    def assert_needed(self, steps: Callable[[float], list[Step]], without: Guards) -> None:
-        """Check that steps respect the limit at all times, and break it at some without a guard."""
+    def assert_needed(
+        self, steps: Callable[[float], list[Step]], without: Guards, sent_too_much: bool = True
+    ) -> None:
+        """Check that steps keep to the limits at all times, and exceed one at some without a guard.
+
+        That is the limit on what is sent, or only the one on what is lent.
+        """
         for wait_s in WAITS_S:
-            scenario = Scenario()
-            self.assertLessEqual(scenario.run(steps(wait_s)), ALLOWANCE)
-            self.assertLessEqual(scenario.world.max_borrowed, LENDABLE)
-        sent_with_fault = (Scenario(without).run(steps(wait_s)) for wait_s in WAITS_S)
-        self.assertTrue(any(each > ALLOWANCE for each in sent_with_fault), "fault not found")
+            sent, lent = self.run_with(ALL_GUARDS, steps(wait_s))
+            self.assertLessEqual(sent, ALLOWANCE)
+            self.assertLessEqual(lent, LENDABLE)
+        totals = (self.run_with(without, steps(wait_s)) for wait_s in WAITS_S)
+        found = any(sent > ALLOWANCE if sent_too_much else lent > LENDABLE for sent, lent in totals)
+        self.assertTrue(found, "fault not found")
+
+    def run_with(self, guards: Guards, steps: list[Step]) -> tuple[int, int]:
+        """Return the most that was sent to a target within a second, and the most lent."""
+        scenario = Scenario(guards)
+        return scenario.run(steps), scenario.world.max_borrowed
 
     def test_a_holder_is_killed(self) -> None:
         self.assert_needed(holder_killed, Guards(ended_processes_counted=False))
@@ -356,6 +391,9 @@
     def test_a_write_without_a_reply_takes_effect_late(self) -> None:
         self.assert_needed(late_write, Guards(lost_writes_doubted=False))
 
+    def test_a_borrower_is_lent_more_after_its_bound_was_registered(self) -> None:
+        self.assert_needed(bound_raised, Guards(bounds_respected=False), sent_too_much=False)
+
     def test_the_table_is_dark_after_a_hand_over(self) -> None:
         without = Guards(dark_table_waited_for=False, borrowers_registered=False)
         self.assert_needed(dark_table, without)
--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -19,6 +19,7 @@
     ENTRY_RETENTION_S,
     MESH_SETTLE_S,
     MIN_HEADROOM,
+    REGISTERED_SETTLE_S,
     SETTLE_S,
     StaticShare,
 )
@@ -126,6 +127,38 @@
         share.update_entries(nodes(3), True, back_s + MESH_SETTLE_S)
         self.assertGreater(share.requests_for(STATIC_AMOUNT, TARGET, back_s + MESH_SETTLE_S), 1)
 
+    def test_an_entry_connected_to_all_registered_ones_counts_them_soon(self) -> None:
+        share = StaticShare(NodeId("new"), 3, 0.0)
+        share.on_register(nodes(3), nodes(13), 0.0)
+        share.update_entries(nodes(3), True, 0.1, nodes(3))
+        self.assertEqual(1, share.requests_for(STATIC_AMOUNT, TARGET, 0.9))
+        share.update_entries(nodes(3), True, 1.0, nodes(3))
+        self.assertIn(share.requests_for(STATIC_AMOUNT, TARGET, 0.1 + REGISTERED_SETTLE_S), (2, 3))
+        self.assertEqual(14, share.entry_count)
+
+    def test_an_entry_without_a_connection_to_a_registered_one_waits(self) -> None:
+        share = StaticShare(NodeId("new"), 3, 0.0)
+        share.on_register(nodes(3), nodes(13), 0.0)
+        for now_s in (0.1, 1.0, 2.0):
+            share.update_entries(nodes(3), True, now_s, nodes(2))
+        self.assertEqual(1, share.requests_for(STATIC_AMOUNT, TARGET, 2.5))
+
+    def test_a_connection_that_breaks_is_waited_for_again(self) -> None:
+        share = StaticShare(NodeId("new"), 3, 0.0)
+        share.on_register(nodes(3), nodes(13), 0.0)
+        for now_s, alive in ((0.1, 3), (0.8, 2), (0.9, 3)):
+            share.update_entries(nodes(3), True, now_s, nodes(alive))
+        self.assertEqual(1, share.requests_for(STATIC_AMOUNT, TARGET, 1.7))
+
+    def test_a_register_read_before_an_entry_was_cut_off_is_not_used_after(self) -> None:
+        share = StaticShare(NodeId("new"), 3, 0.0)
+        share.on_register(nodes(3), nodes(13), 0.0)
+        share.update_entries(nodes(3), True, 0.1, nodes(3))
+        back_s = ALONE_TIMEOUT_S + 1.0
+        share.update_entries(nodes(3), True, back_s, nodes(3))
+        self.assertFalse(share.has_register)
+        self.assertEqual(1, share.requests_for(STATIC_AMOUNT, TARGET, back_s + MESH_SETTLE_S - 0.1))
+
     def test_a_departed_entry_counts_until_the_retention_ends(self) -> None:
         share = StaticShare(NodeId("me"), 2, 0.0)
         share.update_entries(nodes(12), True, 0.0)
