--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
@@ -8,7 +8,7 @@
 from ochreway_direct.leases.lease import Lease
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower
+from ochreway_direct.sendlimits.loansrow import Borrower, LoansRow
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
@@ -104,6 +104,11 @@
         self._metrics.count("loan.register_read")
         row = await self._register.read_in_force(now_s)
         if row is not None:
+            self._use_entries(row, now_s)
+
+    def _use_entries(self, row: LoansRow, now_s: float) -> None:
+        share = self._static_share
+        if not share.has_register and not share.is_settled(now_s):
             share.on_register([each.node for each in row.borrowers], row.entries, now_s)
 
     async def _read_register(self, now_s: float) -> bool:
@@ -114,10 +119,10 @@
             return False
         if self._lease_read != lease:
             self._lease_read = lease
-            self._take_over()
+            self._take_over(now_s)
         return True
 
-    def _take_over(self) -> None:
+    def _take_over(self, now_s: float) -> None:
         """Use the row of the former holder, if that was written under its last lease."""
         row, former_term = self._register.row, self._lease.former_term
         lease = self._lease.acquired_revision
@@ -125,6 +130,7 @@
             self._log.event("loans_unknown", lease=lease)
             return
         self._loans.take_over(row.bounds())
+        self._use_entries(row, now_s)
         self._log.event("loans_registered", lease=lease, borrowers=len(row.borrowers))
 
     async def _write_register(self, now_s: float) -> None:
--- a/tests/direct/sendworld.py
+++ b/tests/direct/sendworld.py
@@ -204,10 +204,10 @@
             self._loans.take_over({})
         return read
 
-    def _take_over(self) -> None:
+    def _take_over(self, now_s: float) -> None:
         if not self.guards.row_of_former_lease_only and self._register.row is not None:
             self._lease.former_term = self._register.row.term
-        super()._take_over()
+        super()._take_over(now_s)
 
 
 class PreviousLease(Lease):
