--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/formerloans.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/formerloans.py
@@ -28,17 +28,17 @@
     def on_answer(self, sender: Borrower, running_s: float, now_s: float) -> bool:
         """Record that a process takes only new loans; return whether its former ones are to count.
 
-        Any other process of its name has ended before it started: it has heard of a lease that was
-        acquired after the other one was registered.
+        Any other process of its name ended before it started: it has heard of a lease that was
+        acquired after the other one was registered. A process that seemed to have ended has not.
         """
-        answered = False
-        for borrower in [each for each in self._unanswered if each.node == sender.node]:
-            if borrower.incarnation != sender.incarnation:
+        for borrower in (*self._unanswered, *self._ended_until_s):
+            if borrower.node == sender.node and borrower.incarnation != sender.incarnation:
                 self._end(borrower, now_s - running_s)
-            else:
-                self._unanswered.discard(borrower)
-                answered = True
-        return answered
+        if sender not in self._unanswered and sender not in self._ended_until_s:
+            return False
+        self._unanswered.discard(sender)
+        self._ended_until_s.pop(sender, None)
+        return True
 
     def on_ended(self, borrower: Borrower, now_s: float) -> None:
         """Record that a process has ended by now."""
@@ -47,7 +47,8 @@
 
     def _end(self, borrower: Borrower, ended_s: float) -> None:
         self._unanswered.discard(borrower)
-        self._ended_until_s[borrower] = ended_s + SENT_LAPSE_S
+        until_s = ended_s + SENT_LAPSE_S
+        self._ended_until_s[borrower] = min(until_s, self._ended_until_s.get(borrower, until_s))
 
     def unanswered(self) -> frozenset[Borrower]:
         """Return the processes that may hold any loan."""
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
@@ -163,7 +163,9 @@
                 self._spawn(self._probe(borrower))
 
     async def _probe(self, borrower: Borrower) -> None:
-        if await _refuses_connections(borrower.address):
+        if self._loans.is_ended(borrower) or not await _refuses_connections(borrower.address):
+            return
+        if not self._loans.is_ended(borrower):
             self._loans.on_ended(borrower, asyncio.get_running_loop().time())
             self._log.event("borrower_ended", borrower=borrower.node)
 
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
@@ -125,6 +125,7 @@
     def on_news(self, sender: Borrower, news: LoanNews | None, now_s: float) -> bool:
         """Record another process and its loans; return whether it knows of a newer lease."""
         self._processes[sender.node] = sender
+        self._ended_s.pop(sender, None)
         if news is None or self.register is None:
             return False
         if self._lease.held:
@@ -151,8 +152,12 @@
 
     def on_ended(self, process: Borrower, now_s: float) -> None:
         """Record that a process has ended by now."""
-        self._ended_s[process] = min(now_s, self._ended_s.get(process, now_s))
-        self.lender.former.on_ended(process, now_s)
+        ended_s = self._ended_s.setdefault(process, now_s)
+        self.lender.former.on_ended(process, ended_s)
+
+    def is_ended(self, process: Borrower) -> bool:
+        """Return whether a process is known to have ended."""
+        return process in self._ended_s
 
     def take_over(self, bounds: Bounds) -> None:
         """Record the register of the former holder, and which of its borrowers have ended."""
--- a/tests/direct/test_loanregister.py
+++ b/tests/direct/test_loanregister.py
@@ -123,6 +123,16 @@
         self.assertEqual(5, self.unknown(100.0 + SENT_LAPSE_S - 0.1))
         self.assertEqual(2, self.unknown(100.0 + SENT_LAPSE_S))
 
+    def test_an_answer_of_a_process_that_seemed_to_have_ended_counts(self) -> None:
+        self.former.on_ended(ONE, 100.0)
+        self.assertTrue(self.former.on_answer(ONE, 50.0, 100.1))
+        self.assertEqual(2, self.unknown(100.1))
+
+    def test_a_new_incarnation_shows_that_a_process_ended_earlier_than_noticed(self) -> None:
+        self.former.on_ended(ONE, 100.0)
+        self.former.on_answer(Borrower(ONE.node, "later"), 3.0, 100.5)
+        self.assertEqual(2, self.unknown(100.5))
+
     def test_a_new_incarnation_shows_when_the_former_one_ended_at_the_latest(self) -> None:
         self.assertFalse(self.former.on_answer(Borrower(ONE.node, "later"), 1.0, 100.0))
         self.assertEqual(5, self.unknown(99.0 + SENT_LAPSE_S - 0.1))
