--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
@@ -114,15 +114,14 @@
 
         If the holder is lost, the next one subtracts its bound from what it lends at first.
         """
+        portions = {service: _portions(amount, weights) for service, amount in amounts.items()}
         bounds = {}
         for borrower in borrowers:
-            portions = {
-                n: _portion(amount, weights, borrower.node) for n, amount in amounts.items()
-            }
+            own = {service: each.get(borrower.node, 0) for service, each in portions.items()}
             room = 0 if borrower == me else 1
             bounds[borrower] = {
                 service: min(amounts[service], portion + room * max(portion, 1))
-                for service, portion in portions.items()
+                for service, portion in own.items()
             }
         return bounds
 
@@ -133,10 +132,11 @@
         weights: Mapping[NodeId, float],
     ) -> bool:
         """Return whether the portion of any borrower is larger than its bound."""
+        portions = {service: _portions(amount, weights) for service, amount in amounts.items()}
         return any(
-            _portion(amount, weights, borrower.node) > shares.get(service, 0)
+            each.get(borrower.node, 0) > shares.get(service, 0)
             for borrower, shares in bounds.items()
-            for service, amount in amounts.items()
+            for service, each in portions.items()
         )
 
     def record_borrower(self, borrower: Borrower, now_s: float) -> None:
@@ -157,8 +157,9 @@
         if self.wait_over(now_s) or not self.former.possible(now_s):
             return False
         return any(
-            _largest(by_node.get(node, [])) > shares.get(service, 0)
+            loan.share > shares.get(service, 0) and loan.counts_until_s - SENT_LAPSE_S > now_s
             for service, by_node in self._outstanding.items()
+            for loan in by_node.get(node, [])
         )
 
     def lend(
@@ -181,7 +182,7 @@
         granted = {}
         for service, amount in amounts.items():
             share = min(
-                _portion(amount, weights, node),
+                _portions(amount, weights).get(node, 0),
                 amount
                 - self._outstanding_to_others(service, node, now_s)
                 - self._unknown_share(service, now_s),
@@ -230,15 +231,15 @@
     }
 
 
-def _portion(amount: int, weights: Mapping[NodeId, float], node: NodeId) -> int:
-    """Return an entry's portion by weight; the leftover goes to the largest remainders."""
-    if node not in weights:
-        return 0
+def _portions(amount: int, weights: Mapping[NodeId, float]) -> dict[NodeId, int]:
+    """Return the entries' portions by weight; the leftover goes to the largest remainders."""
     total_weight = sum(MIN_WEIGHT + weight for weight in weights.values())
     exact = {n: amount * (MIN_WEIGHT + weight) / total_weight for n, weight in weights.items()}
-    leftover = amount - sum(math.floor(portion) for portion in exact.values())
-    order = sorted(exact, key=lambda n: (math.floor(exact[n]) - exact[n], n))
-    return math.floor(exact[node]) + (node in order[:leftover])
+    portions = {n: math.floor(portion) for n, portion in exact.items()}
+    order = sorted(exact, key=lambda n: (portions[n] - exact[n], n))
+    for node in order[: amount - sum(portions.values())]:
+        portions[node] += 1
+    return portions
 
 
 __all__ = ["LOAN_LAPSE_S", "MAX_RENEWAL_AGE_S", "NEW_HOLDER_DELAY_S", "Lender", "highest"]
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
@@ -14,7 +14,9 @@
 from ochreway_runtime.metrics import Metrics
 
 REGISTER_READ_INTERVAL_S = 0.3
-"""How often an entry that does not know the other entries yet reads the register."""
+"""How soon an entry that does not know the other entries yet reads the register again."""
+MAX_READ_INTERVAL_S = 3.0
+"""To this the interval is doubled for an entry that stays without a register."""
 WRITE_INTERVAL_S = 0.1
 """Minimum time between two writes, so that entries that start together are written together."""
 PROBE_INTERVAL_S = 0.3
@@ -53,7 +55,8 @@
         self._announced = (0, False, False)
         self._lease_read = 0
         self._entries_read_s = -REGISTER_READ_INTERVAL_S
-        self._written_s = -WRITE_INTERVAL_S
+        self._read_interval_s = REGISTER_READ_INTERVAL_S
+        self._checked_s = -WRITE_INTERVAL_S
         self._probed_s = -PROBE_INTERVAL_S
 
     async def run(self, tick_s: float) -> None:
@@ -97,10 +100,12 @@
         """Read which other entries are registered, until this one knows them."""
         share = self._static_share
         if share.has_register or share.is_settled(now_s):
+            self._read_interval_s = REGISTER_READ_INTERVAL_S
             return
-        if now_s - self._entries_read_s < REGISTER_READ_INTERVAL_S:
+        if now_s - self._entries_read_s < self._read_interval_s:
             return
         self._entries_read_s = now_s
+        self._read_interval_s = min(2 * self._read_interval_s, MAX_READ_INTERVAL_S)
         self._metrics.count("loan.register_read")
         row = await self._register.read_in_force(now_s)
         if row is not None:
@@ -136,14 +141,14 @@
     async def _write_register(self, now_s: float) -> None:
         if not self._lease.held or not self._loans.lender.knows_former(now_s):
             return
-        if now_s - self._written_s < WRITE_INTERVAL_S:
+        if now_s - self._checked_s < WRITE_INTERVAL_S:
             return
+        self._checked_s = now_s
         bounds = self._loans.bounds_to_register(now_s)
         registered = self._register.registered if bounds is None else bounds
         entries = self._static_share.known_entries | {each.node for each in registered}
         if bounds is None and self._names_all(entries):
             return
-        self._written_s = now_s
         if await self._register.write(registered, entries, now_s):
             self._metrics.count("loan.register_written")
         else:
--- a/tests/direct/test_loanspeed.py
+++ b/tests/direct/test_loanspeed.py
@@ -77,6 +77,10 @@
     def test_fifteen_entries_after_a_planned_hand_over(self) -> None:
         self.assert_usable(15, "hand_over")
 
+    def test_fifteen_entries_after_the_loss_of_the_holder(self) -> None:
+        """With five, the static share of the lost entry is more than a tenth."""
+        self.assert_usable(15, "kill_holder")
+
     def test_five_entries_after_the_loss_of_all(self) -> None:
         self.assert_usable(5, "kill_all")
 
