--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
@@ -152,10 +152,13 @@
     ) -> bool:
         """Return whether a borrower is better off with its former loan than with these shares.
 
-        That is so while loans of former holders are subtracted from what is lent.
+        That is so while loans of former holders are subtracted from what is lent, and before the
+        borrower has told what it holds.
         """
         if self.wait_over(now_s) or not self.former.possible(now_s):
             return False
+        if any(each.node == node for each in self.former.unanswered()):
+            return True
         return any(
             loan.share > shares.get(service, 0) and loan.counts_until_s - SENT_LAPSE_S > now_s
             for service, by_node in self._outstanding.items()
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loansrow.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loansrow.py
@@ -18,7 +18,7 @@
 
     node: NodeId
     incarnation: str
-    address: str = ""
+    address: str = field(default="", compare=False)
 
     @property
     def key(self) -> str:
--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -1,18 +1,24 @@
 # SPDX-License-Identifier: Apache-2.0
 """Shares of a cold target's allowance under single failures."""
 
+import random
 from collections.abc import Callable
 
 import testtools
 
+from ochreway_core.backoff import Backoff
 from ochreway_core.ids import InstanceId, NodeId, Version
 from ochreway_direct.configuration import ColdStart, Configuration, Service
-from ochreway_direct.leases.lease import LeaseState
+from ochreway_direct.leases.lease import Holder, Lease, LeaseState
 from ochreway_direct.sendlimits import standingshare
 from ochreway_direct.sendlimits.allowance import Allowance
 from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
 from ochreway_direct.sendlimits.lender import LOAN_LAPSE_S, NEW_HOLDER_DELAY_S, Lender
 from ochreway_direct.sendlimits.loan import LOAN_DURATION_S
+from ochreway_direct.sendlimits.loankeeper import LoanKeeper
+from ochreway_direct.sendlimits.loanregister import LoanRegister
+from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.sendwindow import WINDOW_S
 from ochreway_direct.sendlimits.standingshare import (
     ALONE_TIMEOUT_S,
@@ -23,8 +29,18 @@
     SETTLE_S,
     StaticShare,
 )
+from ochreway_platform.memorytable import MemoryTable
+from ochreway_runtime.metrics import Metrics
 from ochreway_standins.spreadworld import SpreadWorld, VirtualLoop, virtually
-from tests.direct.sendworld import ALLOWANCE, LENDABLE, SERVICE, SendEntry, SendWorld
+from tests.direct.sendworld import (
+    ALLOWANCE,
+    LENDABLE,
+    SERVICE,
+    SendEntry,
+    SendWorld,
+    run_synchronously,
+)
+from tests.runtime.recordedlog import RecordedLog
 
 TARGET = InstanceId("i")
 STATIC_AMOUNT = 37
@@ -379,4 +395,73 @@
         )
 
 
+class HandOverTests(testtools.TestCase):
+    """Real heartbeats after the lease was acquired by another entry."""
+
+    def hand_over(self, work: Callable[[SpreadWorld, list[Loans], LoanKeeper], None]) -> None:
+        """Let the first entry lend, and the second one take the lease from it."""
+
+        def run(loop: VirtualLoop) -> None:
+            world = SpreadWorld(loop, 3, 1)
+            service = Service(SERVICE, 10, cold_start=ColdStart(32.0, 3.0))
+            table, all_loans, keepers = MemoryTable(), [], []
+            for entry in world.entries.values():
+                entry.serving.apply(Configuration(Version(2), services=(service,)))
+                name = entry.me.peer.node
+                backoff = Backoff(0.1, 1.0, random.Random(1))
+                entry.lease = Lease(table, Holder(name, "1"), 1e9, backoff)
+                register = LoanRegister(table, entry.lease, backoff)
+                me = Borrower(name, "1")
+                loans = Loans(me, entry.limit, entry.lease, entry._asked, register=register)
+                share, log = entry.limit._static_share, RecordedLog()
+                entry.heartbeats._loans, entry.heartbeats._lease = loans, entry.lease
+                keeper = LoanKeeper(
+                    *(loans, register, entry.lease, share, lambda: None, lambda _: None),
+                    *(log, Metrics(None, "entry")),
+                )
+                all_loans.append(loans)
+                keepers.append(keeper)
+            former, new = list(world.entries.values())[:2]
+            self.take(former.lease, world.now_s)
+            for _ in range(100):
+                former.lease.renewed_s = world.now_s
+                world.run(0.1)
+                run_synchronously(keepers[0].update(world.now_s))
+            self.assertGreater(all_loans[0].outstanding(world.now_s), 0)
+            former.lease.state = LeaseState.ABSENT
+            self.take(new.lease, world.now_s)
+            run_synchronously(keepers[1].update(world.now_s))
+            new.heartbeats.send(world.now_s)
+            work(world, all_loans, keepers[1])
+
+        virtually(run)
+
+    def take(self, lease: Lease, now_s: float) -> None:
+        run_synchronously(lease.observe(now_s))
+        self.assertTrue(run_synchronously(lease.acquire(now_s)))
+
+    def test_borrowers_answer_the_announcement_of_a_lease_at_once(self) -> None:
+        """Guards against answers that wait for the next heartbeat of each borrower."""
+
+        def work(world: SpreadWorld, loans: list[Loans], _: LoanKeeper) -> None:
+            self.assertEqual(2, len(loans[1].unanswered(world.now_s)))
+            world.run(0.1)
+            self.assertEqual(frozenset(), loans[1].unanswered(world.now_s))
+
+        self.hand_over(work)
+
+    def test_loans_go_on(self) -> None:
+        """Guards against an empty loan that ends a former one before it is known."""
+
+        def work(world: SpreadWorld, loans: list[Loans], keeper: LoanKeeper) -> None:
+            for _ in range(30):
+                world.run(0.1)
+                run_synchronously(keeper.update(world.now_s))
+                borrowed = [e.limit.borrowed_total(world.now_s) for e in world.entries.values()]
+                self.assertGreaterEqual(sum(borrowed), 16 - len(borrowed))
+                self.assertLessEqual(sum(borrowed), 16)
+
+        self.hand_over(work)
+
+
 __all__ = ["settled_shares"]
