--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -1,28 +1,46 @@
 # SPDX-License-Identifier: Apache-2.0
 """Shares of a cold target's allowance under single failures."""
 
+import random
 from collections.abc import Callable
 
 import testtools
 
+from ochreway_core.backoff import Backoff
 from ochreway_core.ids import InstanceId, NodeId, Version
 from ochreway_direct.configuration import ColdStart, Configuration, Service
-from ochreway_direct.leases.lease import LeaseState
+from ochreway_direct.leases.lease import Holder, Lease, LeaseState
 from ochreway_direct.sendlimits import standingshare
 from ochreway_direct.sendlimits.allowance import Allowance
+from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
 from ochreway_direct.sendlimits.lender import LOAN_LAPSE_S, NEW_HOLDER_DELAY_S, Lender
 from ochreway_direct.sendlimits.loan import LOAN_DURATION_S
+from ochreway_direct.sendlimits.loankeeper import LoanKeeper
+from ochreway_direct.sendlimits.loanregister import LoanRegister
+from ochreway_direct.sendlimits.loans import Loans
+from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.sendwindow import WINDOW_S
 from ochreway_direct.sendlimits.standingshare import (
     ALONE_TIMEOUT_S,
     ENTRY_RETENTION_S,
     MESH_SETTLE_S,
     MIN_HEADROOM,
+    REGISTERED_SETTLE_S,
     SETTLE_S,
     StaticShare,
 )
+from ochreway_platform.memorytable import MemoryTable
+from ochreway_runtime.metrics import Metrics
 from ochreway_standins.spreadworld import SpreadWorld, VirtualLoop, virtually
-from tests.direct.sendworld import ALLOWANCE, LENDABLE, SERVICE, SendEntry, SendWorld
+from tests.direct.sendworld import (
+    ALLOWANCE,
+    LENDABLE,
+    SERVICE,
+    SendEntry,
+    SendWorld,
+    run_synchronously,
+)
+from tests.runtime.recordedlog import RecordedLog
 
 TARGET = InstanceId("i")
 STATIC_AMOUNT = 37
@@ -125,6 +143,38 @@
         share.update_entries(nodes(3), True, back_s + MESH_SETTLE_S)
         self.assertGreater(share.requests_for(STATIC_AMOUNT, TARGET, back_s + MESH_SETTLE_S), 1)
 
+    def test_an_entry_connected_to_all_registered_ones_counts_them_soon(self) -> None:
+        share = StaticShare(NodeId("new"), 3, 0.0)
+        share.on_register(nodes(3), nodes(13), 0.0)
+        share.update_entries(nodes(3), True, 0.1, nodes(3))
+        self.assertEqual(1, share.requests_for(STATIC_AMOUNT, TARGET, 0.9))
+        share.update_entries(nodes(3), True, 1.0, nodes(3))
+        self.assertIn(share.requests_for(STATIC_AMOUNT, TARGET, 0.1 + REGISTERED_SETTLE_S), (2, 3))
+        self.assertEqual(14, share.entry_count)
+
+    def test_an_entry_without_a_connection_to_a_registered_one_waits(self) -> None:
+        share = StaticShare(NodeId("new"), 3, 0.0)
+        share.on_register(nodes(3), nodes(13), 0.0)
+        for now_s in (0.1, 1.0, 2.0):
+            share.update_entries(nodes(3), True, now_s, nodes(2))
+        self.assertEqual(1, share.requests_for(STATIC_AMOUNT, TARGET, 2.5))
+
+    def test_a_connection_that_breaks_is_waited_for_again(self) -> None:
+        share = StaticShare(NodeId("new"), 3, 0.0)
+        share.on_register(nodes(3), nodes(13), 0.0)
+        for now_s, alive in ((0.1, 3), (0.8, 2), (0.9, 3)):
+            share.update_entries(nodes(3), True, now_s, nodes(alive))
+        self.assertEqual(1, share.requests_for(STATIC_AMOUNT, TARGET, 1.7))
+
+    def test_a_register_read_before_an_entry_was_cut_off_is_not_used_after(self) -> None:
+        share = StaticShare(NodeId("new"), 3, 0.0)
+        share.on_register(nodes(3), nodes(13), 0.0)
+        share.update_entries(nodes(3), True, 0.1, nodes(3))
+        back_s = ALONE_TIMEOUT_S + 1.0
+        share.update_entries(nodes(3), True, back_s, nodes(3))
+        self.assertFalse(share.has_register)
+        self.assertEqual(1, share.requests_for(STATIC_AMOUNT, TARGET, back_s + MESH_SETTLE_S - 0.1))
+
     def test_a_departed_entry_counts_until_the_retention_ends(self) -> None:
         share = StaticShare(NodeId("me"), 2, 0.0)
         share.update_entries(nodes(12), True, 0.0)
@@ -209,7 +259,18 @@
     def entries(self) -> list[SendEntry]:
         return list(self.world.entries.values())
 
-    def test_a_new_holder_lends_after_the_loss_of_one(self) -> None:
+    def test_a_new_holder_lends_soon_after_the_loss_of_one(self) -> None:
+        """Guards against a wait for all loans where it is known who had them."""
+        self.lend()
+        del self.world.entries[NodeId("e0")]
+        other = self.entry(1)
+        self.assertTrue(other.take_lease(self.world.now_s + other.clock_s))
+        self.world.run(SENT_LAPSE_S + 1.0)
+        self.assertEqual(LENDABLE, self.loans())
+
+    def test_a_new_holder_waits_after_the_loss_of_one_of_the_previous_build(self) -> None:
+        self.world.start_entry(NodeId("e0"), previous_build=True)
+        self.world.run(SETTLE_S)
         self.lend()
         del self.world.entries[NodeId("e0")]
         other = self.entry(1)
@@ -334,4 +395,73 @@
         )
 
 
+class HandOverTests(testtools.TestCase):
+    """Real heartbeats after the lease was acquired by another entry."""
+
+    def hand_over(self, work: Callable[[SpreadWorld, list[Loans], LoanKeeper], None]) -> None:
+        """Let the first entry lend, and the second one take the lease from it."""
+
+        def run(loop: VirtualLoop) -> None:
+            world = SpreadWorld(loop, 3, 1)
+            service = Service(SERVICE, 10, cold_start=ColdStart(32.0, 3.0))
+            table, all_loans, keepers = MemoryTable(), [], []
+            for entry in world.entries.values():
+                entry.serving.apply(Configuration(Version(2), services=(service,)))
+                name = entry.me.peer.node
+                backoff = Backoff(0.1, 1.0, random.Random(1))
+                entry.lease = Lease(table, Holder(name, "1"), 1e9, backoff)
+                register = LoanRegister(table, entry.lease, backoff)
+                me = Borrower(name, "1")
+                loans = Loans(me, entry.limit, entry.lease, entry._asked, register=register)
+                share, log = entry.limit._static_share, RecordedLog()
+                entry.heartbeats._loans, entry.heartbeats._lease = loans, entry.lease
+                keeper = LoanKeeper(
+                    *(loans, register, entry.lease, share, lambda: None, lambda _: None),
+                    *(log, Metrics(None, "entry")),
+                )
+                all_loans.append(loans)
+                keepers.append(keeper)
+            former, new = list(world.entries.values())[:2]
+            self.take(former.lease, world.now_s)
+            for _ in range(100):
+                former.lease.renewed_s = world.now_s
+                world.run(0.1)
+                run_synchronously(keepers[0].update(world.now_s))
+            self.assertGreater(all_loans[0].outstanding(world.now_s), 0)
+            former.lease.state = LeaseState.ABSENT
+            self.take(new.lease, world.now_s)
+            run_synchronously(keepers[1].update(world.now_s))
+            new.heartbeats.send(world.now_s)
+            work(world, all_loans, keepers[1])
+
+        virtually(run)
+
+    def take(self, lease: Lease, now_s: float) -> None:
+        run_synchronously(lease.observe(now_s))
+        self.assertTrue(run_synchronously(lease.acquire(now_s)))
+
+    def test_borrowers_answer_the_announcement_of_a_lease_at_once(self) -> None:
+        """Guards against answers that wait for the next heartbeat of each borrower."""
+
+        def work(world: SpreadWorld, loans: list[Loans], _: LoanKeeper) -> None:
+            self.assertEqual(2, len(loans[1].unanswered(world.now_s)))
+            world.run(0.1)
+            self.assertEqual(frozenset(), loans[1].unanswered(world.now_s))
+
+        self.hand_over(work)
+
+    def test_loans_go_on(self) -> None:
+        """Guards against an empty loan that ends a former one before it is known."""
+
+        def work(world: SpreadWorld, loans: list[Loans], keeper: LoanKeeper) -> None:
+            for _ in range(30):
+                world.run(0.1)
+                run_synchronously(keeper.update(world.now_s))
+                borrowed = [e.limit.borrowed_total(world.now_s) for e in world.entries.values()]
+                self.assertGreaterEqual(sum(borrowed), 16 - len(borrowed))
+                self.assertLessEqual(sum(borrowed), 16)
+
+        self.hand_over(work)
+
+
 __all__ = ["settled_shares"]
