--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -84,6 +84,8 @@
         if waiting.first_try and promise is None:
             self.forecast.record_arrival(work.urgency, now_s)
         self._queue.capacity = self._capacity(facts, longest_objective_s)
+        if waiting.must_run:
+            self._queue.capacity = max(self._queue.capacity, self._capacity_to_run())
         offered = self._queue.offer(work)
         if isinstance(offered, Err):
             return offered
@@ -214,6 +216,14 @@
             return min(self._tuning.max_length, self._in_time)
         return min(self._tuning.max_length, max(facts.slots, self._in_time))
 
+    def _capacity_to_run(self) -> int:
+        """Return the capacity that takes one more call that must run.
+
+        Such a call cannot be refused, so it needs room even where all that wait must run.
+        """
+        must_run = sum(work.must_run for work in self._works.values())
+        return min(self._tuning.max_length, must_run + 1)
+
     def _beyond_slots(self, work: Work[Waiting], lent: int) -> int:
         """Return how many requests beyond its slots a group may have to get this call."""
         if work.item.resuming:
--- a/tests/direct/test_callqueue.py
+++ b/tests/direct/test_callqueue.py
@@ -76,6 +76,24 @@
         self.assertEqual("resumed", self.take(load=FULL.slots + BEYOND_RESUMING - 1))
         self.assertEqual("new", self.take())
 
+    def test_a_full_queue_takes_further_calls_that_may_have_run(self) -> None:
+        """Guards against answers that break off as a lost group sends back several calls at once.
+
+        An entry with a small share of the places has room for one call only.
+        """
+        self.facts = replace(FULL, load=96, own=1, sources=23)
+        self.run_for(4.0)
+        displaced = self.offer(waiting("new"))
+        self.assertIsNone(displaced)
+        names = [f"r{n}" for n in range(5)]
+        for name in names:
+            displaced = self.offer(waiting(name, must_run=True)) or displaced
+        assert displaced is not None
+        self.assertEqual("new", displaced.fingerprint)
+        self.assertEqual(names, [self.take() for _ in names])
+        refused = self.queue.offer(waiting("late"), self.facts, LONGEST_S, 0.0)
+        self.assertFalse(refused.is_err())
+
     def test_a_call_without_a_place_does_not_hold_up_others(self) -> None:
         """Guards against a queue that waits for a call whose only target is unavailable."""
         self.offer(waiting("tried", tried=frozenset({"t0"})))
