--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
@@ -242,6 +242,7 @@
             sources=self._remote_load.source_count(),
             blocked_s=min(waits_s, default=0.0),
             next_window_s=min((each for each in waits_s if each > 0.0), default=math.inf),
+            leaders=frozenset(each.leader for each in eligible),
         )
 
     def has_serving_group(self, service: ServiceName) -> bool:
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -269,6 +269,9 @@
         now_s: float,
         older: int | None = None,
     ) -> float:
+        if facts.all_tried(work.item.tried):
+            # Places of these groups are for other calls.
+            return math.inf
         wait_s = self.forecast.wait_s(ahead, work.urgency, facts, now_s, older)
         if work.returned or not len(self.promises) or not math.isfinite(wait_s):
             return wait_s
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/placefacts.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/placefacts.py
@@ -4,6 +4,8 @@
 import math
 from dataclasses import dataclass
 
+from ochreway_core.ids import InstanceId
+
 
 @dataclass(frozen=True, slots=True)
 class PlaceFacts:
@@ -17,6 +19,7 @@
         sources: number of other sources that report attempts.
         blocked_s: time until a group may be sent a request, by limits and backoffs.
         next_window_s: time until the next group may be sent a request that may not now.
+        leaders: the instances that requests for these groups are sent to.
     """
 
     groups: int
@@ -26,6 +29,7 @@
     sources: int = 0
     blocked_s: float = 0.0
     next_window_s: float = math.inf
+    leaders: frozenset[InstanceId] = frozenset()
 
     @property
     def share(self) -> float:
@@ -33,5 +37,9 @@
         even = 1.0 / (1 + self.sources)
         return max(even, self.own / self.load) if self.load else even
 
+    def all_tried(self, tried: frozenset[InstanceId]) -> bool:
+        """Return whether there are groups, and none that a call may still be sent to."""
+        return bool(self.leaders) and self.leaders <= tried
+
 
 __all__ = ["PlaceFacts"]
--- a/tests/direct/test_callqueue.py
+++ b/tests/direct/test_callqueue.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from ochreway_core.ids import Fingerprint
+from ochreway_core.ids import Fingerprint, InstanceId
 from ochreway_core.reason import Reason
 from ochreway_direct.queueing.callqueue import CallQueue
 from ochreway_direct.queueing.placefacts import PlaceFacts
@@ -160,6 +160,15 @@
         self.assertEqual({"a": (0, True)}, self.outlooks(0.03))
         self.assertEqual({"a": (0, False)}, self.outlooks(0.05))
 
+    def test_a_call_that_every_group_has_rejected_waits_as_long_as_it_polled(self) -> None:
+        """Guards against callers who wait unserved for places that their calls cannot take."""
+        leaders = frozenset({InstanceId("t0"), InstanceId("t1")})
+        self.facts = replace(FULL, groups=2, leaders=leaders)
+        self.offer(waiting("rejected", tried=leaders))
+        self.offer(waiting("elsewhere", tried=frozenset({InstanceId("t0")})))
+        self.assertEqual({"rejected": (0, True), "elsewhere": (1, True)}, self.outlooks(0.03))
+        self.assertEqual({"rejected": (0, False), "elsewhere": (0, True)}, self.outlooks(0.05))
+
     def test_a_full_queue_drops_less_urgent_calls_only(self) -> None:
         """Guards against a caller whose place is taken by a less urgent one."""
         self.run_for(4.0)
--- a/tests/direct/test_queuerelay.py
+++ b/tests/direct/test_queuerelay.py
@@ -17,6 +17,7 @@
     Headers,
     RelayCase,
     RunningRelay,
+    complete_response,
     event_chunk,
     stream_response_head,
 )
@@ -129,6 +130,21 @@
 
         self.run_with_relay(work, answer)
 
+    def test_a_call_that_its_only_group_rejects_does_not_wait_for_other_places(self) -> None:
+        """Guards against callers who wait for two objectives and are refused all the same."""
+
+        async def reject(headers: Headers, writer: asyncio.StreamWriter) -> None:
+            writer.write(complete_response(headers, "", "503 Busy", "Not-Run: 1\r\n"))
+
+        async def work(running: RunningRelay) -> None:
+            loop = asyncio.get_running_loop()
+            begun_s = loop.time()
+            self.assertEqual(503, (await running.send_request(URGENT)).status)
+            self.assertLess(loop.time() - begun_s, self.urgent_s)
+            self.assertEqual(1, len(running.targets[0].seen))
+
+        self.run_with_relay(work, reject)
+
     def test_a_refusal_is_logged_with_rank_and_forecast(self) -> None:
         async def work(running: RunningRelay) -> None:
             lines: list[dict[str, object]] = []
