--- a/packages/ochreway-direct/src/ochreway_direct/queueing/promises.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/promises.py
@@ -1,6 +1,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """Return times of refused callers, and the places that are kept for them."""
 
+import math
+from bisect import bisect_right, insort
+from collections import defaultdict
 from dataclasses import dataclass, replace
 
 from ochreway_core.ids import Fingerprint
@@ -27,6 +30,9 @@
     def __init__(self, tuning: QueueTuning) -> None:
         self._tuning = tuning
         self._promises: dict[Fingerprint, Promise] = {}
+        self._oldest_s = math.inf
+        self._places_s: defaultdict[Urgency, list[float]] = defaultdict(list)
+        """Times of the promised places of each class, in order."""
 
     def __len__(self) -> int:
         return len(self._promises)
@@ -53,7 +59,11 @@
         self.expire(now_s)
         if len(self._promises) >= self._tuning.max_length and fingerprint not in self._promises:
             return False
+        self._remove(fingerprint)
         self._promises[fingerprint] = promise
+        self._oldest_s = min(self._oldest_s, promise.at_s)
+        if promise.has_place:
+            insort(self._places_s[promise.urgency], promise.at_s)
         return True
 
     def redeem(self, fingerprint: Fingerprint, now_s: float) -> Promise | None:
@@ -62,7 +72,7 @@
         Who comes earlier than told, or without a promised place, has no place.
         """
         self.expire(now_s)
-        promise = self._promises.pop(fingerprint, None)
+        promise = self._remove(fingerprint)
         if promise is None or now_s >= promise.at_s - self._tuning.returned_early_s:
             return promise
         return replace(promise, has_place=False)
@@ -71,14 +81,26 @@
         """Return how many promised places of this class or more urgent ones come until a time."""
         self.expire(now_s)
         return sum(
-            each.has_place and each.urgency <= urgency and each.at_s <= until_s
-            for each in self._promises.values()
+            bisect_right(places_s, until_s)
+            for each, places_s in self._places_s.items()
+            if each <= urgency
         )
 
     def expire(self, now_s: float) -> None:
         """Drop the promises whose callers did not return in time."""
         since_s = now_s - self._tuning.promise_kept_s
-        self._promises = {f: each for f, each in self._promises.items() if each.at_s >= since_s}
+        if self._oldest_s >= since_s:
+            return
+        for fingerprint in [f for f, each in self._promises.items() if each.at_s < since_s]:
+            self._remove(fingerprint)
+        self._oldest_s = min((each.at_s for each in self._promises.values()), default=math.inf)
+
+    def _remove(self, fingerprint: Fingerprint) -> Promise | None:
+        """Remove and return the promise to a caller, if there is one."""
+        promise = self._promises.pop(fingerprint, None)
+        if promise is not None and promise.has_place:
+            self._places_s[promise.urgency].remove(promise.at_s)
+        return promise
 
 
 __all__ = ["Promise", "Promises"]
--- a/tests/direct/test_callqueue.py
+++ b/tests/direct/test_callqueue.py
@@ -1,5 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 import random
+import time
 from dataclasses import replace
 
 import testtools
@@ -8,6 +9,7 @@
 from ochreway_core.reason import Reason
 from ochreway_direct.queueing.callqueue import CallQueue
 from ochreway_direct.queueing.placefacts import PlaceFacts
+from ochreway_direct.queueing.promises import Promise
 from ochreway_direct.queueing.queuetuning import QueueTuning
 from ochreway_direct.queueing.waiting import Waiting
 from ochreway_standins.engineworld import SPEC
@@ -203,3 +205,23 @@
             times_s.append(self.queue.return_after_s(call, outlook, FULL, 1.2, 0.0))
         self.assertLessEqual(max(times_s), 1.2)
         self.assertEqual(len(times_s), len(set(times_s)))
+
+    def test_promised_places_do_not_slow_down_the_check_of_a_long_queue(self) -> None:
+        """Guards against an event loop that is held up by each caller times each promise."""
+        self.facts = PlaceFacts(groups=400, slots=4, load=1600, own=1600)
+        for n in range(QueueTuning().max_length):
+            self.offer(waiting(f"c{n}"))
+        without_s = self.check_s()
+        for n in range(QueueTuning().max_length):
+            urgency = waiting("").work().urgency
+            self.queue.promises.add(Fingerprint(f"p{n}"), Promise(0.001 * n, urgency, 0.4), 0.0)
+        self.assertLess(self.check_s(), 3.0 * without_s)
+
+    def check_s(self) -> float:
+        """Return the least processor time of several checks."""
+        times_s = []
+        for _ in range(5):
+            begun_s = time.process_time()
+            self.outlooks()
+            times_s.append(time.process_time() - begun_s)
+        return min(times_s)
