--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -217,8 +217,10 @@
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
         if self._buffers is None:
             return await response.read()
+        # The answer to a HEAD request names the length of a body that does not follow.
+        length_bytes = None if response.content.at_eof() else response.content_length
         with self._buffers.answer_holding() as holding:
-            return await read_whole(response.content, response.content_length, holding)
+            return await read_whole(response.content, length_bytes, holding)
 
     async def _forward_body(self, call: Call, response: aiohttp.ClientResponse) -> Ending:
         body = await self._read_body(response)
--- a/tests/direct/test_slowreaders.py
+++ b/tests/direct/test_slowreaders.py
@@ -21,6 +21,7 @@
     Script,
     complete_response,
     event_chunk,
+    response_head,
     stream_response_head,
 )
 
@@ -445,6 +446,19 @@
 
         self.run_slow(work, large, large)
 
+    def test_the_length_of_an_answer_without_body_needs_no_memory(self) -> None:
+        """Guards against a HEAD of a large answer that fails as if its body had come."""
+
+        async def head(headers: Headers, writer: Writer) -> None:
+            writer.write(response_head(headers, "Signed: 1\r\nContent-Length: 500000\r\n"))
+
+        async def work(running: RunningRelay) -> None:
+            request = b"HEAD /a/x HTTP/1.1\r\nHost: care.example\r\nRequest: r\r\nKey: secret\r\n"
+            answer = await running.send_raw(request + b"Connection: close\r\n\r\n")
+            self.assertIn(b"200", answer.splitlines()[0])
+
+        self.run_slow(work, head)
+
     def test_a_whole_answer_counts_until_its_caller_has_read_it(self) -> None:
         async def large(headers: Headers, writer: Writer) -> None:
             writer.write(complete_response(headers, "y" * 300_000))
