--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -334,9 +334,14 @@
         assert self._buffers is not None
         attempt.extend(call.end_s)
         attempt.awaits_caller = True
-        await reader.wait_for_room(self._buffers.limits.answer_bytes, source)
+        loop = asyncio.get_running_loop()
+        try:
+            await reader.wait_for_room(self._buffers.limits.answer_bytes, source)
+        finally:
+            # The caller had parts to read until now, also if the attempt is lost meanwhile.
+            call.last_forwarded_s = loop.time()
         attempt.awaits_caller = False
-        attempt.extend(min(call.end_s, asyncio.get_running_loop().time() + self._pause_s(call)))
+        attempt.extend(min(call.end_s, loop.time() + self._pause_s(call)))
 
     def _pause_s(self, call: Call) -> float:
         """Return how long a target may be silent within its answer."""
--- a/tests/direct/test_slowreaders.py
+++ b/tests/direct/test_slowreaders.py
@@ -242,6 +242,23 @@
 
         self.run_slow(work, breaks, goes_on)
 
+    def test_an_answer_whose_caller_paused_for_long_resumes_as_its_group_is_lost(self) -> None:
+        """Guards against the pause of a caller that is taken for silence towards it."""
+        stream, goes_on = LargeStream(600), LargeStream(600)
+
+        async def work(running: RunningRelay) -> None:
+            caller = SlowCaller(running)
+            await caller.ask()
+            await asyncio.sleep(2.3)
+            running.fleet.abandon(GroupId("g0"))
+            await asyncio.sleep(0.05)
+            received, complete = await caller.read_rest()
+            self.assertTrue(complete)
+            self.assertEqual(list(range(1, 601)), ids_in(received))
+            self.assertEqual([1, 1], [len(target.seen) for target in running.targets])
+
+        self.run_slow(work, stream, goes_on)
+
     def test_a_caller_that_leaves_frees_what_it_held_and_its_target(self) -> None:
         stream = LargeStream(2_000)
 
