--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -86,6 +86,10 @@
         self._queue.capacity = self._capacity(facts, longest_objective_s)
         if waiting.must_run:
             self._queue.capacity = max(self._queue.capacity, self._capacity_to_run())
+        elif waiting.returned:
+            # Its place was promised, and other calls are not to be dropped for it.
+            room = min(self._tuning.max_length, len(self._queue) + 1)
+            self._queue.capacity = max(self._queue.capacity, room)
         offered = self._queue.offer(work)
         if isinstance(offered, Err):
             return offered
--- a/tests/direct/test_callqueue.py
+++ b/tests/direct/test_callqueue.py
@@ -195,6 +195,23 @@
         self.assertTrue(back.returned)
         self.assertEqual(["told", "other"], [self.take(), self.take()])
 
+    def test_a_caller_that_returns_as_told_finds_room_in_a_full_queue(self) -> None:
+        """Guards against callers who are told a place and are refused a second time."""
+        self.run_for(1.0)
+        told = waiting("told")
+        outlook = self.queue.last_outlook(told, FULL, 0.0)
+        after_s = self.queue.return_after_s(told, outlook, FULL, 1.2, 0.0)
+        others = 0
+        while self.queue.offer(waiting(f"c{others}"), FULL, LONGEST_S, 0.0).is_ok():
+            others += 1
+        self.assertGreater(others, 0)
+        back = waiting("told", now_s=after_s)
+        self.assertIsNone(self.offer(back, after_s))
+        self.assertTrue(back.returned)
+        refused = self.queue.offer(waiting("late"), FULL, LONGEST_S, after_s)
+        self.assertEqual(Reason.QUEUE_FULL, refused.unwrap_err())
+        self.assertEqual("told", self.take())
+
     def test_return_times_stay_within_what_callers_honour(self) -> None:
         """Guards against return times that callers ignore, and places promised twice."""
         self.run_for(1.0)
