--- a/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
@@ -88,6 +88,8 @@
     def check(self, now_s: float) -> None:
         """End the callers that have stopped reading."""
         self._refresh(now_s)
+        for reader in self._readers.values():
+            reader.record_progress(now_s)
         readers = [each.unread for each in self._readers.values()]
         self._end(self._held.stopped(readers, now_s), EndCause.STOPPED, now_s)
         self._end_excess(now_s)
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/callerreader.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/callerreader.py
@@ -2,6 +2,9 @@
 """A caller's connection as the reader of what is written to it."""
 
 import asyncio
+import fcntl
+import struct
+import termios
 from dataclasses import dataclass
 
 import aiohttp
@@ -11,6 +14,7 @@
 ROOM_POLL_INTERVAL_S = 0.01
 """How often it is checked whether a caller has read; its buffer lasts for longer at any usual
 rate."""
+KERNEL_COUNT = struct.Struct("i")
 
 
 @dataclass(slots=True, eq=False)
@@ -28,6 +32,7 @@
     keep_until_s: float = 0.0
     _source: aiohttp.StreamReader | None = None
     _taken_bytes: int = 0
+    _unacknowledged_bytes: int = 0
 
     def pending_bytes(self) -> int:
         """Return the number of bytes that are held for the caller now."""
@@ -36,6 +41,17 @@
             pending_bytes += self._source.total_bytes - self._taken_bytes
         return pending_bytes
 
+    def record_progress(self, now_s: float) -> None:
+        """Record that the caller has read, if it took bytes of the kernel's buffer since last time.
+
+        The kernel asks for more only once a third of its buffer is free, which takes a steady
+        caller several seconds at a low rate.
+        """
+        before_bytes = self._unacknowledged_bytes
+        self._unacknowledged_bytes = _unacknowledged_bytes(self.transport)
+        if self._unacknowledged_bytes < before_bytes:
+            self.unread.moved_s = now_s
+
     async def wait_for_room(self, limit_bytes: int, source: aiohttp.StreamReader) -> None:
         """Wait until no more than a limit is unread, and count what arrives from a source.
 
@@ -55,4 +71,16 @@
             self._source = None
 
 
+def _unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return how much the kernel holds that the peer has not acknowledged; 0 if unknown."""
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return 0
+    try:
+        packed = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(KERNEL_COUNT.size))
+    except (OSError, ValueError):
+        return 0
+    return int(KERNEL_COUNT.unpack(packed)[0])
+
+
 __all__ = ["CallerReader"]
--- a/tests/direct/test_slowreaders.py
+++ b/tests/direct/test_slowreaders.py
@@ -69,10 +69,10 @@
 class SlowCaller:
     """A caller that reads only when told to."""
 
-    def __init__(self, running: RunningRelay) -> None:
+    def __init__(self, running: RunningRelay, buffer_bytes: int = KERNEL_BUFFER_BYTES) -> None:
         self._running = running
         self.socket = socket.socket()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         self.socket.setblocking(False)
 
     async def ask(self, request: str = "r1") -> None:
@@ -372,6 +372,36 @@
         self.run_slow(work, stream)
 
 
+class KernelBufferTests(RelayCase):
+    """Callers over sockets with the usual buffers of the kernel."""
+
+    kind = RouteKind.STREAM
+    held = HeldLimits(total_bytes=8 * 1024 * 1024, slow_reader_s=0.4)
+
+    def test_a_caller_that_reads_what_the_kernel_holds_is_not_ended(self) -> None:
+        """Guards against steady callers that are ended as the kernel asks for more in large steps.
+
+        It takes more from the entry only once a third of its buffer is free.
+        """
+        stream = LargeStream(2_000)
+
+        async def work(running: RunningRelay) -> None:
+            assert running.buffers is not None
+            caller = SlowCaller(running, KERNEL_BUFFER_BYTES * 32)
+            await caller.ask()
+            loop, received = asyncio.get_running_loop(), b""
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                received += await loop.sock_recv(caller.socket, 100_000)
+                running.buffers.check(loop.time())
+                self.assertEqual(0, running.metrics.counters.get("reader.ended", 0))
+            rest, complete = await caller.read_rest()
+            self.assertTrue(complete)
+            self.assertEqual(list(range(1, 2_001)), ids_in(received + rest))
+
+        self.run_with_relay(work, stream)
+
+
 class ManyStoppedReadersTests(SlowReaderCase):
     held = HeldLimits(total_bytes=2 * 1024 * 1024)
 
