--- a/packages/ochreway-direct/src/ochreway_direct/relay/eventsplitter.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/eventsplitter.py
@@ -4,6 +4,7 @@
 import re
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 _EVENT_ID = re.compile(rb"^id: ?(.*?)\r?$", re.MULTILINE)
 
 
@@ -18,7 +19,9 @@
         """Return the events that are complete after another piece of the stream."""
         content = self._incomplete + piece if self._incomplete else piece
         end = 0
-        for match in _EVENT_END.finditer(content):
+        # The incomplete part has no end, but an end may begin with its last bytes.
+        search_from = max(0, len(self._incomplete) - (_MAX_END_BYTES - 1))
+        for match in _EVENT_END.finditer(content, search_from):
             end = match.end()
         events, self._incomplete = content[:end], content[end:]
         if events:
--- a/tests/direct/test_eventsplitter.py
+++ b/tests/direct/test_eventsplitter.py
@@ -1,4 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
+import time
+
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
@@ -27,3 +29,27 @@
             begin = max(begin, end)
         self.assertEqual(EVENTS, passed)
         self.assertEqual("8", splitter.last_id)
+
+    def test_the_cost_of_a_large_event_does_not_grow_with_the_number_of_pieces(self) -> None:
+        """Guards against an event loop that is held up by one large event read in small pieces."""
+        event = b"id: 1\ndata: " + b"x" * 1_000_000 + b"\n\n"
+        whole_s = min(self.feed_s(event, len(event)) for _ in range(3))
+        self.assertLess(min(self.feed_s(event, 16_384) for _ in range(3)), 5.0 * whole_s)
+
+    def feed_s(self, event: bytes, piece_bytes: int) -> float:
+        """Return the processor time to split an event that comes in pieces."""
+        splitter = EventSplitter()
+        begun_s = time.process_time()
+        for begin in range(0, len(event), piece_bytes):
+            events = splitter.feed(event[begin : begin + piece_bytes])
+        self.assertEqual(event, events)
+        return time.process_time() - begun_s
+
+    def test_an_end_is_found_wherever_pieces_are_cut(self) -> None:
+        """Guards against events that are passed late as their end came in two pieces."""
+        stream = b"data: a\n\ndata: b\r\n\r\ndata: c\n\r\ndata: d\r\n\n"
+        for first in range(len(stream)):
+            for second in range(first, len(stream)):
+                splitter = EventSplitter()
+                pieces = (stream[:first], stream[first:second], stream[second:])
+                self.assertEqual(stream, b"".join(splitter.feed(piece) for piece in pieces))
