--- a/tests/direct/test_callqueue.py
+++ b/tests/direct/test_callqueue.py
@@ -1,13 +1,15 @@
 # SPDX-License-Identifier: Apache-2.0
 import random
+import time
 from dataclasses import replace
 
 import testtools
 
-from ochreway_core.ids import Fingerprint
+from ochreway_core.ids import Fingerprint, InstanceId
 from ochreway_core.reason import Reason
 from ochreway_direct.queueing.callqueue import CallQueue
 from ochreway_direct.queueing.placefacts import PlaceFacts
+from ochreway_direct.queueing.promises import Promise
 from ochreway_direct.queueing.queuetuning import QueueTuning
 from ochreway_direct.queueing.waiting import Waiting
 from ochreway_standins.engineworld import SPEC
@@ -76,6 +78,24 @@
         self.assertEqual("resumed", self.take(load=FULL.slots + BEYOND_RESUMING - 1))
         self.assertEqual("new", self.take())
 
+    def test_a_full_queue_takes_further_calls_that_may_have_run(self) -> None:
+        """Guards against answers that break off as a lost group sends back several calls at once.
+
+        An entry with a small share of the places has room for one call only.
+        """
+        self.facts = replace(FULL, load=96, own=1, sources=23)
+        self.run_for(4.0)
+        displaced = self.offer(waiting("new"))
+        self.assertIsNone(displaced)
+        names = [f"r{n}" for n in range(5)]
+        for name in names:
+            displaced = self.offer(waiting(name, must_run=True)) or displaced
+        assert displaced is not None
+        self.assertEqual("new", displaced.fingerprint)
+        self.assertEqual(names, [self.take() for _ in names])
+        refused = self.queue.offer(waiting("late"), self.facts, LONGEST_S, 0.0)
+        self.assertFalse(refused.is_err())
+
     def test_a_call_without_a_place_does_not_hold_up_others(self) -> None:
         """Guards against a queue that waits for a call whose only target is unavailable."""
         self.offer(waiting("tried", tried=frozenset({"t0"})))
@@ -142,6 +162,15 @@
         self.assertEqual({"a": (0, True)}, self.outlooks(0.03))
         self.assertEqual({"a": (0, False)}, self.outlooks(0.05))
 
+    def test_a_call_that_every_group_has_rejected_waits_as_long_as_it_polled(self) -> None:
+        """Guards against callers who wait unserved for places that their calls cannot take."""
+        leaders = frozenset({InstanceId("t0"), InstanceId("t1")})
+        self.facts = replace(FULL, groups=2, leaders=leaders)
+        self.offer(waiting("rejected", tried=leaders))
+        self.offer(waiting("elsewhere", tried=frozenset({InstanceId("t0")})))
+        self.assertEqual({"rejected": (0, True), "elsewhere": (1, True)}, self.outlooks(0.03))
+        self.assertEqual({"rejected": (0, False), "elsewhere": (0, True)}, self.outlooks(0.05))
+
     def test_a_full_queue_drops_less_urgent_calls_only(self) -> None:
         """Guards against a caller whose place is taken by a less urgent one."""
         self.run_for(4.0)
@@ -166,6 +195,23 @@
         self.assertTrue(back.returned)
         self.assertEqual(["told", "other"], [self.take(), self.take()])
 
+    def test_a_caller_that_returns_as_told_finds_room_in_a_full_queue(self) -> None:
+        """Guards against callers who are told a place and are refused a second time."""
+        self.run_for(1.0)
+        told = waiting("told")
+        outlook = self.queue.last_outlook(told, FULL, 0.0)
+        after_s = self.queue.return_after_s(told, outlook, FULL, 1.2, 0.0)
+        others = 0
+        while self.queue.offer(waiting(f"c{others}"), FULL, LONGEST_S, 0.0).is_ok():
+            others += 1
+        self.assertGreater(others, 0)
+        back = waiting("told", now_s=after_s)
+        self.assertIsNone(self.offer(back, after_s))
+        self.assertTrue(back.returned)
+        refused = self.queue.offer(waiting("late"), FULL, LONGEST_S, after_s)
+        self.assertEqual(Reason.QUEUE_FULL, refused.unwrap_err())
+        self.assertEqual("told", self.take())
+
     def test_return_times_stay_within_what_callers_honour(self) -> None:
         """Guards against return times that callers ignore, and places promised twice."""
         self.run_for(1.0)
@@ -176,3 +222,23 @@
             times_s.append(self.queue.return_after_s(call, outlook, FULL, 1.2, 0.0))
         self.assertLessEqual(max(times_s), 1.2)
         self.assertEqual(len(times_s), len(set(times_s)))
+
+    def test_promised_places_do_not_slow_down_the_check_of_a_long_queue(self) -> None:
+        """Guards against an event loop that is held up by each caller times each promise."""
+        self.facts = PlaceFacts(groups=400, slots=4, load=1600, own=1600)
+        for n in range(QueueTuning().max_length):
+            self.offer(waiting(f"c{n}"))
+        without_s = self.check_s()
+        for n in range(QueueTuning().max_length):
+            urgency = waiting("").work().urgency
+            self.queue.promises.add(Fingerprint(f"p{n}"), Promise(0.001 * n, urgency, 0.4), 0.0)
+        self.assertLess(self.check_s(), 3.0 * without_s)
+
+    def check_s(self) -> float:
+        """Return the least processor time of several checks."""
+        times_s = []
+        for _ in range(5):
+            begun_s = time.process_time()
+            self.outlooks()
+            times_s.append(time.process_time() - begun_s)
+        return min(times_s)
--- a/tests/direct/test_slowreaders.py
+++ b/tests/direct/test_slowreaders.py
@@ -21,6 +21,7 @@
     Script,
     complete_response,
     event_chunk,
+    response_head,
     stream_response_head,
 )
 
@@ -68,10 +69,10 @@
 class SlowCaller:
     """A caller that reads only when told to."""
 
-    def __init__(self, running: RunningRelay) -> None:
+    def __init__(self, running: RunningRelay, buffer_bytes: int = KERNEL_BUFFER_BYTES) -> None:
         self._running = running
         self.socket = socket.socket()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         self.socket.setblocking(False)
 
     async def ask(self, request: str = "r1") -> None:
@@ -241,6 +242,23 @@
 
         self.run_slow(work, breaks, goes_on)
 
+    def test_an_answer_whose_caller_paused_for_long_resumes_as_its_group_is_lost(self) -> None:
+        """Guards against the pause of a caller that is taken for silence towards it."""
+        stream, goes_on = LargeStream(600), LargeStream(600)
+
+        async def work(running: RunningRelay) -> None:
+            caller = SlowCaller(running)
+            await caller.ask()
+            await asyncio.sleep(2.3)
+            running.fleet.abandon(GroupId("g0"))
+            await asyncio.sleep(0.05)
+            received, complete = await caller.read_rest()
+            self.assertTrue(complete)
+            self.assertEqual(list(range(1, 601)), ids_in(received))
+            self.assertEqual([1, 1], [len(target.seen) for target in running.targets])
+
+        self.run_slow(work, stream, goes_on)
+
     def test_a_caller_that_leaves_frees_what_it_held_and_its_target(self) -> None:
         stream = LargeStream(2_000)
 
@@ -354,6 +372,36 @@
         self.run_slow(work, stream)
 
 
+class KernelBufferTests(RelayCase):
+    """Callers over sockets with the usual buffers of the kernel."""
+
+    kind = RouteKind.STREAM
+    held = HeldLimits(total_bytes=8 * 1024 * 1024, slow_reader_s=0.4)
+
+    def test_a_caller_that_reads_what_the_kernel_holds_is_not_ended(self) -> None:
+        """Guards against steady callers that are ended as the kernel asks for more in large steps.
+
+        It takes more from the entry only once a third of its buffer is free.
+        """
+        stream = LargeStream(2_000)
+
+        async def work(running: RunningRelay) -> None:
+            assert running.buffers is not None
+            caller = SlowCaller(running, KERNEL_BUFFER_BYTES * 32)
+            await caller.ask()
+            loop, received = asyncio.get_running_loop(), b""
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                received += await loop.sock_recv(caller.socket, 100_000)
+                running.buffers.check(loop.time())
+                self.assertEqual(0, running.metrics.counters.get("reader.ended", 0))
+            rest, complete = await caller.read_rest()
+            self.assertTrue(complete)
+            self.assertEqual(list(range(1, 2_001)), ids_in(received + rest))
+
+        self.run_with_relay(work, stream)
+
+
 class ManyStoppedReadersTests(SlowReaderCase):
     held = HeldLimits(total_bytes=2 * 1024 * 1024)
 
@@ -445,6 +493,19 @@
 
         self.run_slow(work, large, large)
 
+    def test_the_length_of_an_answer_without_body_needs_no_memory(self) -> None:
+        """Guards against a HEAD of a large answer that fails as if its body had come."""
+
+        async def head(headers: Headers, writer: Writer) -> None:
+            writer.write(response_head(headers, "Signed: 1\r\nContent-Length: 500000\r\n"))
+
+        async def work(running: RunningRelay) -> None:
+            request = b"HEAD /a/x HTTP/1.1\r\nHost: care.example\r\nRequest: r\r\nKey: secret\r\n"
+            answer = await running.send_raw(request + b"Connection: close\r\n\r\n")
+            self.assertIn(b"200", answer.splitlines()[0])
+
+        self.run_slow(work, head)
+
     def test_a_whole_answer_counts_until_its_caller_has_read_it(self) -> None:
         async def large(headers: Headers, writer: Writer) -> None:
             writer.write(complete_response(headers, "y" * 300_000))
