--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/formerloans.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/formerloans.py
@@ -24,6 +24,7 @@
         self.known = True
         self._bounds = bounds
         self._unanswered = set(bounds)
+        self._ended_until_s = {}
 
     def on_answer(self, sender: Borrower, running_s: float, now_s: float) -> bool:
         """Record that a process takes only new loans; return whether its former ones are to count.
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 
 from ochreway_core.ids import NodeId
+from ochreway_core.table import ABSENT
 from ochreway_direct.leases.lease import Lease
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
@@ -53,7 +54,7 @@
         self._log = log
         self._metrics = metrics
         self._announced = (0, False, False)
-        self._lease_read = 0
+        self._row_read = (0, ABSENT)
         self._entries_read_s = -REGISTER_READ_INTERVAL_S
         self._read_interval_s = REGISTER_READ_INTERVAL_S
         self._checked_s = -WRITE_INTERVAL_S
@@ -122,8 +123,12 @@
         self._metrics.count("loan.register_read")
         if not await self._register.read(now_s) or self._lease.acquired_revision != lease:
             return False
-        if self._lease_read != lease:
-            self._lease_read = lease
+        row = self._register.row
+        is_own = row is not None and row.term == self._lease.term
+        if not is_own and self._row_read != (lease, self._register.revision):
+            # A read may not show the last write of the former holder. A write of this holder then
+            # fails, as it requires the row as it was read.
+            self._row_read = lease, self._register.revision
             self._take_over(now_s)
         return True
 
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
@@ -45,6 +45,11 @@
         """Return whether the row has to be read before it can be written."""
         return self._unread
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the row as it was last read or written."""
+        return self._revision
+
     def may_retry(self, now_s: float) -> bool:
         """Return whether the table may be accessed again after its last failure."""
         return now_s >= self._retry_s
--- a/tests/direct/test_loankeeper.py
+++ b/tests/direct/test_loankeeper.py
@@ -9,13 +9,14 @@
 
 from ochreway_core.backoff import Backoff
 from ochreway_core.ids import NodeId
+from ochreway_core.table import Row
 from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower
+from ochreway_direct.sendlimits.loansrow import LOANS_KEY, Borrower
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_platform.memorytable import MemoryTable
 from ochreway_runtime.metrics import Metrics
@@ -24,20 +25,26 @@
 
 ME = Borrower(NodeId("me"), "1")
 OTHER = NodeId("other")
+NOBODY: frozenset[NodeId] = frozenset()
 
 
 class Keeper:
     """A keeper for a process that is known at an address."""
 
-    def __init__(self, address: str, services: tuple[object, ...] = (COLD,)) -> None:
+    def __init__(
+        self,
+        address: str,
+        services: tuple[object, ...] = (COLD,),
+        table: MemoryTable | None = None,
+    ) -> None:
         self.log, metrics = RecordedLog(), Metrics(None, "entry")
-        self.table = MemoryTable()
+        self.table = table or MemoryTable()
         backoff = Backoff(0.1, 1.0, random.Random(1))
-        lease = Lease(self.table, Holder(ME.node, ME.incarnation), 2.0, backoff)
+        lease = self.lease = Lease(self.table, Holder(ME.node, ME.incarnation), 2.0, backoff)
         share = StaticShare(ME.node, 2, 0.0)
         given = (lambda: services, EXCESS, SLACK, share, ColdTargets(self.log))
         limit = FleetLimit(*given, 0.0, self.log, metrics)  # type: ignore[arg-type]
-        register = LoanRegister(self.table, lease, backoff)
+        register = self.register = LoanRegister(self.table, lease, backoff)
         self.other = Borrower(OTHER, "1", address)
         self.loans = Loans(ME, limit, lease, lambda _: {}, register=register)
         self.loans.on_news(self.other, None, 0.0)
@@ -63,6 +70,18 @@
     return f"{host}:{port}"
 
 
+class LaggingTable(MemoryTable):
+    """Answer a read with the rows as they were before, if there are such."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.before: dict[str, Row] = {}
+
+    async def read(self, prefixes: tuple[str, ...]) -> dict[str, Row]:
+        before, self.before = self.before, {}
+        return before or dict(self.read_now(prefixes))
+
+
 class LoanKeeperTests(testtools.TestCase):
     def test_a_process_that_still_listens_has_not_ended(self) -> None:
         async def work(address: str) -> None:
@@ -95,3 +114,27 @@
             self.assertEqual([0, 0, 0], [len(site.probes), site.table.reads, site.table.writes])
 
         asyncio.run(work())
+
+    def test_a_borrower_that_a_late_read_leaves_out_is_found(self) -> None:
+        """Guards against a read that does not show the last write of the former holder."""
+
+        async def work() -> None:
+            table = LaggingTable()
+            site = Keeper("", table=table)
+            first, second = Borrower(NodeId("x"), "1"), Borrower(NodeId("y"), "1")
+            backoff = Backoff(0.1, 1.0, random.Random(1))
+            former = Lease(table, Holder(OTHER, "1"), 2.0, backoff)
+            await former.acquire(0.0)
+            register = LoanRegister(table, former, backoff)
+            await register.write({first: {COLD.name: 1}}, NOBODY, 0.0)
+            before = dict(table.read_now((LOANS_KEY,)))
+            await register.write({each: {COLD.name: 1} for each in (first, second)}, NOBODY, 0.0)
+            await site.lease.observe(1.0)
+            await site.lease.acquire(1.0)
+            table.before = before
+            for now_s in (1.0, 3.0, 5.0):
+                await site.keeper.update(now_s)
+            self.assertEqual({first, second}, set(site.register.registered))
+            self.assertEqual({first, second}, site.loans.unanswered(5.0))
+
+        asyncio.run(work())
