--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
@@ -30,6 +30,7 @@
         self._changes = 0
         self._revision = ABSENT
         self._unread = True
+        self._discards = 0
         self.row: LoansRow | None = None
         self._registered: Bounds = {}
         self._doubtful: Bounds | None = None
@@ -57,17 +58,21 @@
     def discard(self) -> None:
         """Forget the row, as another lease was acquired since it was read."""
         self._unread = True
+        self._discards += 1
         self.row = None
         self._registered = {}
 
     async def read(self, now_s: float) -> bool:
-        """Read the row; return whether the table answered."""
+        """Read the row; return whether the table answered, under the same lease as it was asked."""
+        discards = self._discards
         try:
             rows = await self._table.read((LOANS_KEY,))
         except TableUnavailable:
             self._retry_s = now_s + self._backoff.next_delay_s()
             return False
         self._backoff.reset()
+        if self._discards != discards:
+            return False
         self._apply(rows.get(LOANS_KEY))
         return True
 
--- a/tests/direct/test_loankeeper.py
+++ b/tests/direct/test_loankeeper.py
@@ -82,6 +82,20 @@
         return before or dict(self.read_now(prefixes))
 
 
+class SlowTable(MemoryTable):
+    """Answer reads only when told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers: asyncio.Event | None = None
+
+    async def read(self, prefixes: tuple[str, ...]) -> dict[str, Row]:
+        rows = dict(self.read_now(prefixes))
+        if self.answers is not None:
+            await self.answers.wait()
+        return rows
+
+
 class LoanKeeperTests(testtools.TestCase):
     def test_a_process_that_still_listens_has_not_ended(self) -> None:
         async def work(address: str) -> None:
@@ -138,3 +152,22 @@
             self.assertEqual({first, second}, site.loans.unanswered(5.0))
 
         asyncio.run(work())
+
+    def test_a_read_begun_under_a_former_lease_is_not_used_under_the_next_one(self) -> None:
+        """Guards against a new holder that waits as if it had no register."""
+
+        async def work() -> None:
+            table = SlowTable()
+            site = Keeper("", table=table)
+            await site.lease.acquire(1.0)
+            table.answers = asyncio.Event()
+            reading = asyncio.create_task(site.keeper.update(1.0))
+            await asyncio.sleep(0.0)
+            self.assertTrue(await site.lease.release(1.5))
+            await site.lease.acquire(2.0)
+            site.loans.on_lease(2.0)
+            table.answers.set()
+            await reading
+            self.assertTrue(site.register.unread)
+
+        asyncio.run(work())
