--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
@@ -98,12 +98,19 @@
         bounds = self.register.registered.get(borrower) if borrower is not None else None
         if borrower is None or bounds is None or self._is_superseded():
             return None
-        loan = self.lender.lend(node, amounts, self._weights(now_s), now_s, bounds)
+        if self.is_ended(borrower):
+            return None
+        loan = self.lender.lend(node, amounts, self._running_weights(now_s), now_s, bounds)
         if self.lender.keeps_former_loan(node, loan.shares, now_s):
             return None
         self.lender.record_borrower(borrower, now_s)
         return Loan(loan.shares, self._lease_taken_at, borrower.incarnation)
 
+    def _running_weights(self, now_s: float) -> Mapping[NodeId, float]:
+        """Return the demand at each connected entry whose process is not known to have ended."""
+        ended = {process.node for process in self._processes.values() if self.is_ended(process)}
+        return {node: each for node, each in self._weights(now_s).items() if node not in ended}
+
     def _is_superseded(self) -> bool:
         """Return whether this entry has heard of a newer lease than its own."""
         return self._limit.held.newest_lease > self._lease_taken_at
@@ -139,7 +146,7 @@
         """Return what to register, if the borrowers change or one needs more than its bound."""
         if self.register is None:
             return None
-        weights, amounts = self._weights(now_s), self._limit.lendable()
+        weights, amounts = self._running_weights(now_s), self._limit.lendable()
         in_contact = [self._processes[node] for node in weights if node in self._processes]
         possible, registered = self.lender.possible_bounds(now_s), self.register.registered
         if registered.keys() == {*in_contact, *possible}:
--- a/tests/direct/test_loankeeper.py
+++ b/tests/direct/test_loankeeper.py
@@ -3,7 +3,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import testtools
 
@@ -13,6 +13,7 @@
 from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
+from ochreway_direct.sendlimits.lender import LOAN_LAPSE_S
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
@@ -20,7 +21,7 @@
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_platform.memorytable import MemoryTable
 from ochreway_runtime.metrics import Metrics
-from tests.direct.sendworld import COLD, EXCESS, SLACK
+from tests.direct.sendworld import COLD, EXCESS, LENDABLE, SLACK
 from tests.runtime.recordedlog import RecordedLog
 
 ME = Borrower(NodeId("me"), "1")
@@ -36,6 +37,7 @@
         address: str,
         services: tuple[object, ...] = (COLD,),
         table: MemoryTable | None = None,
+        weights: Mapping[NodeId, float] | None = None,
     ) -> None:
         self.log, metrics = RecordedLog(), Metrics(None, "entry")
         self.table = table or MemoryTable()
@@ -46,7 +48,7 @@
         limit = FleetLimit(*given, 0.0, self.log, metrics)  # type: ignore[arg-type]
         register = self.register = LoanRegister(self.table, lease, backoff)
         self.other = Borrower(OTHER, "1", address)
-        self.loans = Loans(ME, limit, lease, lambda _: {}, register=register)
+        self.loans = Loans(ME, limit, lease, lambda _: weights or {}, register=register)
         self.loans.on_news(self.other, None, 0.0)
         self.probes: list[asyncio.Task[None]] = []
         self.keeper = LoanKeeper(
@@ -120,6 +122,25 @@
 
         asyncio.run(work())
 
+    def test_a_process_that_has_ended_is_lent_nothing_more(self) -> None:
+        """Guards against withholding the portion of an entry that was killed from all others."""
+
+        async def work() -> None:
+            site = Keeper("", weights={ME.node: 1.0, OTHER: 1.0})
+            await site.lease.acquire(1.0)
+            await site.keeper.update(1.0)
+            await site.lease.renew(8.0)
+            await site.keeper.update(8.0)
+            self.assertIsNot(None, site.loans.lend(OTHER, 8.0))
+            site.loans.on_ended(site.other, 8.1)
+            self.assertIs(None, site.loans.lend(OTHER, 9.0))
+            await site.lease.renew(8.1 + LOAN_LAPSE_S)
+            await site.keeper.update(8.1 + LOAN_LAPSE_S)
+            loan = site.loans.lend(ME.node, 8.1 + LOAN_LAPSE_S)
+            self.assertEqual({COLD.name: LENDABLE}, loan.shares if loan else {})
+
+        asyncio.run(work())
+
     def test_without_a_cold_start_rate_nothing_is_read_or_tried(self) -> None:
         async def work() -> None:
             site = Keeper("127.0.0.1:1", services=())
