--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
@@ -59,11 +59,12 @@
         """Forget the row, as another lease was acquired since it was read."""
         self._unread = True
         self._discards += 1
+        self._revision = ABSENT
         self.row = None
         self._registered = {}
 
     async def read(self, now_s: float) -> bool:
-        """Read the row; return whether the table answered, under the same lease as it was asked."""
+        """Read the row; return whether one was read under the same lease and is not outdated."""
         discards = self._discards
         try:
             rows = await self._table.read((LOANS_KEY,))
@@ -71,9 +72,14 @@
             self._retry_s = now_s + self._backoff.next_delay_s()
             return False
         self._backoff.reset()
+        stored = rows.get(LOANS_KEY)
         if self._discards != discards:
             return False
-        self._apply(rows.get(LOANS_KEY))
+        if (stored.revision if stored is not None else ABSENT) < self._revision:
+            # The row is never deleted, so this one was read before the last write.
+            self._retry_s = now_s + self._backoff.next_delay_s()
+            return False
+        self._apply(stored)
         return True
 
     async def read_in_force(self, now_s: float) -> LoansRow | None:
--- a/tests/direct/test_loanregister.py
+++ b/tests/direct/test_loanregister.py
@@ -96,6 +96,21 @@
         self.assertTrue(self.write(ONE, TWO))
         self.assertEqual({ONE, TWO}, self.names())
 
+    def test_a_read_that_shows_an_older_row_is_not_used(self) -> None:
+        """Guards against lending to a borrower that the last write left out."""
+        self.write(ONE, TWO)
+        before = dict(self.shared.rows)
+        self.write(ONE)
+        self.table.unreachable = True
+        self.write(ONE)
+        self.table.unreachable = False
+        current, self.shared.rows = self.shared.rows, before
+        self.assertFalse(run_synchronously(self.register.read(3.0)))
+        self.assertEqual(({ONE}, True), (self.names(), self.register.unread))
+        self.shared.rows = current
+        self.assertTrue(run_synchronously(self.register.read(4.0)))
+        self.assertEqual({ONE}, self.names())
+
     def test_the_entries_are_read_only_from_the_row_of_the_lease_in_force(self) -> None:
         self.write(ONE)
         row = run_synchronously(self.register.read_in_force(3.0))
