--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
@@ -30,6 +30,7 @@
         self._changes = 0
         self._revision = ABSENT
         self._unread = True
+        self._discards = 0
         self.row: LoansRow | None = None
         self._registered: Bounds = {}
         self._doubtful: Bounds | None = None
@@ -45,6 +46,11 @@
         """Return whether the row has to be read before it can be written."""
         return self._unread
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the row as it was last read or written."""
+        return self._revision
+
     def may_retry(self, now_s: float) -> bool:
         """Return whether the table may be accessed again after its last failure."""
         return now_s >= self._retry_s
@@ -52,18 +58,28 @@
     def discard(self) -> None:
         """Forget the row, as another lease was acquired since it was read."""
         self._unread = True
+        self._discards += 1
+        self._revision = ABSENT
         self.row = None
         self._registered = {}
 
     async def read(self, now_s: float) -> bool:
-        """Read the row; return whether the table answered."""
+        """Read the row; return whether one was read under the same lease and is not outdated."""
+        discards = self._discards
         try:
             rows = await self._table.read((LOANS_KEY,))
         except TableUnavailable:
             self._retry_s = now_s + self._backoff.next_delay_s()
             return False
         self._backoff.reset()
-        self._apply(rows.get(LOANS_KEY))
+        stored = rows.get(LOANS_KEY)
+        if self._discards != discards:
+            return False
+        if (stored.revision if stored is not None else ABSENT) < self._revision:
+            # The row is never deleted, so this one was read before the last write.
+            self._retry_s = now_s + self._backoff.next_delay_s()
+            return False
+        self._apply(stored)
         return True
 
     async def read_in_force(self, now_s: float) -> LoansRow | None:
