--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
@@ -17,9 +17,11 @@
 
     A closed group's requests take seconds to end, and its replacement takes about a second to form.
     The last serving group of a model with callers is therefore not closed while it carries their
-    requests at its pace. One that spans domains or has a slow member may not: most of its callers
-    are refused or late until it is replaced. Where fewer would serve than are planned, one is
-    closed at a time. The next is closed once a replacement serves.
+    requests at its pace. Groups that span domains or have slow members may not, not even together:
+    most of their callers are refused or late until they are replaced, and a better group may need
+    engines of several of them, so that they are closed together. Otherwise, where
+    fewer would serve than are planned, one is closed at a time, and the next once a replacement
+    serves.
     """
 
     def __init__(self, state: CoordinatorState) -> None:
@@ -40,13 +42,20 @@
             return False
         if self._count(group.service, GroupPhase.SERVING)[group.model] > 1:
             return False
-        return self._carries_demand(group)
-
-    def _carries_demand(self, group: GroupRecord) -> bool:
-        """Return whether a group alone serves the work that is offered for its model."""
-        spec = self._state.specs[group.service]
-        offered = self._state.demand.offered.get(group.model, 0.0)
-        return groups_needed(spec, offered) * self._state.pace_of(group) <= 1.0
+        return group.model in self._carried_models(group.service)
+
+    def _carried_models(self, service: ServiceName) -> frozenset[ModelName]:
+        """Return the models whose serving groups together serve the work that is offered."""
+        spec, offered = self._state.specs[service], self._state.demand.offered
+        capacity: Counter[ModelName] = Counter()
+        for group in self._state.groups_of(service):
+            if group.phase is GroupPhase.SERVING:
+                capacity[group.model] += 1.0 / self._state.pace_of(group)  # type: ignore[assignment]
+        return frozenset(
+            model
+            for model, groups in capacity.items()
+            if groups_needed(spec, offered.get(model, 0.0)) <= groups
+        )
 
     def fixed_spanning(self, service: ServiceName) -> frozenset[GroupId]:
         """Return the spanning groups that serve and are not to be closed.
@@ -77,25 +86,17 @@
         changing = self._count(
             service, GroupPhase.FORMING, GroupPhase.CLOSING, GroupPhase.DISSOLVING
         )
-        needed = self._needed_models(service)
+        called, carried = self._models_with_callers(service), self._carried_models(service)
         allowed: Counter[ModelName] = Counter()
         for model, number in serving.items():
             beyond_plan = number - planned.get(model, 0)
-            at_most = number - 1 if model in needed else number
-            allowed[model] = min(at_most, max(beyond_plan, 0 if changing[model] else 1))
+            at_once = max(beyond_plan, 0 if changing[model] else 1)
+            if model in called and model in carried:
+                allowed[model] = min(number - 1, at_once)
+            else:
+                allowed[model] = 0 if model in called and changing[model] else number
         return allowed
 
-    def _needed_models(self, service: ServiceName) -> frozenset[ModelName]:
-        """Return the models with callers of which not all serving groups may be closed."""
-        called = self._models_with_callers(service)
-        return frozenset(
-            group.model
-            for group in self._state.groups_of(service)
-            if group.phase is GroupPhase.SERVING
-            and group.model in called
-            and self._carries_demand(group)
-        )
-
     def _models_with_callers(self, service: ServiceName) -> frozenset[ModelName]:
         return models_with_callers(self._state.specs[service], self._state.demand)
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -79,7 +79,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout_at(
-                self._first_answer_deadline_s(call, loop.time())
+                self._first_answer_deadline_s(call, attempt.pace, loop.time())
             ) as bound:
                 attempt.set_timeout(bound)
                 return await self._send_and_forward(call, attempt)
@@ -107,12 +107,26 @@
         reason = Reason.DEADLINE_PASSED if late else Reason.TARGET_FAILED
         return Ending(outcome, reason, lost_contact=True)
 
-    def _first_answer_deadline_s(self, call: Call, now_s: float) -> float:
-        """Return until when to wait for a first answer: shorter if another target may answer."""
+    def _first_answer_deadline_s(self, call: Call, pace: float, now_s: float) -> float:
+        """Return until when to wait for a first answer: shorter if another target may answer.
+
+        A group that is known to run slower by ``pace`` has that much more time. Otherwise requests
+        would be given up there that it is about to answer, and repeated at another slow group.
+        """
+        latest_s = self._caller_patience_end_s(call)
+        if call.last_run or not self._has_alternative(call):
+            return latest_s
+        patience_s = max(
+            self._tuning.min_first_answer_s,
+            self._tuning.first_answer_objectives * call.route.objective_s,
+        )
+        if pace > 1.0:
+            return min(latest_s, now_s + pace * patience_s)
+        return min(call.end_s, now_s + patience_s)
+
+    def _caller_patience_end_s(self, call: Call) -> float:
+        """Return until when a caller waits for the first or next part of an answer."""
         route, tuning = call.route, self._tuning
-        if not call.last_run and self._has_alternative(call):
-            patience_s = tuning.first_answer_objectives * route.objective_s
-            return min(call.end_s, now_s + max(tuning.min_first_answer_s, patience_s))
         if route.kind is not RouteKind.STREAM:
             return call.end_s
         silence_s = max(
--- a/tests/direct/test_closings.py
+++ b/tests/direct/test_closings.py
@@ -16,6 +16,8 @@
 """Work, in groups kept busy, that one group inside a domain does not carry."""
 LIGHT = 0.5
 """Work that one group across domains carries at its pace."""
+CARRIED_BY_TWO = 1.3
+"""Work that two such groups carry."""
 
 
 def spanning_world(groups: int, offered: float = HEAVY) -> EngineWorld:
@@ -50,6 +52,7 @@
     def test_two_spanning_groups_are_traded_one_at_a_time(self) -> None:
         """Guards against a model refused for seconds because both its groups closed at once."""
         world = spanning_world(2)
+        world.coordinator.demand.update({LARGE.name: CARRIED_BY_TWO, SMALL.name: 3.6}, world.now_s)
         for domain in (ONE, TWO, TWO):
             world.add(domain, LARGE.name)
         for engine in world.engines.values():
@@ -62,6 +65,15 @@
         self.assertEqual(2, world.views_inside())
         self.assertEqual([], world.violations)
 
+    def test_two_spanning_groups_that_do_not_carry_their_callers_are_traded_together(self) -> None:
+        """Guards against groups across domains that stay because a better one needs both."""
+        world = spanning_world(2, offered=HEAVY)
+        for domain in (ONE, TWO, TWO):
+            world.add(domain, LARGE.name)
+        took_s = world.run_until(lambda: world.views_inside() == 2, 12.0)
+        self.assertLess(took_s, 8.0)
+        self.assertEqual([], world.violations)
+
     def test_the_only_group_is_not_closed_as_soon_as_it_has_opened(self) -> None:
         """Guards against 4.4 s without a group because a better one became possible."""
         world = spanning_world(1, offered=LIGHT)
