--- a/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
@@ -29,7 +29,7 @@
 from ochreway_direct.serving import Serving
 from ochreway_direct.targetlimits.limitsharing import LimitSharing
 from ochreway_direct.targetlimits.poolnews import NO_POOL_NEWS
-from ochreway_direct.work import NO_WORK, Work, subtract_work, sum_work
+from ochreway_direct.work import NO_WORK, Work, bounded_work, subtract_work, sum_work
 from ochreway_wire.links import Links
 
 NEW_ENTRY_S = 3.0
@@ -193,18 +193,21 @@
                 self._links.dial_address(address)
 
     def _own_work(self, now_s: float) -> Work:
-        fleet = self._serving.fleet
+        fleet, report = self._serving.fleet, self._serving.queue_report()
         return Work(
             dict(fleet.under_way()),
             dict(fleet.unread()),
             dict(self._first_tries.meter.offered(now_s)),
             self._first_tries.measured_s(now_s),
+            waiting=report.waiting,
+            served_by=dict(report.served_by),
         )
 
     def _heartbeat(
         self, peer: Peer, own: Work, entries: tuple[KnownEntry, ...], wanted: bool, now_s: float
     ) -> Heartbeat:
         coverage = self._coverage(peer.node)
+        work = bounded_work(self._work_for(peer.node, coverage, own))
         return Heartbeat(
             incarnation=self._incarnation,
             hall=self._me.hall,
@@ -220,7 +223,7 @@
             cell=self._own_cell,
             coverage=coverage,
             # Refusals are the sender's own whatever the coverage, so that none is reported twice.
-            work=replace(self._work_for(peer.node, coverage, own), refusals=own.refusals),
+            work=replace(work, refusals=own.refusals),
             entries=entries,
             drains=self._drains.current_news(now_s),
             loan=self._loans.lend(peer.node, now_s) if self._loans is not None else None,
--- a/packages/ochreway-direct/src/ochreway_direct/entries/remotework.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/remotework.py
@@ -65,6 +65,7 @@
         if known and known.source != sender and now_s - known.received_s < SOURCE_TIMEOUT_S:
             return
         self._reports[key] = _Report(sender, coverage, now_s, work)
+        self._fleet.set_remote_queues(key, work.waiting, work.served_by)
         self._fleet.set_remote_work(key, work.under_way, work.unread)
         others = self._reports.keys() - {key}
         self._drop_all(others if coverage is Coverage.REST else {REST_KEY})
--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleet.py
@@ -12,10 +12,12 @@
 from ochreway_direct.configuration import EngineSpec
 from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.fleets.remotecounts import RemoteCounts
+from ochreway_direct.fleets.remotequeues import RemoteQueues
 from ochreway_direct.fleets.targethealth import TargetHealth
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.lists.listedtarget import ListedTarget
 from ochreway_direct.queueing.placefacts import PlaceFacts
+from ochreway_direct.queueing.waitingcalls import WaitingCalls
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.sendlimits.sendlimit import SendLimit, Unlimited
 from ochreway_direct.targetlimits.limitgate import LimitGate
@@ -93,6 +95,7 @@
         self._unread: Counter[str] = Counter()
         self._remote_load = RemoteCounts()
         self._remote_unread = RemoteCounts()
+        self._remote_queues = RemoteQueues()
         self._health: dict[InstanceId, TargetHealth] = defaultdict(TargetHealth)
         self.changes: Subject[None] = Subject()
         """Emits when a place may have become free."""
@@ -135,10 +138,17 @@
         self._remote_unread.set_report(source, unread or {})
         self.changes.on_next(None)
 
+    def set_remote_queues(
+        self, source: str, waiting: WaitingCalls, served_by: Mapping[str, int]
+    ) -> None:
+        """Replace what a source reports of its queues; its counts of attempts follow."""
+        self._remote_queues.set_report(source, waiting, served_by)
+
     def drop_remote_work(self, source: str) -> None:
         """Drop the counts of a source."""
         self._remote_load.drop_report(source)
         self._remote_unread.drop_report(source)
+        self._remote_queues.drop_report(source)
         self.changes.on_next(None)
 
     def announce_change(self) -> None:
@@ -227,6 +237,7 @@
         """Return the facts by which the queue of a model decides."""
         eligible = self.eligible_groups(service, model, within)
         groups = [each.group for each in eligible]
+        loads = [self.load(each) for each in groups]
         waits_s = [
             max(
                 self._limit.wait_s(service, each.leader, now_s),
@@ -237,11 +248,15 @@
         return PlaceFacts(
             groups=len(groups),
             slots=slots,
-            load=sum(self.load(each) for each in groups),
+            free=sum(max(0, slots - load) for load in loads),
+            load=sum(loads),
             own=sum(len(self._under_way.get(each, ())) for each in groups),
             sources=self._remote_load.source_count(),
             blocked_s=min(waits_s, default=0.0),
             next_window_s=min((each for each in waits_s if each > 0.0), default=math.inf),
+            waiting=self._remote_queues.waiting(model),
+            waiting_entries=self._remote_queues.waiting_entries(model),
+            served_by=self._remote_queues.served_by(),
         )
 
     def has_serving_group(self, service: ServiceName) -> bool:
--- a/packages/ochreway-direct/src/ochreway_direct/fleets/remotecounts.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/remotecounts.py
@@ -29,6 +29,10 @@
         """Return the sum for a target over all sources."""
         return self._totals[target_id]
 
+    def totals(self) -> Mapping[str, int]:
+        """Return the sums of all keys."""
+        return self._totals
+
     def source_count(self) -> int:
         """Return how many sources report counts."""
         return len(self._reports)
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -148,6 +148,7 @@
             *(entry.retry_budget, entry.suspect, entry.crashes, entry.notices, log, metrics),
             buffers=entry.buffers,
         )
+        entry.serving.queue_report = relay.queues.report
         try:
             await entry.start()
             await wait_for_first_configuration(entry.serving)
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -3,7 +3,7 @@
 
 import math
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Hashable
 from typing import TypeVar
 
@@ -60,6 +60,8 @@
         )
         self._works: dict[Waiting, Work[Waiting]] = {}
         self._in_time = 0
+        self._free_since_s: deque[float] = deque()
+        self._holds = False
         self.forecast = Forecast(spec)
         self.promises = Promises(tuning)
 
@@ -67,7 +69,9 @@
         return len(self._queue)
 
     def advance(self, facts: PlaceFacts, now_s: float) -> None:
-        """Update the measured rate of places; called before the queue changes."""
+        """Update the measured rate of places and what runs; called before the queue changes."""
+        self._queue.set_running_elsewhere(facts.served_by)
+        self._record_free(facts.free, now_s)
         self.forecast.advance(facts, bool(self._works), now_s)
 
     def offer(
@@ -115,17 +119,22 @@
             facts_of: facts of the groups.
             now_s: the time.
         """
+        self._holds = False
+        self._record_free(facts_of(None).free, now_s)
         failed: set[Hashable] = set()
         places: list[Place] = []
         most_urgent, turn = self._queue.most_urgent(), self._queue.turn()
 
         def fits(work: Work[Waiting]) -> bool:
             waiting = work.item
+            facts = facts_of(waiting.within)
+            if work is not turn and self._is_held(work.urgency, facts_of(None), now_s):
+                self._holds = True
+                return False
             first = work is turn or work.urgency == most_urgent
             key = (first, work.urgency, waiting.resuming, waiting.within, waiting.tried)
             if key in failed and work is not turn:
                 return False
-            facts = facts_of(waiting.within)
             # Groups that are kept full by a more urgent class have no free slot for another.
             lent = self._max_queued if work is turn else self._lent(work.urgency, facts, now_s)
             place = pick(waiting, self._beyond_slots(work, lent if first else 0))
@@ -142,6 +151,17 @@
         self.forecast.record_place(work.item.forecast_s, now_s - work.item.entered_s)
         return work.item, places[0]
 
+    def by_class(self) -> Counter[Urgency]:
+        """Return how many calls of each class wait."""
+        return Counter(work.urgency for work in self._works.values())
+
+    def held_for_s(self, now_s: float) -> float | None:
+        """Return when the next place that was left to others may be taken, or None if none was."""
+        if not self._holds:
+            return None
+        left_s = (each + self._tuning.max_hold_s - now_s for each in self._free_since_s)
+        return min((each for each in left_s if each > 0.0), default=None)
+
     def outlooks(self, facts_of: FactsOf, now_s: float) -> list[tuple[Waiting, Outlook]]:
         """Return what is expected of each call, in the order in which they go.
 
@@ -203,6 +223,24 @@
             self.promises.add(waiting.fingerprint, promise, now_s)
         return after_s
 
+    def _record_free(self, free: int, now_s: float) -> None:
+        """Record since when places have been free; the place that was free longest goes first."""
+        while len(self._free_since_s) > free:
+            self._free_since_s.popleft()
+        while len(self._free_since_s) < free:
+            self._free_since_s.append(now_s)
+
+    def _is_held(self, urgency: Urgency, facts: PlaceFacts, now_s: float) -> bool:
+        """Return whether all free places are left to more urgent calls at other entries.
+
+        Who waits elsewhere has heard of a place that has been free for longer, and would have it.
+        """
+        if not facts.free or not urgency[0]:
+            return False
+        since_s = now_s - self._tuning.max_hold_s
+        recent = sum(each > since_s for each in self._free_since_s)
+        return facts.free <= min(recent, facts.more_urgent_elsewhere(urgency))
+
     def _capacity(self, facts: PlaceFacts, longest_objective_s: float) -> int:
         """Return how many calls may wait: as many as get a place within the longest objective.
 
@@ -222,6 +260,8 @@
 
     def _lent(self, urgency: Urgency, facts: PlaceFacts, now_s: float) -> int:
         """Return how many requests beyond its slots a group may have to get the first class."""
+        if any(each < urgency for each, number in facts.waiting.items() if number):
+            return 0
         lent = 0
         while lent < self._max_queued and not self.forecast.more_urgent_expected(
             urgency, lent + 1, facts, now_s
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
@@ -4,6 +4,7 @@
 import asyncio
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from functools import cache
 
@@ -17,8 +18,10 @@
 from ochreway_direct.queueing.outlook import Outlook
 from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.queueing.queuedcall import QueuedCall
+from ochreway_direct.queueing.queuereport import QueueReport
 from ochreway_direct.queueing.queuetuning import QueueTuning
 from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcalls import count_waiting
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
 from ochreway_direct.relay.tuning import RelayTuning
@@ -88,6 +91,12 @@
             "queue_forecast_error_s": max(errors_s, default=0.0),
         }
 
+    def report(self) -> QueueReport:
+        """Return what other entries are told of the queues."""
+        by_model = [(each.model, each.queue.by_class()) for each in self._queues.values()]
+        served_by = Counter(waiting.organisation for _, waiting in self._given.values())
+        return QueueReport(count_waiting(by_model), served_by)
+
     # Calls
 
     async def place(self, call: Call) -> Attempt:
@@ -259,7 +268,10 @@
             self._drop_ended(queue)
             self._give_places(queue, facts_of, now_s)
             self._refuse_closed(queue, now_s)
+        held_s = queue.queue.held_for_s(now_s)
         next_s = self._refuse_hopeless(queue, facts_of, now_s)
+        if held_s is not None:
+            next_s = held_s if next_s is None else min(next_s, held_s)
         if queue.timer is not None:
             queue.timer.cancel()
             queue.timer = None
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/placefacts.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/placefacts.py
@@ -2,7 +2,10 @@
 """What an entry knows of the places of a model."""
 
 import math
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ochreway_routing.work import Urgency
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +20,10 @@
         sources: number of other sources that report attempts.
         blocked_s: time until a group may be sent a request, by limits and backoffs.
         next_window_s: time until the next group may be sent a request that may not now.
+        free: number of slots without an attempt of any entry.
+        waiting: number of calls that wait at other entries, by class.
+        waiting_entries: number of other entries at which calls wait.
+        served_by: requests under way from other entries, by organisation.
     """
 
     groups: int
@@ -26,6 +33,10 @@
     sources: int = 0
     blocked_s: float = 0.0
     next_window_s: float = math.inf
+    free: int = 0
+    waiting: Mapping[Urgency, int] = field(default_factory=dict)
+    waiting_entries: int = 0
+    served_by: Mapping[str, int] = field(default_factory=dict)
 
     @property
     def share(self) -> float:
@@ -33,5 +44,13 @@
         even = 1.0 / (1 + self.sources)
         return max(even, self.own / self.load) if self.load else even
 
+    def more_urgent_elsewhere(self, urgency: Urgency) -> int:
+        """Return this entry's share of the more urgent calls that wait at other entries.
+
+        All entries with waiting calls leave places to them, so each leaves a part.
+        """
+        number = sum(waiting for each, waiting in self.waiting.items() if each < urgency)
+        return math.ceil(number / (1 + self.waiting_entries))
+
 
 __all__ = ["PlaceFacts"]
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/queuetuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/queuetuning.py
@@ -10,7 +10,8 @@
 
     An answer that is late by up to ``gain_objectives - 1`` further objectives is still worth
     something to its caller. ``min_returned_share`` of the longest return time allowed is the
-    earliest that a caller without a promised place is told to return.
+    earliest that a caller without a promised place is told to return. A free place is left to more
+    urgent calls elsewhere for at most ``max_hold_s``: a heartbeat interval and its delay.
     """
 
     max_length: int = 512
@@ -20,6 +21,7 @@
     min_returned_share: float = 0.7
     stall_grace_s: float = 0.1
     stall_lag_s: float = 0.05
+    max_hold_s: float = 0.35
 
 
 __all__ = ["QueueTuning"]
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -2,6 +2,7 @@
 """Serving state of an entry: the configuration in force, its freshness, and the fleet."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ochreway_core.ids import NO_VERSION, Version
@@ -9,6 +10,7 @@
 from ochreway_direct.configuration import CallerLimits, Configuration, Service
 from ochreway_direct.fleets.fleet import Fleet
 from ochreway_direct.halls.homes import Homes
+from ochreway_direct.queueing.queuereport import QueueReport
 from ochreway_direct.versions.freshness import Freshness
 from ochreway_direct.versions.routetable import RouteTable
 from ochreway_runtime.looplag import LoopLag
@@ -29,7 +31,7 @@
     none. ``sent_bytes`` counts what was sent to callers and targets, ``admitted`` the admitted
     requests, and ``proofs_awaited`` how often one waited for a proof of the configuration. While
     there are ``short_resources``, new callers should use other entries. ``lag`` measures the
-    stalls of this process.
+    stalls of this process. ``queue_report`` tells what the queues report to other entries.
     """
 
     fleet: Fleet
@@ -43,6 +45,7 @@
     routes: RouteTable | None = field(default=None)
     homes: Homes = field(default_factory=lambda: Homes({}))
     lag: LoopLag | None = None
+    queue_report: Callable[[], QueueReport] = QueueReport
 
     @property
     def version(self) -> Version:
--- a/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
+++ b/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
@@ -11,7 +11,7 @@
 """
 
 from bisect import insort
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Generic, TypeVar
@@ -40,6 +40,7 @@
     guaranteed_share: float = 0.0
     served: float = 0.0
     running: int = 0
+    elsewhere: int = 0
     queued: int = 0
     by_class: dict[Urgency, list[Work[T]]] = field(default_factory=dict)
 
@@ -72,6 +73,7 @@
         self.slots = slots
         self._shares: dict[str, _Share[T]] = {}
         self._dispatched = 0
+        self._elsewhere: dict[str, int] = {}
         self._virtual_time = 0.0
         self._length = 0
         self.tokens = 0.0
@@ -86,6 +88,16 @@
             share.weight = float(weight)
             share.guaranteed_share = guaranteed_percent / 100.0
 
+    def set_running_elsewhere(self, counts: Mapping[str, int]) -> None:
+        """Set how many items of each organisation other queues run.
+
+        While there are any, the organisation goes first that runs least everywhere by its weight;
+        service decides between equal ones.
+        """
+        self._elsewhere = dict(counts)
+        for name, share in self._shares.items():
+            share.elsewhere = self._elsewhere.get(name, 0)
+
     def offer(self, work: Work[T]) -> Result[Work[T] | None, Reason]:
         """Queue the work; return the work that it displaced, or why it is refused."""
         share = self._share(work.organisation)
@@ -185,6 +197,13 @@
         """
         served = {name: share.served for name, share in self._shares.items()}
         weights = {name: share.weight for name, share in self._shares.items()}
+        running = {name: share.running for name, share in self._shares.items()}
+
+        def precedence(each: Work[T]) -> tuple[bool, tuple[float, float]]:
+            name = each.organisation
+            order = self._precedence_of(self._shares[name], running[name], served[name])
+            return not each.returned, order
+
         waiting: dict[Urgency, dict[str, list[Work[T]]]] = {}
         for name, share in self._shares.items():
             for urgency, each in share.by_class.items():
@@ -203,7 +222,7 @@
                 urgency = first
                 work = min(
                     (queued[0] for queued in waiting[urgency].values()),
-                    key=lambda each: (not each.returned, served[each.organisation]),
+                    key=precedence,
                 )
             queued = waiting[urgency][work.organisation]
             del queued[next(n for n, each in enumerate(queued) if each is work)]
@@ -212,6 +231,7 @@
             if not waiting[urgency]:
                 del waiting[urgency]
             served[work.organisation] += work.cost_tokens / weights[work.organisation]
+            running[work.organisation] += 1
             order.append(work)
         return order
 
@@ -228,7 +248,17 @@
         return {urgency for share in self._shares.values() for urgency in share.by_class}
 
     def _share(self, organisation: str) -> _Share[T]:
-        return self._shares.setdefault(organisation, _Share())
+        share = self._shares.get(organisation)
+        if share is None:
+            share = self._shares[organisation] = _Share(
+                elsewhere=self._elsewhere.get(organisation, 0)
+            )
+        return share
+
+    def _precedence_of(self, share: _Share[T], running: int, served: float) -> tuple[float, float]:
+        """Return the order of organisations, given what runs here and what was served."""
+        everywhere = running + share.elsewhere if self._elsewhere else 0
+        return everywhere / share.weight, served
 
     def _drop(self, work: Work[T], share: _Share[T]) -> None:
         share.remove(work)
@@ -246,7 +276,9 @@
         for group in (guaranteed, shares):
             for urgency in sorted({each for share in group for each in share.by_class}):
                 candidates = [share for share in group if urgency in share.by_class]
-                candidates.sort(key=lambda share: share.served)
+                candidates.sort(
+                    key=lambda each: self._precedence_of(each, each.running, each.served)
+                )
                 # Work that returned as told goes before all organisations' other work.
                 for returned in (True, False):
                     for share in candidates:
