--- a/tests/direct/entriesload.py
+++ b/tests/direct/entriesload.py
@@ -35,8 +35,8 @@
     """Hold what is measured.
 
     ``passed_s`` are the times for which more urgent calls elsewhere had waited, for each call
-    that was admitted before them; ``idle_s`` sums the time of slots unused while calls waited, and
-    ``longest_idle_s`` is the longest of one slot.
+    that was admitted before them; ``idle_s`` sums the time of slots unused while calls waited,
+    ``longest_idle_s`` is the longest of one slot, and ``busy_s`` sums the time of slots used.
     """
 
     admitted: Counter[str] = field(default_factory=Counter)
@@ -44,6 +44,7 @@
     offered: Counter[int] = field(default_factory=Counter)
     passed_s: list[float] = field(default_factory=list)
     idle_s: float = 0.0
+    busy_s: float = 0.0
     longest_idle_s: float = 0.0
 
 
@@ -135,6 +136,7 @@
         busy = sum(min(SLOTS, sum(e > now_s for e in ends)) for ends in self._ends.values())
         idle = self.slots - busy if any(each.waiting for each in self.sites if each.up) else 0
         self.seen.idle_s += idle * STEP_S
+        self.seen.busy_s += busy * STEP_S
         while len(self._idle_from_s) > idle:
             self._idle_from_s.popleft()
         self._idle_from_s.extend([now_s] * (idle - len(self._idle_from_s)))
--- a/tests/direct/test_queueacross.py
+++ b/tests/direct/test_queueacross.py
@@ -75,6 +75,7 @@
     def check_uneven(self, count: int) -> None:
         baseline, entries = play(count, told=False), play(count, told=True)
         self.check_bounds(entries)
+        self.assertGreater(entries.seen.busy_s, 0.99 * baseline.seen.busy_s)
         self.assertGreater(urgent_in_time(entries), urgent_in_time(baseline))
         self.assertLess(largest_part(entries), largest_part(baseline))
 
@@ -82,6 +83,7 @@
         """Guards against order and shares that are lost on the way through heads."""
         baseline, entries = play(60, told=False), play(60, told=True)
         self.check_bounds(entries, heard_s=3.0 * HEARD_S)
+        self.assertGreater(entries.seen.busy_s, 0.99 * baseline.seen.busy_s)
         self.assertLess(largest_part(entries), largest_part(baseline))
 
     def test_an_entry_cut_off_goes_by_its_own_queue(self) -> None:
