--- a/tests/direct/test_callqueues.py
+++ b/tests/direct/test_callqueues.py
@@ -17,6 +17,8 @@
 from ochreway_direct.fleets.groupview import GroupView
 from ochreway_direct.ports.dialect import CallerTerms
 from ochreway_direct.queueing.callqueues import CallQueues
+from ochreway_direct.queueing.queuetuning import QueueTuning
+from ochreway_direct.queueing.waitingcalls import NO_WAITING_CALLS, WaitingCalls, waiting_key
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
 from ochreway_direct.relay.errors import Refused
@@ -103,6 +105,29 @@
 
         asyncio.run(run())
 
+    def test_a_place_left_to_a_more_urgent_call_elsewhere_is_given_when_its_time_ends(
+        self,
+    ) -> None:
+        """Guards against a place that stays unused as no event follows."""
+
+        async def work(bench: Bench) -> None:
+            loop, key = asyncio.get_running_loop(), waiting_key((True, 0, 0), LARGE.name)
+            waiting = WaitingCalls({key: 1}, {LARGE.name: 1})
+            bench.fleet.set_remote_queues("e", waiting, {})
+            bench.fleet.set_remote_work("e", {"g": SLOTS - 1})
+            began_s = loop.time()
+            task = bench.wait(bench.call(priority=2))
+            await settle()
+            told = bench.queues.report().waiting
+            self.assertEqual({waiting_key((True, 2, 0), LARGE.name): 1}, told.calls)
+            attempt = await task
+            self.assertGreaterEqual(loop.time() - began_s, QueueTuning().max_hold_s)
+            report = bench.queues.report()
+            self.assertEqual((NO_WAITING_CALLS, {"": 1}), (report.waiting, dict(report.served_by)))
+            bench.end(attempt)
+
+        self.run_bench(work)
+
     def test_a_free_place_is_given_at_once(self) -> None:
         async def work(bench: Bench) -> None:
             bench.end(await bench.queues.place(bench.call()))
--- a/tests/direct/test_remotework.py
+++ b/tests/direct/test_remotework.py
@@ -7,7 +7,9 @@
 from ochreway_direct.entries.coverage import Coverage
 from ochreway_direct.entries.remotework import COUNTS_MAX_AGE_S, SOURCE_TIMEOUT_S, RemoteWork
 from ochreway_direct.fleets.fleet import Fleet
-from ochreway_direct.ids import CellId, ModelName
+from ochreway_direct.ids import CellId, ModelName, ServiceName
+from ochreway_direct.queueing.placefacts import PlaceFacts
+from ochreway_direct.queueing.waitingcalls import WaitingCalls, waiting_key
 from ochreway_direct.work import Work, subtract_work, sum_work
 
 CELL = CellId("h/0")
@@ -57,6 +59,21 @@
         self.assertEqual(0, self.fleet.load("g"))
         self.assertEqual({}, dict(self.remote_work.offered()))
 
+    def test_counts_of_queues_that_are_not_renewed_are_dropped(self) -> None:
+        """Guards against an entry cut off that goes by others' calls."""
+        waiting = WaitingCalls({waiting_key((True, 0, 0), MODEL): 2}, {MODEL: 1})
+        told = Work(waiting=waiting, served_by={"o": 3})
+        self.remote_work.add_report(A, Coverage.OWN, CELL, (), told, 10.0)
+        facts = self.facts()
+        self.assertEqual(({(True, 0, 0): 2}, 1), (dict(facts.waiting), facts.waiting_entries))
+        self.assertEqual({"o": 3}, dict(facts.served_by))
+        self.remote_work.expire(10.1 + COUNTS_MAX_AGE_S)
+        facts = self.facts()
+        self.assertEqual(({}, 0, {}), (facts.waiting, facts.waiting_entries, dict(facts.served_by)))
+
+    def facts(self) -> PlaceFacts:
+        return self.fleet.place_facts(ServiceName("s"), MODEL, 4, None, 10.0)
+
 
 class WorkTests(testtools.TestCase):
     def test_a_sum_without_a_part_is_the_other(self) -> None:
--- a/tests/direct/test_returnselsewhere.py
+++ b/tests/direct/test_returnselsewhere.py
@@ -182,8 +182,10 @@
         fields = to_fields(sent[0])
         self.assertEqual(18, len(fields))
         work = next(each for each in fields if isinstance(each, dict) and "under_way" in each)
-        self.assertEqual(["under_way", "unread", "offered", "measured_s", "refusals"], list(work))
-        del work["measured_s"], work["refusals"]
+        names = ["under_way", "unread", "offered", "measured_s", "refusals", "waiting", "served_by"]
+        self.assertEqual(names, list(work))
+        del work["measured_s"], work["refusals"], work["waiting"], work["served_by"]
+        self.assertEqual(Work(), from_fields(Heartbeat, fields).work)
         self.assertEqual(NO_REFUSALS, from_fields(Heartbeat, fields).work.refusals)
         work["field_of_a_later_build"] = 1
         self.assertEqual({}, from_fields(Heartbeat, fields).work.offered)
