--- a/tests/direct/test_queuereports.py
+++ b/tests/direct/test_queuereports.py
@@ -130,6 +130,16 @@
         ]
         self.assertEqual([6, 3, 2, 1, 1], shares)
 
+    def test_a_place_goes_to_the_organisation_that_runs_least_everywhere(self) -> None:
+        """Guards against shares that each entry counts for itself."""
+        big, small = call(1), call(2)
+        small.priority = small.route_priority = 1
+        big.organisation, small.organisation = "big", "small"
+        self.offer(big, small)
+        facts = replace(ONE_FREE, waiting={}, served_by={"big": 3})
+        self.assertEqual(1, self.take(facts, 0.0))
+        self.assertEqual([big], [each for each, _ in self.queue.outlooks(lambda _: facts, 0.0)])
+
     def test_equal_and_more_urgent_calls_and_those_that_may_have_run_go_at_once(self) -> None:
         """Guards against calls that wait for equal ones, and answers that break off."""
         for each in (call(0), call(2, must_run=True)):
