--- a/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
+++ b/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
@@ -94,6 +94,8 @@
         While there are any, the organisation goes first that runs least everywhere by its weight;
         service decides between equal ones.
         """
+        if counts == self._elsewhere:
+            return
         self._elsewhere = dict(counts)
         for name, share in self._shares.items():
             share.elsewhere = self._elsewhere.get(name, 0)
