--- a/packages/ochreway-direct/src/ochreway_direct/demand/decayingsum.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/decayingsum.py
@@ -4,7 +4,8 @@
 import math
 
 DECAY_S = 5.0
-"""Time constant of the decay: half a wave of the load, and some hundred requests long."""
+"""Time constant of the decay: long enough to average over some hundred requests, and short enough
+to follow a load that changes within seconds."""
 
 
 class DecayingSum:
--- a/packages/ochreway-direct/src/ochreway_direct/demand/demandmeter.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/demandmeter.py
@@ -11,9 +11,9 @@
 MIN_MEASURED_S = 0.5
 """Minimum time over which a rate is computed, as a single first request gives none."""
 START_S = 1.0
-"""Time after a start in which callers return who could reach no entry before."""
+"""Time after a start in which callers return that could reach no entry before."""
 START_COUNTS_FOR_S = DECAY_S - 1.0
-"""Time for which their work counts.
+"""Time after a start for which the work of those callers counts.
 
 It ends before entries plan from what others report, by more than the age of those reports.
 """
@@ -26,8 +26,8 @@
     is divided by the effective time that it covers, so that the first second of requests already
     shows how much work is offered, and for which model.
 
-    An entry that starts after a loss gets callers of the time before in its first second. Their
-    work is offered, but no measure of a stationary rate: it is left out after
+    In the first ``START_S`` after a loss, callers from before the loss return together. Their work
+    is offered, but is no measure of a stationary rate: it is left out after
     ``START_COUNTS_FOR_S``.
     """
 
--- a/packages/ochreway-direct/src/ochreway_direct/demand/firsttries.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/firsttries.py
@@ -14,11 +14,11 @@
 
 
 class FirstTries:
-    """Record the work of first tries in a meter, and of returns of refused callers not.
+    """Record the work of first tries in a meter, but not that of returns of refused callers.
 
     A request is a return if its fingerprint was refused as not run, here or at an entry in
-    contact, within the rest of its deadline and at most ``DECAY_S``. One that was counted before
-    its refusal elsewhere became known is taken back.
+    contact, within the rest of its deadline and at most ``DECAY_S``. If it was counted before its
+    refusal elsewhere became known, its work is taken back.
     """
 
     def __init__(self, meter: DemandMeter, metrics: Metrics, started_s: float) -> None:
@@ -42,7 +42,7 @@
             return
         self._metrics.count("demand.first")
         self.meter.record_work(model, work_s, now_s)
-        self._recent.count(fingerprint, CountedWork(model, work_s, now_s))
+        self._recent.record_counted(fingerprint, CountedWork(model, work_s, now_s))
 
     def record_refusal(self, fingerprint: Fingerprint, left_s: float, now_s: float) -> None:
         """Record that a request was refused as not run, ``left_s`` before its deadline."""
@@ -65,10 +65,10 @@
 
         Work that was counted here later than a refusal is taken back. Otherwise the next request
         with its fingerprint is a return. Where several callers send the same request, a refusal
-        would excuse one of them at every entry, so it is not applied.
+        would leave one of them uncounted at every entry, so it is not applied.
         """
         for fingerprint, age_s, left_s in refusals.items()[:MAX_REFUSALS]:
-            if self._recent.is_common(fingerprint):
+            if self._recent.has_several_callers(fingerprint):
                 continue
             refused_s = now_s - age_s
             counted = self._recent.take_counted(fingerprint, refused_s)
--- a/packages/ochreway-direct/src/ochreway_direct/demand/recentrequests.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/recentrequests.py
@@ -13,8 +13,8 @@
 class RecentRequests:
     """Remember for ``DECAY_S`` which requests were counted, and which refused ones may return.
 
-    Each refusal excuses one later request with the same fingerprint. So each of several callers
-    with equal requests is counted, also if some of them were refused.
+    For each refusal, one later request with the same fingerprint is not counted. So each of several
+    callers with equal requests is counted, also if some of them were refused.
     """
 
     def __init__(self) -> None:
@@ -23,7 +23,7 @@
     def __len__(self) -> int:
         return len(self._requests)
 
-    def count(self, fingerprint: Fingerprint, work: CountedWork) -> None:
+    def record_counted(self, fingerprint: Fingerprint, work: CountedWork) -> None:
         """Remember a request whose work was counted."""
         self._touch(fingerprint, work.counted_s).counted = work
 
@@ -36,7 +36,7 @@
         request = self._touch(fingerprint, now_s)
         request.unrefused = max(0, request.unrefused - 1)
 
-    def is_common(self, fingerprint: Fingerprint) -> bool:
+    def has_several_callers(self, fingerprint: Fingerprint) -> bool:
         """Return whether several callers send the same request to this entry."""
         request = self._requests.get(bytes.fromhex(fingerprint))
         return request is not None and request.unrefused > 1
@@ -50,7 +50,7 @@
         request.returns_until_s = max(request.returns_until_s, min(until_s, now_s + DECAY_S))
 
     def take_return(self, fingerprint: Fingerprint, now_s: float) -> bool:
-        """Return whether a request is a return; the refusal excuses no further one."""
+        """Return whether a request is the return of a refused one, and record it as seen."""
         request = self._requests.get(bytes.fromhex(fingerprint))
         if request is None or not request.returns or now_s >= request.returns_until_s:
             return False
--- a/packages/ochreway-direct/src/ochreway_direct/demand/refusalqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/refusalqueue.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Refused requests that other entries have not been told of."""
+"""Refused requests that are still to be reported to other entries."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Waiting:
+class _QueuedRefusal:
     fingerprint: Fingerprint
     refused_s: float
     left_s: float
@@ -26,20 +26,20 @@
     """Collect refusals for the next heartbeats, oldest first."""
 
     def __init__(self) -> None:
-        self._waiting: deque[_Waiting] = deque()
+        self._queued: deque[_QueuedRefusal] = deque()
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._queued)
 
     def add(self, fingerprint: Fingerprint, left_s: float, now_s: float) -> int:
         """Add a refusal whose caller may return for ``left_s``; return how many were dropped."""
-        self._waiting.append(_Waiting(fingerprint, now_s, left_s))
+        self._queued.append(_QueuedRefusal(fingerprint, now_s, left_s))
         return self._drop_outdated(now_s)
 
     def take(self, now_s: float) -> tuple[Refusals, int]:
         """Return the refusals for a heartbeat, and how many older ones were dropped."""
         dropped = self._drop_outdated(now_s)
-        taken = [self._waiting.popleft() for _ in range(min(MAX_REFUSALS, len(self._waiting)))]
+        taken = [self._queued.popleft() for _ in range(min(MAX_REFUSALS, len(self._queued)))]
         if not taken:
             return NO_REFUSALS, dropped
         refusals = Refusals(
@@ -50,15 +50,15 @@
         return refusals, dropped
 
     def clear(self) -> None:
-        """Forget all refusals, as nobody is to be told."""
-        self._waiting.clear()
+        """Forget all refusals, as there is no entry to report them to."""
+        self._queued.clear()
 
     def _drop_outdated(self, now_s: float) -> int:
         dropped = 0
-        while self._waiting and (
-            len(self._waiting) > MAX_WAITING or now_s - self._waiting[0].refused_s > MAX_WAIT_S
+        while self._queued and (
+            len(self._queued) > MAX_WAITING or now_s - self._queued[0].refused_s > MAX_WAIT_S
         ):
-            self._waiting.popleft()
+            self._queued.popleft()
             dropped += 1
         return dropped
 
