--- a/packages/ochreway-direct/src/ochreway_direct/demand/decayingsum.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/decayingsum.py
@@ -6,6 +6,8 @@
 DECAY_S = 5.0
 """Time constant of the decay: long enough to average over some hundred requests, and short enough
 to follow a load that changes within seconds."""
+MIN_MEASURED_S = 0.5
+"""Minimum time over which a rate is computed, as a single first request gives none."""
 
 
 class DecayingSum:
@@ -34,4 +36,12 @@
         return self._sum * math.exp(-elapsed_s / DECAY_S)
 
 
-__all__ = ["DECAY_S", "DecayingSum"]
+def effective_time_s(measured_s: float) -> float:
+    """Return the time by which a sum is divided to get a rate, if it began ``measured_s`` ago.
+
+    It is ``DECAY_S`` for a sum that began long ago, and less for one that has just begun.
+    """
+    return DECAY_S * (1.0 - math.exp(-max(MIN_MEASURED_S, measured_s) / DECAY_S))
+
+
+__all__ = ["DECAY_S", "MIN_MEASURED_S", "DecayingSum", "effective_time_s"]
--- a/packages/ochreway-direct/src/ochreway_direct/demand/demandmeter.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/demandmeter.py
@@ -1,15 +1,12 @@
 # SPDX-License-Identifier: Apache-2.0
 """Rate of work offered to this entry for each model."""
 
-import math
 from collections import defaultdict
 from collections.abc import Mapping
 
-from ochreway_direct.demand.decayingsum import DECAY_S, DecayingSum
+from ochreway_direct.demand.decayingsum import DECAY_S, DecayingSum, effective_time_s
 from ochreway_direct.ids import ModelName
 
-MIN_MEASURED_S = 0.5
-"""Minimum time over which a rate is computed, as a single first request gives none."""
 START_S = 1.0
 """Time after a start in which callers return that could reach no entry before."""
 START_COUNTS_FOR_S = DECAY_S - 1.0
@@ -64,12 +61,11 @@
             since_s = max(since_s, self._started_s + START_S)
             for model, each in self._start_sums.items():
                 sums[model] = max(0.0, sums[model] - each.at(now_s))
-        measured_s = max(MIN_MEASURED_S, now_s - since_s)
-        effective_s = DECAY_S * (1.0 - math.exp(-measured_s / DECAY_S))
+        effective_s = effective_time_s(now_s - since_s)
         return {model: each / effective_s for model, each in sums.items()}
 
     def _in_start(self, at_s: float) -> bool:
         return self._started_s is not None and at_s < self._started_s + START_S
 
 
-__all__ = ["DECAY_S", "MIN_MEASURED_S", "START_S", "DemandMeter"]
+__all__ = ["DECAY_S", "START_S", "DemandMeter"]
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/forecast.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/forecast.py
@@ -5,29 +5,30 @@
 from collections import defaultdict
 
 from ochreway_direct.configuration import EngineSpec
+from ochreway_direct.demand.decayingsum import DECAY_S
 from ochreway_direct.queueing.placefacts import PlaceFacts
-from ochreway_direct.queueing.ratemeter import DECAY_S, RateMeter
+from ochreway_direct.queueing.ratemeter import RateMeter
 from ochreway_routing.fairqueue import LOWER_CLASS_INTERVAL
 from ochreway_routing.work import Urgency
 
 LEARN_WEIGHT = 0.1
 """Weight of a new sample in the moving averages."""
 PRIOR_PLACES = 5.0
-"""Number of places by which the expected rate is trusted before any were measured."""
+"""Weight of the expected rate against the places measured, as a number of places."""
 MAX_CORRECTION = 2.0
 """Bound on the correction of the expected rate.
 
-A forecast that is too low has calls refused, and then fewer places are measured to correct it.
+If the rate is too low, calls are refused, and then fewer places are measured to correct it.
 """
 LIKELY_ARRIVALS = 0.5
-"""Expected number of arrivals from which one counts as expected."""
+"""Expected number of arrivals from which on a slot is left free for one."""
 
 
 class Forecast:
     """Measure places, arrivals and running times of a model, and tell when a place is expected.
 
-    The rate of places is that of full groups, corrected by the ratio of places given to waiting
-    calls to those that this rate let expect. So it follows a group that is lost or formed at once.
+    The rate of places is that of full groups, corrected by the ratio of the places that waiting
+    calls got to those that this rate predicted. So it follows a lost or new group at once.
     """
 
     def __init__(self, spec: EngineSpec) -> None:
@@ -121,7 +122,9 @@
         It is at least the part that the lowest class gets, so that some who return get a place.
         """
         rate_per_s = self.places_per_s(facts)
-        new_per_s = sum(each.per_s(now_s) for u, each in self._arrivals.items() if u <= urgency)
+        new_per_s = sum(
+            meter.per_s(now_s) for other, meter in self._arrivals.items() if other <= urgency
+        )
         return max(rate_per_s - new_per_s, rate_per_s / LOWER_CLASS_INTERVAL)
 
     def more_urgent_expected(
@@ -129,14 +132,15 @@
     ) -> bool:
         """Return whether a more urgent call is expected before some slots become free.
 
-        Both are of all entries; the arrivals elsewhere are taken to be like those here.
+        Calls and slots of all entries count. Arrivals at other entries are estimated from those
+        here, by this entry's share of the places.
         """
         frees_s = slots * self._run_s / max(1, facts.groups * facts.slots)
         arrivals_per_s = self._more_urgent_per_s(urgency, now_s) / facts.share
         return arrivals_per_s * frees_s >= LIKELY_ARRIVALS
 
     def _more_urgent_per_s(self, urgency: Urgency, now_s: float) -> float:
-        return sum(meter.per_s(now_s) for u, meter in self._arrivals.items() if u < urgency)
+        return sum(meter.per_s(now_s) for other, meter in self._arrivals.items() if other < urgency)
 
     def _full_rate_per_s(self, facts: PlaceFacts) -> float:
         return facts.share * facts.groups * facts.slots / self._run_s
