--- a/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
@@ -25,8 +25,8 @@
     LeaseSighting,
     aged,
 )
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.serving import Serving
 from ochreway_direct.targetlimits.limitsharing import LimitSharing
 from ochreway_direct.targetlimits.poolnews import NO_POOL_NEWS
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -53,12 +53,12 @@
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import PlatformServices
 from ochreway_direct.relay.idlelimits import IdleLimits
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/formerloans.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/formerloans.py
@@ -2,8 +2,9 @@
 """Processes that may still hold loans of former holders of the lease."""
 
 from ochreway_direct.ids import ServiceName
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
-from ochreway_direct.sendlimits.loansrow import Borrower, Bounds
+from ochreway_direct.sendlimits.loanbounds import Bounds
 
 
 class FormerLoans:
@@ -14,22 +15,23 @@
 
     def __init__(self) -> None:
         """Start without the register; nothing is known of any borrower."""
-        self.known = False
+        self.register_known = False
         self._bounds: Bounds = {}
         self._unanswered: set[Borrower] = set()
         self._ended_until_s: dict[Borrower, float] = {}
 
     def on_register_read(self, bounds: Bounds) -> None:
         """Record every process that may hold a loan, and the most that it may hold."""
-        self.known = True
+        self.register_known = True
         self._bounds = bounds
         self._unanswered = set(bounds)
 
     def on_answer(self, sender: Borrower, running_s: float, now_s: float) -> bool:
         """Record that a process takes only new loans; return whether its former ones are to count.
 
-        Any other process of its name ended before it started: it has heard of a lease that was
-        acquired after the other one was registered. A process that seemed to have ended has not.
+        A registered process of the same name with another incarnation ended before this one
+        started, as this one knows of a lease that was acquired after the registration. If the
+        process itself was recorded as ended, it has not ended.
         """
         for borrower in (*self._unanswered, *self._ended_until_s):
             if borrower.node == sender.node and borrower.incarnation != sender.incarnation:
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
@@ -8,11 +8,12 @@
 
 from ochreway_core.ids import NodeId
 from ochreway_direct.ids import ServiceName
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.formerloans import FormerLoans
 from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
 from ochreway_direct.sendlimits.loan import LOAN_DURATION_S, Loan
+from ochreway_direct.sendlimits.loanbounds import Bounds, highest_bounds
 from ochreway_direct.sendlimits.loannews import LoanNews
-from ochreway_direct.sendlimits.loansrow import Borrower, Bounds
 
 MAX_RENEWAL_AGE_S = 3.0
 """How long after the start of its last successful renewal a holder lends: 1.5 renewal intervals."""
@@ -31,7 +32,7 @@
 
 
 class Lender:
-    """Lend in proportion to the entries' demand, never more than the total at a time."""
+    """Lend in proportion to the demand of entries, and never more than the total at a time."""
 
     def __init__(
         self, new_holder_delay_s: float = NEW_HOLDER_DELAY_S, loan_lapse_s: float = LOAN_LAPSE_S
@@ -64,7 +65,7 @@
         """Record what a process still holds, if it has heard of this holder's lease."""
         if news.lease < lease or self.wait_over(now_s):
             return
-        if self.former.known:
+        if self.former.register_known:
             self._apply_news(sender, news, now_s)
         else:
             self._early_news[sender] = (news, now_s)
@@ -80,12 +81,12 @@
                 loans.append(_OutstandingLoan(share, counts_until_s))
 
     def wait_over(self, now_s: float) -> bool:
-        """Return whether all loans of former holders have lapsed for want of time alone."""
+        """Return whether all loans of former holders have lapsed, whatever they were."""
         return now_s - self._lease_taken_s >= self._new_holder_delay_s
 
     def knows_former(self, now_s: float) -> bool:
         """Return whether every process that may hold a former loan is known or has none left."""
-        return self.former.known or self.wait_over(now_s)
+        return self.former.register_known or self.wait_over(now_s)
 
     def may_lend(self, renewed_s: float, now_s: float) -> bool:
         """Return whether loans may be made with a lease that was last renewed at ``renewed_s``."""
@@ -101,7 +102,7 @@
             }
             for borrower in self._may_hold_until_s
         }
-        return highest(bounds, {} if self.wait_over(now_s) else self.former.bounds(now_s))
+        return highest_bounds(bounds, {} if self.wait_over(now_s) else self.former.bounds(now_s))
 
     def desired_bounds(
         self,
@@ -153,7 +154,7 @@
         """Return whether a borrower is better off with its former loan than with these shares.
 
         That is so while loans of former holders are subtracted from what is lent, and before the
-        borrower has told what it holds.
+        borrower has reported what it holds.
         """
         if self.wait_over(now_s) or not self.former.possible(now_s):
             return False
@@ -223,17 +224,6 @@
     return max((loan.share for loan in loans), default=0)
 
 
-def highest(bounds: Bounds, others: Bounds) -> Bounds:
-    """Return the larger of the bounds for each process that either names."""
-    return {
-        borrower: {
-            service: max(shares.get(service, 0) for shares in both) for service in both[0] | both[1]
-        }
-        for borrower in {**bounds, **others}
-        for both in [(dict(bounds.get(borrower, {})), dict(others.get(borrower, {})))]
-    }
-
-
 def _portions(amount: int, weights: Mapping[NodeId, float]) -> dict[NodeId, int]:
     """Return the entries' portions by weight; the leftover goes to the largest remainders."""
     total_weight = sum(MIN_WEIGHT + weight for weight in weights.values())
@@ -245,4 +235,4 @@
     return portions
 
 
-__all__ = ["LOAN_LAPSE_S", "MAX_RENEWAL_AGE_S", "NEW_HOLDER_DELAY_S", "Lender", "highest"]
+__all__ = ["LOAN_LAPSE_S", "MAX_RENEWAL_AGE_S", "NEW_HOLDER_DELAY_S", "Lender"]
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
@@ -6,9 +6,10 @@
 
 from ochreway_core.ids import NodeId
 from ochreway_direct.leases.lease import Lease
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower, LoansRow
+from ochreway_direct.sendlimits.loansrow import LoansRow
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
@@ -16,12 +17,13 @@
 REGISTER_READ_INTERVAL_S = 0.3
 """How soon an entry that does not know the other entries yet reads the register again."""
 MAX_READ_INTERVAL_S = 3.0
-"""To this the interval is doubled for an entry that stays without a register."""
+"""Upper limit of that interval, which is doubled while an entry stays without a register."""
 WRITE_INTERVAL_S = 0.1
 """Minimum time between two writes, so that entries that start together are written together."""
 PROBE_INTERVAL_S = 0.3
 """How often the processes that have not answered are checked for having ended."""
 PROBE_TIMEOUT_S = 0.25
+"""Maximum wait for a connection, after which it is not known whether the process has ended."""
 
 
 class LoanKeeper:
@@ -69,7 +71,7 @@
 
     async def update(self, now_s: float) -> None:
         """Read or write the register, if that is due."""
-        if not self._loans.is_called_for or not self._register.may_retry(now_s):
+        if not self._loans.has_allowances or not self._register.may_retry(now_s):
             return
         if not self._lease.held:
             await self._read_entries(now_s)
@@ -177,7 +179,7 @@
     def on_link_down(self, node: NodeId) -> None:
         """Find out whether a process has ended, in case this entry acquires the lease."""
         process = self._loans.process_of(node)
-        if process is not None and self._loans.is_called_for:
+        if process is not None and self._loans.has_allowances:
             self._spawn(self._probe(process))
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loanregister.py
@@ -8,7 +8,8 @@
 from ochreway_core.ids import ChangeId, NodeId
 from ochreway_core.table import ABSENT, CommitStatus, Condition, Row, Transaction
 from ochreway_direct.leases.lease import LEASE_KEY, Lease, decode_lease_row
-from ochreway_direct.sendlimits.loansrow import LOANS_KEY, Bounds, LoansRow, decode_loans_row
+from ochreway_direct.sendlimits.loanbounds import Bounds, lowest_bounds
+from ochreway_direct.sendlimits.loansrow import LOANS_KEY, LoansRow, decode_loans_row
 from ochreway_platform.errors import TableUnavailable
 from ochreway_platform.table import Table
 
@@ -88,14 +89,14 @@
         self._revision = revision
         self.row = decode_loans_row(stored.content) if stored is not None else None
         registered = self.row.bounds() if self.row is not None else {}
-        self._registered = _lowest(registered, self._doubtful)
+        self._registered = lowest_bounds(registered, self._doubtful)
 
     async def write(self, bounds: Bounds, entries: frozenset[NodeId], now_s: float) -> bool:
         """Register exactly these borrowers; return whether that is certain.
 
         Whatever happens, no more may be lent from now on than these bounds and the former ones.
         """
-        self._registered = _lowest(self._registered, bounds)
+        self._registered = lowest_bounds(self._registered, bounds)
         self._changes += 1
         term = self._lease.term
         change = ChangeId(f"{term}/loans/{self._changes}")
@@ -109,7 +110,7 @@
         reply = await self._table.commit(Transaction(change, conditions, {LOANS_KEY: encode(row)}))
         if reply.status is not CommitStatus.COMMITTED:
             if reply.status is CommitStatus.LOST:
-                self._doubtful = _lowest(bounds, self._doubtful)
+                self._doubtful = lowest_bounds(bounds, self._doubtful)
             self._unread = True
             self._retry_s = now_s + self._backoff.next_delay_s()
             return False
@@ -119,15 +120,4 @@
         return True
 
 
-def _lowest(bounds: Bounds, others: Bounds | None) -> Bounds:
-    """Return what both allow."""
-    if others is None:
-        return bounds
-    return {
-        each: {name: min(share, others[each].get(name, 0)) for name, share in shares.items()}
-        for each, shares in bounds.items()
-        if each in others
-    }
-
-
 __all__ = ["LoanRegister"]
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loans.py
@@ -6,12 +6,13 @@
 
 from ochreway_core.ids import NodeId
 from ochreway_direct.leases.lease import Lease
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
-from ochreway_direct.sendlimits.lender import NEW_HOLDER_DELAY_S, Lender, highest
+from ochreway_direct.sendlimits.lender import NEW_HOLDER_DELAY_S, Lender
 from ochreway_direct.sendlimits.loan import Loan
+from ochreway_direct.sendlimits.loanbounds import Bounds, highest_bounds
 from ochreway_direct.sendlimits.loannews import LoanNews
 from ochreway_direct.sendlimits.loanregister import LoanRegister
-from ochreway_direct.sendlimits.loansrow import Borrower, Bounds
 
 GROWTH_INTERVAL_S = 1.0
 """Minimum time between two writes of the register for demand that moves between borrowers."""
@@ -45,7 +46,7 @@
         self._weights = weights
         self.lender = lender or Lender()
         self.register = register
-        self._lease_taken_at = 0
+        self._lending_lease = 0
         self._processes: dict[NodeId, Borrower] = {me.node: me}
         self._registered_s = -math.inf
         self._ended_s: dict[Borrower, float] = {}
@@ -72,9 +73,9 @@
 
     def on_lease(self, now_s: float) -> None:
         """Prepare to lend under a lease that was acquired since the last call."""
-        if self._lease.held and self._lease_taken_at != self._lease.acquired_revision:
-            self._lease_taken_at = self._lease.acquired_revision
-            self._limit.held.observe_lease(self._lease_taken_at)
+        if self._lease.held and self._lending_lease != self._lease.acquired_revision:
+            self._lending_lease = self._lease.acquired_revision
+            self._limit.held.observe_lease(self._lending_lease)
             self.lender.on_lease_taken(now_s)
             if self.register is not None:
                 self.register.discard()
@@ -82,7 +83,7 @@
     def _count_own_loans(self, now_s: float) -> None:
         news = self.news(now_s)
         if news is not None and self._lease.held:
-            self.lender.on_news(self._me, news, self._lease_taken_at, now_s)
+            self.lender.on_news(self._me, news, self._lending_lease, now_s)
 
     def lend(self, node: NodeId, now_s: float) -> Loan | None:
         """Return the loan for a heartbeat that is sent to an entry now, if any."""
@@ -102,11 +103,11 @@
         if self.lender.keeps_former_loan(node, loan.shares, now_s):
             return None
         self.lender.record_borrower(borrower, now_s)
-        return Loan(loan.shares, self._lease_taken_at, borrower.incarnation)
+        return Loan(loan.shares, self._lending_lease, borrower.incarnation)
 
     def _is_superseded(self) -> bool:
         """Return whether this entry has heard of a newer lease than its own."""
-        return self._limit.held.newest_lease > self._lease_taken_at
+        return self._limit.held.newest_lease > self._lending_lease
 
     def borrow(self, loan: Loan | None, echo_s: float | None, now_s: float) -> None:
         """Accept a heartbeat's loan, if it echoes a time of this incarnation."""
@@ -130,7 +131,7 @@
             return False
         if self._lease.held:
             self.on_lease(now_s)
-            self.lender.on_news(sender, news, self._lease_taken_at, now_s)
+            self.lender.on_news(sender, news, self._lending_lease, now_s)
         return self._limit.held.observe_lease(news.lease)
 
     # Register.
@@ -148,7 +149,7 @@
                 return None
         self._registered_s = now_s
         desired = self.lender.desired_bounds(in_contact, self._me, amounts, weights)
-        return highest(desired, possible)
+        return highest_bounds(desired, possible)
 
     def on_ended(self, process: Borrower, now_s: float) -> None:
         """Record that a process has ended by now."""
@@ -170,7 +171,7 @@
         return self._processes.get(node)
 
     @property
-    def is_called_for(self) -> bool:
+    def has_allowances(self) -> bool:
         """Return whether a service of the configuration has a cold start rate."""
         return bool(self._limit.allowances())
 
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loansrow.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loansrow.py
@@ -1,35 +1,18 @@
 # SPDX-License-Identifier: Apache-2.0
 """Row of the processes that may hold a loan, kept in the platform's table."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ochreway_core.codec import decode
 from ochreway_core.errors import CodecError
 from ochreway_core.ids import NodeId
 from ochreway_direct.ids import ServiceName
+from ochreway_direct.sendlimits.borrower import Borrower
+from ochreway_direct.sendlimits.loanbounds import Bounds
 
 LOANS_KEY = "lease/loans"
 
 
-@dataclass(frozen=True, slots=True)
-class Borrower:
-    """Identify a process that may hold a loan, and where other entries connect to it."""
-
-    node: NodeId
-    incarnation: str
-    address: str = field(default="", compare=False)
-
-    @property
-    def key(self) -> str:
-        """Return the name of the process among all that are registered."""
-        return f"{self.node}/{self.incarnation}"
-
-
-Bounds = Mapping[Borrower, Mapping[ServiceName, int]]
-"""The most that each process may hold, in requests a second for each target of a service."""
-
-
 @dataclass(frozen=True, slots=True)
 class LoansRow:
     """Hold the borrowers of the holder of a lease, and every entry that it counts.
@@ -57,4 +40,4 @@
         return None
 
 
-__all__ = ["LOANS_KEY", "Borrower", "Bounds", "LoansRow", "decode_loans_row"]
+__all__ = ["LOANS_KEY", "LoansRow", "decode_loans_row"]
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -27,10 +27,10 @@
 from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.messages import Heartbeat
 from ochreway_direct.relay.attempt import Attempt
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
--- a/tests/direct/sendworld.py
+++ b/tests/direct/sendworld.py
@@ -15,17 +15,18 @@
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.relay.attempt import Attempt
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.formerloans import FormerLoans
 from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S, HeldLoans
 from ochreway_direct.sendlimits.lender import Lender
 from ochreway_direct.sendlimits.loan import Loan
+from ochreway_direct.sendlimits.loanbounds import Bounds
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loannews import LoanNews
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower, Bounds
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_platform.errors import TableUnavailable
 from ochreway_platform.memorytable import MemoryTable
--- a/tests/direct/test_loankeeper.py
+++ b/tests/direct/test_loankeeper.py
@@ -10,12 +10,12 @@
 from ochreway_core.backoff import Backoff
 from ochreway_core.ids import NodeId
 from ochreway_direct.leases.lease import Holder, Lease
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.standingshare import StaticShare
 from ochreway_platform.memorytable import MemoryTable
 from ochreway_runtime.metrics import Metrics
--- a/tests/direct/test_loanregister.py
+++ b/tests/direct/test_loanregister.py
@@ -12,6 +12,7 @@
 from ochreway_core.reading import reader
 from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.messages import LeaseSighting
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.formerloans import FormerLoans
 from ochreway_direct.sendlimits.heldloan import HeldLoan
 from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S, HeldLoans
@@ -19,7 +20,6 @@
 from ochreway_direct.sendlimits.loan import LOAN_DURATION_S, Loan
 from ochreway_direct.sendlimits.loannews import LoanNews
 from ochreway_direct.sendlimits.loanregister import LoanRegister
-from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_platform.memorytable import MemoryTable
 from tests.direct.sendworld import SERVICE, UnreliableTable, run_synchronously
 
--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -12,13 +12,13 @@
 from ochreway_direct.leases.lease import Holder, Lease, LeaseState
 from ochreway_direct.sendlimits import standingshare
 from ochreway_direct.sendlimits.allowance import Allowance
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
 from ochreway_direct.sendlimits.lender import LOAN_LAPSE_S, NEW_HOLDER_DELAY_S, Lender
 from ochreway_direct.sendlimits.loan import LOAN_DURATION_S
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower
 from ochreway_direct.sendlimits.sendwindow import WINDOW_S
 from ochreway_direct.sendlimits.standingshare import (
     ALONE_TIMEOUT_S,
