--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/reservation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/reservation.py
@@ -22,15 +22,14 @@
     missing: Mapping[GroupSlot, int],
     census: Census,
     downtime_share: float,
-    called: frozenset[ModelName],
+    with_callers: frozenset[ModelName],
     min_groups: int,
 ) -> dict[GroupSlot, set[InstanceId]]:
     """Return the engines that new groups of each group slot must not use.
 
     A group that lacks a few engines is completed by as many loads. If its other engines joined a
     group of another model that has less utility, their weights would be evicted and all have to be
-    loaded again. On a day with many losses, requests for the larger model reached 0.18 of their
-    value without reservation, and 0.69 with it and with accepted orders trusted over late reports.
+    loaded again.
 
     Args:
         spec: the models.
@@ -39,8 +38,8 @@
         missing: the groups that lack weights, where they are to be completed.
         census: the free engines.
         downtime_share: the share of time for which the loss of one engine stops its group.
-        called: the models with callers, which come first up to ``min_groups`` groups.
-        min_groups: that number of groups.
+        with_callers: the models that have callers.
+        min_groups: the number of groups up to which those models come first.
     """
     totals = groups_per_model(formable)
 
@@ -50,6 +49,12 @@
             / model.size
         )
 
+    def is_below_minimum(model: ModelSpec) -> bool:
+        return model.name in with_callers and totals[model.name] < min_groups
+
+    def is_above_minimum(model: ModelSpec) -> bool:
+        return totals[model.name] > (min_groups if model.name in with_callers else 0)
+
     reserved: dict[GroupSlot, set[InstanceId]] = defaultdict(set)
     for slot in missing:
         model = spec.model(slot.model)
@@ -61,9 +66,8 @@
         for other in spec.models:
             if other is model:
                 continue
-            is_beyond = totals[other.name] > (min_groups if other.name in called else 0)
-            comes_first = model.name in called and totals[model.name] < min_groups and is_beyond
-            if comes_first or (utility_per_engine(other, totals[other.name] - 1) < next_utility):
+            comes_first = is_below_minimum(model) and is_above_minimum(other)
+            if comes_first or utility_per_engine(other, totals[other.name] - 1) < next_utility:
                 reserved[GroupSlot(slot.domain, other.name)].update(r.instance for r in joinable)
     return reserved
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/swapping.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/swapping.py
@@ -17,8 +17,8 @@
     """Close groups that run at a slow member's pace, one per domain at a time.
 
     A new group is then formed from the other members and free engines of the domain, with slow
-    engines as the last choice. The last serving group of a model is kept
-    while it carries its callers' requests.
+    engines as the last choice. The last serving group of a model is kept while it carries its
+    callers' requests.
     """
 
     def __init__(self, state: CoordinatorState, closings: Closings) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/trading.py
@@ -45,10 +45,35 @@
         """
         if self._state.has_closing_group(slot.domain):
             return
+        allowed = self._closings.allowance(service, planned)
+        to_close, kept = self._surplus_groups(service, model, slot, surplus, allowed, census)
+        if to_close is None:
+            to_close = self._exchangeable(service, model, slot, allowed, census)
+        if not to_close:
+            self._closings.record_kept(kept)
+        for group in to_close:
+            group.enter(GroupPhase.CLOSING, now_s, PhaseCause.TRADED)
+        for group in to_close:
+            group.close_timeout_s = self._state.closing_time_s(
+                group, self._state.answer_time_s(group)
+            )
+
+    def _surplus_groups(
+        self,
+        service: ServiceName,
+        model: ModelSpec,
+        slot: GroupSlot,
+        surplus: Mapping[GroupSlot, int],
+        allowed: Mapping[ModelName, int],
+        census: Census,
+    ) -> tuple[list[GroupRecord] | None, list[GroupRecord]]:
+        """Return the surplus groups that free enough engines, and those that are not to be closed.
+
+        The former are None if they are not enough together.
+        """
         soon_free = [*census.free[slot.domain], *census.survivors[slot.domain]]
         lacking = model.size - sum(record.can_join(model.name) for record in soon_free)
-        left = Counter(surplus)
-        allowed = self._closings.allowance(service, planned)
+        left, allowed = Counter(surplus), Counter(allowed)
         to_close: list[GroupRecord] = []
         kept: list[GroupRecord] = []
         for group in self._state.groups_of(service):
@@ -65,17 +90,7 @@
             allowed[group.model] -= 1
             left[group_slot] -= 1
             lacking -= joinable
-        if lacking > 0:
-            allowed = self._closings.allowance(service, planned)
-            to_close = self._exchangeable(service, model, slot, allowed, census)
-        if not to_close:
-            self._closings.record_kept(kept)
-        for group in to_close:
-            group.enter(GroupPhase.CLOSING, now_s, PhaseCause.TRADED)
-        for group in to_close:
-            group.close_timeout_s = self._state.closing_time_s(
-                group, self._state.answer_time_s(group)
-            )
+        return (to_close if lacking <= 0 else None), kept
 
     def _exchangeable(
         self,
