--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
@@ -48,11 +48,11 @@
         offered = self._state.demand.offered.get(group.model, 0.0)
         return groups_needed(spec, offered) * self._state.pace_of(group) <= 1.0
 
-    def fixed_spanning(self, service: ServiceName) -> frozenset[GroupId]:
-        """Return the spanning groups that serve and are not to be closed.
+    def keep_spanning(self, service: ServiceName) -> frozenset[GroupId]:
+        """Record the serving groups across domains that are not to be closed, and return them.
 
         Their engines are no capacity inside domains before another group serves, as a plan that
-        counts on them would wait for a group that is not closed. They are recorded as kept.
+        counts on them would wait for a group that is not closed.
         """
         fixed = [
             group
@@ -87,12 +87,12 @@
 
     def _needed_models(self, service: ServiceName) -> frozenset[ModelName]:
         """Return the models with callers of which not all serving groups may be closed."""
-        called = self._models_with_callers(service)
+        with_callers = self._models_with_callers(service)
         return frozenset(
             group.model
             for group in self._state.groups_of(service)
             if group.phase is GroupPhase.SERVING
-            and group.model in called
+            and group.model in with_callers
             and self._carries_demand(group)
         )
 
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/formation.py
@@ -9,9 +9,11 @@
 from ochreway_direct.configuration import EngineSpec, ModelSpec
 from ochreway_direct.coordinator.callers import models_with_callers
 from ochreway_direct.coordinator.capacities import capacities_after_loading, current_capacities
+from ochreway_direct.coordinator.capacity import Capacity
 from ochreway_direct.coordinator.census import Census, EnginesByDomain, take_census
 from ochreway_direct.coordinator.closings import Closings
 from ochreway_direct.coordinator.enginerecord import EngineRecord
+from ochreway_direct.coordinator.groupplan import GroupPlan
 from ochreway_direct.coordinator.grouprecord import SPANNING
 from ochreway_direct.coordinator.missing import place_missing_groups
 from ochreway_direct.coordinator.placement import GroupSlot, groups_per_model
@@ -82,55 +84,72 @@
         self._closings.reset_kept()
         if self._state.tuning.swapping:
             self._swapping.close_slow_groups(census, now_s)
-        free, current = census.free, census.current
-        inside = Counter({slot: n for slot, n in current.items() if slot.domain != SPANNING})
+        inside = Counter({slot: n for slot, n in census.current.items() if slot.domain != SPANNING})
         capacities = current_capacities(
-            self._state, spec, census, self._closings.fixed_spanning(service)
+            self._state, spec, census, self._closings.keep_spanning(service)
         )
         engines = sum(capacity.total for capacity in capacities.values())
         model_demand = self._state.demand.by_model(spec, engines)
         scenarios = self._state.demand.scenarios(spec, engines)
-        downtime_share, threshold = self._state.downtime_share, self._state.min_utility
-        called = self._called(spec)
-        plan_now = self._planners_now[service].plan(
-            spec, (model_demand,), capacities, inside, downtime_share, threshold, called
-        )
-        wanted = plan_now.groups
-        plan_later = self._planners_after_loading[service].plan(
-            spec,
-            (model_demand,),
-            capacities_after_loading(spec, capacities),
-            inside,
-            downtime_share,
-            threshold,
-            called,
-        )
-        later = plan_later.groups
+        plan_now, plan_later = self._make_plans(service, spec, model_demand, capacities, inside)
+        wanted, later = plan_now.groups, plan_later.groups
         missing = place_missing_groups(spec, wanted, later, census)
         reserved = reserved_engines(
-            *(spec, model_demand, wanted, missing, census, downtime_share),
-            *(called, self._state.tuning.min_groups),
+            spec,
+            model_demand,
+            wanted,
+            missing,
+            census,
+            self._state.downtime_share,
+            self._protected_models(spec),
+            self._state.tuning.min_groups,
         )
         awaited = self._form_wanted(service, spec, wanted, census, reserved, now_s)
-        kept = tuple(sorted(self._closings.kept))
         self.plans[service] = PlanSummary(
-            *(self._state.demand.measured, model_demand, wanted, inside),
-            *(kept, tuple(sorted({*plan_now.covered, *plan_later.covered}))),
-        )
-        awaiting_domains = {slot.domain for slot in awaited}
-        spare: EnginesByDomain = defaultdict(list)
-        spare.update(
-            {domain: records for domain, records in free.items() if domain not in awaiting_domains}
+            measured=self._state.demand.measured,
+            model_demand=model_demand,
+            wanted=wanted,
+            current=inside,
+            kept=tuple(sorted(self._closings.kept)),
+            covered=tuple(sorted({*plan_now.covered, *plan_later.covered})),
         )
         if self._state.tuning.spanning:
+            spare = _free_elsewhere(census, awaited)
             self._spanning.form_groups(
                 service, spec, model_demand, wanted | inside, census, spare, now_s
             )
         return Outlook(
-            scenarios, wanted, later, missing, frozenset(awaited), free, census.survivors
+            scenarios, wanted, later, missing, frozenset(awaited), census.free, census.survivors
+        )
+
+    def _make_plans(
+        self,
+        service: ServiceName,
+        spec: EngineSpec,
+        model_demand: Mapping[ModelName, float],
+        capacities: Mapping[DomainId, Capacity],
+        inside: Mapping[GroupSlot, int],
+    ) -> tuple[GroupPlan, GroupPlan]:
+        """Return the plan with the weights that engines have, and the plan after loading any."""
+        later_capacities = capacities_after_loading(spec, capacities)
+        plan_now, plan_later = (
+            planner.plan(
+                spec,
+                (model_demand,),
+                usable,
+                inside,
+                self._state.downtime_share,
+                self._state.min_utility,
+                self._protected_models(spec),
+            )
+            for planner, usable in (
+                (self._planners_now[service], capacities),
+                (self._planners_after_loading[service], later_capacities),
+            )
         )
+        return plan_now, plan_later
 
-    def _called(self, spec: EngineSpec) -> frozenset[ModelName]:
+    def _protected_models(self, spec: EngineSpec) -> frozenset[ModelName]:
         """Return the models with callers, which keep a minimum of groups if one is set."""
         if self._state.tuning.min_groups <= 0:
             return frozenset()
@@ -216,4 +235,12 @@
         return self._state.begin_loads(service, model.size, now_s)
 
 
+def _free_elsewhere(census: Census, awaited: Collection[GroupSlot]) -> EnginesByDomain:
+    """Return the free engines of the domains in which no wanted group waits for engines."""
+    awaiting_domains = {slot.domain for slot in awaited}
+    free: EnginesByDomain = defaultdict(list)
+    free.update({d: records for d, records in census.free.items() if d not in awaiting_domains})
+    return free
+
+
 __all__ = ["Formation", "Outlook", "PlanSummary"]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -43,7 +43,7 @@
     downtime_share: float,
     tuning: CoordinatorTuning,
     min_utility: float | None = None,
-    called: frozenset[ModelName] = frozenset(),
+    with_callers: frozenset[ModelName] = frozenset(),
 ) -> GroupPlan:
     """Return the number of groups for each group slot.
 
@@ -55,9 +55,9 @@
     and 15 groups instead of 5 and 7. No domain then has more than half of a model's groups, rounded
     up, if as many groups can be placed that way.
 
-    A model in ``called`` has fewer than ``tuning.min_groups`` groups only if one more does not fit
-    beside the groups of each other such model, of which at most as many count. Each has a group if
-    one of each fits. Utility decides which model gets a group first within that number.
+    A model in ``with_callers`` has fewer than ``tuning.min_groups`` groups only if one more does
+    not fit beside the groups of each other such model, of which at most as many count. Each has a
+    group if one of each fits. Utility decides which model gets a group first within that number.
 
     Args:
         spec: the models and their sizes.
@@ -68,7 +68,7 @@
         downtime_share: the share of time for which the loss of one engine stops its group.
         tuning: the weights.
         min_utility: the utility per engine that a group needs, if not that of ``tuning``.
-        called: the models that have callers.
+        with_callers: the models that have callers.
     """
     threshold = tuning.least_gain if min_utility is None else min_utility
     layout = _Layout(spec, scenarios, capacities, current, downtime_share, tuning, threshold)
@@ -76,7 +76,7 @@
     if not threshold:
         layout.cover_every_model()
         layout.balance()
-    covered = layout.keep_min_groups(called, tuning.min_groups)
+    covered = layout.keep_min_groups(with_callers, tuning.min_groups)
     return GroupPlan(layout.placement.placed, covered)
 
 
@@ -136,17 +136,19 @@
             self._restart_with(best_arrangement)
             self.fill()
 
-    def keep_min_groups(self, called: frozenset[ModelName], number: int) -> tuple[ModelName, ...]:
-        """Plan again from up to ``number`` groups of each called model; return who gained some.
+    def keep_min_groups(
+        self, with_callers: frozenset[ModelName], number: int
+    ) -> tuple[ModelName, ...]:
+        """Plan again from up to ``number`` groups of each model with callers; return who gained.
 
-        The plan is kept if no called model gets more groups, up to that number.
+        The plan stays as it is if no such model gets more groups, up to that number.
         """
-        models = [model for model in self._spec.models if model.name in called]
+        models = [model for model in self._spec.models if model.name in with_callers]
         kept = Counter({model.name: min(self._totals[model.name], number) for model in models})
         if all(kept[model.name] >= number for model in models):
             return ()
         planned = self._totals
-        arranged = self._arranged_within(models, self._widest(models, kept), kept, number)
+        arranged = self._arranged_up_to(models, self._starting_groups(models, kept), kept, number)
         if arranged is None:
             self._totals = planned
             return ()
@@ -154,7 +156,9 @@
         self.fill()
         return tuple(name for name in kept if planned[name] < min(self._totals[name], number))
 
-    def _widest(self, models: Sequence[ModelSpec], kept: Counter[ModelName]) -> Counter[ModelName]:
+    def _starting_groups(
+        self, models: Sequence[ModelSpec], kept: Counter[ModelName]
+    ) -> Counter[ModelName]:
         """Return the given groups, or one group of each model that fits if those are more models.
 
         The models with the highest utility come first.
@@ -169,7 +173,7 @@
                 single[model.name] = 1
         return single if len(single) > served else kept
 
-    def _arranged_within(
+    def _arranged_up_to(
         self,
         models: Sequence[ModelSpec],
         start: Counter[ModelName],
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/planner.py
@@ -27,7 +27,7 @@
     current: Mapping[GroupSlot, int]
     downtime_share: float
     min_utility: float
-    called: frozenset[ModelName]
+    with_callers: frozenset[ModelName]
 
 
 class Planner:
@@ -46,18 +46,26 @@
         current: Mapping[GroupSlot, int],
         downtime_share: float,
         min_utility: float,
-        called: frozenset[ModelName],
+        with_callers: frozenset[ModelName],
     ) -> GroupPlan:
-        """Return the planned groups; ``called`` are the models that have callers."""
+        """Return the planned groups; ``with_callers`` are the models that have callers."""
         rounded = tuple(
             self._rounded_scenario(n, model_demand) for n, model_demand in enumerate(scenarios)
         )
-        inputs = _Inputs(spec, rounded, capacities, current, downtime_share, min_utility, called)
+        inputs = _Inputs(
+            spec, rounded, capacities, current, downtime_share, min_utility, with_callers
+        )
         if inputs != self._inputs:
             self._inputs = inputs
             self._plan = make_plan(
-                *(spec, rounded, capacities, current, downtime_share),
-                *(self._tuning, min_utility, called),
+                spec,
+                rounded,
+                capacities,
+                current,
+                downtime_share,
+                self._tuning,
+                min_utility,
+                with_callers,
             )
         return self._plan
 
--- a/tests/direct/test_mingroups.py
+++ b/tests/direct/test_mingroups.py
@@ -66,7 +66,7 @@
             self.build.current,
             DOWNTIME_SHARE,
             CoordinatorTuning(min_groups=number),
-            called=self.called,
+            with_callers=self.called,
         )
 
     def fit(self, totals: Mapping[ModelName, int]) -> bool:
