--- a/packages/ochreway-direct/src/ochreway_direct/lastmodels.py
+++ b/packages/ochreway-direct/src/ochreway_direct/lastmodels.py
@@ -14,10 +14,8 @@
 
     An engine can rejoin the model of its last group at once, whatever other weights are staged,
     but once it has left the group its reports no longer name that model. A join that has not ended
-    proves no weights and ends what was known of another model. A holder that does not
-    know it assigns such engines to other models. Simulated with one change of the holder, over 32
-    days each: 0.867 to 0.896 of a day's utility with two models of similar work, 0.924 to 0.938
-    with most work for one.
+    proves no weights and ends what was known of another model. A holder that does not know the last
+    models assigns such engines to other models, and they load weights again.
     """
 
     def __init__(self) -> None:
