--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -68,9 +68,7 @@
         self._budget = budget
         self._suspect = suspect
         self._crashes = crashes
-        self.queues = CallQueues(
-            *(serving, self._pick_candidate, self._queue_error, tuning, metrics)
-        )
+        self.queues = CallQueues(serving, self._pick_candidate, self._queue_error, tuning, metrics)
         self.open_calls = 0
         self.accepted_calls = 0
 
@@ -227,13 +225,15 @@
         wait_s = self._fleet.send_wait_s(call.service, model, call.allowed_halls, now_s)
         if wait_s > 0.0:
             return self._give_up(call, Reason.SEND_LIMIT, min(wait_s, after_s))
-        full = self._fleet.has_group(call.service, model, call.allowed_halls)
-        return self._give_up(call, Reason.QUEUE_FULL if full else Reason.NO_GROUP, after_s)
+        return self._give_up(call, self._occupied_reason(call), after_s)
 
     def _queue_error(
         self, call: Call, reason: Reason | None, after_s: float, now_s: float
     ) -> Refused | AnswerBroken:
-        """Return the error for a call that its queue refuses; without a reason, as if it polled."""
+        """Return the error for a call that its queue refuses.
+
+        Without a reason, it is the one that a call which polls would be refused for.
+        """
         requested_s = self._candidate_wait_s(call, now_s)
         if reason is None and requested_s > after_s:
             return refusal_of(call, self._wait_reason(call, now_s), requested_s)
@@ -246,7 +246,11 @@
             return self._wait_reason(call, now_s)
         if self._fleet.send_wait_s(call.service, model, call.allowed_halls, now_s) > 0.0:
             return Reason.SEND_LIMIT
-        full = self._fleet.has_group(call.service, model, call.allowed_halls)
+        return self._occupied_reason(call)
+
+    def _occupied_reason(self, call: Call) -> Reason:
+        """Return why no place is free where no limit applies: groups are full, or there is none."""
+        full = self._fleet.has_group(call.service, call.terms.model, call.allowed_halls)
         return Reason.QUEUE_FULL if full else Reason.NO_GROUP
 
     def _candidate_wait_s(self, call: Call, now_s: float) -> float:
