--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -209,8 +209,14 @@
             limits=self._target_limits,
         )
         self._loan_keeper = LoanKeeper(
-            *(self._loans, loan_register, self.lease, self._static_share),
-            *(lambda: self._heartbeats.send(self._loop.time()), self.spawn, log, metrics),
+            self._loans,
+            loan_register,
+            self.lease,
+            self._static_share,
+            lambda: self._heartbeats.send(self._loop.time()),
+            self.spawn,
+            log,
+            metrics,
         )
         crash_book = CrashBook()
         self.crashes = CrashWatch(crash_book, log, metrics, settings.has(Mechanism.FATAL_REFUSED))
