--- a/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
@@ -9,7 +9,7 @@
 from ochreway_direct.buffering.heldbytes import HeldBytes, StalledSince, never_stalled
 from ochreway_direct.buffering.heldlimits import HeldLimits
 from ochreway_direct.buffering.holding import Holding
-from ochreway_direct.buffering.unread import Unread
+from ochreway_direct.buffering.unreadanswers import UnreadAnswers
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
@@ -62,7 +62,7 @@
         """
         reader = self._readers.get(transport)
         if reader is None:
-            reader = CallerReader(transport, Unread(organisation, request))
+            reader = CallerReader(transport, UnreadAnswers(organisation, request))
             transport.set_write_buffer_limits(high=UNBOUNDED_BYTES)
         reader.unread.organisation, reader.unread.request = organisation, request
         return reader
@@ -136,7 +136,7 @@
         else:
             self._readers.pop(reader.transport, None)
 
-    def _end(self, chosen: list[Unread], cause: EndCause, now_s: float) -> None:
+    def _end(self, chosen: list[UnreadAnswers], cause: EndCause, now_s: float) -> None:
         """Abort the connections of readers, so that their answers visibly break off."""
         if not chosen:
             return
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/callerreader.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/callerreader.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from ochreway_direct.buffering.unread import Unread
+from ochreway_direct.buffering.unreadanswers import UnreadAnswers
 
 ROOM_POLL_INTERVAL_S = 0.01
 """How often it is checked whether a caller has read; its buffer lasts for longer at any usual
@@ -24,7 +24,7 @@
     """
 
     transport: asyncio.Transport
-    unread: Unread
+    unread: UnreadAnswers
     keep_until_s: float = 0.0
     _source: aiohttp.StreamReader | None = None
     _taken_bytes: int = 0
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/heldbytes.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/heldbytes.py
@@ -7,7 +7,7 @@
 
 from ochreway_core.ids import OrganisationId
 from ochreway_direct.buffering.heldlimits import HeldLimits
-from ochreway_direct.buffering.unread import Unread
+from ochreway_direct.buffering.unreadanswers import UnreadAnswers
 
 AGE_RATIO = 1.25
 """Readers are equally slow while their ages differ by less than this ratio.
@@ -54,16 +54,18 @@
         """Return whether a request body may take more bytes beside the bodies that are held."""
         return self.body_bytes + more_bytes <= self.limits.request_bytes
 
-    def update(self, reader: Unread, added_bytes: int, held_bytes: int, now_s: float) -> None:
+    def update(
+        self, reader: UnreadAnswers, added_bytes: int, held_bytes: int, now_s: float
+    ) -> None:
         """Record that bytes were added for a reader, after which ``held_bytes`` are unread."""
         self.unread_bytes += held_bytes - reader.held_bytes
         reader.update(added_bytes, held_bytes, now_s)
 
-    def age_s(self, reader: Unread, now_s: float) -> float:
+    def age_s(self, reader: UnreadAnswers, now_s: float) -> float:
         """Return the age of the oldest unread byte of a reader."""
         return self._ran_s(reader.oldest_s, now_s)
 
-    def stopped(self, readers: list[Unread], now_s: float) -> list[Unread]:
+    def stopped(self, readers: list[UnreadAnswers], now_s: float) -> list[UnreadAnswers]:
         """Return the readers that have read nothing of what is held for them for too long."""
         limit_s = self.limits.slow_reader_s
         return [
@@ -72,7 +74,7 @@
             if each.held_bytes and self._ran_s(each.moved_s, now_s) > limit_s
         ]
 
-    def to_end(self, readers: list[Unread], now_s: float) -> list[Unread]:
+    def to_end(self, readers: list[UnreadAnswers], now_s: float) -> list[UnreadAnswers]:
         """Return the readers to be ended, in order, as the sum is above its limit."""
         if not self.excess_bytes():
             return []
@@ -80,8 +82,8 @@
         return self._slowest(readers, self.total_bytes - low_bytes, now_s)
 
     def to_end_for(
-        self, more_bytes: int, readers: list[Unread], min_behind_s: float, now_s: float
-    ) -> list[Unread] | None:
+        self, more_bytes: int, readers: list[UnreadAnswers], min_behind_s: float, now_s: float
+    ) -> list[UnreadAnswers] | None:
         """Return the readers to be ended so that a body fits, or None if it cannot fit.
 
         Only readers whose oldest unread byte has at least an age of ``min_behind_s`` give way.
@@ -94,7 +96,9 @@
             return None
         return self._slowest(behind, excess_bytes, now_s)
 
-    def _slowest(self, readers: list[Unread], needed_bytes: int, now_s: float) -> list[Unread]:
+    def _slowest(
+        self, readers: list[UnreadAnswers], needed_bytes: int, now_s: float
+    ) -> list[UnreadAnswers]:
         """Return the slowest readers that hold the needed bytes together, the slowest first."""
         holding = [each for each in readers if each.held_bytes]
         ages_s = {each: self.age_s(each, now_s) for each in holding}
@@ -103,14 +107,14 @@
         for each in holding:
             by_organisation[each.organisation] += each.held_bytes
 
-        def order(reader: Unread) -> tuple[int, int, int]:
+        def order(reader: UnreadAnswers) -> tuple[int, int, int]:
             return (
                 _steps_younger(ages_s[reader], oldest_s),
                 -by_organisation[reader.organisation],
                 -reader.held_bytes,
             )
 
-        chosen: list[Unread] = []
+        chosen: list[UnreadAnswers] = []
         for each in sorted(holding, key=order):
             if needed_bytes <= 0:
                 break
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/unread.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/unreadanswers.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Unread:
+class UnreadAnswers:
     """Track the bytes that are held for one caller, by size and age.
 
     Attributes:
@@ -51,4 +51,4 @@
         self._marks.append((end_bytes, now_s))
 
 
-__all__ = ["Unread"]
+__all__ = ["UnreadAnswers"]
--- a/tests/direct/test_heldbytes.py
+++ b/tests/direct/test_heldbytes.py
@@ -8,7 +8,7 @@
 from ochreway_core.ids import OrganisationId
 from ochreway_direct.buffering.heldbytes import HeldBytes
 from ochreway_direct.buffering.heldlimits import HeldLimits
-from ochreway_direct.buffering.unread import Unread
+from ochreway_direct.buffering.unreadanswers import UnreadAnswers
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import LoopLag
 
@@ -18,7 +18,7 @@
 
 class UnreadTests(testtools.TestCase):
     def test_the_age_is_that_of_the_oldest_byte_that_is_still_unread(self) -> None:
-        unread = Unread(ANN, "r")
+        unread = UnreadAnswers(ANN, "r")
         unread.update(100, 100, 1.0)
         unread.update(100, 200, 2.0)
         self.assertEqual((1.0, 1.0), (unread.oldest_s, unread.moved_s))
@@ -26,14 +26,14 @@
         self.assertEqual((2.0, 3.0), (unread.oldest_s, unread.moved_s))
 
     def test_a_caller_that_had_read_all_is_not_as_old_as_its_last_answer(self) -> None:
-        unread = Unread(ANN, "r")
+        unread = UnreadAnswers(ANN, "r")
         unread.update(100, 100, 1.0)
         unread.update(0, 0, 2.0)
         unread.update(50, 50, 9.0)
         self.assertEqual((9.0, 9.0), (unread.oldest_s, unread.moved_s))
 
     def test_many_small_events_take_few_marks(self) -> None:
-        unread = Unread(ANN, "r")
+        unread = UnreadAnswers(ANN, "r")
         for number in range(1, 10_001):
             unread.update(60, 60 * number, number / 10_000)
         self.assertLessEqual(len(unread._marks), 11)
@@ -42,7 +42,7 @@
     def test_the_age_is_never_above_the_true_one_by_more_than_the_resolution(self) -> None:
         draw = random.Random(5)
         for _ in range(50):
-            unread, queue, now_s = Unread(ANN, "r"), [], 0.0
+            unread, queue, now_s = UnreadAnswers(ANN, "r"), [], 0.0
             for _ in range(100):
                 now_s += draw.uniform(0.0, 0.2)
                 taken = draw.randint(0, len(queue))
@@ -56,10 +56,14 @@
 
 
 class HeldBytesTests(testtools.TestCase):
-    def held(self, *readers: tuple[OrganisationId, int, float]) -> tuple[HeldBytes, list[Unread]]:
+    def held(
+        self, *readers: tuple[OrganisationId, int, float]
+    ) -> tuple[HeldBytes, list[UnreadAnswers]]:
         """Return the sum with readers, each with its bytes and the time since they are held."""
         held = HeldBytes(LIMITS)
-        unread = [Unread(organisation, f"r{n}") for n, (organisation, _, _) in enumerate(readers)]
+        unread = [
+            UnreadAnswers(organisation, f"r{n}") for n, (organisation, _, _) in enumerate(readers)
+        ]
         for each, (_, size_bytes, since_s) in zip(unread, readers, strict=True):
             held.update(each, size_bytes, size_bytes, since_s)
         return held, unread
@@ -115,7 +119,7 @@
     def test_a_stall_of_the_entry_does_not_count_as_the_callers_silence(self) -> None:
         lag = LoopLag(0.05, EventLog("entry", "e", "critical"))
         held = HeldBytes(LIMITS, lag.stalled_since)
-        reader = Unread(ANN, "r")
+        reader = UnreadAnswers(ANN, "r")
         lag.tick(0.0)
         held.update(reader, 10, 10, 0.0)
         lag.tick(4.0)
