--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
@@ -32,8 +32,6 @@
 
 MIN_TIMER_S = 0.005
 """Minimum time to the next check of a queue, so that rounding does not make it spin."""
-
-
 CHECK_INTERVAL_S = 0.02
 """Minimum time between two checks of all forecasts of a queue, which bounds their cost."""
 
@@ -42,7 +40,7 @@
     """Give places to calls in the order of their queue, when an event may have freed one.
 
     A place is counted as under way at its target from the moment at which it is given, so that no
-    other call gets it. Whoever gets a place sends the call, or gives the place back.
+    other call gets it. The relay sends the call that got a place, or gives the place back.
     """
 
     def __init__(
@@ -248,7 +246,7 @@
         self._update(queue, now_s)
 
     def _update(self, queue: ModelQueue, now_s: float) -> None:
-        """Give free places away, refuse calls that came to be hopeless, and set the timer."""
+        """Give free places away, refuse calls that are expected too late, and set the timer."""
 
         @cache
         def facts_of(within: frozenset[HallId] | None) -> PlaceFacts:
@@ -301,7 +299,7 @@
                 queued.future.set_exception(error)
 
     def _refuse_hopeless(self, queue: ModelQueue, facts_of: FactsOf, now_s: float) -> float | None:
-        """Refuse calls for which waiting is not worth while; return when to check again.
+        """Refuse calls that are expected to be served too late; return when to check again.
 
         After a stall of this process, answers that free places may not have been read yet.
         """
@@ -326,7 +324,7 @@
         return min(waits_s, default=None)
 
     def _lenient_s(self, now_s: float) -> float:
-        """Return for how much longer nobody is refused because of a stall."""
+        """Return for how much longer no call is refused, as this process has stalled."""
         grace_s = self._queue_tuning.stall_grace_s
         lag = self._serving.lag
         if lag is not None and lag.stalled_since(now_s - grace_s, now_s) > 0.0:
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/outlook.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/outlook.py
@@ -6,9 +6,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Outlook:
-    """Hold a call's rank, its expected wait, and for how much longer waiting is worth while.
+    """Hold a call's rank, its expected wait, and how much longer the wait may be.
 
-    ``spare_s`` is negative once the call is to be refused.
+    ``rank`` is the number of calls that go first. ``spare_s`` is negative once the call is to be
+    refused.
     """
 
     rank: int
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/promises.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/promises.py
@@ -59,7 +59,7 @@
     def redeem(self, fingerprint: Fingerprint, now_s: float) -> Promise | None:
         """End the promise to a caller who is back and return it, or None if there is none.
 
-        Who comes earlier than told, or without a promised place, has no place.
+        A caller that comes earlier than told, or was promised no place, has none.
         """
         self.expire(now_s)
         promise = self._promises.pop(fingerprint, None)
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/queuetuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/queuetuning.py
@@ -8,6 +8,10 @@
 class QueueTuning:
     """Hold the bounds and time constants of the queue.
 
+    A promised place is kept until ``promise_kept_s`` after its time, and given to a caller that
+    returns up to ``returned_early_s`` before it. A timer that is late by more than ``stall_lag_s``
+    shows that the process stalled, after which no call is refused for ``stall_grace_s``.
+
     An answer that is late by up to ``gain_objectives - 1`` further objectives is still worth
     something to its caller. ``min_returned_share`` of the longest return time allowed is the
     earliest that a caller without a promised place is told to return.
