--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -97,6 +97,11 @@
             )
 
     def _timed_out(self, call: Call, attempt: Attempt) -> Ending:
+        """Return the ending of an attempt whose time is over.
+
+        With a bound on what is held, the entry waits for targets that read slowly. Such an attempt
+        has not run if nothing of its request was written.
+        """
         unwritten = self._buffers is not None and attempt.written_s is None
         outcome = Outcome.NOT_RUN if unwritten else Outcome.UNKNOWN
         if attempt.lost:
