--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -59,7 +59,7 @@
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
 from ochreway_direct.startsteps import StartSteps
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/fleetlimit.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/fleetlimit.py
@@ -14,7 +14,7 @@
 from ochreway_direct.sendlimits.loan import Loan
 from ochreway_direct.sendlimits.sendlimit import SendLimit
 from ochreway_direct.sendlimits.sendwindow import WINDOW_S, SendWindow
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/loankeeper.py
@@ -10,7 +10,7 @@
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
 from ochreway_direct.sendlimits.loansrow import LoansRow
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
--- a/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitpool.py
+++ b/packages/ochreway-direct/src/ochreway_direct/targetlimits/limitpool.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from ochreway_core.ids import InstanceId, NodeId
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_direct.targetlimits.allotment import Allotment
 from ochreway_direct.targetlimits.poolnews import LimitNews, PoolNews
 from ochreway_routing.quota import Quota
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -31,7 +31,7 @@
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.timing import DirectTiming
 from ochreway_direct.versions.freshness import Freshness
--- a/tests/direct/limitworld.py
+++ b/tests/direct/limitworld.py
@@ -6,7 +6,7 @@
 
 from ochreway_core.ids import HallId, InstanceId, NodeId
 from ochreway_direct.relay.attempt import Attempt
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_direct.targetlimits.limitgate import LimitGate
 from ochreway_direct.targetlimits.limitpool import LimitPool
 from ochreway_direct.targetlimits.limitsharing import LimitSharing
--- a/tests/direct/sendworld.py
+++ b/tests/direct/sendworld.py
@@ -27,7 +27,7 @@
 from ochreway_direct.sendlimits.loannews import LoanNews
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_platform.errors import TableUnavailable
 from ochreway_platform.memorytable import MemoryTable
 from ochreway_runtime.metrics import Metrics
--- a/tests/direct/test_limitpool.py
+++ b/tests/direct/test_limitpool.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from ochreway_core.ids import InstanceId, NodeId
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_direct.targetlimits.allotment import Allotment
 from ochreway_direct.targetlimits.limitpool import SHARES_TIMEOUT_S, TRANSITION_S, LimitPool
 from ochreway_routing.quota import MIN_RATE_PER_S, Quota
--- a/tests/direct/test_sendlimits.py
+++ b/tests/direct/test_sendlimits.py
@@ -10,7 +10,7 @@
 from ochreway_core.ids import InstanceId, NodeId, Version
 from ochreway_direct.configuration import ColdStart, Configuration, Service
 from ochreway_direct.leases.lease import Holder, Lease, LeaseState
-from ochreway_direct.sendlimits import standingshare
+from ochreway_direct.sendlimits import staticshare
 from ochreway_direct.sendlimits.allowance import Allowance
 from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
@@ -20,7 +20,7 @@
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
 from ochreway_direct.sendlimits.sendwindow import WINDOW_S
-from ochreway_direct.sendlimits.standingshare import (
+from ochreway_direct.sendlimits.staticshare import (
     ALONE_TIMEOUT_S,
     ENTRY_RETENTION_S,
     MESH_SETTLE_S,
@@ -90,8 +90,8 @@
                 )
 
     def test_without_headroom_unknown_entries_exceed_the_sum(self) -> None:
-        self.patch(standingshare, "MIN_HEADROOM", 0)
-        self.patch(standingshare, "ENTRIES_PER_HEADROOM", 1000)
+        self.patch(staticshare, "MIN_HEADROOM", 0)
+        self.patch(staticshare, "ENTRIES_PER_HEADROOM", 1000)
         names = nodes(15)
         known = settled_shares(names[:13]) | {
             name: share for name, share in settled_shares(names).items() if name in names[13:]
