--- a/packages/ochreway-direct/src/ochreway_direct/leases/lease.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/lease.py
@@ -60,7 +60,8 @@
 
     If a write has no reply, its outcome is determined by reading the row back. ``term`` is that of
     this holder, and ``former_term`` that of the row which its acquisition replaced, or empty if
-    that is not known.
+    that is not known. ``acquired_revision`` is the row's revision at the acquisition; loans name
+    the lease by it, and rows by the term.
     """
 
     def __init__(self, table: Table, holder: Holder, renew_s: float, backoff: Backoff) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
@@ -115,13 +115,13 @@
 
         If the holder is lost, the next one subtracts its bound from what it lends at first.
         """
-        portions = {service: _portions(amount, weights) for service, amount in amounts.items()}
+        portions = _portions_by_service(amounts, weights)
         bounds = {}
         for borrower in borrowers:
             own = {service: each.get(borrower.node, 0) for service, each in portions.items()}
-            room = 0 if borrower == me else 1
+            has_room = borrower != me
             bounds[borrower] = {
-                service: min(amounts[service], portion + room * max(portion, 1))
+                service: min(amounts[service], portion + (max(portion, 1) if has_room else 0))
                 for service, portion in own.items()
             }
         return bounds
@@ -133,7 +133,7 @@
         weights: Mapping[NodeId, float],
     ) -> bool:
         """Return whether the portion of any borrower is larger than its bound."""
-        portions = {service: _portions(amount, weights) for service, amount in amounts.items()}
+        portions = _portions_by_service(amounts, weights)
         return any(
             each.get(borrower.node, 0) > shares.get(service, 0)
             for borrower, shares in bounds.items()
@@ -177,7 +177,7 @@
         """Make a loan to an entry, and count it as outstanding until it has lapsed.
 
         Args:
-            node: the borrower.
+            node: the borrower's entry.
             amounts: how much may be lent in total for each service.
             weights: demand at each entry.
             now_s: the time.
@@ -224,6 +224,12 @@
     return max((loan.share for loan in loans), default=0)
 
 
+def _portions_by_service(
+    amounts: Mapping[ServiceName, int], weights: Mapping[NodeId, float]
+) -> dict[ServiceName, dict[NodeId, int]]:
+    return {service: _portions(amount, weights) for service, amount in amounts.items()}
+
+
 def _portions(amount: int, weights: Mapping[NodeId, float]) -> dict[NodeId, int]:
     """Return the entries' portions by weight; the leftover goes to the largest remainders."""
     total_weight = sum(MIN_WEIGHT + weight for weight in weights.values())
