--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -25,8 +25,8 @@
         on_trial: whether it is sent once to find out if such requests still end targets.
         target: the target it was last sent to.
         waited_s: time spent waiting for a target that can take it.
-        queue_rank: number of calls that were to go first as it was refused, if it was queued.
-        forecast_s: expected wait for a place as it was refused, if it was queued.
+        queue_rank: number of calls that went before it when it was refused, if it was queued.
+        forecast_s: expected wait for a place when it was refused, if it was queued.
         reader: the caller's connection as the reader of the answer, if what it has not read is
             bounded.
         first_part_s: when the answer began.
