--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/groupplan.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/groupplan.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupPlan:
-    """Number of groups of each group slot.
+    """Hold the number of groups of each group slot.
 
     ``covered`` are the models that have callers and got groups, up to the minimum, which they
     would not have by utility alone.
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -125,15 +125,9 @@
         served = sum(self._totals[model.name] > 0 for model in self._spec.models)
         if served == len(self._spec.models):
             return
-        covered: Counter[ModelName] = Counter()
-        best_arrangement: Counter[GroupSlot] = Counter()
-        for model in sorted(self._spec.models, key=self._utility_per_engine, reverse=True):
-            arranged = self._arranged_with(covered, model)
-            if arranged is not None:
-                covered[model.name] = 1
-                best_arrangement = arranged
-        if len(covered) > served:
-            self._restart_with(best_arrangement)
+        single, arrangement = self._single_groups(self._spec.models)
+        if len(single) > served:
+            self._restart_with(arrangement)
             self.fill()
 
     def keep_min_groups(
@@ -159,7 +153,7 @@
     def _starting_groups(
         self, models: Sequence[ModelSpec], kept: Counter[ModelName]
     ) -> Counter[ModelName]:
-        """Return the given groups, or one group of each model that fits if those are more models.
+        """Return the kept groups, or one group of each model that fits if those are more models.
 
         The models with the highest utility come first.
         """
@@ -167,11 +161,21 @@
         if served == len(models):
             return kept
         self._totals = Counter()
+        single, _ = self._single_groups(models)
+        return single if len(single) > served else kept
+
+    def _single_groups(
+        self, models: Sequence[ModelSpec]
+    ) -> tuple[Counter[ModelName], Counter[GroupSlot]]:
+        """Return one group of each model that fits, by utility, and their group slots."""
         single: Counter[ModelName] = Counter()
+        arrangement: Counter[GroupSlot] = Counter()
         for model in sorted(models, key=self._utility_per_engine, reverse=True):
-            if self._arranged(single + Counter({model.name: 1})) is not None:
+            arranged = self._arranged(single + Counter({model.name: 1}))
+            if arranged is not None:
                 single[model.name] = 1
-        return single if len(single) > served else kept
+                arrangement = arranged
+        return single, arrangement
 
     def _arranged_up_to(
         self,
@@ -262,12 +266,6 @@
         self.placement = Placement(self._capacities, self._current, self._spec.models, placed)
         self._totals = groups_per_model(placed)
 
-    def _arranged_with(
-        self, covered: Mapping[ModelName, int], model: ModelSpec
-    ) -> Counter[GroupSlot] | None:
-        """Return group slots for one group of each covered model and of one more, if they fit."""
-        return self._arranged({**covered, model.name: 1})
-
     def _arranged(self, wanted: Mapping[ModelName, int]) -> Counter[GroupSlot] | None:
         """Return group slots for the given numbers of groups, if they all fit.
 
