--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -190,13 +190,10 @@
         )
         self._serving.sent_bytes += len(call.body) + HEADERS_OVERHEAD_BYTES
         headers = self._dialect.forward(call.request.headers, terms)
-        data: bytes | AsyncIterator[bytes] | None = call.body or None
-        read_bytes = None
-        if self._buffers is not None:
-            read_bytes = READ_BUFFER_BYTES
-            if len(call.body) > PIECE_BYTES:
-                headers["Content-Length"] = str(len(call.body))
-                data = pieces_of(call.body)
+        pieces = self._pieces(call)
+        if pieces is not None:
+            # Without its length, a body in pieces would be sent chunked.
+            headers["Content-Length"] = str(len(call.body))
         session = self._pooled_session if call.route.repeatable else self._single_use_session
         with send_guard(lambda: self._notices.wait_s(attempt.instance, attempt.born_ms) <= 0.0):
             response = await session.request(
@@ -204,14 +201,20 @@
                 URL(f"http://{attempt.address}{call.request.raw_path}", encoded=True),
                 headers=headers,
                 skip_auto_headers=SUPPRESSED_HEADERS,
-                data=data,
+                data=pieces or call.body or None,
                 allow_redirects=False,
-                read_bufsize=read_bytes,
+                read_bufsize=READ_BUFFER_BYTES if self._buffers is not None else None,
                 trace_request_ctx=attempt,
             )
         async with response:
             yield response
 
+    def _pieces(self, call: Call) -> AsyncIterator[bytes] | None:
+        """Return a large body in pieces if what is held is bounded, else None."""
+        if self._buffers is None or len(call.body) <= PIECE_BYTES:
+            return None
+        return pieces_of(call.body)
+
     async def _finish_body(self, response: aiohttp.ClientResponse) -> None:
         try:
             with contextlib.suppress(*CONNECTION_ERRORS):
