--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/demand.py
@@ -60,7 +60,7 @@
         longer, the former demand stays, which is that of the configured shares after a start.
         """
         total = own.plus(others)
-        if total.any:
+        if total.has_work:
             self._note_requests(now_s)
         if own.measured_s is None or own.measured_s >= DECAY_S:
             self.update(total.rates, now_s)
--- a/packages/ochreway-direct/src/ochreway_direct/demand/offeredwork.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/offeredwork.py
@@ -20,7 +20,7 @@
     measured_s: float | None = None
 
     @property
-    def any(self) -> bool:
+    def has_work(self) -> bool:
         """Return whether any work is offered."""
         return sum(self.rates.values()) > 0
 
@@ -30,7 +30,7 @@
 
         Over a shorter time it shows callers who return after a restart, not a stationary load.
         """
-        return self.any and (self.measured_s is None or self.measured_s >= DECAY_S)
+        return self.has_work and (self.measured_s is None or self.measured_s >= DECAY_S)
 
     def plus(self, other: "OfferedWork") -> "OfferedWork":
         """Return the sum of the rates, with this one's time of measurement."""
