--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/closings.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Bound on the groups of a model that are closed although they have not failed."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 
 from ochreway_core.ids import GroupId
@@ -47,21 +47,21 @@
     def _carried_models(self, service: ServiceName) -> frozenset[ModelName]:
         """Return the models whose serving groups together serve the work that is offered."""
         spec, offered = self._state.specs[service], self._state.demand.offered
-        capacity: Counter[ModelName] = Counter()
+        capacity: dict[ModelName, float] = defaultdict(float)
         for group in self._state.groups_of(service):
             if group.phase is GroupPhase.SERVING:
-                capacity[group.model] += 1.0 / self._state.pace_of(group)  # type: ignore[assignment]
+                capacity[group.model] += 1.0 / self._state.pace_of(group)
         return frozenset(
             model
             for model, groups in capacity.items()
             if groups_needed(spec, offered.get(model, 0.0)) <= groups
         )
 
-    def fixed_spanning(self, service: ServiceName) -> frozenset[GroupId]:
-        """Return the spanning groups that serve and are not to be closed.
+    def keep_spanning(self, service: ServiceName) -> frozenset[GroupId]:
+        """Record the serving groups across domains that are not to be closed, and return them.
 
         Their engines are no capacity inside domains before another group serves, as a plan that
-        counts on them would wait for a group that is not closed. They are recorded as kept.
+        counts on them would wait for a group that is not closed.
         """
         fixed = [
             group
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/layout.py
@@ -43,7 +43,7 @@
     downtime_share: float,
     tuning: CoordinatorTuning,
     min_utility: float | None = None,
-    called: frozenset[ModelName] = frozenset(),
+    with_callers: frozenset[ModelName] = frozenset(),
 ) -> GroupPlan:
     """Return the number of groups for each group slot.
 
@@ -55,9 +55,9 @@
     and 15 groups instead of 5 and 7. No domain then has more than half of a model's groups, rounded
     up, if as many groups can be placed that way.
 
-    A model in ``called`` has fewer than ``tuning.min_groups`` groups only if one more does not fit
-    beside the groups of each other such model, of which at most as many count. Each has a group if
-    one of each fits. Utility decides which model gets a group first within that number.
+    A model in ``with_callers`` has fewer than ``tuning.min_groups`` groups only if one more does
+    not fit beside the groups of each other such model, of which at most as many count. Each has a
+    group if one of each fits. Utility decides which model gets a group first within that number.
 
     Args:
         spec: the models and their sizes.
@@ -68,7 +68,7 @@
         downtime_share: the share of time for which the loss of one engine stops its group.
         tuning: the weights.
         min_utility: the utility per engine that a group needs, if not that of ``tuning``.
-        called: the models that have callers.
+        with_callers: the models that have callers.
     """
     threshold = tuning.least_gain if min_utility is None else min_utility
     layout = _Layout(spec, scenarios, capacities, current, downtime_share, tuning, threshold)
@@ -76,7 +76,7 @@
     if not threshold:
         layout.cover_every_model()
         layout.balance()
-    covered = layout.keep_min_groups(called, tuning.min_groups)
+    covered = layout.keep_min_groups(with_callers, tuning.min_groups)
     return GroupPlan(layout.placement.placed, covered)
 
 
@@ -125,28 +125,24 @@
         served = sum(self._totals[model.name] > 0 for model in self._spec.models)
         if served == len(self._spec.models):
             return
-        covered: Counter[ModelName] = Counter()
-        best_arrangement: Counter[GroupSlot] = Counter()
-        for model in sorted(self._spec.models, key=self._utility_per_engine, reverse=True):
-            arranged = self._arranged_with(covered, model)
-            if arranged is not None:
-                covered[model.name] = 1
-                best_arrangement = arranged
-        if len(covered) > served:
-            self._restart_with(best_arrangement)
+        single, arrangement = self._single_groups(self._spec.models)
+        if len(single) > served:
+            self._restart_with(arrangement)
             self.fill()
 
-    def keep_min_groups(self, called: frozenset[ModelName], number: int) -> tuple[ModelName, ...]:
-        """Plan again from up to ``number`` groups of each called model; return who gained some.
+    def keep_min_groups(
+        self, with_callers: frozenset[ModelName], number: int
+    ) -> tuple[ModelName, ...]:
+        """Plan again from up to ``number`` groups of each model with callers; return who gained.
 
-        The plan is kept if no called model gets more groups, up to that number.
+        The plan stays as it is if no such model gets more groups, up to that number.
         """
-        models = [model for model in self._spec.models if model.name in called]
+        models = [model for model in self._spec.models if model.name in with_callers]
         kept = Counter({model.name: min(self._totals[model.name], number) for model in models})
         if all(kept[model.name] >= number for model in models):
             return ()
         planned = self._totals
-        arranged = self._arranged_within(models, self._widest(models, kept), kept, number)
+        arranged = self._arranged_up_to(models, self._starting_groups(models, kept), kept, number)
         if arranged is None:
             self._totals = planned
             return ()
@@ -154,8 +150,10 @@
         self.fill()
         return tuple(name for name in kept if planned[name] < min(self._totals[name], number))
 
-    def _widest(self, models: Sequence[ModelSpec], kept: Counter[ModelName]) -> Counter[ModelName]:
-        """Return the given groups, or one group of each model that fits if those are more models.
+    def _starting_groups(
+        self, models: Sequence[ModelSpec], kept: Counter[ModelName]
+    ) -> Counter[ModelName]:
+        """Return the kept groups, or one group of each model that fits if those are more models.
 
         The models with the highest utility come first.
         """
@@ -163,13 +161,23 @@
         if served == len(models):
             return kept
         self._totals = Counter()
+        single, _ = self._single_groups(models)
+        return single if len(single) > served else kept
+
+    def _single_groups(
+        self, models: Sequence[ModelSpec]
+    ) -> tuple[Counter[ModelName], Counter[GroupSlot]]:
+        """Return one group of each model that fits, by utility, and their group slots."""
         single: Counter[ModelName] = Counter()
+        arrangement: Counter[GroupSlot] = Counter()
         for model in sorted(models, key=self._utility_per_engine, reverse=True):
-            if self._arranged(single + Counter({model.name: 1})) is not None:
+            arranged = self._arranged(single + Counter({model.name: 1}))
+            if arranged is not None:
                 single[model.name] = 1
-        return single if len(single) > served else kept
+                arrangement = arranged
+        return single, arrangement
 
-    def _arranged_within(
+    def _arranged_up_to(
         self,
         models: Sequence[ModelSpec],
         start: Counter[ModelName],
@@ -258,12 +266,6 @@
         self.placement = Placement(self._capacities, self._current, self._spec.models, placed)
         self._totals = groups_per_model(placed)
 
-    def _arranged_with(
-        self, covered: Mapping[ModelName, int], model: ModelSpec
-    ) -> Counter[GroupSlot] | None:
-        """Return group slots for one group of each covered model and of one more, if they fit."""
-        return self._arranged({**covered, model.name: 1})
-
     def _arranged(self, wanted: Mapping[ModelName, int]) -> Counter[GroupSlot] | None:
         """Return group slots for the given numbers of groups, if they all fit.
 
--- a/packages/ochreway-direct/src/ochreway_direct/demand/demandmeter.py
+++ b/packages/ochreway-direct/src/ochreway_direct/demand/demandmeter.py
@@ -1,19 +1,16 @@
 # SPDX-License-Identifier: Apache-2.0
 """Rate of work offered to this entry for each model."""
 
-import math
 from collections import defaultdict
 from collections.abc import Mapping
 
-from ochreway_direct.demand.decayingsum import DECAY_S, DecayingSum
+from ochreway_direct.demand.decayingsum import DECAY_S, DecayingSum, effective_time_s
 from ochreway_direct.ids import ModelName
 
-MIN_MEASURED_S = 0.5
-"""Minimum time over which a rate is computed, as a single first request gives none."""
 START_S = 1.0
-"""Time after a start in which callers return who could reach no entry before."""
+"""Time after a start in which callers return that could reach no entry before."""
 START_COUNTS_FOR_S = DECAY_S - 1.0
-"""Time for which their work counts.
+"""Time after a start for which the work of those callers counts.
 
 It ends before entries plan from what others report, by more than the age of those reports.
 """
@@ -26,8 +23,8 @@
     is divided by the effective time that it covers, so that the first second of requests already
     shows how much work is offered, and for which model.
 
-    An entry that starts after a loss gets callers of the time before in its first second. Their
-    work is offered, but no measure of a stationary rate: it is left out after
+    In the first ``START_S`` after a loss, callers from before the loss return together. Their work
+    is offered, but is no measure of a stationary rate: it is left out after
     ``START_COUNTS_FOR_S``.
     """
 
@@ -64,12 +61,11 @@
             since_s = max(since_s, self._started_s + START_S)
             for model, each in self._start_sums.items():
                 sums[model] = max(0.0, sums[model] - each.at(now_s))
-        measured_s = max(MIN_MEASURED_S, now_s - since_s)
-        effective_s = DECAY_S * (1.0 - math.exp(-measured_s / DECAY_S))
+        effective_s = effective_time_s(now_s - since_s)
         return {model: each / effective_s for model, each in sums.items()}
 
     def _in_start(self, at_s: float) -> bool:
         return self._started_s is not None and at_s < self._started_s + START_S
 
 
-__all__ = ["DECAY_S", "MIN_MEASURED_S", "START_S", "DemandMeter"]
+__all__ = ["DECAY_S", "START_S", "DemandMeter"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -53,13 +53,13 @@
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import PlatformServices
 from ochreway_direct.relay.idlelimits import IdleLimits
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import Borrower
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_direct.serving import Serving
 from ochreway_direct.settings import DirectSettings
 from ochreway_direct.startsteps import StartSteps
@@ -209,8 +209,14 @@
             limits=self._target_limits,
         )
         self._loan_keeper = LoanKeeper(
-            *(self._loans, loan_register, self.lease, self._static_share),
-            *(lambda: self._heartbeats.send(self._loop.time()), self.spawn, log, metrics),
+            self._loans,
+            loan_register,
+            self.lease,
+            self._static_share,
+            lambda: self._heartbeats.send(self._loop.time()),
+            self.spawn,
+            log,
+            metrics,
         )
         crash_book = CrashBook()
         self.crashes = CrashWatch(crash_book, log, metrics, settings.has(Mechanism.FATAL_REFUSED))
--- a/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
+++ b/packages/ochreway-direct/src/ochreway_direct/sendlimits/lender.py
@@ -8,11 +8,12 @@
 
 from ochreway_core.ids import NodeId
 from ochreway_direct.ids import ServiceName
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.formerloans import FormerLoans
 from ochreway_direct.sendlimits.heldloans import SENT_LAPSE_S
 from ochreway_direct.sendlimits.loan import LOAN_DURATION_S, Loan
+from ochreway_direct.sendlimits.loanbounds import Bounds, highest_bounds
 from ochreway_direct.sendlimits.loannews import LoanNews
-from ochreway_direct.sendlimits.loansrow import Borrower, Bounds
 
 MAX_RENEWAL_AGE_S = 3.0
 """How long after the start of its last successful renewal a holder lends: 1.5 renewal intervals."""
@@ -31,7 +32,7 @@
 
 
 class Lender:
-    """Lend in proportion to the entries' demand, never more than the total at a time."""
+    """Lend in proportion to the demand of entries, and never more than the total at a time."""
 
     def __init__(
         self, new_holder_delay_s: float = NEW_HOLDER_DELAY_S, loan_lapse_s: float = LOAN_LAPSE_S
@@ -64,7 +65,7 @@
         """Record what a process still holds, if it has heard of this holder's lease."""
         if news.lease < lease or self.wait_over(now_s):
             return
-        if self.former.known:
+        if self.former.register_known:
             self._apply_news(sender, news, now_s)
         else:
             self._early_news[sender] = (news, now_s)
@@ -80,12 +81,12 @@
                 loans.append(_OutstandingLoan(share, counts_until_s))
 
     def wait_over(self, now_s: float) -> bool:
-        """Return whether all loans of former holders have lapsed for want of time alone."""
+        """Return whether all loans of former holders have lapsed, whatever they were."""
         return now_s - self._lease_taken_s >= self._new_holder_delay_s
 
     def knows_former(self, now_s: float) -> bool:
         """Return whether every process that may hold a former loan is known or has none left."""
-        return self.former.known or self.wait_over(now_s)
+        return self.former.register_known or self.wait_over(now_s)
 
     def may_lend(self, renewed_s: float, now_s: float) -> bool:
         """Return whether loans may be made with a lease that was last renewed at ``renewed_s``."""
@@ -101,7 +102,7 @@
             }
             for borrower in self._may_hold_until_s
         }
-        return highest(bounds, {} if self.wait_over(now_s) else self.former.bounds(now_s))
+        return highest_bounds(bounds, {} if self.wait_over(now_s) else self.former.bounds(now_s))
 
     def desired_bounds(
         self,
@@ -114,13 +115,13 @@
 
         If the holder is lost, the next one subtracts its bound from what it lends at first.
         """
-        portions = {service: _portions(amount, weights) for service, amount in amounts.items()}
+        portions = _portions_by_service(amounts, weights)
         bounds = {}
         for borrower in borrowers:
             own = {service: each.get(borrower.node, 0) for service, each in portions.items()}
-            room = 0 if borrower == me else 1
+            has_room = borrower != me
             bounds[borrower] = {
-                service: min(amounts[service], portion + room * max(portion, 1))
+                service: min(amounts[service], portion + (max(portion, 1) if has_room else 0))
                 for service, portion in own.items()
             }
         return bounds
@@ -132,7 +133,7 @@
         weights: Mapping[NodeId, float],
     ) -> bool:
         """Return whether the portion of any borrower is larger than its bound."""
-        portions = {service: _portions(amount, weights) for service, amount in amounts.items()}
+        portions = _portions_by_service(amounts, weights)
         return any(
             each.get(borrower.node, 0) > shares.get(service, 0)
             for borrower, shares in bounds.items()
@@ -153,7 +154,7 @@
         """Return whether a borrower is better off with its former loan than with these shares.
 
         That is so while loans of former holders are subtracted from what is lent, and before the
-        borrower has told what it holds.
+        borrower has reported what it holds.
         """
         if self.wait_over(now_s) or not self.former.possible(now_s):
             return False
@@ -176,7 +177,7 @@
         """Make a loan to an entry, and count it as outstanding until it has lapsed.
 
         Args:
-            node: the borrower.
+            node: the borrower's entry.
             amounts: how much may be lent in total for each service.
             weights: demand at each entry.
             now_s: the time.
@@ -223,15 +224,10 @@
     return max((loan.share for loan in loans), default=0)
 
 
-def highest(bounds: Bounds, others: Bounds) -> Bounds:
-    """Return the larger of the bounds for each process that either names."""
-    return {
-        borrower: {
-            service: max(shares.get(service, 0) for shares in both) for service in both[0] | both[1]
-        }
-        for borrower in {**bounds, **others}
-        for both in [(dict(bounds.get(borrower, {})), dict(others.get(borrower, {})))]
-    }
+def _portions_by_service(
+    amounts: Mapping[ServiceName, int], weights: Mapping[NodeId, float]
+) -> dict[ServiceName, dict[NodeId, int]]:
+    return {service: _portions(amount, weights) for service, amount in amounts.items()}
 
 
 def _portions(amount: int, weights: Mapping[NodeId, float]) -> dict[NodeId, int]:
@@ -245,4 +241,4 @@
     return portions
 
 
-__all__ = ["LOAN_LAPSE_S", "MAX_RENEWAL_AGE_S", "NEW_HOLDER_DELAY_S", "Lender", "highest"]
+__all__ = ["LOAN_LAPSE_S", "MAX_RENEWAL_AGE_S", "NEW_HOLDER_DELAY_S", "Lender"]
--- a/tests/direct/test_loankeeper.py
+++ b/tests/direct/test_loankeeper.py
@@ -11,14 +11,15 @@
 from ochreway_core.ids import NodeId
 from ochreway_core.table import Row
 from ochreway_direct.leases.lease import Holder, Lease
+from ochreway_direct.sendlimits.borrower import Borrower
 from ochreway_direct.sendlimits.coldtargets import ColdTargets
 from ochreway_direct.sendlimits.fleetlimit import FleetLimit
 from ochreway_direct.sendlimits.lender import LOAN_LAPSE_S
 from ochreway_direct.sendlimits.loankeeper import LoanKeeper
 from ochreway_direct.sendlimits.loanregister import LoanRegister
 from ochreway_direct.sendlimits.loans import Loans
-from ochreway_direct.sendlimits.loansrow import LOANS_KEY, Borrower
-from ochreway_direct.sendlimits.standingshare import StaticShare
+from ochreway_direct.sendlimits.loansrow import LOANS_KEY
+from ochreway_direct.sendlimits.staticshare import StaticShare
 from ochreway_platform.memorytable import MemoryTable
 from ochreway_runtime.metrics import Metrics
 from tests.direct.sendworld import COLD, EXCESS, LENDABLE, SLACK
