--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -286,6 +286,28 @@
         self.run_with_relay(work, runs_for_long, goes_on)
 
 
+class SlowGroupTests(RelayCase):
+    kind = RouteKind.STREAM
+    resumable = True
+    tuning = RelayTuning(min_first_answer_s=0.1, first_answer_objectives=0.0)
+
+    def test_a_group_known_to_be_slow_has_more_time_for_its_first_answer(self) -> None:
+        """Guards against requests that are given up at a slow group just before it answers."""
+
+        async def reject(headers: Headers, writer: Writer) -> None:
+            writer.write(complete_response(headers, "", "503 Busy", "Not-Run: 1\r\n"))
+
+        async def answer_slowly(headers: Headers, writer: Writer) -> None:
+            await asyncio.sleep(0.4)
+            writer.write(stream_response_head(headers) + event_chunk(1) + LAST_CHUNK)
+
+        async def work(running: RunningRelay) -> None:
+            answer = await running.send_request()
+            self.assertEqual((200, 1), (answer.status, answer.body.count(b"data:")))
+
+        self.run_with_relay(work, reject, answer_slowly)
+
+
 class StreamTests(RelayCase):
     kind = RouteKind.STREAM
     resumable = True
