--- a/packages/ochreway-direct/src/ochreway_direct/queueing/outlook.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callforecast.py
@@ -1,11 +1,11 @@
 # SPDX-License-Identifier: Apache-2.0
-"""What is expected of a waiting call."""
+"""Forecast of a waiting call."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
-class Outlook:
+class CallForecast:
     """Hold a call's rank, its expected wait, and how much longer the wait may be.
 
     ``rank`` is the number of calls that go first. ``spare_s`` is negative once the call is to be
@@ -17,4 +17,4 @@
     spare_s: float
 
 
-__all__ = ["Outlook"]
+__all__ = ["CallForecast"]
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -12,12 +12,12 @@
 from ochreway_core.ids import HallId
 from ochreway_core.reason import Reason
 from ochreway_direct.configuration import EngineSpec
+from ochreway_direct.queueing.callforecast import CallForecast
 from ochreway_direct.queueing.forecast import Forecast
-from ochreway_direct.queueing.outlook import Outlook
 from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.queueing.promises import Promise, Promises
 from ochreway_direct.queueing.queuetuning import QueueTuning
-from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcall import WaitingCall
 from ochreway_routing.fairqueue import Displacement, FairQueue
 from ochreway_routing.work import Urgency, Work
 
@@ -55,10 +55,10 @@
         self._max_queued_resuming = max_queued_resuming
         self._rng = rng
         self._tuning = tuning
-        self._queue: FairQueue[Waiting] = FairQueue(
+        self._queue: FairQueue[WaitingCall] = FairQueue(
             capacity=tuning.max_length, slots=spec.slots, displacement=Displacement.BY_CLASS
         )
-        self._works: dict[Waiting, Work[Waiting]] = {}
+        self._works: dict[WaitingCall, Work[WaitingCall]] = {}
         self._in_time = 0
         self._free_since_s: deque[float] = deque()
         self._holds = False
@@ -75,8 +75,8 @@
         self.forecast.advance(facts, bool(self._works), now_s)
 
     def offer(
-        self, waiting: Waiting, facts: PlaceFacts, longest_objective_s: float, now_s: float
-    ) -> Result[Waiting | None, Reason]:
+        self, waiting: WaitingCall, facts: PlaceFacts, longest_objective_s: float, now_s: float
+    ) -> Result[WaitingCall | None, Reason]:
         """Queue a call; return the call that it displaced, or why it is refused."""
         promise = self.promises.redeem(waiting.fingerprint, now_s) if waiting.first_try else None
         if promise is not None:
@@ -104,7 +104,7 @@
         del self._works[displaced.item]
         return Ok(displaced.item)
 
-    def leave(self, waiting: Waiting) -> None:
+    def leave(self, waiting: WaitingCall) -> None:
         """Remove a call that does not wait any more; one that is not queued is ignored."""
         work = self._works.pop(waiting, None)
         if work is not None:
@@ -115,8 +115,8 @@
         self._queue.release_slot(organisation)
 
     def take(
-        self, pick: Callable[[Waiting, int], Place | None], facts_of: FactsOf, now_s: float
-    ) -> tuple[Waiting, Place] | None:
+        self, pick: Callable[[WaitingCall, int], Place | None], facts_of: FactsOf, now_s: float
+    ) -> tuple[WaitingCall, Place] | None:
         """Remove the next call that gets a place, and return it with its place.
 
         Args:
@@ -131,7 +131,7 @@
         places: list[Place] = []
         most_urgent, turn = self._queue.most_urgent(), self._queue.turn()
 
-        def fits(work: Work[Waiting]) -> bool:
+        def fits(work: Work[WaitingCall]) -> bool:
             waiting = work.item
             facts = facts_of(waiting.within)
             if work is not turn and self._is_held(work.urgency, facts_of(None), now_s):
@@ -168,7 +168,9 @@
         left_s = (each + self._tuning.max_hold_s - now_s for each in self._free_since_s)
         return min((each for each in left_s if each > 0.0), default=None)
 
-    def outlooks(self, facts_of: FactsOf, now_s: float) -> list[tuple[Waiting, Outlook]]:
+    def call_forecasts(
+        self, facts_of: FactsOf, now_s: float
+    ) -> list[tuple[WaitingCall, CallForecast]]:
         """Return what is expected of each call, in the order in which they go.
 
         Calls that are to be refused do not count as ahead of others.
@@ -189,24 +191,24 @@
             wait_s = self._wait_s(work, before, facts, now_s, older.get(waiting))
             if self._becomes_late(waiting, wait_s, now_s):
                 self._set_late(work)
-            outlook = Outlook(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
-            if outlook.spare_s >= 0.0:
+            forecast = CallForecast(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
+            if forecast.spare_s >= 0.0:
                 ahead[waiting.within] += 1
                 if waiting.forecast_s is None:
                     waiting.forecast_s = wait_s
-            found.append((waiting, outlook))
+            found.append((waiting, forecast))
         return found
 
-    def last_outlook(self, waiting: Waiting, facts: PlaceFacts, now_s: float) -> Outlook:
+    def last_forecast(self, waiting: WaitingCall, facts: PlaceFacts, now_s: float) -> CallForecast:
         """Return what would be expected of a call behind all that wait."""
         rank = len(self._queue)
         wait_s = self._wait_s(waiting.work(), rank, facts, now_s)
-        return Outlook(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
+        return CallForecast(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
 
     def return_after_s(
         self,
-        waiting: Waiting,
-        outlook: Outlook,
+        waiting: WaitingCall,
+        forecast: CallForecast,
         facts: PlaceFacts,
         longest_s: float,
         now_s: float,
@@ -218,8 +220,8 @@
         """
         urgency = waiting.work().urgency
         spare_per_s = self.forecast.spare_places_per_s(urgency, facts, now_s)
-        if spare_per_s and not waiting.must_run and math.isfinite(outlook.wait_s):
-            at_s = self.promises.first_free_s(now_s + outlook.wait_s, 1.0 / spare_per_s)
+        if spare_per_s and not waiting.must_run and math.isfinite(forecast.wait_s):
+            at_s = self.promises.first_free_s(now_s + forecast.wait_s, 1.0 / spare_per_s)
             promise = Promise(at_s, urgency, waiting.objective_end_s)
             if at_s - now_s <= longest_s and self.promises.add(waiting.fingerprint, promise, now_s):
                 return at_s - now_s
@@ -266,7 +268,7 @@
         must_run = sum(work.must_run for work in self._works.values())
         return min(self._tuning.max_length, must_run + 1)
 
-    def _beyond_slots(self, work: Work[Waiting], lent: int) -> int:
+    def _beyond_slots(self, work: Work[WaitingCall], lent: int) -> int:
         """Return how many requests beyond its slots a group may have to get this call."""
         if work.item.resuming:
             return self._max_queued_resuming
@@ -283,7 +285,7 @@
             lent += 1
         return lent
 
-    def _becomes_late(self, waiting: Waiting, wait_s: float, now_s: float) -> bool:
+    def _becomes_late(self, waiting: WaitingCall, wait_s: float, now_s: float) -> bool:
         """Return whether a call is now expected to miss its objective, and must not go first.
 
         The earliest objective goes first, so under steady excess load it would be one that is
@@ -293,12 +295,12 @@
             return False
         return now_s + wait_s + self.forecast.first_part_s > waiting.objective_end_s
 
-    def _set_late(self, work: Work[Waiting]) -> None:
+    def _set_late(self, work: Work[WaitingCall]) -> None:
         work.item.late = True
         late = self._works[work.item] = work.item.work()
         self._queue.replace(work, late)
 
-    def _older_of_lowest(self) -> dict[Waiting, int]:
+    def _older_of_lowest(self) -> dict[WaitingCall, int]:
         """Return how many older calls of its class each call of the lowest class has."""
         lowest = max(self._queue.classes(), default=None)
         waiting = [each for each, work in self._works.items() if work.urgency == lowest]
@@ -307,7 +309,7 @@
 
     def _wait_s(
         self,
-        work: Work[Waiting],
+        work: Work[WaitingCall],
         ahead: float,
         facts: PlaceFacts,
         now_s: float,
@@ -323,7 +325,7 @@
         ahead += promised
         return self.forecast.wait_s(ahead, work.urgency, facts, now_s, older)
 
-    def _spare_s(self, waiting: Waiting, wait_s: float, now_s: float) -> float:
+    def _spare_s(self, waiting: WaitingCall, wait_s: float, now_s: float) -> float:
         if waiting.must_run:
             return waiting.latest_s - now_s
         if not math.isfinite(wait_s):
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
@@ -13,14 +13,14 @@
 from ochreway_core.ids import HallId
 from ochreway_core.reason import Reason
 from ochreway_direct.ids import ModelName, ServiceName
+from ochreway_direct.queueing.callforecast import CallForecast
 from ochreway_direct.queueing.callqueue import CallQueue, FactsOf
 from ochreway_direct.queueing.modelqueue import ModelQueue
-from ochreway_direct.queueing.outlook import Outlook
 from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.queueing.queuedcall import QueuedCall
 from ochreway_direct.queueing.queuereport import QueueReport
 from ochreway_direct.queueing.queuetuning import QueueTuning
-from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcall import WaitingCall
 from ochreway_direct.queueing.waitingcalls import count_waiting
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
@@ -65,7 +65,7 @@
         self._random = rng or random.Random()
         self._queue_tuning = queue_tuning or QueueTuning()
         self._queues: dict[tuple[ServiceName, ModelName], ModelQueue] = {}
-        self._given: dict[Attempt, tuple[CallQueue, Waiting]] = {}
+        self._given: dict[Attempt, tuple[CallQueue, WaitingCall]] = {}
         self._wake_planned = False
         self._lenient_until_s = 0.0
         self._fleet.changes.subscribe(lambda _: self.wake())
@@ -170,13 +170,13 @@
             self.give_back(future.result())
         self.wake()
 
-    def _describe(self, call: Call, now_s: float) -> Waiting:
+    def _describe(self, call: Call, now_s: float) -> WaitingCall:
         objective_s, tuning = call.route.objective_s, self._tuning
         gain_s = self._queue_tuning.gain_objectives * objective_s
         latest_s = min(call.end_s - tuning.min_time_left_s, call.started_s + gain_s)
         if call.begun:
             latest_s = min(call.end_s, now_s + tuning.resume_max_wait_s)
-        return Waiting(
+        return WaitingCall(
             fingerprint=call.fingerprint,
             organisation=call.organisation or "",
             priority=call.priority,
@@ -216,14 +216,14 @@
         facts = self._facts(queue, queued.waiting.within, now_s)
         # A full queue is named by what keeps it full, which may be a limit.
         named = None if reason is Reason.QUEUE_FULL else reason
-        outlook = queue.queue.last_outlook(queued.waiting, facts, now_s)
-        self._refuse_queued(queue, queued, outlook, facts, named, now_s)
+        forecast = queue.queue.last_forecast(queued.waiting, facts, now_s)
+        self._refuse_queued(queue, queued, forecast, facts, named, now_s)
 
     def _refuse_queued(
         self,
         queue: ModelQueue,
         queued: QueuedCall,
-        outlook: Outlook,
+        forecast: CallForecast,
         facts: PlaceFacts,
         reason: Reason | None,
         now_s: float,
@@ -231,11 +231,11 @@
         call, future = queued.call, queued.future
         if future.done():
             return
-        call.queue_rank, call.forecast_s = outlook.rank, outlook.wait_s
+        call.queue_rank, call.forecast_s = forecast.rank, forecast.wait_s
         longest_s = max(0.0, self._tuning.retry_after_share * call.left_s(now_s))
         if not facts.groups:
             longest_s = min(longest_s, self._tuning.retry_after_regroup_s)
-        after_s = queue.queue.return_after_s(queued.waiting, outlook, facts, longest_s, now_s)
+        after_s = queue.queue.return_after_s(queued.waiting, forecast, facts, longest_s, now_s)
         future.set_exception(self._refuse(call, reason, after_s, now_s))
 
     # Events
@@ -283,12 +283,12 @@
             if queued.future.done():
                 self._remove(queue, queued.waiting)
 
-    def _remove(self, queue: ModelQueue, waiting: Waiting) -> None:
+    def _remove(self, queue: ModelQueue, waiting: WaitingCall) -> None:
         queue.calls.pop(waiting, None)
         queue.queue.leave(waiting)
 
     def _give_places(self, queue: ModelQueue, facts_of: FactsOf, now_s: float) -> None:
-        def pick(waiting: Waiting, max_queued: int) -> Attempt | None:
+        def pick(waiting: WaitingCall, max_queued: int) -> Attempt | None:
             return self._pick(queue.calls[waiting].call, max_queued, now_s)
 
         while (taken := queue.queue.take(pick, facts_of, now_s)) is not None:
@@ -323,16 +323,16 @@
         lenient_s = self._lenient_s(now_s)
         windows_s = {facts_of(each.within).next_window_s for each in queue.calls}
         waits_s = [each for each in windows_s if each < math.inf]
-        for waiting, outlook in queue.queue.outlooks(facts_of, now_s):
-            if outlook.spare_s >= 0.0:
-                waits_s.append(outlook.spare_s)
+        for waiting, forecast in queue.queue.call_forecasts(facts_of, now_s):
+            if forecast.spare_s >= 0.0:
+                waits_s.append(forecast.spare_s)
             elif lenient_s > 0.0 and queue.calls[waiting].call.left_s(now_s) > 0.0:
                 waits_s.append(lenient_s)
             else:
                 queued = queue.calls[waiting]
                 self._remove(queue, waiting)
                 facts = facts_of(waiting.within)
-                self._refuse_queued(queue, queued, outlook, facts, None, now_s)
+                self._refuse_queued(queue, queued, forecast, facts, None, now_s)
         return min(waits_s, default=None)
 
     def _lenient_s(self, now_s: float) -> float:
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/modelqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/modelqueue.py
@@ -8,7 +8,7 @@
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.queueing.callqueue import CallQueue
 from ochreway_direct.queueing.queuedcall import QueuedCall
-from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcall import WaitingCall
 
 
 @dataclass(slots=True, eq=False)
@@ -19,7 +19,7 @@
     model: ModelName
     slots: int
     queue: CallQueue
-    calls: dict[Waiting, QueuedCall] = field(default_factory=dict)
+    calls: dict[WaitingCall, QueuedCall] = field(default_factory=dict)
     checked_s: float = -math.inf
     timer: asyncio.TimerHandle | None = None
 
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/queuedcall.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/queuedcall.py
@@ -4,7 +4,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcall import WaitingCall
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
 
@@ -14,7 +14,7 @@
     """Hold a call, its place in the order, and the future that its task awaits."""
 
     call: Call
-    waiting: Waiting
+    waiting: WaitingCall
     future: asyncio.Future[Attempt]
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/waiting.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/waitingcall.py
@@ -8,7 +8,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Waiting:
+class WaitingCall:
     """Hold what decides when a call goes.
 
     Attributes:
@@ -44,7 +44,7 @@
     tried: frozenset[InstanceId] = frozenset()
     forecast_s: float | None = None
 
-    def work(self) -> Work["Waiting"]:
+    def work(self) -> Work["WaitingCall"]:
         """Return the call as work of the fair queue."""
         return Work(
             item=self,
@@ -62,4 +62,4 @@
         )
 
 
-__all__ = ["Waiting"]
+__all__ = ["WaitingCall"]
--- a/tests/direct/entriesload.py
+++ b/tests/direct/entriesload.py
@@ -15,7 +15,7 @@
 from ochreway_direct.queueing.callqueue import CallQueue
 from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.queueing.queuetuning import QueueTuning
-from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcall import WaitingCall
 from ochreway_direct.queueing.waitingcalls import NO_WAITING_CALLS, count_waiting
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.work import Work, bounded_work, subtract_work, sum_work
@@ -62,7 +62,7 @@
         self.queue.forecast.first_part_s = FIRST_PART_S
         for _ in range(100):
             self.queue.forecast.record_run(RUN_S)
-        self.waiting: set[Waiting] = set()
+        self.waiting: set[WaitingCall] = set()
         self.running: list[tuple[float, str, Attempt]] = []
 
     def facts(self, now_s: float) -> PlaceFacts:
@@ -77,7 +77,7 @@
             served_by=dict(served_by) if told else {},
         )
 
-    def pick(self, _: Waiting, beyond: int) -> Attempt | None:
+    def pick(self, _: WaitingCall, beyond: int) -> Attempt | None:
         group = self.fleet.pick_group(SERVICE, LARGE.name, (), ENGINE, beyond)
         if group is None:
             return None
@@ -105,7 +105,7 @@
     def offer(self, site: Site, priority: int, organisation: str) -> None:
         objective_s, now_s = OBJECTIVES_S[priority], self.now_s
         self.seen.offered[priority] += 1
-        waiting = Waiting(
+        waiting = WaitingCall(
             *(Fingerprint(f"{self._random.random()}"), organisation, priority, priority),
             *(RUN_S, now_s, now_s + objective_s, now_s + 2.0 * objective_s, 0.1 * objective_s),
         )
@@ -166,12 +166,12 @@
             if taken is None:
                 break
             self._begin(site, *taken, turn is not None and turn.item is taken[0])
-        for waiting, outlook in site.queue.outlooks(facts_of, now_s):
-            if outlook.spare_s < 0.0:
+        for waiting, forecast in site.queue.call_forecasts(facts_of, now_s):
+            if forecast.spare_s < 0.0:
                 site.queue.leave(waiting)
                 site.waiting.discard(waiting)
 
-    def _begin(self, site: Site, waiting: Waiting, attempt: Attempt, turn: bool) -> None:
+    def _begin(self, site: Site, waiting: WaitingCall, attempt: Attempt, turn: bool) -> None:
         now_s, urgency = self.now_s, waiting.work().urgency
         site.waiting.discard(waiting)
         site.fleet.begin(attempt)
--- a/tests/direct/queueload.py
+++ b/tests/direct/queueload.py
@@ -10,7 +10,7 @@
 from ochreway_direct.queueing.callqueue import CallQueue
 from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.queueing.queuetuning import QueueTuning
-from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcall import WaitingCall
 from ochreway_standins.engineworld import SPEC
 
 STEP_S = 0.01
@@ -107,13 +107,13 @@
         self.queue.forecast.first_part_s = FIRST_PART_S
         for _ in range(100):
             self.queue.forecast.record_run(RUN_S)
-        self.callers: dict[Waiting, Caller] = {}
+        self.callers: dict[WaitingCall, Caller] = {}
         self._facts = PlaceFacts(1, SLOTS)
 
     def arrive(self, caller: Caller, now_s: float) -> None:
         self.queue.advance(self._facts, now_s)
         objective_s = OBJECTIVES_S[caller.priority]
-        waiting = Waiting(
+        waiting = WaitingCall(
             *(Fingerprint(caller.name), caller.organisation, caller.priority, caller.priority),
             *(RUN_S, now_s, now_s + objective_s, now_s + 2.0 * objective_s, 0.1 * objective_s),
         )
@@ -121,13 +121,13 @@
         offered = self.queue.offer(waiting, self._facts, max(OBJECTIVES_S.values()), now_s)
         lost = waiting if offered.is_err() else offered.unwrap()
         if lost is not None:
-            outlook = self.queue.last_outlook(lost, self._facts, now_s)
-            self._refuse(lost, outlook, now_s)
+            forecast = self.queue.last_forecast(lost, self._facts, now_s)
+            self._refuse(lost, forecast, now_s)
 
     def take(self, load: int, now_s: float) -> Caller | None:
         self.queue.advance(self._facts, now_s)
 
-        def pick(_: Waiting, beyond: int) -> bool | None:
+        def pick(_: WaitingCall, beyond: int) -> bool | None:
             return True if load < SLOTS + beyond else None
 
         taken = self.queue.take(pick, lambda _: self._facts, now_s)
@@ -136,10 +136,10 @@
         return self.callers.pop(taken[0])
 
     def expire(self, load: int, now_s: float) -> None:
-        for waiting, outlook in self.queue.outlooks(lambda _: self._facts, now_s):
-            if outlook.spare_s < 0.0:
+        for waiting, forecast in self.queue.call_forecasts(lambda _: self._facts, now_s):
+            if forecast.spare_s < 0.0:
                 self.queue.leave(waiting)
-                self._refuse(waiting, outlook, now_s)
+                self._refuse(waiting, forecast, now_s)
 
     def on_first_part(self, first_part_s: float) -> None:
         self.queue.forecast.record_first_part(first_part_s)
@@ -147,11 +147,11 @@
     def on_end(self, organisation: str) -> None:
         self.queue.release(organisation)
 
-    def _refuse(self, waiting: Waiting, outlook: object, now_s: float) -> None:
+    def _refuse(self, waiting: WaitingCall, forecast: object, now_s: float) -> None:
         caller = self.callers.pop(waiting)
         longest_s = 0.3 * (caller.at_s + LIMIT_S - now_s)
         after_s = self.queue.return_after_s(
-            *(waiting, outlook, self._facts, longest_s, now_s)  # type: ignore[arg-type]
+            *(waiting, forecast, self._facts, longest_s, now_s)  # type: ignore[arg-type]
         )
         caller.promised = self.queue.promises.has_place(waiting.fingerprint)
         self.refused.append((caller, after_s))
--- a/tests/direct/test_callqueue.py
+++ b/tests/direct/test_callqueue.py
@@ -12,7 +12,7 @@
 from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.queueing.promises import Promise
 from ochreway_direct.queueing.queuetuning import QueueTuning
-from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcall import WaitingCall
 from ochreway_standins.engineworld import SPEC
 
 FULL = PlaceFacts(groups=1, slots=4, load=4, own=4)
@@ -20,9 +20,9 @@
 BEYOND, BEYOND_RESUMING = 3, 12
 
 
-def waiting(name: str, priority: int = 1, now_s: float = 0.0, **more: object) -> Waiting:
+def waiting(name: str, priority: int = 1, now_s: float = 0.0, **more: object) -> WaitingCall:
     times_s = (now_s, now_s + 0.4, now_s + 0.8, 0.04)
-    return Waiting(Fingerprint(name), "", priority, priority, 1.0, *times_s, **more)  # type: ignore[arg-type]
+    return WaitingCall(Fingerprint(name), "", priority, priority, 1.0, *times_s, **more)  # type: ignore[arg-type]
 
 
 class CallQueueTests(testtools.TestCase):
@@ -32,20 +32,20 @@
         spec = replace(SPEC, slots=4)
         self.queue = CallQueue(spec, BEYOND, BEYOND_RESUMING, random.Random(1), QueueTuning())
 
-    def offer(self, call: Waiting, now_s: float = 0.0) -> Waiting | None:
+    def offer(self, call: WaitingCall, now_s: float = 0.0) -> WaitingCall | None:
         return self.queue.offer(call, self.facts, LONGEST_S, now_s).unwrap()
 
     def take(self, load: int = 0, now_s: float = 0.0) -> str | None:
-        def pick(_: Waiting, beyond: int) -> bool | None:
+        def pick(_: WaitingCall, beyond: int) -> bool | None:
             return True if load < FULL.slots + beyond else None
 
         taken = self.queue.take(pick, lambda _: self.facts, now_s)
         return None if taken is None else taken[0].fingerprint
 
-    def outlooks(self, now_s: float = 0.0) -> dict[str, tuple[int, bool]]:
+    def call_forecasts(self, now_s: float = 0.0) -> dict[str, tuple[int, bool]]:
         return {
-            call.fingerprint: (outlook.rank, outlook.spare_s >= 0.0)
-            for call, outlook in self.queue.outlooks(lambda _: self.facts, now_s)
+            call.fingerprint: (forecast.rank, forecast.spare_s >= 0.0)
+            for call, forecast in self.queue.call_forecasts(lambda _: self.facts, now_s)
         }
 
     def run_for(self, run_s: float) -> None:
@@ -69,7 +69,7 @@
         self.offer(stays)
         self.queue.leave(gone)
         self.queue.leave(gone)
-        self.assertEqual((0, True), self.outlooks()["stays"])
+        self.assertEqual((0, True), self.call_forecasts()["stays"])
         self.assertEqual(["stays", None], [self.take(), self.take()])
 
     def test_calls_that_may_have_run_go_before_new_ones(self) -> None:
@@ -126,7 +126,7 @@
         self.offer(waiting("least", 2))
         beyond = {}
 
-        def pick(call: Waiting, allowed: int) -> None:
+        def pick(call: WaitingCall, allowed: int) -> None:
             beyond[call.fingerprint] = allowed
 
         self.queue.take(pick, lambda _: FULL, 0.0)
@@ -145,23 +145,23 @@
         """Guards against callers who wait for a place that comes too late for them."""
         self.run_for(4.0)
         self.offer(waiting("first"))
-        self.assertEqual({"first": (0, False)}, self.outlooks())
+        self.assertEqual({"first": (0, False)}, self.call_forecasts())
 
     def test_a_call_becomes_hopeless_as_its_place_moves_away(self) -> None:
         """Guards against callers who wait until their time is over behind more urgent ones."""
         self.run_for(1.2)
         self.offer(waiting("least", 1))
-        self.assertTrue(self.outlooks()["least"][1])
+        self.assertTrue(self.call_forecasts()["least"][1])
         for n in range(2):
             self.offer(waiting(f"u{n}", 0))
-        self.assertFalse(self.outlooks()["least"][1])
+        self.assertFalse(self.call_forecasts()["least"][1])
 
     def test_without_a_group_calls_wait_as_long_as_they_polled(self) -> None:
         """Guards against refusals in the moment before a new group opens."""
         self.facts = PlaceFacts(groups=0, slots=4)
         self.offer(waiting("a"))
-        self.assertEqual({"a": (0, True)}, self.outlooks(0.03))
-        self.assertEqual({"a": (0, False)}, self.outlooks(0.05))
+        self.assertEqual({"a": (0, True)}, self.call_forecasts(0.03))
+        self.assertEqual({"a": (0, False)}, self.call_forecasts(0.05))
 
     def test_a_call_that_every_group_has_rejected_waits_as_long_as_it_polled(self) -> None:
         """Guards against callers who wait unserved for places that their calls cannot take."""
@@ -169,8 +169,10 @@
         self.facts = replace(FULL, groups=2, leaders=leaders)
         self.offer(waiting("rejected", tried=leaders))
         self.offer(waiting("elsewhere", tried=frozenset({InstanceId("t0")})))
-        self.assertEqual({"rejected": (0, True), "elsewhere": (1, True)}, self.outlooks(0.03))
-        self.assertEqual({"rejected": (0, False), "elsewhere": (0, True)}, self.outlooks(0.05))
+        self.assertEqual({"rejected": (0, True), "elsewhere": (1, True)}, self.call_forecasts(0.03))
+        self.assertEqual(
+            {"rejected": (0, False), "elsewhere": (0, True)}, self.call_forecasts(0.05)
+        )
 
     def test_a_full_queue_drops_less_urgent_calls_only(self) -> None:
         """Guards against a caller whose place is taken by a less urgent one."""
@@ -187,8 +189,8 @@
         """Guards against callers who are refused again when they return as told."""
         self.run_for(1.0)
         told = waiting("told")
-        outlook = self.queue.last_outlook(told, FULL, 0.0)
-        after_s = self.queue.return_after_s(told, outlook, FULL, 1.2, 0.0)
+        forecast = self.queue.last_forecast(told, FULL, 0.0)
+        after_s = self.queue.return_after_s(told, forecast, FULL, 1.2, 0.0)
         self.assertLess(after_s, 1.2)
         self.offer(waiting("other", now_s=0.1), 0.1)
         back = waiting("told", now_s=after_s)
@@ -200,8 +202,8 @@
         """Guards against callers who are told a place and are refused a second time."""
         self.run_for(1.0)
         told = waiting("told")
-        outlook = self.queue.last_outlook(told, FULL, 0.0)
-        after_s = self.queue.return_after_s(told, outlook, FULL, 1.2, 0.0)
+        forecast = self.queue.last_forecast(told, FULL, 0.0)
+        after_s = self.queue.return_after_s(told, forecast, FULL, 1.2, 0.0)
         others = 0
         while self.queue.offer(waiting(f"c{others}"), FULL, LONGEST_S, 0.0).is_ok():
             others += 1
@@ -219,8 +221,8 @@
         times_s = []
         for n in range(20):
             call = waiting(f"c{n}")
-            outlook = self.queue.last_outlook(call, FULL, 0.0)
-            times_s.append(self.queue.return_after_s(call, outlook, FULL, 1.2, 0.0))
+            forecast = self.queue.last_forecast(call, FULL, 0.0)
+            times_s.append(self.queue.return_after_s(call, forecast, FULL, 1.2, 0.0))
         self.assertLessEqual(max(times_s), 1.2)
         self.assertEqual(len(times_s), len(set(times_s)))
 
@@ -245,6 +247,6 @@
             return count
 
         sys.settrace(count)
-        self.outlooks()
+        self.call_forecasts()
         sys.settrace(None)
         return lines
--- a/tests/direct/test_queuereports.py
+++ b/tests/direct/test_queuereports.py
@@ -13,7 +13,7 @@
 from ochreway_direct.queueing.callqueue import CallQueue
 from ochreway_direct.queueing.placefacts import PlaceFacts
 from ochreway_direct.queueing.queuetuning import QueueTuning
-from ochreway_direct.queueing.waiting import Waiting
+from ochreway_direct.queueing.waitingcall import WaitingCall
 from ochreway_direct.queueing.waitingcalls import (
     WaitingCalls,
     count_waiting,
@@ -37,9 +37,9 @@
     return Work(waiting=waiting, served_by={"o": number})
 
 
-def call(priority: int, **more: object) -> Waiting:
+def call(priority: int, **more: object) -> WaitingCall:
     name = Fingerprint(f"{priority}")
-    return Waiting(name, "", priority, priority, 1.0, 0.0, 0.4, 0.8, 0.04, **more)  # type: ignore[arg-type]
+    return WaitingCall(name, "", priority, priority, 1.0, 0.0, 0.4, 0.8, 0.04, **more)  # type: ignore[arg-type]
 
 
 class ReportTests(testtools.TestCase):
@@ -91,7 +91,7 @@
         spec = replace(SPEC, slots=4)
         self.queue = CallQueue(spec, 3, 12, random.Random(1), QueueTuning())
 
-    def offer(self, *calls: Waiting) -> None:
+    def offer(self, *calls: WaitingCall) -> None:
         for each in calls:
             self.queue.offer(each, ONE_FREE, 0.8, 0.0).unwrap()
 
@@ -99,7 +99,7 @@
         self.queue.advance(facts, now_s)
         left = [facts.free]
 
-        def pick(_: Waiting, beyond: int) -> bool | None:
+        def pick(_: WaitingCall, beyond: int) -> bool | None:
             return True if left[0] + beyond > 0 else None
 
         taken = self.queue.take(pick, lambda _: facts, now_s)
@@ -138,7 +138,9 @@
         self.offer(big, small)
         facts = replace(ONE_FREE, waiting={}, served_by={"big": 3})
         self.assertEqual(1, self.take(facts, 0.0))
-        self.assertEqual([big], [each for each, _ in self.queue.outlooks(lambda _: facts, 0.0)])
+        self.assertEqual(
+            [big], [each for each, _ in self.queue.call_forecasts(lambda _: facts, 0.0)]
+        )
 
     def test_equal_and_more_urgent_calls_and_those_that_may_have_run_go_at_once(self) -> None:
         """Guards against calls that wait for equal ones, and answers that break off."""
@@ -157,8 +159,8 @@
 
 
 class SharesEverywhereTests(testtools.TestCase):
-    def queue(self) -> FairQueue[Waiting]:
-        queue: FairQueue[Waiting] = FairQueue(capacity=10, slots=4)
+    def queue(self) -> FairQueue[WaitingCall]:
+        queue: FairQueue[WaitingCall] = FairQueue(capacity=10, slots=4)
         for organisation in ("big", "small"):
             queue.offer(replace(call(1).work(), organisation=organisation)).unwrap()
         return queue
