--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueue.py
@@ -191,8 +191,8 @@
             wait_s = self._wait_s(work, before, facts, now_s, older.get(waiting))
             if self._becomes_late(waiting, wait_s, now_s):
                 self._set_late(work)
-            forecast = CallForecast(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
-            if forecast.spare_s >= 0.0:
+            forecast = CallForecast(rank, wait_s, self._refused_in_s(waiting, wait_s, now_s))
+            if forecast.refused_in_s >= 0.0:
                 ahead[waiting.within] += 1
                 if waiting.forecast_s is None:
                     waiting.forecast_s = wait_s
@@ -203,7 +203,7 @@
         """Return what would be expected of a call behind all that wait."""
         rank = len(self._queue)
         wait_s = self._wait_s(waiting.work(), rank, facts, now_s)
-        return CallForecast(rank, wait_s, self._spare_s(waiting, wait_s, now_s))
+        return CallForecast(rank, wait_s, self._refused_in_s(waiting, wait_s, now_s))
 
     def return_after_s(
         self,
@@ -325,7 +325,12 @@
         ahead += promised
         return self.forecast.wait_s(ahead, work.urgency, facts, now_s, older)
 
-    def _spare_s(self, waiting: WaitingCall, wait_s: float, now_s: float) -> float:
+    def _refused_in_s(self, waiting: WaitingCall, wait_s: float, now_s: float) -> float:
+        """Return in what time a call is to be refused; it is negative once that is due.
+
+        A call that must run waits until its latest time, one for which no place is known to come
+        until its patience ends, and any other until its first part would come too late.
+        """
         if waiting.must_run:
             return waiting.latest_s - now_s
         if not math.isfinite(wait_s):
--- a/packages/ochreway-direct/src/ochreway_direct/queueing/queuerefusals.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/queuerefusals.py
@@ -90,8 +90,8 @@
         windows_s = {facts_of(each.within).next_window_s for each in queue.calls}
         waits_s = [each for each in windows_s if each < math.inf]
         for waiting, forecast in queue.queue.call_forecasts(facts_of, now_s):
-            if forecast.spare_s >= 0.0:
-                waits_s.append(forecast.spare_s)
+            if forecast.refused_in_s >= 0.0:
+                waits_s.append(forecast.refused_in_s)
             elif lenient_s > 0.0 and queue.calls[waiting].call.left_s(now_s) > 0.0:
                 waits_s.append(lenient_s)
             else:
--- a/tests/direct/entriesload.py
+++ b/tests/direct/entriesload.py
@@ -167,7 +167,7 @@
                 break
             self._begin(site, *taken, turn is not None and turn.item is taken[0])
         for waiting, forecast in site.queue.call_forecasts(facts_of, now_s):
-            if forecast.spare_s < 0.0:
+            if forecast.refused_in_s < 0.0:
                 site.queue.leave(waiting)
                 site.waiting.discard(waiting)
 
--- a/tests/direct/queueload.py
+++ b/tests/direct/queueload.py
@@ -137,7 +137,7 @@
 
     def expire(self, load: int, now_s: float) -> None:
         for waiting, forecast in self.queue.call_forecasts(lambda _: self._facts, now_s):
-            if forecast.spare_s < 0.0:
+            if forecast.refused_in_s < 0.0:
                 self.queue.leave(waiting)
                 self._refuse(waiting, forecast, now_s)
 
--- a/tests/direct/test_callqueue.py
+++ b/tests/direct/test_callqueue.py
@@ -44,7 +44,7 @@
 
     def call_forecasts(self, now_s: float = 0.0) -> dict[str, tuple[int, bool]]:
         return {
-            call.fingerprint: (forecast.rank, forecast.spare_s >= 0.0)
+            call.fingerprint: (forecast.rank, forecast.refused_in_s >= 0.0)
             for call, forecast in self.queue.call_forecasts(lambda _: self.facts, now_s)
         }
 
