--- a/packages/ochreway-direct/src/ochreway_direct/queueing/waitingcall.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/waitingcall.py
@@ -50,7 +50,7 @@
             item=self,
             organisation=self.organisation,
             priority=self.priority,
-            cost_tokens=self.cost_s,
+            cost=self.cost_s,
             prefill_tokens=0.0,
             deadline_s=self.objective_end_s,
             expected_run_s=0.0,
--- a/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/agent/serving.py
@@ -108,7 +108,7 @@
             item=record,
             organisation=submit.organisation,
             priority=submit.priority,
-            cost_tokens=float(submit.prompt_tokens + submit.max_tokens),
+            cost=float(submit.prompt_tokens + submit.max_tokens),
             prefill_tokens=prefill_tokens,
             deadline_s=now_s + submit.expires_in_s,
             expected_run_s=self.meter.expected_run_s(prefill_tokens, submit.max_tokens),
--- a/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
+++ b/packages/ochreway-routing/src/ochreway_routing/fairqueue.py
@@ -76,7 +76,7 @@
         self._elsewhere: dict[str, int] = {}
         self._virtual_time = 0.0
         self._length = 0
-        self.tokens = 0.0
+        self.queued_cost = 0.0
 
     def __len__(self) -> int:
         return self._length
@@ -114,7 +114,7 @@
             share.served = max(share.served, self._virtual_time)
         share.add(work)
         self._length += 1
-        self.tokens += work.cost_tokens
+        self.queued_cost += work.cost
         return Ok(displaced)
 
     def ahead_of(self, work: Work[T]) -> tuple[int, float]:
@@ -148,7 +148,7 @@
         share = self._share(work.organisation)
         self._drop(work, share)
         self._virtual_time = max(self._virtual_time, share.served)
-        share.served += work.cost_tokens / share.weight
+        share.served += work.cost / share.weight
         share.running += 1
         return work
 
@@ -157,7 +157,7 @@
         self._drop(work, self._share(work.organisation))
         self._share(by.organisation).add(by)
         self._length += 1
-        self.tokens += by.cost_tokens
+        self.queued_cost += by.cost
 
     def release_slot(self, organisation: str) -> None:
         """Count one running item of the organisation as ended."""
@@ -195,7 +195,8 @@
     def planned(self) -> list[Work[T]]:
         """Return all work in the order in which it goes if none is added.
 
-        Guaranteed shares are not taken into account.
+        Guaranteed shares are not taken into account. This differs from ``_in_order``, whose order
+        holds for one dispatch: here each item counts as served before the next is chosen.
         """
         served = {name: share.served for name, share in self._shares.items()}
         weights = {name: share.weight for name, share in self._shares.items()}
@@ -212,9 +213,8 @@
                 waiting.setdefault(urgency, {})[name] = list(each)
         order: list[Work[T]] = []
         while waiting:
-            turn = (self._dispatched + len(order) + 1) % LOWER_CLASS_INTERVAL == 0
             first = min(waiting)
-            if turn and first[0]:
+            if _is_turn_of_lowest(self._dispatched + len(order), first):
                 urgency = max(waiting)
                 work = min(
                     (each for queued in waiting[urgency].values() for each in queued),
@@ -232,14 +232,17 @@
                 del waiting[urgency][work.organisation]
             if not waiting[urgency]:
                 del waiting[urgency]
-            served[work.organisation] += work.cost_tokens / weights[work.organisation]
+            served[work.organisation] += work.cost / weights[work.organisation]
             running[work.organisation] += 1
             order.append(work)
         return order
 
     def turn(self) -> Work[T] | None:
         """Return the oldest work of the lowest class if it is to go next, else None."""
-        return self._oldest_of_lowest_class() if self._is_turn_of_lowest() else None
+        first = self.most_urgent()
+        if first is None or not _is_turn_of_lowest(self._dispatched, first):
+            return None
+        return self._oldest_of_lowest_class()
 
     def most_urgent(self) -> Urgency | None:
         """Return the most urgent class that waits, or None if nothing waits."""
@@ -265,14 +268,15 @@
     def _drop(self, work: Work[T], share: _Share[T]) -> None:
         share.remove(work)
         self._length -= 1
-        self.tokens -= work.cost_tokens
+        self.queued_cost -= work.cost
 
     def _in_order(self) -> Iterator[Work[T]]:
         """Yield the work in the order in which it is next dequeued; some is yielded twice."""
         if not self._length:
             return
-        if self._is_turn_of_lowest():
-            yield self._oldest_of_lowest_class()
+        turn = self.turn()
+        if turn is not None:
+            yield turn
         shares = self._waiting_shares()
         guaranteed = [each for each in shares if self._under_guarantee(each)]
         for group in (guaranteed, shares):
@@ -286,11 +290,6 @@
                     for share in candidates:
                         yield from (w for w in share.by_class[urgency] if w.returned is returned)
 
-    def _is_turn_of_lowest(self) -> bool:
-        urgency = self.most_urgent()
-        turn = (self._dispatched + 1) % LOWER_CLASS_INTERVAL == 0
-        return turn and urgency is not None and urgency[0]
-
     def _waiting_shares(self) -> list[_Share[T]]:
         return [share for share in self._shares.values() if share.queued]
 
@@ -344,6 +343,14 @@
         return Reason.QUEUE_FULL if len(rivals) <= 1 else Reason.OVER_SHARE
 
 
+def _is_turn_of_lowest(dispatched: int, first: Urgency) -> bool:
+    """Return whether the lowest class goes next, where ``first`` is the most urgent that waits.
+
+    Work that must run does not give way.
+    """
+    return (dispatched + 1) % LOWER_CLASS_INTERVAL == 0 and first[0]
+
+
 def _precedence(work: Work[T]) -> tuple[bool, bool, float]:
     return (not work.returned, work.late, work.deadline_s)
 
--- a/packages/ochreway-routing/src/ochreway_routing/work.py
+++ b/packages/ochreway-routing/src/ochreway_routing/work.py
@@ -14,16 +14,18 @@
 class Work(Generic[T]):
     """Describe one work item to the fair queue.
 
-    ``expected_run_s`` is the minimum time that it is expected to run. Work that ``must_run`` cannot
-    be refused, and goes before all other. Work that ``returned`` at the time that its caller was
-    told goes before other work of its class. Work that is ``late`` goes after the other work of
-    its organisation and class, as it would make that late, too.
+    ``cost`` counts as service of the organisation, in one unit for all work of a queue: tokens at
+    native nodes, seconds of a group at direct entries. ``expected_run_s`` is the minimum time that
+    it is expected to run. Work that ``must_run`` cannot be refused, and goes before all other. Work
+    that ``returned`` at the time that its caller was told goes before other work of its class. Work
+    that is ``late`` goes after the other work of its organisation and class, as it would make that
+    late, too.
     """
 
     item: T
     organisation: str
     priority: int
-    cost_tokens: float
+    cost: float
     prefill_tokens: float
     deadline_s: float
     expected_run_s: float
--- a/tests/routing/test_fairqueue.py
+++ b/tests/routing/test_fairqueue.py
@@ -103,7 +103,7 @@
         while (following := queue.dequeue()) is not None:
             taken.append(following.item)
         self.assertEqual(sorted(kept), sorted(taken))
-        self.assertAlmostEqual(0.0, queue.tokens)
+        self.assertAlmostEqual(0.0, queue.queued_cost)
 
 
 def classed(name: str, organisation: str = "a", priority: int = 1, **more: object) -> Work[str]:
