--- a/packages/ochreway-direct/src/ochreway_direct/queueing/waiting.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/waitingcall.py
@@ -8,7 +8,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Waiting:
+class WaitingCall:
     """Hold what decides when a call goes.
 
     Attributes:
@@ -44,13 +44,13 @@
     tried: frozenset[InstanceId] = frozenset()
     forecast_s: float | None = None
 
-    def work(self) -> Work["Waiting"]:
+    def work(self) -> Work["WaitingCall"]:
         """Return the call as work of the fair queue."""
         return Work(
             item=self,
             organisation=self.organisation,
             priority=self.priority,
-            cost_tokens=self.cost_s,
+            cost=self.cost_s,
             prefill_tokens=0.0,
             deadline_s=self.objective_end_s,
             expected_run_s=0.0,
@@ -62,4 +62,4 @@
         )
 
 
-__all__ = ["Waiting"]
+__all__ = ["WaitingCall"]
