--- a/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
+++ b/packages/ochreway-direct/src/ochreway_direct/queueing/callqueues.py
@@ -65,7 +65,7 @@
         )
 
     def gauges(self) -> dict[str, float]:
-        """Return the number of waiting calls and the mean error of forecasts."""
+        """Return the number of waiting calls and the largest mean error of their forecasts."""
         errors_s = [each.queue.forecast.error_s for each in self._facts.queues]
         return {
             "queue_length": float(sum(len(each.queue) for each in self._facts.queues)),
