--- a/tests/direct/test_limitpool.py
+++ b/tests/direct/test_limitpool.py
@@ -4,7 +4,7 @@
 import math
 
 import testtools
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from ochreway_core.ids import InstanceId, NodeId
@@ -132,6 +132,7 @@
 
     @settings(max_examples=10, deadline=None)
     @given(st.integers(0, 1000), st.floats(1.0, 12.0))
+    @example(270, 1.0)
     def test_a_limit_is_kept_when_entries_come_and_go(self, seed: int, per_s: float) -> None:
         world = settled_world(5, seed)
         since_s = self.set_limit(world, per_s)
