--- a/packages/ochreway-core/src/ochreway_core/ids.py
+++ b/packages/ochreway-core/src/ochreway_core/ids.py
@@ -17,6 +17,7 @@
 RequestId = NewType("RequestId", str)
 KeyDigest = NewType("KeyDigest", str)
 Fingerprint = NewType("Fingerprint", str)
+PartId = NewType("PartId", str)
 Version = NewType("Version", int)
 Epoch = NewType("Epoch", int)
 Term = NewType("Term", int)
@@ -40,6 +41,7 @@
     "KeyDigest",
     "NodeId",
     "OrganisationId",
+    "PartId",
     "RegionId",
     "RequestId",
     "ScopeId",
--- a/packages/ochreway-direct/src/ochreway_direct/ports/dialect.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/dialect.py
@@ -7,14 +7,17 @@
 
 from multidict import CIMultiDict
 
-from ochreway_core.ids import InstanceId, OrganisationId
+from ochreway_core.ids import InstanceId, OrganisationId, PartId
 from ochreway_core.targetnotice import NO_NOTICE, TargetNotice
 from ochreway_direct.ids import ModelName
 
 
 @dataclass(frozen=True, slots=True)
 class CallerTerms:
-    """Hold the parameters that a caller's headers give for its request."""
+    """Hold the parameters that a caller's headers give for its request.
+
+    ``parts`` are the parts of its prompt that other requests may share, in order.
+    """
 
     request: str
     key: str
@@ -24,6 +27,7 @@
     prompt_tokens: int
     answer_tokens: int
     subject: str
+    parts: tuple[PartId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
@@ -34,6 +34,7 @@
             "attempt",
             request=call.terms.request,
             fingerprint=call.fingerprint,
+            parts=",".join(call.terms.parts),
             send=call.sends,
             target=attempt.instance,
             group=attempt.group or "",
@@ -99,6 +100,7 @@
     def _call_fields(self, call: Call, now_s: float) -> dict[str, object]:
         return {
             "fingerprint": call.fingerprint,
+            "parts": ",".join(call.terms.parts),
             "service": call.service,
             "model": call.terms.model or "",
             "given_s": call.terms.deadline_s or "",
--- a/tests/direct/plaindialect.py
+++ b/tests/direct/plaindialect.py
@@ -5,6 +5,7 @@
 
 from multidict import CIMultiDict
 
+from ochreway_core.ids import PartId
 from ochreway_direct.ids import ModelName
 from ochreway_direct.ports import AnswerHead, CallerDialect, CallerTerms, ForwardTerms
 from ochreway_platform.answernotice import parse_notice
@@ -24,6 +25,7 @@
             prompt_tokens=10,
             answer_tokens=10,
             subject="",
+            parts=tuple(PartId(each) for each in headers.get("Parts", "").split(",") if each),
         )
 
     def forward(self, headers: Mapping[str, str], terms: ForwardTerms) -> CIMultiDict[str]:
