Crashes are put down to the part of a prompt that requests share, at all entries

What callers saw: requests that shared one part of their prompts, and nothing else, crashed 24 to 30 servers one after the other; other requests of their kind were refused or broken off, half of them in the worst seconds.

Cause: crashes were counted by a fingerprint of the whole request, so each request with the part was new at each entry, while whatever was in flight beside it three times was held in its place.

A crash now counts against all causes of a request: the request as a whole, each part of its prompt but the last, and each part for its model. A sound run clears them; half a second of a stream is one, as what crashes a target does so in its first steps. The fewest causes that explain the crashes are held, the one behind most crashes first, so what was only in flight beside them is not. Causes that were in flight at the same crashes are told apart by single trials, announced to all entries. A part that was sound shortly before needs a crash more, and its crashes have to span a second, in which requests elsewhere clear it. Targets that crash within 0.1 s of each other count once for a part. A refusal lasts 60, 240, then 600 s, then one request is tried: steady callers no longer keep a cause refused for good. Rows in the store are rewritten with each crash and deleted by whoever knows them, also when another entry cleared the cause.

Direct and native entries share this (ochreway_routing: crashbook, crashholds). Names of the platform's parts are decoded in platform/ only.

Tests changed with the rule, as strict: times of refusal and trial are checked exactly by the new times; crashes in tests have different times.

Unit tests of the decision: tests/routing/test_crashholds.py.

--- a/packages/ochreway-core/src/ochreway_core/crashnews.py
+++ b/packages/ochreway-core/src/ochreway_core/crashnews.py
@@ -14,7 +14,7 @@
 @message(80)
 @dataclass(frozen=True, slots=True)
 class CrashNews:
-    """Tell other entries which requests crashed targets.
+    """Tell other entries which requests, or parts of prompts, crashed targets.
 
     ``asks`` requests all current sightings in return, as the sender has just started.
     """
--- a/packages/ochreway-core/src/ochreway_core/ids.py
+++ b/packages/ochreway-core/src/ochreway_core/ids.py
@@ -18,6 +18,7 @@
 KeyDigest = NewType("KeyDigest", str)
 Fingerprint = NewType("Fingerprint", str)
 PartId = NewType("PartId", str)
+CauseId = NewType("CauseId", str)
 Version = NewType("Version", int)
 Epoch = NewType("Epoch", int)
 Term = NewType("Term", int)
@@ -30,6 +31,7 @@
     "NO_EPOCH",
     "NO_VERSION",
     "BundleHash",
+    "CauseId",
     "ChangeId",
     "DomainId",
     "Epoch",
--- a/packages/ochreway-core/src/ochreway_core/reason.py
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -40,6 +40,8 @@
     TARGET_ENDED = "target_ended"
     ANSWER_SHORT = "answer_short"
     ENDS_TARGETS = "ends_targets"
+    MAY_END_TARGETS = "may_end_targets"
+    PROMPT_PART_ENDS_TARGETS = "prompt_part_ends_targets"
     KEY_TAKEN = "key_taken"
     KEY_ANSWERED = "key_answered"
     KEY_HOMES_UNREACHABLE = "key_homes_unreachable"
--- a/packages/ochreway-direct/src/ochreway_direct/crashes/crashspread.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashes/crashspread.py
@@ -1,10 +1,10 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Propagation among entries of requests that ended targets."""
+"""Propagation among entries of what ended targets."""
 
 import asyncio
 
 from ochreway_core.crashnews import CrashNews
-from ochreway_core.ids import Fingerprint
+from ochreway_core.ids import CauseId
 from ochreway_core.peer import Peer
 from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.entries.heartbeats import Heartbeats
@@ -14,16 +14,16 @@
 SUSPECT_MAX_AGE_S = 30.0
 """Age of the oldest suspects that are announced to an entry when a link to it opens.
 
-By then callers whose requests were under way at a crash have retried or given up. Fatal requests
-are announced whatever their age.
+By then callers whose requests were under way at a crash have retried or given up. Fatal causes are
+announced whatever their age.
 """
 MAX_SIGHTINGS_PER_MESSAGE = 500
-"""Requests per message: some 60 KB."""
+"""Causes per message: some 60 KB."""
 REPEATED_PER_HEARTBEAT = 4
-"""Fatal requests that are announced again with each heartbeat, in rotation.
+"""Fatal causes that are announced again with each heartbeat, in rotation.
 
-So an entry that missed a message for any reason learns within seconds of a fatal request, and of
-when it was last received by other entries.
+So an entry that missed a message for any reason learns within seconds of a fatal cause, and of when
+it was last received by other entries.
 """
 
 
@@ -43,27 +43,27 @@
         self._heartbeats = heartbeats
         self._links = links
         self._loop = asyncio.get_running_loop()
-        self._pending: dict[Fingerprint, None] = {}
+        self._pending: dict[CauseId, None] = {}
         watch.add_listener(self.announce)
 
-    def announce(self, fingerprints: list[Fingerprint]) -> None:
+    def announce(self, causes: list[CauseId]) -> None:
         """Schedule an announcement, batched as all calls to a lost target break off at once."""
         if not self._pending:
             self._loop.call_soon(self._flush)
-        self._pending.update(dict.fromkeys(fingerprints))
+        self._pending.update(dict.fromkeys(causes))
 
     def _flush(self) -> None:
         pending, self._pending = list(self._pending), {}
         self._send(pending, self._heartbeats.contacts())
 
     def on_linked(self, peer: Peer) -> None:
-        """Send the relevant suspects and all fatal requests to an entry on a new link."""
+        """Send the relevant suspects and all fatal causes to an entry on a new link."""
         now_s = self._loop.time()
         relevant = [*self._book.suspects(now_s - SUSPECT_MAX_AGE_S), *self._book.fatal()]
         self._send(relevant, [peer])
 
     def announce_again(self, now_s: float) -> None:
-        """Announce some fatal requests again, and drop expired records."""
+        """Announce some fatal causes again, and drop expired records."""
         self._book.expire(now_s)
         fatal = self._book.fatal()
         begin = int(now_s * 1000) % len(fatal) if len(fatal) > REPEATED_PER_HEARTBEAT else 0
@@ -72,14 +72,14 @@
 
     def on_news(self, sender: Peer, news: CrashNews) -> None:
         """Apply an announcement of another entry, and forward what is new."""
-        new_fingerprints = self._watch.on_sightings(news.sightings, self._loop.time())
-        if new_fingerprints:
+        new_causes = self._watch.on_sightings(news.sightings, self._loop.time())
+        if new_causes:
             receivers = self._heartbeats.forwarding_peers(sender.node)
-            self._send(new_fingerprints, [peer for peer in receivers if peer.node != sender.node])
+            self._send(new_causes, [peer for peer in receivers if peer.node != sender.node])
 
-    def _send(self, fingerprints: list[Fingerprint], peers: list[Peer]) -> None:
-        for begin in range(0, len(fingerprints), MAX_SIGHTINGS_PER_MESSAGE):
-            batch = fingerprints[begin : begin + MAX_SIGHTINGS_PER_MESSAGE]
+    def _send(self, causes: list[CauseId], peers: list[Peer]) -> None:
+        for begin in range(0, len(causes), MAX_SIGHTINGS_PER_MESSAGE):
+            batch = causes[begin : begin + MAX_SIGHTINGS_PER_MESSAGE]
             sightings = self._book.sightings(batch, self._loop.time())
             self._links.send_all(peers, CrashNews(sightings))
 
--- a/packages/ochreway-direct/src/ochreway_direct/crashes/crashwatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashes/crashwatch.py
@@ -4,18 +4,19 @@
 import asyncio
 from collections.abc import Callable
 
+from ochreway_core.cause import is_part
 from ochreway_core.crashsighting import CrashSighting
-from ochreway_core.ids import Fingerprint
+from ochreway_core.ids import CauseId
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
 from ochreway_platform.targetcheck import TargetCheck
 from ochreway_routing.crashbook import CrashBook
-from ochreway_routing.crashrecord import FATAL_CRASHES
+from ochreway_routing.crashverdict import NOT_FATAL, CrashVerdict
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
 MIN_LOGGED_CRASHES = 2
-"""Crashes from which a request is logged; after one, all requests of a target are suspects."""
+"""Crashes from which a cause is logged; after one, all requests of a target are suspects."""
 MAX_CHECK_WAIT_S = 0.1
 """How long a call waits for the check if its target ended, before it may be sent elsewhere.
 
@@ -23,15 +24,14 @@
 the call this much; the result of the check is recorded all the same when it comes later.
 """
 
-ChangeListener = Callable[[list[Fingerprint]], None]
-"""Called with the requests about which this entry knows something that others do not."""
+ChangeListener = Callable[[list[CauseId]], None]
+"""Called with the causes about which this entry knows something that others do not."""
 
 
 class CrashWatch:
-    """Record which requests end targets, and decide which of them are not sent any more.
+    """Record under which requests targets end, and decide which of them are not sent any more.
 
-    Each request costs its fingerprint, 2.3 us with 700 bytes of body, and two table lookups, at its
-    start and its end, 0.6 us together (``python -m ochreway_standins.slopes.crashes``).
+    What a request costs is measured by ``python -m ochreway_standins.slopes.crashes``.
     """
 
     def __init__(
@@ -46,88 +46,134 @@
         self._running_checks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
         self._listeners: list[ChangeListener] = []
+        self._logged_fatal: set[CauseId] = set()
+        self._logging = False
 
     def add_listener(self, listener: ChangeListener) -> None:
-        """Add a listener for requests about which this entry learns something by itself."""
+        """Add a listener for causes about which this entry learns something by itself."""
         self._listeners.append(listener)
 
-    def _notify(self, fingerprint: Fingerprint) -> None:
+    def _notify(self, causes: list[CauseId]) -> None:
+        self._schedule_log()
         for listener in self._listeners:
-            listener([fingerprint])
+            listener(causes)
 
-    def fatal_for_s(self, call: Call) -> float:
-        """Return for how long a call must not be sent; 0 if it may be sent now."""
+    def check(self, call: Call) -> CrashVerdict:
+        """Return whether a call may be sent now; one on trial may be, once."""
         if not self._refuses or (call.on_trial and not call.sends):
-            return 0.0
-        verdict = self._book.check_request(call.fingerprint, self._loop.time())
+            return NOT_FATAL
+        verdict = self._book.check_request(call.causes, self._loop.time())
         if verdict.on_trial:
-            self._start_trial(call)
-        return verdict.fatal_for_s
+            self._start_trial(call, verdict)
+        return verdict
 
-    def _start_trial(self, call: Call) -> None:
-        """Let one call be sent once, if no such request came for long; others wait for it."""
+    def _start_trial(self, call: Call, verdict: CrashVerdict) -> None:
+        """Let one call be sent once, to find out whether it ends its target; others wait for it."""
         call.on_trial = True
         self._metrics.count("crash.on_trial")
-        self._log.event("request_on_trial", fingerprint=call.fingerprint)
-        self._notify(call.fingerprint)
-
-    def on_completed(self, call: Call) -> None:
-        """Record that a target completed a call and continues to run."""
-        crashes = self._book.crash_count(call.fingerprint)
-        if self._book.record_completion(call.fingerprint, self._loop.time()):
-            if crashes >= MIN_LOGGED_CRASHES:
-                self._log.event("request_cleared", fingerprint=call.fingerprint, crashes=crashes)
-            self._metrics.count("crash.cleared")
-            self._notify(call.fingerprint)
+        self._log.event(
+            "request_on_trial",
+            request=call.terms.request,
+            fingerprint=call.fingerprint,
+            cause=verdict.cause or "",
+        )
+        self._notify(list(call.causes))
+
+    def on_sound(self, call: Call, attempt: Attempt) -> None:
+        """Record that a target survives the run of a call."""
+        run_s = attempt.answer_began_s if attempt.answer_began_s is not None else attempt.begun_s
+        crashes = self._book.crash_count(CauseId(call.fingerprint))
+        cleared = [each for each in call.causes if self._book.record_completion(each, run_s)]
+        if not cleared:
+            return
+        if crashes >= MIN_LOGGED_CRASHES:
+            self._log.event("request_cleared", fingerprint=call.fingerprint, crashes=crashes)
+        self._metrics.count("crash.cleared")
+        self._notify(cleared)
 
     async def on_disconnected(self, call: Call, attempt: Attempt) -> None:
         """Check whether the target of an attempt that broke off has ended, and record it."""
-        task = asyncio.create_task(self._check_target(call.fingerprint, attempt))
+        if attempt.proved_sound:
+            return
+        task = asyncio.create_task(self._check_target(call, attempt))
         self._running_checks.add(task)
         task.add_done_callback(self._running_checks.discard)
         await asyncio.wait([task], timeout=MAX_CHECK_WAIT_S)
 
-    async def _check_target(self, fingerprint: Fingerprint, attempt: Attempt) -> None:
+    async def _check_target(self, call: Call, attempt: Attempt) -> None:
         disconnected_s = self._loop.time()
         if not await self._check.ended(attempt.address):
             self._metrics.count("crash.target_stands")
             return
         self._metrics.count("crash.under_request")
-        if self._book.record_crash(fingerprint, attempt.instance, disconnected_s):
-            self._log_crashes(fingerprint)
-            self._notify(fingerprint)
+        new_causes = [
+            each
+            for each in call.causes
+            if self._book.record_crash(each, attempt.instance, disconnected_s)
+        ]
+        if new_causes:
+            self._log_suspects(new_causes)
+            self._notify(new_causes)
 
     def on_sightings(
         self, sightings: tuple[CrashSighting, ...], received_s: float
-    ) -> list[Fingerprint]:
-        """Merge sightings of another entry; return the requests for which they were new."""
-        new_fingerprints = [
-            sighting.fingerprint
+    ) -> list[CauseId]:
+        """Merge sightings of another entry; return the causes for which they were new."""
+        new_causes = [
+            sighting.cause
             for sighting in sightings
             if self._book.merge_sighting(sighting, received_s)
         ]
-        for fingerprint in new_fingerprints:
-            self._log_crashes(fingerprint)
-        return new_fingerprints
-
-    def _log_crashes(self, fingerprint: Fingerprint) -> None:
-        """Log what is known about a request that ended several targets."""
-        crashes = self._book.crash_count(fingerprint)
-        if crashes < MIN_LOGGED_CRASHES:
-            return
-        targets = ",".join(self._book.targets(fingerprint))
-        if crashes < FATAL_CRASHES:
-            self._log.event(
-                "request_suspected", fingerprint=fingerprint, crashes=crashes, targets=targets
+        if new_causes:
+            self._schedule_log()
+        return new_causes
+
+    def _log_suspects(self, causes: list[CauseId]) -> None:
+        """Log causes of several crashes, of which this entry saw the newest."""
+        for cause in causes:
+            crashes = self._book.crash_count(cause)
+            if crashes >= MIN_LOGGED_CRASHES and not self._book.is_fatal(cause):
+                targets = ",".join(self._book.targets(cause))
+                self._log.event(
+                    "request_suspected", **_named(cause), crashes=crashes, targets=targets
+                )
+
+    def _schedule_log(self) -> None:
+        """Log which causes are held once all that is known now is recorded."""
+        if not self._logging:
+            self._logging = True
+            self._loop.call_soon(self._log_changes)
+
+    def _log_changes(self) -> None:
+        self._logging = False
+        fatal = set(self._book.fatal())
+        for cause in fatal - self._logged_fatal:
+            self._metrics.count("crash.part_fatal" if is_part(cause) else "crash.fatal")
+            others = self._book.held_with(cause) - {cause}
+            self._log.fault(
+                "part_fatal" if is_part(cause) else "request_fatal",
+                **_named(cause),
+                targets=",".join(self._book.targets(cause)),
+                held_with=",".join(sorted(others)),
             )
-            return
-        self._metrics.count("crash.fatal")
-        self._log.fault("request_fatal", fingerprint=fingerprint, targets=targets)
+        for cause in self._logged_fatal - fatal:
+            self._metrics.count("crash.released")
+            self._log.event("crash_cause_released", **_named(cause))
+        self._logged_fatal = fatal
 
     def gauges(self) -> dict[str, float]:
-        """Return the numbers of fatal requests and of suspects."""
-        suspects = len(self._book.suspects(float("-inf")))
-        return {"requests_fatal": float(len(self._book.fatal())), "requests_suspected": suspects}
+        """Return the numbers of fatal requests and prompt parts, and of suspects."""
+        fatal = self._book.fatal()
+        parts = sum(is_part(cause) for cause in fatal)
+        return {
+            "requests_fatal": float(len(fatal) - parts),
+            "parts_fatal": float(parts),
+            "requests_suspected": float(len(self._book.suspects(float("-inf")))),
+        }
+
+
+def _named(cause: CauseId) -> dict[str, object]:
+    return {"cause": cause} if is_part(cause) else {"fingerprint": cause}
 
 
 __all__ = ["CrashWatch"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -218,7 +218,7 @@
             log,
             metrics,
         )
-        crash_book = CrashBook()
+        crash_book = CrashBook(owner=self.me.node)
         self.crashes = CrashWatch(crash_book, log, metrics, settings.has(Mechanism.FATAL_REFUSED))
         self._crash_spread = CrashSpread(crash_book, self.crashes, self._heartbeats, self.links)
         self._crash_keeper = CrashKeeper(
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from ochreway_core.cause import causes_of
 from ochreway_core.fingerprint import fingerprint_of
 from ochreway_core.ids import Fingerprint
 from ochreway_core.reason import Reason
@@ -81,6 +82,7 @@
         )
         organisation = self._identify(call, routes)
         call.fingerprint = _fingerprint(call)
+        call.causes = causes_of(call.fingerprint, terms.parts, terms.model)
         self._restrict_to_homes(call, organisation)
         self._estimate_work(call, routes)
         return call
--- a/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -18,6 +18,8 @@
         born_ms: start time that identifies the target's incarnation, if it is known.
         status: HTTP status of the answer, 0 before it arrives.
         notice: what the target reported about itself in the answer's headers.
+        answer_began_s: when the first part of its answer was received.
+        proved_sound: whether its target survived the run for long enough that it does not crash it.
         awaits_caller: whether the answer is not read, as its caller does not read it.
         written_s: when the last part of the request was handed to the connection. The request is
             certainly written once any answer is received or the attempt has ended.
@@ -39,6 +41,8 @@
     lost: bool = False
     last_received_s: float | None = None
     written_s: float | None = None
+    answer_began_s: float | None = None
+    proved_sound: bool = False
     born_ms: int | None = None
     status: int = 0
     notice: TargetNotice = NO_NOTICE
@@ -64,6 +68,8 @@
 
     def record_received(self, now_s: float) -> None:
         """Record that a part of the answer was received."""
+        if self.answer_began_s is None:
+            self.answer_began_s = now_s
         self.last_received_s = now_s
 
     def extend(self, until_s: float) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from ochreway_core.ids import Fingerprint, HallId, InstanceId, OrganisationId
+from ochreway_core.ids import CauseId, Fingerprint, HallId, InstanceId, OrganisationId
 from ochreway_direct.buffering.callerreader import CallerReader
 from ochreway_direct.configuration import EngineSpec, Route
 from ochreway_direct.ids import ServiceName
@@ -18,6 +18,7 @@
 
     Attributes:
         fingerprint: equal for all requests that ask for the same.
+        causes: what about it may crash its target.
         allowed_halls: halls it may be served in, or None for any.
         runs: number of targets that may have begun to run it. Lost ones count too, as the leader
             of a lost group may be alive.
@@ -46,6 +47,7 @@
     fingerprint: Fingerprint = Fingerprint("")
     engine: EngineSpec | None = None
     allowed_halls: frozenset[HallId] | None = None
+    causes: tuple[CauseId, ...] = ()
     runs: int = 0
     sends: int = 0
     on_trial: bool = False
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -3,7 +3,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 from aiohttp import web
@@ -37,6 +37,11 @@
 """Approximate overhead of the chunk and the packet that carry an event."""
 READ_BUFFER_BYTES = 16 * 1024
 """How much of a target's answer its connection may hold when what is held is bounded."""
+SOUND_AFTER_S = 0.5
+"""How long a target has to go on with a stream to show that the request does not crash it.
+
+What crashes a target when it begins to write an answer does so within its first few steps.
+"""
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
 
@@ -60,8 +65,11 @@
         tuning: RelayTuning,
         notices: NoticeWatch,
         buffers: Buffers | None = None,
+        on_sound: Callable[[Call, Attempt], None] = lambda call, attempt: None,
     ) -> None:
+        """Create an exchange; ``on_sound`` is called when a target goes on with a stream."""
         self._serving = serving
+        self._on_sound = on_sound
         self._fleet = serving.fleet
         self._dialect = dialect
         self._pooled_session = pooled
@@ -293,6 +301,7 @@
             events = splitter.feed(piece)
             now_s = loop.time()
             self._fleet.on_answer_part(attempt, now_s)
+            self._check_sound(call, attempt, now_s)
             attempt.extend(min(call.end_s, now_s + pause_s))
             if events:
                 # Recorded first: a cancelled write may have reached the caller all the same.
@@ -310,6 +319,12 @@
             raise CallerGone from error
         return Ending.answered(answer)
 
+    def _check_sound(self, call: Call, attempt: Attempt, now_s: float) -> None:
+        begun_s = attempt.answer_began_s
+        if not attempt.proved_sound and begun_s is not None and now_s - begun_s >= SOUND_AFTER_S:
+            attempt.proved_sound = True
+            self._on_sound(call, attempt)
+
     async def _start_answer(
         self, call: Call, response: aiohttp.ClientResponse
     ) -> web.StreamResponse:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -60,7 +60,9 @@
         self._fleet = serving.fleet
         self._dialect = dialect
         self._admission = Admission(serving, first_tries, tuning)
-        self._exchange = Exchange(serving, dialect, pooled, single_use, tuning, notices, buffers)
+        self._exchange = Exchange(
+            *(serving, dialect, pooled, single_use, tuning, notices, buffers, crashes.on_sound)
+        )
         self._buffers = buffers
         self._tuning = tuning
         self._call_log = CallLog(log, serving)
@@ -142,7 +144,7 @@
             begun_s = asyncio.get_running_loop().time()
             ending = await self._send(call, attempt)
             if ending.response is not None:
-                self._crashes.on_completed(call)
+                self._crashes.on_sound(call, attempt)
                 return ending.response
             self._call_log.attempt_failed(call, attempt, ending, begun_s)
             self._metrics.count(f"attempt.{ending.reason.value}")
@@ -162,12 +164,12 @@
         If the caller has not received any part, the refusal names how long this certainly
         lasts: until then no entry will serve a retry.
         """
-        left_s = self._crashes.fatal_for_s(call)
-        if left_s <= 0.0:
+        verdict = self._crashes.check(call)
+        if verdict.fatal_for_s <= 0.0:
             return
         if call.begun:
-            raise refusal_of(call, Reason.ENDS_TARGETS, left_s)
-        raise Refused(NOT_RUN_STATUS, Reason.ENDS_TARGETS, left_s)
+            raise refusal_of(call, verdict.reason, verdict.fatal_for_s)
+        raise Refused(NOT_RUN_STATUS, verdict.reason, verdict.fatal_for_s)
 
     async def _check_retry(self, call: Call, ending: Ending) -> None:
         """Raise unless the call may be sent again."""
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/call.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/call.py
@@ -6,7 +6,7 @@
 
 from ochreway_core.attemptid import AttemptId
 from ochreway_core.claimround import ClaimRound
-from ochreway_core.ids import Fingerprint, GroupId, Incarnation
+from ochreway_core.ids import CauseId, GroupId, Incarnation
 from ochreway_core.peer import Peer
 from ochreway_core.reassembly import Reassembly
 from ochreway_core.request import Request
@@ -48,7 +48,7 @@
     tried_groups: frozenset[GroupId] = frozenset()
     attempts: int = 0
     may_have_run: bool = False
-    fingerprint: Fingerprint = Fingerprint("")
+    causes: tuple[CauseId, ...] = ()
     on_trial: bool = False
 
     @property
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -5,10 +5,11 @@
 
 from ochreway_core import invariants
 from ochreway_core.attemptid import AttemptId
+from ochreway_core.cause import causes_of
 from ochreway_core.claimround import ClaimState
 from ochreway_core.effects import Deliver, Finish
 from ochreway_core.fingerprint import fingerprint_of
-from ochreway_core.ids import Fingerprint, Incarnation, InstanceId, NodeId, RequestId
+from ochreway_core.ids import CauseId, Incarnation, InstanceId, NodeId, PartId, RequestId
 from ochreway_core.messages import (
     Cancel,
     ClaimReply,
@@ -30,6 +31,7 @@
 from ochreway_nodes.entry.keyclaims import KeyClaims, claim_failure_reason
 from ochreway_nodes.outbox import Outbox
 from ochreway_nodes.viewsync import ViewSync
+from ochreway_routing.crashverdict import NOT_FATAL, CrashVerdict
 from ochreway_routing.limits import Limits
 from ochreway_routing.query import RouteQuery
 from ochreway_routing.replica import ReplicaView
@@ -93,11 +95,11 @@
 
     def start(self, request: Request, now_s: float) -> None:
         """Begin a request; it ends with one ``Finish`` effect."""
-        call = Call(request, CallState.CLAIMING, fingerprint=_fingerprint(request))
-        fatal_s = self._fatal_wait_s(call, now_s)
-        if fatal_s > 0.0:
+        call = Call(request, CallState.CLAIMING, causes=_causes(request))
+        verdict = self._check_fatal(call, now_s)
+        if verdict.fatal_for_s > 0.0:
             # Checked before any limit, as a request that is never sent must not use up a share.
-            self._finish_refused(request, Reason.ENDS_TARGETS, fatal_s)
+            self._finish_refused(request, verdict.reason, verdict.fatal_for_s)
             return
         admitted = self._limits.admit(request.organisation, call.tokens, now_s)
         if admitted.is_err():
@@ -110,13 +112,13 @@
         else:
             self._route(call, now_s)
 
-    def _fatal_wait_s(self, call: Call, now_s: float) -> float:
-        """Return how long a call must not be sent, as it is fatal; a call on trial is sent once."""
+    def _check_fatal(self, call: Call, now_s: float) -> CrashVerdict:
+        """Return whether a call may be sent now; one on trial may be, once."""
         if call.on_trial and not call.attempts:
-            return 0.0
-        verdict = self._crashes.on_request(call.fingerprint, now_s)
+            return NOT_FATAL
+        verdict = self._crashes.on_request(call.causes, now_s)
         call.on_trial = verdict.on_trial
-        return verdict.fatal_for_s
+        return verdict
 
     def _finish_refused(self, request: Request, reason: Reason, retry_after_s: float) -> None:
         self._outbox.count(f"refusal.{reason.value}")
@@ -172,9 +174,9 @@
         )
 
     def _route(self, call: Call, now_s: float) -> None:
-        fatal_s = self._fatal_wait_s(call, now_s)
-        if fatal_s > 0.0:
-            self._end(call, Outcome.NOT_RUN, Reason.ENDS_TARGETS, fatal_s)
+        verdict = self._check_fatal(call, now_s)
+        if verdict.fatal_for_s > 0.0:
+            self._end(call, Outcome.NOT_RUN, verdict.reason, verdict.fatal_for_s)
             return
         query = self._query(call.request)
         choice = self._router.choose(query, call.tried_groups, now_s)
@@ -261,7 +263,7 @@
         assert answer.total is not None
         complete = invariants.answer_is_whole(answer.received, answer.total, str(attempt.attempt))
         self._router.record_answer(attempt.group, str(attempt.attempt))
-        self._crashes.on_completion(call.fingerprint, now_s)
+        self._crashes.on_completion(call.causes, attempt.sent_s, now_s)
         outcome = Outcome.ANSWERED if complete else Outcome.UNKNOWN
         self._end(call, outcome, Reason.NONE if complete else Reason.ANSWER_SHORT, 0.0)
 
@@ -291,7 +293,7 @@
         call.may_have_run = call.may_have_run or outcome is Outcome.UNKNOWN
         if reason is Reason.TARGET_ENDED:
             target = InstanceId(call.attempt.peer.node)
-            self._crashes.on_crash(call.fingerprint, target, now_s)
+            self._crashes.on_crash(call.causes, target, now_s)
         if reason in (Reason.BACKOFF, Reason.TARGET_LIMIT):
             self._router.back_off(call.attempt.group, now_s + retry_after_s, reason)
         is_failure = reason not in _BENIGN_REASONS
@@ -416,9 +418,14 @@
         self._outbox.add(Finish(request.request, outcome, reason, retry_after_s))
 
 
-def _fingerprint(request: Request) -> Fingerprint:
+def _causes(request: Request) -> tuple[CauseId, ...]:
+    """Return what about a request may crash its target.
+
+    The blocks of its prompt are hashed with its model, so they need not be counted for each model.
+    """
     path = f"{request.target}{request.path}"
-    return fingerprint_of(request.organisation, request.method, path, request.body)
+    fingerprint = fingerprint_of(request.organisation, request.method, path, request.body)
+    return causes_of(fingerprint, (PartId(f"{block:x}") for block in request.blocks))
 
 
 _TICK_HANDLERS: dict[CallState, Callable[[Calls, Call, float], None]] = {
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/crashes.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/crashes.py
@@ -1,24 +1,24 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Requests that crashed targets, as one entry knows them and propagates them to others."""
+"""What crashed targets, as one entry knows it and propagates it to others."""
 
 from collections.abc import Iterable
 
-from ochreway_core.ids import Fingerprint, InstanceId, NodeId
+from ochreway_core.cause import is_part
+from ochreway_core.ids import CauseId, InstanceId, NodeId
 from ochreway_core.messages import CrashNews
 from ochreway_core.peer import Peer
 from ochreway_nodes.outbox import Outbox
 from ochreway_routing.crashbook import CrashBook
-from ochreway_routing.crashrecord import FATAL_CRASHES
 from ochreway_routing.crashverdict import CrashVerdict
 
 REPEAT_INTERVAL_S = 2.0
-"""Interval at which fatal requests are sent again, in case a message was lost."""
+"""Interval at which fatal causes are sent again, in case a message was lost."""
 MAX_REPEATED = 4
-"""Bound on the fatal requests sent each time; the most recently requested ones are sent."""
+"""Bound on the fatal causes sent each time; the most recently requested ones are sent."""
 SUSPECTS_MAX_AGE_S = 30.0
 """Maximum age of the suspects sent to an entry that asks for everything known."""
 MIN_LOGGED_CRASHES = 2
-"""Crashes from which a request is logged: after one, all requests on the target are suspects."""
+"""Crashes from which a cause is logged: after one, all requests on the target are suspects."""
 
 
 class Crashes:
@@ -29,8 +29,8 @@
     travels as many hops as the tree is deep, and propagation ends.
     """
 
-    def __init__(self, outbox: Outbox) -> None:
-        self._book = CrashBook()
+    def __init__(self, me: NodeId, outbox: Outbox) -> None:
+        self._book = CrashBook(owner=me)
         self._outbox = outbox
         self._neighbours: tuple[Peer, ...] = ()
         self._queried: frozenset[NodeId] = frozenset()
@@ -44,37 +44,37 @@
                 self._outbox.send(peer, CrashNews((), asks=True))
         self._queried = frozenset(peer.node for peer in self._neighbours)
 
-    def on_request(self, fingerprint: Fingerprint, now_s: float) -> CrashVerdict:
+    def on_request(self, causes: tuple[CauseId, ...], now_s: float) -> CrashVerdict:
         """Record that a request was made, and return whether it may be sent."""
-        verdict = self._book.check_request(fingerprint, now_s)
+        verdict = self._book.check_request(causes, now_s)
         if verdict.on_trial:
             self._outbox.count("crash.on_trial")
-            self._outbox.log("request_on_trial", fingerprint=fingerprint)
-            self._send_sightings([fingerprint], self._neighbours, now_s)
+            self._outbox.log("request_on_trial", fingerprint=causes[0], cause=verdict.cause)
+            self._send_sightings(list(causes), self._neighbours, now_s)
         return verdict
 
-    def on_crash(self, fingerprint: Fingerprint, target: InstanceId, now_s: float) -> None:
+    def on_crash(self, causes: tuple[CauseId, ...], target: InstanceId, now_s: float) -> None:
         """Record that a target's process ended while running a request."""
         self._outbox.count("crash.under_request")
-        if self._book.record_crash(fingerprint, target, now_s):
-            self._log_crashes(fingerprint)
-            self._send_sightings([fingerprint], self._neighbours, now_s)
-
-    def on_completion(self, fingerprint: Fingerprint, now_s: float) -> None:
-        """Record that a target completed a request and keeps running."""
-        if self._book.record_completion(fingerprint, now_s):
+        updated = [each for each in causes if self._book.record_crash(each, target, now_s)]
+        self._log_crashes(updated)
+        self._send_sightings(updated, self._neighbours, now_s)
+
+    def on_completion(self, causes: tuple[CauseId, ...], run_s: float, now_s: float) -> None:
+        """Record that a target completed a request, whose run began then, and keeps running."""
+        cleared = [each for each in causes if self._book.record_completion(each, run_s)]
+        if cleared:
             self._outbox.count("crash.cleared")
-            self._send_sightings([fingerprint], self._neighbours, now_s)
+            self._send_sightings(cleared, self._neighbours, now_s)
 
     def on_news(self, sender: Peer, news: CrashNews, now_s: float) -> None:
         """Apply another entry's sightings, forward the new ones, and reply if it asks."""
         updated = [
-            sighting.fingerprint
+            sighting.cause
             for sighting in news.sightings
             if self._book.merge_sighting(sighting, now_s)
         ]
-        for fingerprint in updated:
-            self._log_crashes(fingerprint)
+        self._log_crashes(updated)
         others = tuple(peer for peer in self._neighbours if peer.node != sender.node)
         self._send_sightings(updated, others, now_s)
         if news.asks:
@@ -82,31 +82,36 @@
             self._send_sightings(relevant, (sender,), now_s)
 
     def tick(self, now_s: float) -> None:
-        """Send fatal requests again when due, and expire old records."""
+        """Send fatal causes again when due, and expire old records."""
         if now_s - self._last_repeat_s >= REPEAT_INTERVAL_S:
             self._last_repeat_s = now_s
             self._book.expire(now_s)
             self._send_sightings(self._book.fatal()[-MAX_REPEATED:], self._neighbours, now_s)
 
-    def _send_sightings(
-        self, fingerprints: list[Fingerprint], peers: tuple[Peer, ...], now_s: float
-    ) -> None:
-        if fingerprints:
-            news = CrashNews(self._book.sightings(fingerprints, now_s))
+    def _send_sightings(self, causes: list[CauseId], peers: tuple[Peer, ...], now_s: float) -> None:
+        if causes:
+            news = CrashNews(self._book.sightings(causes, now_s))
             for peer in peers:
                 self._outbox.send(peer, news)
 
-    def _log_crashes(self, fingerprint: Fingerprint) -> None:
-        """Log a request that has crashed several targets."""
-        crashes = self._book.crash_count(fingerprint)
-        if crashes < MIN_LOGGED_CRASHES:
-            return
-        fatal = crashes >= FATAL_CRASHES
-        if fatal:
-            self._outbox.count("crash.fatal")
-        targets = ",".join(self._book.targets(fingerprint))
-        event = "request_fatal" if fatal else "request_suspected"
-        self._outbox.log(event, fingerprint=fingerprint, targets=targets)
-
+    def _log_crashes(self, causes: list[CauseId]) -> None:
+        """Log what has crashed several targets."""
+        for cause in causes:
+            if self._book.crash_count(cause) < MIN_LOGGED_CRASHES:
+                continue
+            fatal = self._book.is_fatal(cause)
+            if fatal:
+                self._outbox.count("crash.part_fatal" if is_part(cause) else "crash.fatal")
+            targets = ",".join(self._book.targets(cause))
+            self._outbox.log(_EVENTS[is_part(cause), fatal], cause=cause, targets=targets)
+
+
+_EVENTS = {
+    (False, False): "request_suspected",
+    (False, True): "request_fatal",
+    (True, False): "part_suspected",
+    (True, True): "part_fatal",
+}
+"""Log events for causes: whether they are parts of prompts, and whether they are fatal."""
 
 __all__ = ["Crashes"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/node.py
@@ -105,7 +105,7 @@
         self.keeper.follow(list(first_peers))
         self.router = Router(hall, rng, policy=routing_policy)
         self.limits = Limits()
-        self.crashes = Crashes(self._outbox)
+        self.crashes = Crashes(me.node, self._outbox)
         self.calls = Calls(
             me,
             incarnation,
--- a/packages/ochreway-routing/src/ochreway_routing/crashrecord.py
+++ b/packages/ochreway-routing/src/ochreway_routing/crashrecord.py
@@ -1,59 +1,80 @@
 # SPDX-License-Identifier: Apache-2.0
-"""The targets that crashed under one request."""
+"""The targets that crashed under requests with one cause."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ochreway_core.crashsighting import CrashSighting, SeenCrash
-from ochreway_core.ids import Fingerprint, InstanceId
+from ochreway_core.ids import CauseId, InstanceId
 
 FATAL_CRASHES = 3
-"""How many crashes without a completion make a request count as their cause.
+"""How many crashes without a sound run between make a cause count as fatal.
 
 Each crash costs all callers of a target, so fewer would be better. But the callers of a lost group
 meet again at the next one, so most requests that were in flight at two crashes are not the cause.
 """
+MAX_CRASHES = 8
+"""Bound on the crashes kept for a cause; the newest are."""
 SAME_CRASH_WINDOW_S = 1.5
 """Within what time two reports of a target's crash mean the same crash.
 
 A target takes some seconds to restart; reports of its crash are in transit for less than one.
 """
+SIMULTANEOUS_S = 0.1
+"""Crashes closer together than this count as one for a prompt part.
+
+A rack's loss ends many targets at once, and requests at all of them may share a part.
+"""
+KNOWN_SOUND_S = 60.0
+"""How long before its first crash a cause may have run soundly to be known as sound."""
 NEVER_S = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """Name a target that crashed, and when, on this process's steady clock."""
+    """Name a target that crashed, and when, on this process's steady clock.
+
+    An ``approximate`` one is any crash of its target, until an exact time is known.
+    """
 
     target: InstanceId
     at_s: float
+    approximate: bool = False
 
 
 @dataclass(slots=True)
 class CrashRecord:
-    """Hold the newest crashes under a request since its last completion."""
+    """Hold the newest crashes under a cause since its last sound run."""
 
     last_request_s: float
     crashes: list[Crash] = field(default_factory=list)
     cleared_s: float = NEVER_S
+    trial_s: float = NEVER_S
 
     @property
-    def fatal(self) -> bool:
-        """Return whether enough targets crashed under the request."""
+    def suspicious(self) -> bool:
+        """Return whether enough targets crashed for the cause to be fatal."""
         return len(self.crashes) >= FATAL_CRASHES
 
+    @property
+    def known_sound(self) -> bool:
+        """Return whether the cause ran soundly shortly before its first crash."""
+        return bool(self.crashes) and self.crashes[0].at_s - self.cleared_s < KNOWN_SOUND_S
+
     def add(self, crash: Crash) -> bool:
         """Add a crash; return whether it is a new one."""
-        if crash.at_s <= self.cleared_s or any(
-            _is_same_crash(crash, each) for each in self.crashes
-        ):
+        if crash.at_s <= self.cleared_s:
             return False
-        known = [*self.crashes, crash]
-        self.crashes = sorted(known, key=lambda each: (each.at_s, each.target))[-FATAL_CRASHES:]
+        same = [each for each in self.crashes if _is_same_crash(crash, each)]
+        if any(crash.approximate or not each.approximate for each in same):
+            return False
+        known = [*(each for each in self.crashes if each not in same), crash]
+        self.crashes = sorted(known, key=lambda each: (each.at_s, each.target))[-MAX_CRASHES:]
         self.last_request_s = max(self.last_request_s, crash.at_s)
-        return crash in self.crashes
+        return crash in self.crashes and not same
 
     def clear(self, at_s: float) -> bool:
-        """Remove the crashes up to a completion; return whether that is new."""
+        """Remove the crashes up to a sound run; return whether that is new."""
         is_new = at_s > self.cleared_s + SAME_CRASH_WINDOW_S
         self.cleared_s = max(self.cleared_s, at_s)
         kept = [crash for crash in self.crashes if crash.at_s > self.cleared_s]
@@ -61,15 +82,52 @@
         self.crashes = kept
         return is_new
 
-    def to_sighting(self, fingerprint: Fingerprint, now_s: float) -> CrashSighting:
+    def start_trial(self, at_s: float) -> bool:
+        """Record that the cause was sent on trial; return whether that is new."""
+        is_new = at_s > self.trial_s + SAME_CRASH_WINDOW_S
+        self.trial_s = max(self.trial_s, at_s)
+        return is_new
+
+    def to_sighting(self, cause: CauseId, now_s: float) -> CrashSighting:
         """Return what to send to other processes."""
-        crashes = tuple(SeenCrash(each.target, now_s - each.at_s) for each in self.crashes)
-        cleared_age_s = now_s - self.cleared_s if self.cleared_s > NEVER_S else None
-        return CrashSighting(fingerprint, crashes, now_s - self.last_request_s, cleared_age_s)
+        crashes = tuple(
+            SeenCrash(each.target, now_s - each.at_s, each.approximate) for each in self.crashes
+        )
+        return CrashSighting(
+            cause,
+            crashes,
+            now_s - self.last_request_s,
+            _age_s(self.cleared_s, now_s),
+            _age_s(self.trial_s, now_s),
+        )
 
 
-def _is_same_crash(one: Crash, other: Crash) -> bool:
-    return one.target == other.target and abs(one.at_s - other.at_s) < SAME_CRASH_WINDOW_S
+def _age_s(at_s: float, now_s: float) -> float | None:
+    return now_s - at_s if at_s > NEVER_S else None
 
 
-__all__ = ["FATAL_CRASHES", "NEVER_S", "SAME_CRASH_WINDOW_S", "Crash", "CrashRecord"]
+def _is_same_crash(one: Crash, other: Crash) -> bool:
+    near = abs(one.at_s - other.at_s) < SAME_CRASH_WINDOW_S
+    return one.target == other.target and (near or one.approximate or other.approximate)
+
+
+def count_moments(times_s: Iterable[float]) -> int:
+    """Return at how many different times targets crashed, given rising times."""
+    count, last_s = 0, NEVER_S
+    for at_s in times_s:
+        if at_s - last_s >= SIMULTANEOUS_S:
+            count, last_s = count + 1, at_s
+    return count
+
+
+__all__ = [
+    "FATAL_CRASHES",
+    "KNOWN_SOUND_S",
+    "MAX_CRASHES",
+    "NEVER_S",
+    "SAME_CRASH_WINDOW_S",
+    "SIMULTANEOUS_S",
+    "Crash",
+    "CrashRecord",
+    "count_moments",
+]
--- a/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/spreadworld.py
@@ -4,12 +4,12 @@
 import asyncio
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 from ochreway_core.backoff import Backoff
 from ochreway_core.crashnews import CrashNews
-from ochreway_core.ids import Fingerprint, HallId, InstanceId, NodeId, Version
+from ochreway_core.ids import CauseId, HallId, InstanceId, NodeId, Version
 from ochreway_core.peer import Peer
 from ochreway_direct.configuration import Configuration, Service
 from ochreway_direct.crashes.crashspread import CrashSpread
@@ -140,11 +140,11 @@
         own = sum(self.meter.offered(now_s).values())
         return {**self.heartbeats.remote_work.offered_by_source(), self.me.peer.node: own}
 
-    def crashed(self, fingerprint: Fingerprint, targets: Iterable[InstanceId]) -> None:
-        """Have targets end under a request here, and tell others of it if it is fatal."""
+    def crashed(self, cause: CauseId, targets: Sequence[InstanceId]) -> None:
+        """Have targets end here, a second apart, and tell others of it if the cause is fatal."""
         now_s = asyncio.get_running_loop().time()
-        for target in targets:
-            self.crashes.record_crash(fingerprint, target, now_s)
+        for number, target in enumerate(targets):
+            self.crashes.record_crash(cause, target, now_s - len(targets) + 1 + number)
         self.crash_spread.announce_again(now_s)
 
     def begin(self, place: str) -> None:
--- a/tests/direct/test_crashes.py
+++ b/tests/direct/test_crashes.py
@@ -3,10 +3,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
-from ochreway_core.ids import Fingerprint
 from ochreway_direct.configuration import RouteKind
-from ochreway_routing.crashbook import QUARANTINE_S
+from ochreway_routing.crashholds import HOLD_S
 from ochreway_routing.crashrecord import FATAL_CRASHES
 from tests.direct.relaycase import (
     LAST_CHUNK,
@@ -60,9 +60,11 @@
             remember, *(crashing_script(lambda: started[0], n) for n in range(targets))
         )
 
-    def fingerprint(self, running: RunningRelay) -> Fingerprint:
-        (fatal_fingerprint,) = running.book.fatal()
-        return fatal_fingerprint
+    def let_time_pass(self, running: RunningRelay, seconds: float) -> None:
+        """Move all crashes that are known into the past."""
+        for record in running.book._fatal.values():
+            record.crashes = [replace(each, at_s=each.at_s - seconds) for each in record.crashes]
+        running.book._holds_outdated = True
 
 
 class FatalTests(CrashCase):
@@ -88,7 +90,7 @@
             await self.send_repeatedly(running, 2)
             answer = await running.send_request(f"/a/{FATAL_PATH}", Request="r9")
             self.assertEqual((503, b"ends_targets\n"), (answer.status, answer.body))
-            self.assertGreater(float(answer.headers["Retry-After"]), QUARANTINE_S - 5.0)
+            self.assertGreater(float(answer.headers["Retry-After"]), HOLD_S[0] - 5.0)
             self.assertEqual(2, running.metrics.counters["refused.ends_targets"])
 
         self.run_with_crashing_targets(work, 8)
@@ -128,11 +130,10 @@
 
         self.run_with_crashing_targets(work, 4)
 
-    def test_after_the_quarantine_a_single_trial_is_sent(self) -> None:
+    def test_after_its_time_a_single_trial_is_sent(self) -> None:
         async def work(running: RunningRelay) -> None:
             await self.send_repeatedly(running, 3)
-            record = running.book._fatal[self.fingerprint(running)]
-            record.last_request_s -= QUARANTINE_S + 1.0
+            self.let_time_pass(running, HOLD_S[0] + 1.0)
             self.assertEqual([502, 503, 503], await self.send_repeatedly(running, 3))
             self.assertEqual(FATAL_CRASHES + 1, sum(len(each.seen) for each in running.targets))
             self.assertEqual(1, running.metrics.counters["crash.on_trial"])
--- a/tests/direct/test_crashkeeper.py
+++ b/tests/direct/test_crashkeeper.py
@@ -6,19 +6,20 @@
 import testtools
 
 from ochreway_core.backoff import Backoff
-from ochreway_core.ids import Fingerprint, InstanceId, NodeId
+from ochreway_core.ids import CauseId, InstanceId, NodeId
 from ochreway_core.table import CommitReply, CommitStatus, Row, Transaction
 from ochreway_direct.crashes.crashkeeper import CrashKeeper
 from ochreway_direct.crashes.crashwatch import CrashWatch
 from ochreway_direct.crashes.fatalrow import KEY_PREFIX, FatalRow, row_key
 from ochreway_platform.errors import TableUnavailable
 from ochreway_platform.memorytable import MemoryTable
-from ochreway_routing.crashbook import QUARANTINE_S, CrashBook
+from ochreway_routing.crashbook import RETENTION_S, CrashBook
+from ochreway_routing.crashholds import HOLD_S
 from ochreway_routing.crashrecord import FATAL_CRASHES
 from ochreway_runtime.metrics import Metrics
 from tests.runtime.recordedlog import RecordedLog
 
-FINGERPRINT = Fingerprint("one")
+CAUSE = CauseId("one")
 TARGETS = [InstanceId(f"i-{n}") for n in range(FATAL_CRASHES)]
 WALL_S = 1.0e9
 TIMEOUT_S = 10.0
@@ -63,12 +64,12 @@
 
     def crash(self, times: int = FATAL_CRASHES) -> None:
         now_s = asyncio.get_running_loop().time()
-        for target in TARGETS[:times]:
-            self.book.record_crash(FINGERPRINT, target, now_s)
-            self.watch._notify(FINGERPRINT)
+        for number, target in enumerate(TARGETS[:times]):
+            self.book.record_crash(CAUSE, target, now_s - times + 1 + number)
+            self.watch._notify([CAUSE])
 
-    def quarantine_left_s(self) -> float:
-        return self.book.check_request(FINGERPRINT, asyncio.get_running_loop().time()).fatal_for_s
+    def hold_left_s(self) -> float:
+        return self.book.check_request([CAUSE], asyncio.get_running_loop().time()).fatal_for_s
 
     async def until(self, check: Callable[[], bool]) -> None:
         async with asyncio.timeout(TIMEOUT_S):
@@ -94,9 +95,9 @@
             first.crash()
             await first.until(lambda: bool(self.keys()))
             first.task.cancel()
-            second = Incarnation(self.table, WALL_S + 60.0)
+            second = Incarnation(self.table, WALL_S + 20.0)
             await second.until(lambda: bool(second.book.fatal()))
-            self.assertGreater(second.quarantine_left_s(), QUARANTINE_S - 61.0)
+            self.assertGreater(second.hold_left_s(), HOLD_S[0] - 21.0)
             self.assertIn("request_fatal", second.log.names)
 
         run_async(work)
@@ -115,8 +116,8 @@
             incarnation = Incarnation(self.table)
             incarnation.crash()
             await incarnation.until(lambda: bool(self.keys()))
-            incarnation.book.record_completion(FINGERPRINT, asyncio.get_running_loop().time() + 1.0)
-            incarnation.watch._notify(FINGERPRINT)
+            incarnation.book.record_completion(CAUSE, asyncio.get_running_loop().time() + 1.0)
+            incarnation.watch._notify([CAUSE])
             await incarnation.until(lambda: not self.keys())
 
         run_async(work)
@@ -140,21 +141,21 @@
 
     def test_a_start_while_the_table_is_unavailable_reads_it_later(self) -> None:
         async def work() -> None:
-            row = FatalRow(FINGERPRINT, tuple(TARGETS), WALL_S)
-            self.table.rows[row_key(FINGERPRINT)] = Row(1, row.to_bytes())
+            row = FatalRow(CAUSE, tuple(TARGETS), WALL_S)
+            self.table.rows[row_key(CAUSE)] = Row(1, row.to_bytes())
             self.table.unavailable = True
             incarnation = Incarnation(self.table)
             await asyncio.sleep(0.05)
-            self.assertEqual(0.0, incarnation.quarantine_left_s())
+            self.assertEqual(0.0, incarnation.hold_left_s())
             self.table.unavailable = False
-            await incarnation.until(lambda: incarnation.quarantine_left_s() > 0.0)
+            await incarnation.until(lambda: incarnation.hold_left_s() > 0.0)
 
         run_async(work)
 
     def test_old_or_unreadable_rows_are_ignored(self) -> None:
         async def work() -> None:
-            old = FatalRow(FINGERPRINT, tuple(TARGETS), WALL_S - 2 * QUARANTINE_S - 1.0)
-            self.table.rows[row_key(FINGERPRINT)] = Row(1, old.to_bytes())
+            old = FatalRow(CAUSE, tuple(TARGETS), WALL_S - RETENTION_S - 1.0)
+            self.table.rows[row_key(CAUSE)] = Row(1, old.to_bytes())
             self.table.rows[KEY_PREFIX + "bad"] = Row(2, b"\xff")
             self.table.rows[KEY_PREFIX + "nested"] = Row(3, b"\x81" * 50_000)
             incarnation = Incarnation(self.table)
@@ -170,11 +171,11 @@
         async def work() -> None:
             other_book = CrashBook()
             now_s = asyncio.get_running_loop().time()
-            for target in TARGETS:
-                other_book.record_crash(FINGERPRINT, target, now_s)
+            for number, target in enumerate(TARGETS):
+                other_book.record_crash(CAUSE, target, now_s - number)
             holder = Incarnation(self.table, holds_lease=True)
             await asyncio.sleep(0.05)
-            holder.watch.on_sightings(other_book.sightings([FINGERPRINT], now_s), now_s)
+            holder.watch.on_sightings(other_book.sightings([CAUSE], now_s), now_s)
             await holder.until(lambda: bool(self.keys()))
 
         run_async(work)
@@ -184,21 +185,21 @@
             incarnation = Incarnation(self.table)
             now_s = asyncio.get_running_loop().time()
             for number in range(FATAL_CRASHES):
-                incarnation.book.record_crash(FINGERPRINT, TARGETS[0], now_s + 10.0 * number)
-            incarnation.watch._notify(FINGERPRINT)
+                incarnation.book.record_crash(CAUSE, TARGETS[0], now_s + 10.0 * number)
+            incarnation.watch._notify([CAUSE])
             await incarnation.until(lambda: bool(self.keys()))
             second = Incarnation(self.table)
-            await second.until(lambda: second.quarantine_left_s() > 0.0)
+            await second.until(lambda: second.hold_left_s() > 0.0)
 
         run_async(work)
 
     def test_the_holder_deletes_expired_rows(self) -> None:
         async def work() -> None:
-            old = FatalRow(FINGERPRINT, tuple(TARGETS), WALL_S - 2 * QUARANTINE_S - 1.0)
-            self.table.rows[row_key(FINGERPRINT)] = Row(1, old.to_bytes())
+            old = FatalRow(CAUSE, tuple(TARGETS), WALL_S - RETENTION_S - 1.0)
+            self.table.rows[row_key(CAUSE)] = Row(1, old.to_bytes())
             holder = Incarnation(self.table, holds_lease=True)
             await holder.until(lambda: self.table.reads > 0)
-            holder.keeper._refreshed_s -= QUARANTINE_S
+            holder.keeper._refreshed_s -= RETENTION_S
             await holder.until(lambda: not self.keys())
 
         run_async(work)
--- a/tests/direct/test_crashspread.py
+++ b/tests/direct/test_crashspread.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from ochreway_core.ids import Fingerprint, InstanceId, NodeId
+from ochreway_core.ids import CauseId, InstanceId, NodeId
 from ochreway_routing.crashrecord import FATAL_CRASHES
 from ochreway_standins.spreadworld import SpreadWorld, VirtualLoop, virtually
 
@@ -15,7 +15,7 @@
 """Time until all entries know: three hops of a step each, and what is sent in between."""
 HEADS_RECOVERY_S = 6.0
 """Time after the loss of a cell's heads: others replace them and get the next announcement."""
-FATAL = Fingerprint("fatal")
+FATAL = CauseId("fatal")
 TARGETS = [InstanceId(f"i-{n}") for n in range(FATAL_CRASHES)]
 
 
