Agents: an answer without a length whose connection is reset is broken

What callers saw: an answer of a plain service behind an agent, with neither a length nor chunks, was passed on as whole when its connection was reset in the middle.

Cause: the HTTP client takes any end of the connection for the end of such a body. Direct entries had a protocol of their own against that; agents used the library's. It is one class now, ochreway_platform.resetaware, for both. Streams of agents were not concerned, as they need their end marker.

tests/platform/test_unframedanswer.py failed with the connector in use before (b'a part' as a whole answer) and passes. tests/direct/test_unframedanswers.py plays bodies and streams without framing at direct entries, ended, reset, and ended inside an event; these passed before.

--- a/packages/ochreway-daemon/src/ochreway_daemon/main.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -44,6 +44,7 @@
 from ochreway_platform.httptable import HttpTable
 from ochreway_platform.httptarget import HttpTarget
 from ochreway_platform.instancelist import HttpInstanceList
+from ochreway_platform.resetaware import ResetAwareConnector
 from ochreway_routing.policy import POLICIES
 from ochreway_runtime import steadyloop
 from ochreway_runtime.checks import format_settings
@@ -202,7 +203,7 @@
         loop.time(),
         time.time(),
     )
-    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+    async with aiohttp.ClientSession(connector=ResetAwareConnector(limit=0)) as session:
         target = HttpTarget(session, settings.target_url, TargetKind(settings.target_kind))
         shell = AgentShell(settings, node, target, timing, log, metrics)
         application = web.Application()
--- a/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
@@ -1,7 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 """Connections to targets that are reused without mixing up answers."""
 
-import functools
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -16,14 +15,15 @@
 
 from ochreway_direct.relay.idlelimits import IdleLimits
 from ochreway_direct.relay.keepalive import DEFAULT_KEEP_ALIVE_S, MAX_KEEP_ALIVE_S, keep_alive_s
+from ochreway_platform.resetaware import ResetAwareConnector, ResetAwareProtocol
 from ochreway_runtime import steadyclock
 
 UNACKNOWLEDGED_TIMEOUT_MS = 2000
 """Time without an acknowledgement after which the kernel closes a target connection."""
 
 
-class TargetProtocol(ResponseHandler):
-    """Fail an answer without a length that ends in a reset, as it may be incomplete."""
+class TargetProtocol(ResetAwareProtocol):
+    """Know for how long the connection may be idle; a reset fails the answer under way."""
 
     _keep_alive_s = DEFAULT_KEEP_ALIVE_S
     _reusable_until_s = 0.0
@@ -41,17 +41,12 @@
         """Return whether the idle connection may be used for a request."""
         return not self.should_close and now_s <= self._reusable_until_s
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the answer under way before the parser can take a reset for its regular end."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"connection lost: {exc}"))
-        super().connection_lost(exc)
 
-
-class TargetConnector(aiohttp.TCPConnector):
+class TargetConnector(ResetAwareConnector):
     """Reuse a connection only if nothing was received after the last complete answer."""
 
+    protocol_type = TargetProtocol
+
     def __init__(
         self,
         on_opened: Callable[[], None] = lambda: None,
@@ -70,8 +65,6 @@
             happy_eyeballs_delay=None,
             socket_factory=self._new_socket,
         )
-        factory: Any = functools.partial(TargetProtocol, loop=self._loop)
-        self._factory = factory
         self._on_opened = on_opened
         self._idle_limits = idle_limits or IdleLimits()
 
