Parts that came together, or that were never seen sound, are tried one at a time

What callers saw, in the virtual soak's new fault (two blocks of prompts that end their targets, in requests that share first blocks which nobody had sent before): up to 74 of some 260 sound requests refused for the shared block, and 6 to 14 crashes, as the shared block explains more crashes than either guilty one and is held in their place.

A hold now names its rivals: parts that explain the same crashes together. A request without any of them is sent on trial at once, as its outcome tells them apart. Parts with two crashes that were not known to be sound are tried one at a time at all entries until a run clears them, also when another cause explains their crashes. A crash under trial is never put down to another cause. A trial begins only when its request is sent, so one that finds no group does not keep others waiting.

--- a/packages/ochreway-core/src/ochreway_core/crashsighting.py
+++ b/packages/ochreway-core/src/ochreway_core/crashsighting.py
@@ -10,12 +10,15 @@
 class SeenCrash:
     """Name a target that crashed under a request, and how long ago.
 
-    The age is ``approximate`` if it is only known that the crash was before a row was written.
+    Attributes:
+        approximate: whether it is only known that the crash was before a row was written.
+        under_trial: whether the request was sent on trial.
     """
 
     target: InstanceId
     age_s: float
     approximate: bool = False
+    under_trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ochreway-core/src/ochreway_core/invariants.py
+++ b/packages/ochreway-core/src/ochreway_core/invariants.py
@@ -26,6 +26,7 @@
     VERSION_FORWARD = "version_forward"
     DRAINED_QUIET = "drained_quiet"
     FATAL_QUIET = "fatal_quiet"
+    SOUND_SERVED = "sound_served"
     BACKOFF_QUIET = "backoff_quiet"
     LIMIT_KEPT = "limit_kept"
 
--- a/packages/ochreway-direct/src/ochreway_direct/crashes/crashwatch.py
+++ b/packages/ochreway-direct/src/ochreway_direct/crashes/crashwatch.py
@@ -58,11 +58,11 @@
         for listener in self._listeners:
             listener(causes)
 
-    def check(self, call: Call) -> CrashVerdict:
-        """Return whether a call may be sent now; one on trial may be, once."""
+    def check(self, call: Call, is_sent_now: bool = True) -> CrashVerdict:
+        """Return whether a call may be sent; one on trial may be, once."""
         if not self._refuses or (call.on_trial and not call.sends):
             return NOT_FATAL
-        verdict = self._book.check_request(call.causes, self._loop.time())
+        verdict = self._book.check_request(call.causes, self._loop.time(), is_sent_now)
         if verdict.on_trial:
             self._start_trial(call, verdict)
         return verdict
@@ -109,7 +109,7 @@
         new_causes = [
             each
             for each in call.causes
-            if self._book.record_crash(each, attempt.instance, disconnected_s)
+            if self._book.record_crash(each, attempt.instance, disconnected_s, call.on_trial)
         ]
         if new_causes:
             self._log_suspects(new_causes)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -93,7 +93,7 @@
         call: Call | None = None
         try:
             call = await self._admission.admit(request, terms, holding)
-            self._check_fatal(call)
+            self._check_fatal(call, is_sent_now=False)
             self._budget.earn()
             self._serving.admitted += 1
             answer = await self._run(call)
@@ -158,13 +158,13 @@
             await self._check_retry(call, ending)
             self._metrics.count(f"retry.{ending.reason.value}")
 
-    def _check_fatal(self, call: Call) -> None:
+    def _check_fatal(self, call: Call, is_sent_now: bool = True) -> None:
         """Raise if a call is known to end its targets, so that it is not sent any more.
 
         If the caller has not received any part, the refusal names how long this certainly
         lasts: until then no entry will serve a retry.
         """
-        verdict = self._crashes.check(call)
+        verdict = self._crashes.check(call, is_sent_now)
         if verdict.fatal_for_s <= 0.0:
             return
         if call.begun:
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/calls.py
@@ -96,7 +96,7 @@
     def start(self, request: Request, now_s: float) -> None:
         """Begin a request; it ends with one ``Finish`` effect."""
         call = Call(request, CallState.CLAIMING, causes=_causes(request))
-        verdict = self._check_fatal(call, now_s)
+        verdict = self._check_fatal(call, now_s, is_sent_now=False)
         if verdict.fatal_for_s > 0.0:
             # Checked before any limit, as a request that is never sent must not use up a share.
             self._finish_refused(request, verdict.reason, verdict.fatal_for_s)
@@ -112,11 +112,11 @@
         else:
             self._route(call, now_s)
 
-    def _check_fatal(self, call: Call, now_s: float) -> CrashVerdict:
-        """Return whether a call may be sent now; one on trial may be, once."""
+    def _check_fatal(self, call: Call, now_s: float, is_sent_now: bool = True) -> CrashVerdict:
+        """Return whether a call may be sent; one on trial may be, once."""
         if call.on_trial and not call.attempts:
             return NOT_FATAL
-        verdict = self._crashes.on_request(call.causes, now_s)
+        verdict = self._crashes.on_request(call.causes, now_s, is_sent_now)
         call.on_trial = verdict.on_trial
         return verdict
 
@@ -174,12 +174,13 @@
         )
 
     def _route(self, call: Call, now_s: float) -> None:
-        verdict = self._check_fatal(call, now_s)
+        query = self._query(call.request)
+        choice = self._router.choose(query, call.tried_groups, now_s)
+        # A trial begins only if there is a group to send it to.
+        verdict = self._check_fatal(call, now_s, is_sent_now=choice.is_ok())
         if verdict.fatal_for_s > 0.0:
             self._end(call, Outcome.NOT_RUN, verdict.reason, verdict.fatal_for_s)
             return
-        query = self._query(call.request)
-        choice = self._router.choose(query, call.tried_groups, now_s)
         if choice.is_err():
             refused = choice.unwrap_err()
             self._end(call, Outcome.NOT_RUN, refused.reason, refused.retry_after_s)
@@ -293,7 +294,7 @@
         call.may_have_run = call.may_have_run or outcome is Outcome.UNKNOWN
         if reason is Reason.TARGET_ENDED:
             target = InstanceId(call.attempt.peer.node)
-            self._crashes.on_crash(call.causes, target, now_s)
+            self._crashes.on_crash(call.causes, target, call.on_trial, now_s)
         if reason in (Reason.BACKOFF, Reason.TARGET_LIMIT):
             self._router.back_off(call.attempt.group, now_s + retry_after_s, reason)
         is_failure = reason not in _BENIGN_REASONS
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/crashes.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/crashes.py
@@ -44,19 +44,25 @@
                 self._outbox.send(peer, CrashNews((), asks=True))
         self._queried = frozenset(peer.node for peer in self._neighbours)
 
-    def on_request(self, causes: tuple[CauseId, ...], now_s: float) -> CrashVerdict:
+    def on_request(
+        self, causes: tuple[CauseId, ...], now_s: float, is_sent_now: bool = True
+    ) -> CrashVerdict:
         """Record that a request was made, and return whether it may be sent."""
-        verdict = self._book.check_request(causes, now_s)
+        verdict = self._book.check_request(causes, now_s, is_sent_now)
         if verdict.on_trial:
             self._outbox.count("crash.on_trial")
             self._outbox.log("request_on_trial", fingerprint=causes[0], cause=verdict.cause)
             self._send_sightings(list(causes), self._neighbours, now_s)
         return verdict
 
-    def on_crash(self, causes: tuple[CauseId, ...], target: InstanceId, now_s: float) -> None:
-        """Record that a target's process ended while running a request."""
+    def on_crash(
+        self, causes: tuple[CauseId, ...], target: InstanceId, under_trial: bool, now_s: float
+    ) -> None:
+        """Record that a target's process ended while running a request, maybe one on trial."""
         self._outbox.count("crash.under_request")
-        updated = [each for each in causes if self._book.record_crash(each, target, now_s)]
+        updated = [
+            each for each in causes if self._book.record_crash(each, target, now_s, under_trial)
+        ]
         self._log_crashes(updated)
         self._send_sightings(updated, self._neighbours, now_s)
 
--- a/packages/ochreway-routing/src/ochreway_routing/crashbook.py
+++ b/packages/ochreway-routing/src/ochreway_routing/crashbook.py
@@ -13,7 +13,7 @@
 from ochreway_core.cause import is_part
 from ochreway_core.crashsighting import CrashSighting, SeenCrash
 from ochreway_core.ids import CauseId, InstanceId
-from ochreway_routing.crashholds import CrashHold, find_holds
+from ochreway_routing.crashholds import MIN_CRASHES, CrashHold, find_holds
 from ochreway_routing.crashrecord import NEVER_S, Crash, CrashRecord
 from ochreway_routing.crashverdict import NOT_FATAL, CrashVerdict
 
@@ -57,10 +57,12 @@
 
     # Updates.
 
-    def record_crash(self, cause: CauseId, target: InstanceId, at_s: float) -> bool:
+    def record_crash(
+        self, cause: CauseId, target: InstanceId, at_s: float, under_trial: bool = False
+    ) -> bool:
         """Record that a target crashed under a cause; return whether that is new."""
         record = self._find_or_create(cause, at_s)
-        is_new = record.add(Crash(target, at_s))
+        is_new = record.add(Crash(target, at_s, under_trial=under_trial))
         self._store(cause, record)
         return is_new
 
@@ -78,37 +80,46 @@
         self._store(cause, record)
         return is_new
 
-    def check_request(self, causes: Iterable[CauseId], now_s: float) -> CrashVerdict:
+    def check_request(
+        self, causes: Iterable[CauseId], now_s: float, starts_trial: bool = True
+    ) -> CrashVerdict:
         """Record that a request was received; return whether it may be sent.
 
         A request with all causes of a hold is refused until the hold's time is over, then one is
-        sent on trial. One with only some of them is sent on trial at once, as its outcome tells
-        them apart. While the outcome of a trial is awaited, others are refused.
+        sent on trial. One whose outcome tells causes apart is sent on trial at once. While the
+        outcome of a trial is awaited, others are refused. A trial begins here unless the request
+        is not sent now.
         """
         held = self._current_holds()
         if not held:
             return NOT_FATAL
-        named = [cause for cause in causes if cause in held]
+        all_causes = frozenset(causes)
+        named = [cause for cause in all_causes if cause in held]
         if not named:
             return NOT_FATAL
         for cause in named:
             self._touch(cause, now_s)
         holds = {held[cause].causes: held[cause] for cause in named}.values()
-        verdicts = [self._check_hold(hold, named, now_s) for hold in holds]
+        verdicts = [self._check_hold(hold, all_causes, now_s) for hold in holds]
         refused = [verdict for verdict in verdicts if verdict.fatal_for_s > 0.0]
         if refused:
             return max(refused, key=lambda verdict: verdict.fatal_for_s)
+        if not starts_trial:
+            return NOT_FATAL
         for cause in named:
-            self._fatal[cause].start_trial(now_s)
+            self._held_record(cause).start_trial(now_s)
         return verdicts[0]
 
-    def _check_hold(self, hold: CrashHold, named: list[CauseId], now_s: float) -> CrashVerdict:
-        cause = next((each for each in named if each in hold.causes and is_part(each)), named[0])
-        if hold.causes <= set(named):
+    def _check_hold(
+        self, hold: CrashHold, causes: frozenset[CauseId], now_s: float
+    ) -> CrashVerdict:
+        named = sorted(hold.causes & causes, key=lambda cause: (not is_part(cause), cause))
+        cause = named[0]
+        if hold.is_firm_for(causes):
             left_s = hold.until_s + self._trial_delay_s(cause) - now_s
             if left_s > 0.0:
                 return CrashVerdict(left_s, cause=cause)
-        trial_s = max(self._fatal[each].trial_s for each in hold.causes)
+        trial_s = max(self._held_record(each).trial_s for each in hold.causes)
         if now_s - trial_s < TRIAL_TIMEOUT_S:
             return CrashVerdict(SUSPECTED_WAIT_S, suspected=True, cause=cause)
         return CrashVerdict(on_trial=True, cause=cause)
@@ -119,9 +130,16 @@
         return TRIAL_SPREAD_S * (point / 2**32) if self._owner else 0.0
 
     def _touch(self, cause: CauseId, now_s: float) -> None:
-        record = self._fatal[cause]
+        """Record that a held cause was received, so that it is kept."""
+        record = self._held_record(cause)
         record.last_request_s = max(record.last_request_s, now_s)
-        self._fatal.move_to_end(cause)
+        kept = self._fatal if cause in self._fatal else self._suspects
+        kept.move_to_end(cause)
+
+    def _held_record(self, cause: CauseId) -> CrashRecord:
+        record = self._find(cause)
+        assert record is not None
+        return record
 
     def merge_sighting(self, sighting: CrashSighting, received_s: float) -> bool:
         """Merge another process's sighting; return whether any of it is new."""
@@ -172,13 +190,13 @@
         )
 
     def fatal(self) -> list[CauseId]:
-        """Return the causes that are held now, the most recently received one last."""
-        held = self._current_holds()
-        return [cause for cause in self._fatal if cause in held]
+        """Return the causes that are fatal now, the most recently received one last."""
+        return [cause for cause in self._fatal if self.is_fatal(cause)]
 
     def is_fatal(self, cause: CauseId) -> bool:
-        """Return whether a cause is held now."""
-        return cause in self._current_holds()
+        """Return whether crashes are put down to a cause now."""
+        hold = self._current_holds().get(cause)
+        return hold is not None and hold.is_fatal
 
     def held_with(self, cause: CauseId) -> frozenset[CauseId]:
         """Return the causes that are held together with a cause, itself among them."""
@@ -186,22 +204,30 @@
         return hold.causes if hold is not None else frozenset()
 
     def suspects(self, since_s: float) -> list[CauseId]:
-        """Return the causes that are not held and were received or ran soundly since a time."""
-        held = self._current_holds()
+        """Return the causes that are not fatal and were received or ran soundly since a time."""
         records = [*self._suspects.items(), *self._fatal.items()]
         return [
             name
             for name, record in records
-            if name not in held and max(record.last_request_s, record.cleared_s) >= since_s
+            if max(record.last_request_s, record.cleared_s) >= since_s and not self.is_fatal(name)
         ]
 
     def _current_holds(self) -> dict[CauseId, CrashHold]:
         if self._holds_outdated:
-            holds = find_holds(self._fatal)
+            holds = find_holds(self._considered())
             self._holds = {cause: hold for hold in holds for cause in hold.causes}
             self._holds_outdated = False
         return self._holds
 
+    def _considered(self) -> dict[CauseId, CrashRecord]:
+        """Return the records of causes that more than one crash may be put down to."""
+        suspects = {
+            cause: record
+            for cause, record in self._suspects.items()
+            if len(record.crashes) >= MIN_CRASHES and is_part(cause)
+        }
+        return {**suspects, **self._fatal}
+
     def _find(self, cause: CauseId) -> CrashRecord | None:
         return self._fatal.get(cause) or self._suspects.get(cause)
 
@@ -213,21 +239,23 @@
 
     def _store(self, cause: CauseId, record: CrashRecord) -> None:
         """Store a record as the newest of its kind and remove the oldest ones over the bound."""
-        was_suspicious = self._fatal.pop(cause, None) is not None
+        was_considered = cause in self._holds or cause in self._fatal
+        self._fatal.pop(cause, None)
         self._suspects.pop(cause, None)
         suspicious = record.suspicious
+        considered = len(record.crashes) >= MIN_CRASHES
         kept, bound = (
             (self._fatal, self._max_fatal) if suspicious else (self._suspects, self._max_suspects)
         )
         kept[cause] = record
-        while len(kept) > bound:
-            kept.popitem(last=False)
-        if suspicious or was_suspicious:
+        evicted = [kept.popitem(last=False)[0] for _ in range(len(kept) - bound)]
+        was_considered = was_considered or any(each in self._holds for each in evicted)
+        if considered or was_considered:
             self._holds_outdated = True
 
 
 def _crash(seen: SeenCrash, received_s: float) -> Crash:
-    return Crash(seen.target, received_s - seen.age_s, seen.approximate)
+    return Crash(seen.target, received_s - seen.age_s, seen.approximate, seen.under_trial)
 
 
 def _is_expired(record: CrashRecord, now_s: float) -> bool:
--- a/packages/ochreway-routing/src/ochreway_routing/crashrecord.py
+++ b/packages/ochreway-routing/src/ochreway_routing/crashrecord.py
@@ -2,7 +2,7 @@
 """The targets that crashed under requests with one cause."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ochreway_core.crashsighting import CrashSighting, SeenCrash
 from ochreway_core.ids import CauseId, InstanceId
@@ -34,12 +34,14 @@
 class Crash:
     """Name a target that crashed, and when, on this process's steady clock.
 
-    An ``approximate`` one is any crash of its target, until an exact time is known.
+    An ``approximate`` one is any crash of its target, until an exact time is known. One
+    ``under_trial`` crashed when a request with the cause was sent there on trial.
     """
 
     target: InstanceId
     at_s: float
     approximate: bool = False
+    under_trial: bool = False
 
 
 @dataclass(slots=True)
@@ -67,12 +69,19 @@
             return False
         same = [each for each in self.crashes if _is_same_crash(crash, each)]
         if any(crash.approximate or not each.approximate for each in same):
-            return False
+            return crash.under_trial and self._mark_under_trial(same)
         known = [*(each for each in self.crashes if each not in same), crash]
         self.crashes = sorted(known, key=lambda each: (each.at_s, each.target))[-MAX_CRASHES:]
         self.last_request_s = max(self.last_request_s, crash.at_s)
         return crash in self.crashes and not same
 
+    def _mark_under_trial(self, reported: list[Crash]) -> bool:
+        """Record that known crashes were under trial; return whether that is new."""
+        marked = [replace(each, under_trial=True) for each in reported]
+        others = [each for each in self.crashes if each not in reported]
+        self.crashes = sorted([*others, *marked], key=lambda each: (each.at_s, each.target))
+        return marked != reported
+
     def clear(self, at_s: float) -> bool:
         """Remove the crashes up to a sound run; return whether that is new."""
         is_new = at_s > self.cleared_s + SAME_CRASH_WINDOW_S
@@ -91,7 +100,8 @@
     def to_sighting(self, cause: CauseId, now_s: float) -> CrashSighting:
         """Return what to send to other processes."""
         crashes = tuple(
-            SeenCrash(each.target, now_s - each.at_s, each.approximate) for each in self.crashes
+            SeenCrash(each.target, now_s - each.at_s, each.approximate, each.under_trial)
+            for each in self.crashes
         )
         return CrashSighting(
             cause,
--- a/packages/ochreway-standins/src/ochreway_standins/soak/callers.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/callers.py
@@ -13,7 +13,7 @@
 from ochreway_nodes.entry import EntryNode
 from ochreway_standins.soak.operator import ORGANISATIONS
 from ochreway_standins.soak.process import Process
-from ochreway_standins.soak.simtarget import PIECE_COUNT_RANGE
+from ochreway_standins.soak.simtarget import FATAL_BLOCKS_FROM, PIECE_COUNT_RANGE
 from ochreway_standins.soak.world import START_WALL_S, World
 
 DEADLINE_RANGE_S = (3.0, 10.0)
@@ -25,6 +25,10 @@
 """Range of the time between two copies of a fatal request."""
 
 
+SHARED_BLOCKS = (1, 2, 3)
+"""First blocks that sound prompts share with those that have a fatal block."""
+
+
 @dataclass(slots=True)
 class CallerRequest:
     """A request as its caller sees it."""
@@ -48,6 +52,7 @@
         self.sent_requests: dict[RequestId, CallerRequest] = {}
         self._world = world
         self._sequence = 0
+        self._fatal_blocks_sent = 0
         world.on_deliver = self._on_deliver
         world.on_finish = self._on_finish
 
@@ -81,6 +86,7 @@
             deadline_s,
             rng.randint(*PIECE_COUNT_RANGE),
             MAX_TRIES,
+            blocks=self._sound_blocks(),
         )
 
     def _send(
@@ -93,6 +99,7 @@
         pieces: int,
         tries_left: int,
         body: bytes = b"",
+        blocks: tuple[int, ...] = (),
     ) -> None:
         world = self._world
         entries = [each for each in world.entries() if each.alive]
@@ -113,7 +120,7 @@
             deadline_s=process.local_s(deadline_s),
             prompt_tokens=50,
             max_tokens=pieces,
-            blocks=(),
+            blocks=blocks,
             caller="c",
             adapter="",
             method="POST",
@@ -145,6 +152,35 @@
         again = partial(self.send_fatal, body, service, times - 1)
         self._world.clock.after(rng.uniform(*FATAL_INTERVAL_S), again)
 
+    def _sound_blocks(self) -> tuple[int, ...]:
+        """Return the blocks of a sound prompt; it has some while fatal ones are sent."""
+        if not self._fatal_blocks_sent:
+            return ()
+        return self._blocks_with(())
+
+    def _blocks_with(self, others: tuple[int, ...]) -> tuple[int, ...]:
+        """Return a shared first block, other ones and one that no other prompt has."""
+        first = SHARED_BLOCKS[self._sequence % len(SHARED_BLOCKS)]
+        return first, *others, FATAL_BLOCKS_FROM - 1 - self._sequence
+
+    def send_fatal_block(self, block: int, service: bool, times: int) -> None:
+        """Send different requests that share a block which ends their targets."""
+        self._fatal_blocks_sent += 1
+        self._send_with_block(block, service, times)
+
+    def _send_with_block(self, block: int, service: bool, times: int) -> None:
+        if not times:
+            self._fatal_blocks_sent -= 1
+            return
+        rng = self._world.random
+        self._sequence += 1
+        deadline_s = self._world.clock.now_s + rng.uniform(*DEADLINE_RANGE_S)
+        body = b"with a block %d" % self._sequence
+        blocks = self._blocks_with((block,))
+        self._send(service, None, 0.0, True, deadline_s, 1, 1, body, blocks)
+        again = partial(self._send_with_block, block, service, times - 1)
+        self._world.clock.after(rng.uniform(*FATAL_INTERVAL_S), again)
+
     def _on_deliver(self, process: Process, effect: Deliver) -> None:
         self.sent_requests[effect.request].answer += effect.payload
 
@@ -176,6 +212,7 @@
                     sent.deadline_s,
                     sent.request.max_tokens,
                     sent.tries_left,
+                    blocks=sent.request.blocks,
                 )
 
         self._world.clock.after(RETRY_DELAY_S, again)
--- a/packages/ochreway-standins/src/ochreway_standins/soak/crashtruth.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/crashtruth.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Requests known to be fatal, and the entries that must have been notified of them."""
+"""What is known to be fatal, and the entries that must have been notified of it."""
 
 from collections import Counter
 from collections.abc import Iterator
@@ -8,10 +8,12 @@
 from ochreway_core.ids import NodeId
 from ochreway_core.messages import Submit
 from ochreway_standins.soak.process import Process
-from ochreway_standins.soak.simtarget import FATAL
+from ochreway_standins.soak.simtarget import FATAL, fatal_cause
 from ochreway_standins.soak.world import World
 
 FATAL_AFTER_CRASHES = 3
+FATAL_AFTER_CRASHES_OF_BLOCK = 5
+"""Crashes under different requests before the block that they share must be known."""
 MAX_PROPAGATION_S = 4.0
 """Time without disturbance after which an entry must have been notified of a crash.
 
@@ -55,28 +57,24 @@
 
     def check_hand_over(self, leader: NodeId, submit: Submit) -> Iterator[str]:
         """Check a request that is handed over to its target."""
-        if not submit.body.startswith(FATAL):
+        cause = fatal_cause(submit)
+        if cause is None:
             return
         self.observe()
         now_s = self.world.clock.now_s
         entry = submit.attempt.entry
         undisturbed_s = now_s - self._undisturbed_since_s(entry)
-        crashes = self._crashes_s.setdefault(submit.body, [])
-        is_known_fatal = (
-            len(crashes) >= FATAL_AFTER_CRASHES
-            and now_s - crashes[FATAL_AFTER_CRASHES - 1] > MAX_PROPAGATION_S
-        )
+        crashes = self._crashes_s.setdefault(cause, [])
+        needed = FATAL_AFTER_CRASHES if cause.startswith(FATAL) else FATAL_AFTER_CRASHES_OF_BLOCK
+        is_known_fatal = len(crashes) >= needed and now_s - crashes[needed - 1] > MAX_PROPAGATION_S
         if (
             is_known_fatal
             and undisturbed_s > MAX_PROPAGATION_S
             and not self.world.targets[leader].down
         ):
-            self._late_sends[submit.body] += 1
-            if self._late_sends[submit.body] > MAX_LATE_SENDS:
-                yield (
-                    f"{entry} sent {submit.body!r} to {leader},"
-                    f" {self._late_sends[submit.body]} times"
-                )
+            self._late_sends[cause] += 1
+            if self._late_sends[cause] > MAX_LATE_SENDS:
+                yield (f"{entry} sent {cause!r} to {leader}, {self._late_sends[cause]} times")
         if undisturbed_s > MAX_PROPAGATION_S and self._can_report(leader):
             crashes.append(now_s)
 
--- a/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/faults.py
@@ -16,7 +16,7 @@
 from ochreway_standins.soak.operator import Operator, bundle_body
 from ochreway_standins.soak.process import Process
 from ochreway_standins.soak.simplatform import Mode
-from ochreway_standins.soak.simtarget import FATAL
+from ochreway_standins.soak.simtarget import FATAL, FATAL_BLOCKS_FROM
 from ochreway_standins.soak.truth import (
     AGENT_LEAVE_GRACE_S,
     LIST_LEAVE_GRACE_S,
@@ -477,6 +477,13 @@
     faults.callers.send_fatal(FATAL + str(faults.count).encode(), service, FATAL_TRIES)
 
 
+@fault("fatal_block")
+def _fatal_block(faults: Faults) -> None:
+    """Send different requests whose prompts share a block that ends every target running it."""
+    service = faults.world.random.random() < 0.5
+    faults.callers.send_fatal_block(FATAL_BLOCKS_FROM + faults.count, service, FATAL_TRIES)
+
+
 @fault("roll")
 def _roll(faults: Faults) -> None:
     faults.roll("ann")
--- a/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/guards.py
@@ -17,7 +17,7 @@
 from ochreway_core.attemptledger import AttemptRecord, AttemptState
 from ochreway_core.gate import LeaderGate
 from ochreway_core.grant import MemberGrant
-from ochreway_core.ids import ChangeId, NodeId
+from ochreway_core.ids import CauseId, ChangeId, NodeId
 from ochreway_core.keyhome import KeyHome
 from ochreway_core.messages import Frame, Settled, Vote, Withdraw
 from ochreway_core.outcome import Outcome
@@ -32,9 +32,12 @@
 from ochreway_nodes.agent.serving import Serving
 from ochreway_nodes.controller.rowwrites import RowWrites
 from ochreway_nodes.drainstate import DrainState
-from ochreway_nodes.entry import EntryNode
+from ochreway_nodes.entry import EntryNode, calls
 from ochreway_nodes.entry.call import Call
+from ochreway_routing import crashbook
 from ochreway_routing.crashbook import CrashBook
+from ochreway_routing.crashholds import CrashHold
+from ochreway_routing.crashrecord import CrashRecord
 from ochreway_routing.crashverdict import NOT_FATAL
 from ochreway_standins.soak.run import Run
 
@@ -215,7 +218,7 @@
 
 @guard("fatal_requests", ("fatal_quiet",), ("fatal_request",), 1)
 def _fatal_requests() -> contextlib.AbstractContextManager[Any]:
-    return mock.patch.object(CrashBook, "check_request", lambda book, fingerprint, now_s: NOT_FATAL)
+    return mock.patch.object(CrashBook, "check_request", lambda *_: NOT_FATAL)
 
 
 @guard("crashes_told", ("fatal_quiet",), ("fatal_request", "kill_entry"), 6, 2)
@@ -223,6 +226,22 @@
     return mock.patch.object(CrashBook, "merge_sighting", lambda book, sighting, heard_s: False)
 
 
+@guard("shared_blocks", ("fatal_quiet",), ("fatal_block",), 1)
+def _shared_blocks() -> contextlib.AbstractContextManager[Any]:
+    return mock.patch.object(calls, "causes_of", lambda fingerprint, parts: (fingerprint,))
+
+
+@guard("sound_blocks", ("sound_served",), ("fatal_block",), 2)
+def _sound_blocks() -> contextlib.AbstractContextManager[Any]:
+    def hold_all(records: dict[CauseId, CrashRecord]) -> list[CrashHold]:
+        return [CrashHold(frozenset((cause,)), float("inf")) for cause in records]
+
+    stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(crashbook, "find_holds", hold_all))
+    stack.enter_context(mock.patch.object(CrashBook, "record_completion", lambda *_: False))
+    return stack
+
+
 @guard("backoff_kept", ("backoff_quiet",), ("target_busy",))
 def _backoff_kept() -> contextlib.AbstractContextManager[Any]:
     return mock.patch.object(Membership, "backoff_s", lambda membership, now_s: 0.0)
--- a/packages/ochreway-standins/src/ochreway_standins/soak/simtarget.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/simtarget.py
@@ -8,6 +8,7 @@
 from ochreway_core.attemptid import AttemptId
 from ochreway_core.chunk import Chunk
 from ochreway_core.messages import Submit
+from ochreway_core.request import Request
 from ochreway_core.targetkind import TargetKind
 from ochreway_core.targetnotice import TargetNotice
 from ochreway_core.targetorder import TargetOrder
@@ -21,6 +22,9 @@
 FATAL = b"fatal"
 """Prefix of the body of a request that ends every target that runs it."""
 
+FATAL_BLOCKS_FROM = 1 << 62
+"""Block of a prompt from which on it ends every target that runs it, unless it is the last one."""
+
 OnChunk = Callable[[AttemptId, Chunk], None]
 OnFailed = Callable[[AttemptId, bool, bool], None]
 """Receives an attempt, whether it may have begun, and whether the target ended under it."""
@@ -31,6 +35,14 @@
     return b"".join(f"{request}/{index};".encode() for index in range(pieces))
 
 
+def fatal_cause(submit: Submit | Request) -> bytes | None:
+    """Return what in a request ends its target: its body or a block of its prompt, if any."""
+    if submit.body.startswith(FATAL):
+        return submit.body
+    fatal_blocks = (block for block in submit.blocks[:-1] if block >= FATAL_BLOCKS_FROM)
+    return next((b"block %x" % block for block in fatal_blocks), None)
+
+
 @dataclass(slots=True)
 class Execution:
     """Start of an attempt on a target."""
@@ -126,7 +138,7 @@
             self.clock.after(0.01, lambda: on_failed(attempt, True, False))
             return
         self.running[attempt] = self.incarnation
-        if submit.body.startswith(FATAL):
+        if fatal_cause(submit) is not None:
             self._run_fatal(attempt, on_failed)
         else:
             self._schedule_piece(submit, 0, on_chunk, on_failed)
@@ -166,4 +178,12 @@
         self.running.pop(attempt, None)
 
 
-__all__ = ["FATAL", "PIECE_COUNT_RANGE", "Execution", "SimTarget", "expected_answer"]
+__all__ = [
+    "FATAL",
+    "FATAL_BLOCKS_FROM",
+    "PIECE_COUNT_RANGE",
+    "Execution",
+    "SimTarget",
+    "expected_answer",
+    "fatal_cause",
+]
--- a/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
+++ b/packages/ochreway-standins/src/ochreway_standins/soak/truth.py
@@ -9,6 +9,7 @@
 from ochreway_core.ids import NO_EPOCH, NodeId
 from ochreway_core.invariants import Invariant
 from ochreway_core.outcome import Outcome
+from ochreway_core.reason import Reason
 from ochreway_core.rows import GroupRow, InstanceRow
 from ochreway_core.targetnotice import TargetNotice
 from ochreway_nodes.agent import AgentNode
@@ -18,13 +19,20 @@
 from ochreway_standins.soak.halltruth import HallTruth
 from ochreway_standins.soak.limittruth import LimitTruth
 from ochreway_standins.soak.process import Process
-from ochreway_standins.soak.simtarget import expected_answer
+from ochreway_standins.soak.simtarget import expected_answer, fatal_cause
 from ochreway_standins.soak.world import World, hall_of
 
 AGENT_LEAVE_GRACE_S = 2.0
 CHECK_SLACK_S = 0.5
 MAX_LIST_LAG_S = 6.0
 LIST_LEAVE_GRACE_S = MAX_LIST_LAG_S + 4.0
+CRASH_REASONS = frozenset(
+    {Reason.ENDS_TARGETS, Reason.MAY_END_TARGETS, Reason.PROMPT_PART_ENDS_TARGETS}
+)
+MAX_REFUSED_SHARE = 0.5
+"""Share of sound prompts that may be refused as ending their targets."""
+MIN_SOUND = 20
+"""Sound prompts in a run from which on the share is checked."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,8 +204,21 @@
                 if groups.get(instance.node) != instance.group:
                     self.violate(Invariant.ONE_GROUP, f"{instance.node}: rows disagree")
 
+    def _check_sound(self) -> None:
+        """Check that sound prompts are not refused for a block that others share with them."""
+        sound = [
+            sent
+            for sent in self.callers.sent_requests.values()
+            if sent.request.blocks and fatal_cause(sent.request) is None
+        ]
+        refused = [sent for sent in sound if sent.finish and sent.finish.reason in CRASH_REASONS]
+        if len(sound) >= MIN_SOUND and len(refused) > MAX_REFUSED_SHARE * len(sound):
+            detail = f"{len(refused)} of {len(sound)} sound prompts were refused"
+            self.violate(Invariant.SOUND_SERVED, detail)
+
     def check_answers(self) -> None:
         """Check the outcome of every request against what the targets ran."""
+        self._check_sound()
         run_counts: dict[str, int] = {}
         for execution in self.world.executions:
             run_counts[execution.request] = run_counts.get(execution.request, 0) + 1
--- a/tests/routing/test_crashholds.py
+++ b/tests/routing/test_crashholds.py
@@ -11,8 +11,8 @@
 from ochreway_routing.crashbook import CrashBook
 from ochreway_routing.crashholds import (
     FATAL_CRASHES_KNOWN_SOUND,
-    FIRST_HOLD_KNOWN_SOUND_S,
-    HOLD_S,
+    KNOWN_SOUND_HOLD_S,
+    PART_HOLD_S,
 )
 from ochreway_routing.crashrecord import FATAL_CRASHES
 from ochreway_routing.crashverdict import CrashVerdict
@@ -72,7 +72,7 @@
         self.crash_with("bad", 1, "c")
         verdict = self.site.check(self.site.request("z", "bad"))
         self.assertEqual("prompt_part_ends_targets", verdict.reason.value)
-        self.assertGreater(verdict.fatal_for_s, HOLD_S[0] - 1.0)
+        self.assertGreater(verdict.fatal_for_s, PART_HOLD_S[0] - 1.0)
 
     def test_requests_with_other_parts_are_served_all_the_while(self) -> None:
         self.site.serve(self.site.request("a"))
@@ -116,6 +116,9 @@
         self.assertTrue(self.site.check(trial).on_trial)
         self.site.crash(trial)
         self.assertFalse(self.site.may_send("bad"))
+        trial = self.site.request("new")
+        self.assertTrue(self.site.check(trial).on_trial)
+        self.site.serve(trial)
         self.assertEqual((0.0, False), self.outcome(self.site.check(self.site.request("new"))))
 
     def outcome(self, verdict: CrashVerdict) -> tuple[float, bool]:
@@ -142,6 +145,36 @@
         self.assertFalse(self.site.may_send("a", "worse"))
         self.assertTrue(self.site.may_send("a"))
 
+    def test_two_parts_with_a_new_part_in_common_are_told_from_it_by_one_trial(self) -> None:
+        for _ in range(FATAL_CRASHES):
+            self.site.crash(self.site.request("new", "bad"))
+            self.site.crash(self.site.request("new", "worse"))
+        self.assertFalse(self.site.may_send("new", "bad"))
+        trial = self.site.request("new")
+        self.assertTrue(self.site.check(trial).on_trial)
+        self.site.serve(trial)
+        self.assertEqual((0.0, False), self.outcome(self.site.check(self.site.request("new"))))
+        self.assertEqual({"part:bad", "part:worse"}, set(self.site.book.fatal()))
+
+    def test_a_trial_without_other_explanations_that_crashes_settles_it(self) -> None:
+        for _ in range(FATAL_CRASHES):
+            self.site.crash(self.site.request("bad", "one"))
+            self.site.crash(self.site.request("bad", "other"))
+        trial = self.site.request("bad")
+        self.assertTrue(self.site.check(trial).on_trial)
+        self.site.crash(trial)
+        self.site.now_s += 5.0
+        self.assertFalse(self.site.may_send("bad"))
+        self.assertEqual({"part:bad"}, set(self.site.book.fatal()))
+
+    def test_a_request_that_is_not_sent_yet_begins_no_trial(self) -> None:
+        for _ in range(FATAL_CRASHES):
+            self.site.crash(self.site.request("new", "bad"))
+        waiting = self.site.request("new")
+        verdict = self.site.book.check_request(waiting, self.site.now_s, starts_trial=False)
+        self.assertEqual((0.0, False), self.outcome(verdict))
+        self.assertTrue(self.site.check(self.site.request("new")).on_trial)
+
     def test_a_part_in_all_requests_of_a_route_leaves_other_routes_served(self) -> None:
         self.site.serve(self.site.request("key"))
         for _ in range(FATAL_CRASHES):
@@ -166,12 +199,12 @@
         self.site.serve(self.site.request("a"))
         held = self.site.check(self.site.request("c", "turned")).fatal_for_s
         self.assertGreater(held, 0.0)
-        self.assertLessEqual(held, FIRST_HOLD_KNOWN_SOUND_S)
+        self.assertLessEqual(held, KNOWN_SOUND_HOLD_S[0])
         self.assertTrue(self.site.may_send("a"))
 
     def test_a_held_part_that_does_no_harm_any_more_is_served_after_one_trial(self) -> None:
         self.crash_with("bad", FATAL_CRASHES)
-        self.site.now_s += HOLD_S[0]
+        self.site.now_s += PART_HOLD_S[0]
         trial = self.site.request("z", "bad")
         self.assertTrue(self.site.check(trial).on_trial)
         self.assertFalse(self.site.may_send("z", "bad"))
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -8,7 +8,8 @@
 from ochreway_standins.soak.faults import FAULTS
 from ochreway_standins.soak.run import Run
 
-BEFORE_LIMITS = [each for each in FAULTS if each != "target_limited"]
+LATER_FAULTS = ("target_limited", "fatal_block")
+BEFORE_LIMITS = [each for each in FAULTS if each not in LATER_FAULTS]
 """The faults from which the scenarios below were drawn; a later kind would change them."""
 DIGEST = "from ochreway_standins.soak.run import Run; print(Run(7).go().trace_digest)"
 
@@ -22,9 +23,7 @@
 
     def test_the_same_seeds_hold_without_targets_that_speak_of_themselves(self) -> None:
         kinds = [
-            each
-            for each in FAULTS
-            if each not in ("target_busy", "target_leaves", "target_limited")
+            each for each in FAULTS if each not in ("target_busy", "target_leaves", *LATER_FAULTS)
         ]
         for seed in range(1, 7):
             result = Run(seed, kinds).go()
@@ -77,6 +76,12 @@
 
     def test_seeds_hold_with_targets_that_name_limits(self) -> None:
         for seed in range(1, 7):
+            kinds = [each for each in FAULTS if each != "fatal_block"]
+            self.assertEqual((), Run(seed, kinds).go().violations)
+
+    def test_seeds_hold_with_blocks_that_end_their_targets(self) -> None:
+        for seed in range(1, 7):
+            self.assertEqual((), Run(seed, ["fatal_block"], 1).go().violations)
             self.assertEqual((), Run(seed).go().violations)
         self.hold(1, ["target_limited"], 6)
 
