--- a/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/causes.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ochreway_cli.explain.logline import LogLine
-from ochreway_cli.explain.timeline import RequestTimeline
+from ochreway_cli.explain.timeline import RequestTimeline, named_part, prompt_parts
 
 Explainer = Callable[[RequestTimeline, LogLine], str]
 """Returns a sentence that explains a line of a timeline."""
@@ -86,6 +86,28 @@
     )
 
 
+@explains("prompt_part_ends_targets", "may_end_targets")
+def _part_ends_targets(timeline: RequestTimeline, line: LogLine) -> str:
+    parts = prompt_parts(line)
+    if line.get("reason") == "may_end_targets":
+        return (
+            f"a part of its prompt ({', '.join(sorted(parts))}) may end targets;"
+            " another request with it was being tried, one at a time"
+        )
+    fatal_lines = [
+        log_line
+        for log_line in timeline.lines
+        if log_line.event == "part_fatal" and named_part(log_line) in parts
+    ]
+    if not fatal_lines:
+        return "targets ended under requests with a part of its prompt; no line names them"
+    last = fatal_lines[-1]
+    return (
+        f"targets {last.get('targets')} ended under requests with the part {named_part(last)}"
+        " of its prompt, so none with it is sent"
+    )
+
+
 @explains("no_home")
 def _no_home(timeline: RequestTimeline, line: LogLine) -> str:
     return (
--- a/packages/ochreway-cli/src/ochreway_cli/explain/timeline.py
+++ b/packages/ochreway-cli/src/ochreway_cli/explain/timeline.py
@@ -17,6 +17,10 @@
     {"attempt", "request_suspected", "request_fatal", "request_on_trial", "request_cleared"}
 )
 """Events that show how targets crashed under other tries of the same request."""
+PART_REASONS = frozenset({"prompt_part_ends_targets", "may_end_targets"})
+FATAL_PART_EVENTS = frozenset({"part_fatal", "crash_cause_released", "request_on_trial"})
+"""Events that show how targets crashed under other requests with the same part."""
+CAUSE_PREFIX = "part:"
 ENTRY_EVENTS = frozenset(
     {
         "configuration_unavailable",
@@ -95,7 +99,7 @@
 
 
 def _is_relevant(line: LogLine, own: list[LogLine]) -> bool:
-    if _is_other_try(line, own):
+    if _is_other_try(line, own) or _is_about_part(line, own):
         return True
     if line.get("request"):
         return False
@@ -127,6 +131,24 @@
     )
 
 
+def prompt_parts(line: LogLine) -> set[str]:
+    """Return the parts of a prompt that a line names."""
+    return set(line.get("parts").split(",")) - {""}
+
+
+def named_part(line: LogLine) -> str:
+    """Return the part that a line names as the cause of crashes, without its model."""
+    return line.get("cause").removeprefix(CAUSE_PREFIX).partition("@")[0]
+
+
+def _is_about_part(line: LogLine, own: list[LogLine]) -> bool:
+    """Return whether a line is about a part for which a request was refused."""
+    refused = [log_line for log_line in own if log_line.get("reason") in PART_REASONS]
+    return line.event in FATAL_PART_EVENTS and any(
+        named_part(line) in prompt_parts(log_line) for log_line in refused
+    )
+
+
 def _is_near(line: LogLine, own: list[LogLine]) -> bool:
     start_s = min(log_line.time_s - float(log_line.get("took_s") or 0.0) for log_line in own)
     end_s = max(log_line.time_s for log_line in own)
@@ -152,4 +174,4 @@
     return instances - {""}
 
 
-__all__ = ["RequestTimeline", "build_timeline"]
+__all__ = ["RequestTimeline", "build_timeline", "named_part", "prompt_parts"]
--- a/packages/ochreway-nodes/src/ochreway_nodes/entry/crashes.py
+++ b/packages/ochreway-nodes/src/ochreway_nodes/entry/crashes.py
@@ -109,7 +109,8 @@
             if fatal:
                 self._outbox.count("crash.part_fatal" if is_part(cause) else "crash.fatal")
             targets = ",".join(self._book.targets(cause))
-            self._outbox.log(_EVENTS[is_part(cause), fatal], cause=cause, targets=targets)
+            name = {"cause" if is_part(cause) else "fingerprint": cause}
+            self._outbox.log(_EVENTS[is_part(cause), fatal], **name, targets=targets)
 
 
 _EVENTS = {
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -233,6 +233,27 @@
         self.assertIn("i-1,i-2,i-3 ended while they ran what it asks for (f1)", explanation)
         self.assertIn("in 1 tries", explanation)
 
+    def test_a_request_with_a_part_that_ends_targets_names_part_and_targets(self) -> None:
+        fatal = format_line(
+            *("d", 30.0, "part_fatal"), cause="part:p2@large", targets="i-1,i-2,i-3"
+        )
+        other = format_line("d", 31.0, "part_fatal", cause="part:p9", targets="i-7")
+        for reason, text in (
+            (
+                "prompt_part_ends_targets",
+                "i-1,i-2,i-3 ended under requests with the part p2",
+            ),
+            ("may_end_targets", "a part of its prompt (p1, p2) may end targets"),
+        ):
+            refused = format_line(
+                *("e", 55.0, "refused"), request="r1", status=503, reason=reason, parts="p1,p2"
+            )
+            timeline = self.timeline("r1", e=(refused,), d=(fatal, other))
+            self.assertEqual(["part_fatal", "refused"], [line.event for line in timeline.lines])
+            end = timeline.end
+            assert end is not None
+            self.assertIn(text, explain_line(timeline, end))
+
     def test_a_fingerprint_names_every_try(self) -> None:
         tries = [
             format_line(
