--- a/packages/ochreway-routing/src/ochreway_routing/crashholds.py
+++ b/packages/ochreway-routing/src/ochreway_routing/crashholds.py
@@ -176,7 +176,12 @@
     keys: Iterable[CrashKey],
     by_crash: Mapping[CrashKey, list[_Candidate]],
 ) -> frozenset[CauseId]:
-    """Return the parts that explain all crashes of a hold as well, or none."""
+    """Return the parts that explain all crashes of a hold as well, or none.
+
+    A request that crashed as many targets itself has none: it is not sent to one more to learn.
+    """
+    if not all(is_part(cause) for cause in causes):
+        return frozenset()
     rivals: set[CauseId] = set()
     for key in keys:
         at_crash = {
--- a/tests/routing/test_crashholds.py
+++ b/tests/routing/test_crashholds.py
@@ -167,6 +167,15 @@
         self.assertFalse(self.site.may_send("bad"))
         self.assertEqual({"part:bad"}, set(self.site.book.fatal()))
 
+    def test_a_request_that_crashed_three_targets_is_not_tried_for_other_explanations(self) -> None:
+        self.site.serve(self.site.request("known"))
+        for beside in ("one", "other", "one"):
+            self.site.crash(self.site.request("known", own=1), self.site.request(beside))
+        self.site.crash(self.site.request("other"))
+        self.assertEqual(
+            "ends_targets", self.site.check(self.site.request("known", own=1)).reason.value
+        )
+
     def test_a_request_that_is_not_sent_yet_begins_no_trial(self) -> None:
         for _ in range(FATAL_CRASHES):
             self.site.crash(self.site.request("new", "bad"))
