--- a/packages/ochreway-routing/src/ochreway_routing/crashbook.py
+++ b/packages/ochreway-routing/src/ochreway_routing/crashbook.py
@@ -18,7 +18,10 @@
 from ochreway_routing.crashverdict import NOT_FATAL, CrashVerdict
 
 RETENTION_S = 1200.0
-"""For how long a cause is kept after its last crash, or after it was last received while held."""
+"""For how long a cause is kept after its last crash, or after it was last received while held.
+
+That is longer than any refusal: a caller that returns after one gets one trial, not three.
+"""
 CLEARED_RETENTION_S = 60.0
 """For how long a sound run is kept, to override older sightings still in transit."""
 MAX_SUSPECTS = 4096
--- a/tests/routing/test_crashbook.py
+++ b/tests/routing/test_crashbook.py
@@ -37,6 +37,12 @@
         self.assertEqual(HOLD_S[0], book.check_request([ONE], 10.0).fatal_for_s)
         self.assertEqual(0.0, book.check_request([OTHER], 10.0).fatal_for_s)
 
+    def test_crashes_of_one_request_at_the_same_moment_all_count(self) -> None:
+        book = CrashBook()
+        for target in TARGETS[:FATAL_CRASHES]:
+            self.assertTrue(book.record_crash(ONE, target, 10.0))
+        self.assertEqual(HOLD_S[0], book.check_request([ONE], 10.0).fatal_for_s)
+
     def test_one_crash_counts_once_however_often_reported(self) -> None:
         book = CrashBook()
         self.assertTrue(book.record_crash(ONE, TARGETS[0], 10.0))
