--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,8 +8,8 @@
 2. The holder of the lease stands still for 2.9 s. Another entry takes the lease.
 3. The store is down. The first holder goes on, and still takes itself for the holder.
 4. The new holder stands still for 1.2 s and its open connections to servers go silent. Meanwhile
-   the head of one of these groups crashes. The first holder forms a group of two of the free servers and
-   opens it; the new holder, once it goes on, orders the same two servers into a group of its own.
+   the head of one of these groups crashes. The first holder forms a group of two of the free
+   servers and opens it; the new holder, once it goes on, orders the same two into its own group.
 
 The servers check rule TWO whenever they take a join.
 """
@@ -20,12 +20,13 @@
 import signal
 import sys
 import time
+import traceback
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from standins import ENGINE, MODEL, Engine, Entry, Record, Site, route  # noqa: E402
+from standins import ENGINE, MODEL, Engine, Entry, Record, Site, read_answer, route, until  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ATTEMPTS = 4
@@ -56,7 +57,8 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(head.encode())
             async with asyncio.timeout(8.5):
-                status, kept = await read_answer(reader)
+                answer = await read_answer(reader)
+            status, kept = answer.status, answer.kept
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
             status, kept = type(error).__name__, False
         site.record.line(f"{key} ends: {status}")
@@ -66,30 +68,6 @@
         await asyncio.sleep(random.uniform(0.02, 0.15) if status == 200 else 0.2)
 
 
-async def read_answer(reader: asyncio.StreamReader) -> tuple[int, bool]:
-    """Read one answer; return its status, and whether the connection stays open."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-    status = int(head.split(" ", 2)[1])
-    if "transfer-encoding: chunked" in head:
-        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
-            await reader.readexactly(size + 2)
-        await reader.readexactly(2)
-    elif "content-length: " in head:
-        length = int(head.split("content-length: ", 1)[1].split("\r\n", 1)[0])
-        await reader.readexactly(length)
-    return status, "connection: close" not in head
-
-
-async def until(check, seconds: float) -> bool:
-    """Return whether a check holds within some time."""
-    end_s = time.monotonic() + seconds
-    while time.monotonic() < end_s:
-        if await check():
-            return True
-        await asyncio.sleep(0.01)
-    return False
-
-
 def heads(site: Site, zone: str) -> list[Engine]:
     """Return the heads of the open groups of a zone, or of all."""
     engines = [each for each in site.engines.values() if not zone or each.zone == zone]
@@ -187,12 +165,16 @@
 
 
 async def main() -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     record, codes = Record(FOLDER / "record.txt"), []
     for attempt in range(1, ATTEMPTS + 1 if TROUBLE else 2):
         record.line(f"-- attempt {attempt}")
         site = Site(record)
         try:
-            async with asyncio.timeout(27.0):
+            async with asyncio.timeout(26.0):
                 code = await play(site)
         except TimeoutError:
             code = NOT_RUN
@@ -207,4 +189,9 @@
     return HELD if HELD in codes else NOT_RUN
 
 
-sys.exit(asyncio.run(main()))
+if __name__ == "__main__":
+    try:
+        sys.exit(asyncio.run(main()))
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        sys.exit(NOT_RUN)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -1,16 +1,19 @@
 # SPDX-License-Identifier: Apache-2.0
 """Stand-ins of the users' platform for the cases in review/: store, model servers and entries.
 
-They speak what the users' page PROTOCOL.md says and nothing more. All of them run in one process
-on loopback addresses; the entries are the project's own program, started as deploy/system.toml says.
+They speak what the users' page PROTOCOL.md says and nothing more. The store and the servers run in
+one process on loopback addresses. The entries are the project's own program, started with the
+command and the variables of deploy/system.toml.
 """
 
 import asyncio
 import base64
 import json
+import logging
 import os
 import re
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -19,10 +22,14 @@
 import time
 import tomllib
 import weakref
+from dataclasses import dataclass
 from pathlib import Path
 
 from aiohttp import web
 
+# A stand-in that crashes breaks off its answers; that is no news.
+logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+
 ROOT = Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.2
 LAPSE_S = 3 * HEARTBEAT_S
@@ -680,6 +687,49 @@
     return content.decode(errors="replace")
 
 
+@dataclass
+class Answer:
+    """An answer as a client reads it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def kept(self) -> bool:
+        """Whether the connection stays open."""
+        return "close" not in self.headers.get("connection", "").lower()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one whole answer.
+
+    Raises:
+        asyncio.IncompleteReadError: if it breaks off.
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    pairs = (line.partition(":") for line in head[1:] if line)
+    headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+    body = b""
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+    else:
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Answer(int(head[0].split(" ", 2)[1]), headers, body)
+
+
+async def until(check, seconds: float) -> bool:
+    """Return whether a check holds within some time."""
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        if await check():
+            return True
+        await asyncio.sleep(0.01)
+    return False
+
+
 class Site:
     """A small deployment: the store, the servers and the entries."""
 
@@ -763,6 +813,10 @@
         for server in self.servers:
             await server.crash()
         await self.store.stop()
+        if "REVIEW_KEEP" in os.environ:
+            print("logs of the entries:", self.folder)
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def owner_of(port: int, entries: list[Entry]) -> str:
