--- a/tests/direct/unevenday.py
+++ b/tests/direct/unevenday.py
@@ -173,9 +173,20 @@
             self.work.served[model] += min(offered, room) * elapsed_s
 
 
+SITE = replace(SPEC, step_s=0.00607, per_sequence_s=0.000482)
+"""Three domains of 8, with groups of 4 and 2, as on a small site."""
 KINDS = (
     Kind("draft", LARGE, 10.5, 1460, 93),
     Kind("check", LARGE, 5.5, 2000, 24),
     Kind("note", SMALL, 33.7, 714, 93),
 )
 """Kinds of unlike length: the large model's prompts are two to three times as long."""
+WIDE_LARGE = replace(LARGE, size=12, share=0.5)
+WIDE_SMALL = replace(SMALL, size=6, share=0.5)
+WIDE_SITE = replace(SITE, models=(WIDE_LARGE, WIDE_SMALL), loads_per_s=6.8, loads_at_once=10)
+"""Groups of 12 and 6, for three domains of 27."""
+WIDE_KINDS = (
+    Kind("draft", WIDE_LARGE, 10.5, 1460, 93),
+    Kind("check", WIDE_LARGE, 5.5, 2000, 24),
+    Kind("note", WIDE_SMALL, 55.0, 714, 93),
+)
