Engines can turn to any model before work is measured, not only to the smaller

Cause: before the first request, while loads are short and not bounded, the smaller model's weights were loaded beside groups of the larger one, never the other way round.

Why it works: a large group's survivors and members of a small group complete a large group in the time of a join.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/staging.py
@@ -166,17 +166,14 @@
     ) -> bool:
         """Return whether weights may be loaded on a member of a wanted group.
 
-        They evict the copy from which the engine would start again. Before any demand was measured,
-        the smaller model's weights are loaded on members of the larger one's groups: if the work
-        turns out to be for the smaller model, each engine counts twice as much as the other way
-        round.
+        They evict the copy from which the engine would start again. Before any demand was measured
+        each member gets another model's weights as well: which models will lack groups is not
+        known, and engines that can only leave a model leave its callers without groups.
         """
         served = utility.spec.model(record.state.model) if record.state.model else None
         if served is None or not self._state.tuning.staging_beside:
             return False
-        if not self._state.demand.measured:
-            return model.size < served.size
-        return utility.yields_to(served.name, model.name)
+        return not self._state.demand.measured or utility.yields_to(served.name, model.name)
 
     def _account_for(self, utility: LoadUtility, load: Load) -> None:
         """Update the inventories with a load that was begun."""
--- a/tests/direct/test_staging.py
+++ b/tests/direct/test_staging.py
@@ -3,7 +3,7 @@
 
 from ochreway_core.ids import DomainId
 from ochreway_direct.coordinator import CoordinatorTuning
-from ochreway_standins.engineworld import LARGE, SMALL, SPEC, EngineWorld
+from ochreway_standins.engineworld import LARGE, OFFERED, SMALL, SPEC, EngineWorld
 
 NEAR = DomainId("near")
 
@@ -49,6 +49,20 @@
         self.assertGreater(len(serving), 0)
         self.assertEqual({SMALL.name}, {each.staged for each in serving})
 
+    def test_a_lost_large_group_is_replaced_by_engines_of_small_ones_without_a_load(self) -> None:
+        """Guards against engines that leave a large model's groups and cannot come back."""
+        world = EngineWorld(engines=8, lag_s=0.1, tuning=CoordinatorTuning(first_start=True))
+        world.load_speed = 10.0
+        world.run(12.0)
+        world.load_speed = 1.0
+        world.coordinator.demand.update(OFFERED, world.now_s - 2.0)
+        world.coordinator.demand.update(OFFERED, world.now_s)
+        before = world.serving(LARGE)
+        world.crash(world.members(LARGE)[0])
+        world.run_until(lambda: world.serving(LARGE) < before, 2.0)
+        took_s = world.run_until(lambda: world.serving(LARGE) == before, LARGE.load_s)
+        self.assertLess(took_s, SMALL.load_s / 2)
+
 
 class StagingTests(testtools.TestCase):
     def test_a_loading_engine_is_not_asked_to_join(self) -> None:
