Rows of a service that is not named take no address from a target

Cause: the adapter counted every target as leaving whose address stands in a newer row, whatever that row's service, and it does not know the configuration.

--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleetsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleetsharing.py
@@ -11,8 +11,10 @@
 from ochreway_direct.fleets.fleetpublisher import FleetContent, FleetPublisher
 from ochreway_direct.fleets.fleetview import FleetView
 from ochreway_direct.fleets.groupview import GroupView
+from ochreway_direct.ids import ServiceName
 from ochreway_direct.leases.lease import Lease
 from ochreway_direct.lists.listedtarget import ListedTarget
+from ochreway_direct.lists.rivals import without_rivals
 from ochreway_direct.messages import FleetChange, FleetRequest, FleetUpdate, ListUpdate
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import TargetReading
@@ -69,7 +71,7 @@
 
     def on_list_read(self, reading: TargetReading) -> None:
         """Apply and publish the list that this entry has read."""
-        targets = reading.targets
+        targets = without_rivals(reading, self._is_named)
         now_s = self._loop.time()
         known = len(self._view.targets())
         if len(targets) != known:
@@ -79,6 +81,11 @@
         self.publish()
         self._share_list(targets)
 
+    def _is_named(self, service: ServiceName) -> bool:
+        """Return whether the configuration names a service; before the first one all count."""
+        routes = self._serving.routes
+        return routes is None or routes.service(service) is not None
+
     def _apply_list(self, targets: tuple[ListedTarget, ...], polled_s: float, now_s: float) -> None:
         self._cold.record_list(targets, now_s)
         self._coordination.update_targets(targets, now_s, self._health.regained_s)
--- a/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from ochreway_core.ids import InstanceId
+from ochreway_direct.ids import ServiceName
 from ochreway_direct.lists.listedtarget import ListedTarget
 
 
@@ -13,12 +15,14 @@
     """Hold all listed targets as of a moment not before ``polled_s``.
 
     ``unreadable`` maps list entries whose newest content could not be decoded to the cause. Such a
-    target is listed as leaving if it was known before, and is omitted otherwise.
+    target is listed as leaving if it was known before, and is omitted otherwise. ``rivals`` names,
+    for a target whose address newer entries repeat under other services, those services.
     """
 
     targets: tuple[ListedTarget, ...]
     polled_s: float
     unreadable: Mapping[str, str] = field(default_factory=dict)
+    rivals: Mapping[InstanceId, frozenset[ServiceName]] = field(default_factory=dict)
 
 
 class TargetList(ABC):
