Plans are proportionally fair: spares of one model do not come before callers of another

Cause: a group was worth the work that it adds, per engine. Small groups serve as much with half of the engines, so their third and fourth spares, and a bonus of two for groups that stand, came before the first groups of the larger model. The class: what maximises the sum starves whoever costs most per request.

Now a model counts by the logarithm of the share of its work that is expected to be served, weighted by that work (proportional fairness): one more group is worth what it adds where most is served, up to ten times that where next to nothing is. All decisions that weigh groups share it: plans, loads, reserved engines, engines that load beside a group.

Virtual time, groups of 12 and 6 after a lost domain: the test passes.

Tests: exact utilities follow the new rule; three tests gave engines weights while they loaded the same, which now happens, and end that load as well; the build in which utility alone gives a model nothing has more work for the other one now, and the former build is a test that it gets its group.

--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/worth.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/worth.py
@@ -9,6 +9,9 @@
 from ochreway_direct.coordinator.demand import CAPACITY_SHARE, TYPICAL_SEQUENCES
 
 MAX_DOWNTIME_SHARE = 0.5
+FAIRNESS_FLOOR = 0.1
+"""Served share below which a model's callers count no more than at it; the logarithm of 0 is not
+finite."""
 MAX_EXACT_GROUPS = 60
 """Maximum number of groups for which a probability is computed exactly."""
 
@@ -21,7 +24,12 @@
 def marginal_utility(
     spec: EngineSpec, model: ModelSpec, demand: float, groups: int, downtime_share: float
 ) -> float:
-    """Return the work that one more group allows to be served, in groups kept busy.
+    """Return the utility of one more group, in groups kept busy.
+
+    It is proportionally fair: the utility of a model is the logarithm of the share of its work that
+    can be served, weighted by that work. One more group counts as the work that it adds where most
+    of the model's work is served, and up to ten times that where next to none is. Otherwise small
+    groups, which serve as much with fewer engines, would get spares before large ones serve at all.
 
     Each group is down for a share of the time, as any of its engines may be lost, so the served
     work is an expectation: the first groups of a model carry its demand, a few more substitute for
@@ -35,15 +43,43 @@
         downtime_share: the share of time for which the loss of one engine stops its group.
     """
     up = 1.0 - min(MAX_DOWNTIME_SHARE, model.size * downtime_share)
-    required = groups_needed(spec, demand)
-    required_floor = math.floor(required)
-    chance_of_use = _chance_at_most(required_floor - 1, groups, up) + (
-        required - required_floor
-    ) * (
-        _chance_at_most(required_floor, groups, up)
-        - _chance_at_most(required_floor - 1, groups, up)
-    )
-    return up * chance_of_use * demand / required
+    shares = _served_shares(groups_needed(spec, demand), up)
+    before, after = shares.of(groups), shares.of(groups + 1)
+    gain = math.log((after + FAIRNESS_FLOOR) / (before + FAIRNESS_FLOOR))
+    return demand * (1.0 + FAIRNESS_FLOOR) * gain
+
+
+class _ServedShares:
+    """Expected share of a model's work that a number of its groups serve.
+
+    Args:
+        required: the groups that carry the work, which need not be a whole number.
+        up: the probability that a group is up.
+    """
+
+    def __init__(self, required: float, up: float) -> None:
+        self._required = required
+        self._up = up
+        self._shares = [0.0]
+
+    def of(self, groups: int) -> float:
+        """Return the share for a number of groups."""
+        while len(self._shares) <= groups:
+            added = self._up * self._chance_of_use(len(self._shares) - 1) / self._required
+            self._shares.append(self._shares[-1] + added)
+        return self._shares[groups]
+
+    def _chance_of_use(self, groups: int) -> float:
+        """Return the probability that one group more than a number of groups has work."""
+        whole = math.floor(self._required)
+        below = _chance_at_most(whole - 1, groups, self._up)
+        exactly = _chance_at_most(whole, groups, self._up) - below
+        return below + (self._required - whole) * exactly
+
+
+@lru_cache(maxsize=256)
+def _served_shares(required: float, up: float) -> _ServedShares:
+    return _ServedShares(required, up)
 
 
 @lru_cache(maxsize=4096)
@@ -60,4 +96,4 @@
     return sum(chances)
 
 
-__all__ = ["marginal_utility", "groups_needed"]
+__all__ = ["FAIRNESS_FLOOR", "groups_needed", "marginal_utility"]
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -115,6 +115,10 @@
             self.opens_s = None
             self.enter(MemberPhase.OPEN)
 
+    def finish_load(self, model: ModelSpec) -> None:
+        """Have a model's weights at once, in place of what is being loaded."""
+        self.staged, self.loading = model.name, None
+
     def enter(self, phase: MemberPhase) -> None:
         """Change the phase of the membership."""
         assert self.membership is not None
