News of a later holder ends a lease, also while the store cannot be asked

Cause: only the store's answer to a renewal ended the holding; the revision of a later holder, which each heartbeat brings, was not looked at while it held.

Each write of the lease's row requires the one before, so a later revision under another holder's name proves that this one's row was replaced. The holding now ends as such news is read, with the same log line.

Not done of the issue: an end in time without any news, orders as compare-and-set, and a group of a newer holder that is taken for remains.

--- a/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/heartbeats.py
@@ -285,7 +285,8 @@
         self._peers.on_heartbeat(sender, heartbeat, now_s)
         self._lease.record_incarnation(Holder(sender.node, heartbeat.incarnation))
         if heartbeat.holder is not None:
-            self._lease.record_revision(heartbeat.holder.revision, now_s)
+            sighting = heartbeat.holder
+            self._lease.record_revision(sighting.peer.node, sighting.revision, now_s)
         self._first_tries.on_refusals(heartbeat.work.refusals, now_s)
         if self._accepts_coverage(heartbeat.coverage):
             covered = self._covered_entries(heartbeat)
--- a/packages/ochreway-direct/src/ochreway_direct/leases/lease.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/lease.py
@@ -99,9 +99,17 @@
         """Return whether the table may be accessed again after its last failure."""
         return now_s >= self._retry_s
 
-    def record_revision(self, revision: int, now_s: float) -> None:
-        """Record a revision that the lease holder announced."""
-        if not self.held and revision > self.revision:
+    def record_revision(self, holder: NodeId, revision: int, now_s: float) -> None:
+        """Record a revision that the lease holder announced; a later holder ends this one's lease.
+
+        Each write of the row requires the one before, so a later revision of another holder proves
+        that this one's row was replaced, also while the table does not answer.
+        """
+        if revision <= self.revision:
+            return
+        if self.held and holder != self._holder.node:
+            self.state = LeaseState.ABSENT
+        if not self.held:
             self.revision = revision
             self.unchanged_since_s = now_s
 
--- a/packages/ochreway-direct/src/ochreway_direct/leases/leasekeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/leasekeeper.py
@@ -55,12 +55,14 @@
         self._loop = asyncio.get_running_loop()
         self._no_holder_since_s = self._loop.time()
         self._observe_due_s = 0.0
+        self._was_held = False
 
     async def run(self) -> None:
         """Renew or acquire the lease until cancelled."""
         while True:
             await asyncio.sleep(self._timing.tick_s)
             now_s = self._loop.time()
+            self._log_loss()
             if self._serving.stopping or not self._lease.may_retry(now_s):
                 continue
             if self._lease.held:
@@ -92,10 +94,14 @@
             return
         self._metrics.count("lease.renewed")
         await self._lease.renew(now_s)
-        if not self._lease.held:
+        if self._lease.held:
+            self._on_renewed()
+
+    def _log_loss(self) -> None:
+        """Log that the lease was lost, to the table's or to other entries' knowledge."""
+        if self._was_held and not self._lease.held and not self._serving.stopping:
             self._log.event("lease_lost", revision=self._lease.revision)
-            return
-        self._on_renewed()
+        self._was_held = self._lease.held
 
     def _may_acquire(self, now_s: float) -> bool:
         """Return whether no holder is seen and this process's turn by rank has come."""
--- a/tests/direct/test_lease.py
+++ b/tests/direct/test_lease.py
@@ -150,6 +150,26 @@
 
         asyncio.run(work())
 
+    def test_news_of_a_later_holder_ends_the_lease_while_the_table_is_dark(self) -> None:
+        """Guards against two holders that give orders because the table cannot be asked."""
+
+        async def work() -> None:
+            table = MemoryTable()
+            former, later = lease(table, "one"), lease(table, "two")
+            await former.observe(1.0)
+            self.assertTrue(await former.acquire(1.0))
+            await later.observe(9.0)
+            self.assertTrue(await later.acquire(9.0))
+            self.assertTrue(former.held)
+            later.record_revision(NodeId("one"), former.revision, 9.0)
+            self.assertTrue(later.held)
+            former.record_revision(NodeId("one"), later.revision, 9.0)
+            self.assertTrue(former.held)
+            former.record_revision(NodeId("two"), later.revision, 9.0)
+            self.assertFalse(former.held)
+
+        asyncio.run(work())
+
     def test_a_later_holder_gets_a_higher_revision(self) -> None:
         async def work() -> None:
             table = MemoryTable()
@@ -199,7 +219,7 @@
             await one.acquire(1.0)
             await other.observe(1.2)
             await one.renew(2.0)
-            other.record_revision(one.revision, 2.1)
+            other.record_revision(NodeId("one"), one.revision, 2.1)
             self.assertTrue(await other.acquire(5.0))
             self.assertEqual("", other.former_term)
 
