--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/shortfall.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/shortfall.py
@@ -65,13 +65,13 @@
     shortfalls = []
     for model in spec.models:
         needed = groups_needed(spec, offered[model.name])
-        found = _Search(state, service, model, outlook, loads_allowed).shortfall(needed)
+        found = _ModelShortfall(state, service, model, outlook, loads_allowed).find(needed)
         if found.causes:
             shortfalls.append(found)
     return tuple(shortfalls)
 
 
-class _Search:
+class _ModelShortfall:
     """Assign one cause to each missing group of a model."""
 
     def __init__(
@@ -88,7 +88,8 @@
         self._outlook = outlook
         self._loads_allowed = loads_allowed
 
-    def shortfall(self, needed: float) -> Shortfall:
+    def find(self, needed: float) -> Shortfall:
+        """Return the shortfall, which has no causes if nothing is missing."""
         name = self._model.name
         phases = Counter(
             group.phase for group in self._state.groups_of(self._service) if group.model == name
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/worth.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/worth.py
@@ -10,8 +10,7 @@
 
 MAX_DOWNTIME_SHARE = 0.5
 FAIRNESS_FLOOR = 0.1
-"""Served share below which a model's callers count no more than at it; the logarithm of 0 is not
-finite."""
+"""Share that is added to each served share, as the logarithm of 0 is not finite."""
 MAX_EXACT_GROUPS = 60
 """Maximum number of groups for which a probability is computed exactly."""
 
--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleetsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleetsharing.py
@@ -14,7 +14,7 @@
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.leases.lease import Lease
 from ochreway_direct.lists.listedtarget import ListedTarget
-from ochreway_direct.lists.rivals import without_rivals
+from ochreway_direct.lists.reusedaddresses import mark_reused_addresses
 from ochreway_direct.messages import FleetChange, FleetRequest, FleetUpdate, ListUpdate
 from ochreway_direct.platformhealth import PlatformHealth
 from ochreway_direct.ports import TargetReading
@@ -71,7 +71,7 @@
 
     def on_list_read(self, reading: TargetReading) -> None:
         """Apply and publish the list that this entry has read."""
-        targets = without_rivals(reading, self._is_named)
+        targets = mark_reused_addresses(reading, self._is_named)
         now_s = self._loop.time()
         known = len(self._view.targets())
         if len(targets) != known:
--- a/packages/ochreway-direct/src/ochreway_direct/lists/rivals.py
+++ b/packages/ochreway-direct/src/ochreway_direct/lists/reusedaddresses.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-"""Targets whose address another service has taken over."""
+"""Targets whose address a newer target of another service uses."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -9,7 +9,7 @@
 from ochreway_direct.ports.targetlist import TargetReading
 
 
-def without_rivals(
+def mark_reused_addresses(
     reading: TargetReading, is_named: Callable[[ServiceName], bool]
 ) -> tuple[ListedTarget, ...]:
     """Return the targets; those at whose address a named service is newer count as leaving.
@@ -18,10 +18,10 @@
     """
     return tuple(
         replace(each, leaving=True)
-        if any(is_named(service) for service in reading.rivals.get(each.instance, ()))
+        if any(is_named(service) for service in reading.newer_services.get(each.instance, ()))
         else each
         for each in reading.targets
     )
 
 
-__all__ = ["without_rivals"]
+__all__ = ["mark_reused_addresses"]
--- a/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/targetlist.py
@@ -15,14 +15,14 @@
     """Hold all listed targets as of a moment not before ``polled_s``.
 
     ``unreadable`` maps list entries whose newest content could not be decoded to the cause. Such a
-    target is listed as leaving if it was known before, and is omitted otherwise. ``rivals`` names,
-    for a target whose address newer entries repeat under other services, those services.
+    target is listed as leaving if it was known before, and is omitted otherwise.
+    ``newer_services`` names the other services whose newer entries repeat a target's address.
     """
 
     targets: tuple[ListedTarget, ...]
     polled_s: float
     unreadable: Mapping[str, str] = field(default_factory=dict)
-    rivals: Mapping[InstanceId, frozenset[ServiceName]] = field(default_factory=dict)
+    newer_services: Mapping[InstanceId, frozenset[ServiceName]] = field(default_factory=dict)
 
 
 class TargetList(ABC):
