--- a/tests/direct/test_plannedstop.py
+++ b/tests/direct/test_plannedstop.py
@@ -91,3 +91,22 @@
     def connections(self, running: RunningRelay) -> list[CallerProtocol]:
         assert running.runner.server is not None
         return [c for c in running.runner.server.connections if isinstance(c, CallerProtocol)]
+
+
+class LateRequestTests(RelayCase):
+    # Guards against requests that a busy core lets in late, and that the end of the grace cuts.
+    def test_a_stop_takes_no_request_late_also_while_its_poll_is_late(self) -> None:
+        async def work(running: RunningRelay) -> None:
+            entry: Any = SimpleNamespace(
+                serving=running.serving, settings=SimpleNamespace(grace_s=20.0)
+            )
+            begun_s = asyncio.get_running_loop().time()
+            stop = PlannedStop(entry, running.relay, begun_s - plannedstop.LINGER_S + 0.2)
+            draining = asyncio.create_task(stop.drain())
+            self.assertEqual(200, (await running.send_request()).status)
+            await asyncio.sleep(0.3)
+            self.assertEqual(503, (await running.send_request()).status)
+            draining.cancel()
+
+        self.patch(plannedstop, "STOP_POLL_S", 5.0)
+        self.run_with_relay(work, fine)
