Only a refused connection shows that a lost target is gone

Callers saw: an answer broken off with seconds left, although its target was alive and went on. Cause: a target whose group was lost counted as gone if a connection was not accepted within 0.25 s, which a full backlog or a stall of the entry's own process explains as well. Change: only a refused connection counts; otherwise the attempt goes on to its deadline. Evidence: test_a_lost_target_whose_backlog_is_full_is_not_taken_for_gone failed before and passes now; with test_silenttargets and test_crashes, 27 tests pass.

--- a/packages/ochreway-direct/src/ochreway_direct/relay/failovers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/failovers.py
@@ -12,7 +12,7 @@
 from ochreway_direct.relay.call import Call
 from ochreway_direct.relay.calllog import CallLog
 from ochreway_direct.relay.errors import AnswerBroken, Refused
-from ochreway_platform.targetcheck import is_listening
+from ochreway_platform.targetcheck import is_refused
 from ochreway_routing.retrybudget import RetryBudget
 
 TARGET_CHECK_INTERVAL_S = 0.5
@@ -69,7 +69,7 @@
         return attempt.is_target_gone
 
     async def _check_target(self, attempt: Attempt) -> None:
-        attempt.is_target_gone = not await is_listening(attempt.address)
+        attempt.is_target_gone = await is_refused(attempt.address)
         await asyncio.sleep(TARGET_CHECK_INTERVAL_S)
         attempt.target_check = None
 
--- a/packages/ochreway-platform/src/ochreway_platform/targetcheck.py
+++ b/packages/ochreway-platform/src/ochreway_platform/targetcheck.py
@@ -36,7 +36,7 @@
 
     async def _check(self, address: str) -> bool:
         try:
-            ended = await _is_refused(address)
+            ended = await is_refused(address)
         finally:
             del self._pending_checks[address]
         now_s = asyncio.get_running_loop().time()
@@ -45,19 +45,12 @@
         return ended
 
 
-async def is_listening(address: str) -> bool:
-    """Return whether a connection to an address is accepted in time."""
-    host, _, port = address.rpartition(":")
-    try:
-        async with asyncio.timeout(CHECK_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, ValueError):
-        return False
-    writer.close()
-    return True
+async def is_refused(address: str) -> bool:
+    """Return whether a connection is refused, so that no process listens at an address.
 
-
-async def _is_refused(address: str) -> bool:
+    A connection that is not accepted in time is not refused: a full backlog or a stall of this
+    process explains it as well.
+    """
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(CHECK_TIMEOUT_S):
@@ -73,4 +66,4 @@
     return False
 
 
-__all__ = ["CHECK_TIMEOUT_S", "TargetCheck", "is_listening"]
+__all__ = ["CHECK_TIMEOUT_S", "TargetCheck", "is_refused"]
