A stopping entry refuses requests by the clock, not by its poll

Callers saw: nothing yet; a request that is sent later than 3 s after a SIGTERM and cut by the end of the grace period counts as lost, and such requests were let in. Cause: a stop closed the entry at its next poll, each 0.1 s, which a busy core delays; handlers that had become ready before the poll ran first. Change: the time at which a stop closes the entry is set once, and read with each request. Evidence: test_a_stop_takes_no_request_late_also_while_its_poll_is_late failed before (200 for 503) and passes now; 57 tests of the stop, the relay and deliveries pass.

--- a/packages/ochreway-direct/src/ochreway_direct/delivery/plannedstop.py
+++ b/packages/ochreway-direct/src/ochreway_direct/delivery/plannedstop.py
@@ -64,11 +64,11 @@
 
     async def drain(self) -> None:
         """Keep serving until every caller has its answer, within the grace period."""
+        closes_s = self._entry.serving.closes_s = self._steps.begun_s + LINGER_S
         end_s = self._steps.begun_s + self._entry.settings.grace_s - CLOSE_RESERVE_S
         while self._loop.time() < end_s:
             await asyncio.sleep(STOP_POLL_S)
-            self._entry.serving.closed = self._loop.time() - self._steps.begun_s > LINGER_S
-            if self._entry.serving.closed and self._is_all_delivered():
+            if self._loop.time() >= closes_s and self._is_all_delivered():
                 return
 
     async def _close_idle(self, callers: web.ServerRunner) -> None:
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -55,7 +55,7 @@
             raise Refused(
                 NOT_RUN_STATUS, Reason.CONNECTIONS_FULL, self._tuning.retry_after_elsewhere_s
             )
-        if self._serving.closed:
+        if not self._serving.accepts_requests():
             raise Refused(NOT_RUN_STATUS, Reason.STOPPING, self._tuning.retry_after_elsewhere_s)
         # Awaited before the routes are read, as a newer configuration may arrive meanwhile.
         await self._serving.wait_for_trusted_keys()
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -2,6 +2,7 @@
 """Serving state of an entry: the configuration in force, its freshness, and the fleet."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -27,8 +28,8 @@
 class Serving:
     """Hold the newest known configuration, whose version never decreases, and the serving state.
 
-    A process that is ``stopping`` still accepts requests for a while; once ``closed`` it accepts
-    none. ``sent_bytes`` counts what was sent to callers and targets, ``admitted`` the admitted
+    A process that is ``stopping`` still accepts requests until ``closes_s``, and none once it is
+    ``closed``. ``sent_bytes`` counts what was sent to callers and targets, ``admitted`` the admitted
     requests, and ``proofs_awaited`` how often one waited for a proof of the configuration. While
     there are ``short_resources``, new callers should use other entries. ``lag`` measures the
     stalls of this process. ``queue_report`` tells what the queues report to other entries.
@@ -38,6 +39,7 @@
     freshness: Freshness
     stopping: bool = False
     closed: bool = False
+    closes_s: float = math.inf
     sent_bytes: int = 0
     admitted: int = 0
     proofs_awaited: int = 0
@@ -74,6 +76,10 @@
         self.routes = RouteTable(configuration)
         return True
 
+    def accepts_requests(self) -> bool:
+        """Return whether a request that is read now is served."""
+        return not self.closed and asyncio.get_running_loop().time() < self.closes_s
+
     def keys_trusted(self) -> bool:
         """Return whether known keys may be accepted now."""
         return self.freshness.keys_trusted(asyncio.get_running_loop().time())
