A call leaves a silent target only once the next one answers

Callers saw: a stream that breaks off with seconds left, around planned work and at other times, although its target was at work. Cause: the call left its target for a place that was reserved in the entry's own count. The next target, which other entries fill too, turned it away; then both counted as tried, the retry was spent, and the answer was broken off at once or after 1 s. Trace of the process soak, code before: attempt reason=target_silent, attempt outcome=not_run reason=queue_full, broken left_s=1.6 to 6. Change: the next attempt is made beside the one under way (Takeover). The call is taken over when the next target has begun to answer and the attempt before has ended; until then nothing of the new answer reaches the caller. A target that turns the call away costs it nothing and is asked again after 0.5 s. A target that goes on keeps its call; the answer of a lost one is held back meanwhile, for 1 s at most, so that no part comes twice. A takeover that was given up counts as a run.

--- a/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/attempt.py
@@ -7,6 +7,7 @@
 from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
 from ochreway_core.targetnotice import NO_NOTICE, TargetNotice
 from ochreway_direct.relay.silencetimeout import SilenceTimeout
+from ochreway_direct.relay.turn import Turn
 
 
 @dataclass(slots=True, eq=False)
@@ -25,6 +26,7 @@
         written_s: when the last part of the request was handed to the connection. The request is
             certainly written once any answer is received or the attempt has ended.
         is_target_gone: whether nothing listened at its address when ``target_check`` last looked.
+        turn: when its answer may reach the caller, if it is made beside another attempt.
         is_last: whether the call may make no further attempt. Such an attempt goes on when its
             target is lost, as the rest of its answer may be under way.
     """
@@ -51,6 +53,7 @@
     awaits_caller: bool = False
     is_target_gone: bool = False
     target_check: asyncio.Task[None] | None = None
+    turn: Turn | None = None
     _silence_timeout: SilenceTimeout | None = field(default=None)
 
     def set_silence_timeout(self, silence_timeout: SilenceTimeout) -> None:
@@ -65,6 +68,11 @@
         if self._silence_timeout is not None:
             self._silence_timeout.on_lost()
 
+    def complete(self) -> None:
+        """Record that the whole answer arrived, so that no other target takes the call over."""
+        if self._silence_timeout is not None:
+            self._silence_timeout.cancel()
+
     def record_written(self, now_s: float) -> None:
         """Record that a part of the request was handed to the connection."""
         self.written_s = now_s
--- a/packages/ochreway-direct/src/ochreway_direct/relay/call.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/call.py
@@ -11,7 +11,7 @@
 from ochreway_direct.configuration import EngineSpec, Route
 from ochreway_direct.ids import ServiceName
 from ochreway_direct.ports.dialect import CallerTerms
-from ochreway_direct.relay.attempt import Attempt
+from ochreway_direct.relay.takeover import Takeover
 
 
 @dataclass(slots=True)
@@ -25,8 +25,9 @@
         runs: number of targets that may have begun to run it. Lost ones count too, as the leader
             of a lost group may be alive.
         sends: number of times it was sent.
-        reserved: the attempt that follows the one under way, with its place and its retry.
-        next_place: the task that waits for such a place.
+        takeover: the attempt at its next target beside the one under way.
+        next_place: the task that waits for a place for such an attempt.
+        turned_away: targets that turned a takeover away, and until when they are not asked again.
         on_trial: whether it is sent once to find out if such requests still end targets.
         target: the target it was last sent to.
         waited_s: time spent waiting for a target that can take it.
@@ -59,10 +60,11 @@
     queue_rank: int | None = None
     forecast_s: float | None = None
     tried: set[InstanceId] = field(default_factory=set)
+    turned_away: dict[InstanceId, float] = field(default_factory=dict)
     resume_after: str | None = None
     answer: web.StreamResponse | None = None
     reader: CallerReader | None = None
-    reserved: Attempt | None = None
+    takeover: Takeover | None = None
     next_place: asyncio.Task[None] | None = None
     first_part_s: float | None = None
 
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -165,10 +165,19 @@
             if mismatch is not None:
                 response.close()
                 return mismatch
+            if attempt.turn is not None and not attempt.turn.has_come:
+                if not self._can_take_over(call, response.status):
+                    response.close()
+                    return Ending(Outcome.UNKNOWN, Reason.TARGET_FAILED)
+                await attempt.turn.accept()
             if call.route.kind is RouteKind.STREAM and response.status == 200:
                 return await self._forward_stream(call, attempt, response)
             return await self._forward_body(call, response)
 
+    def _can_take_over(self, call: Call, status: int) -> bool:
+        """Return whether an answer may replace that of an attempt under way."""
+        return status == 200 if call.answer is not None else status < 500
+
     def _record_notice(self, call: Call, attempt: Attempt, head: AnswerHead) -> None:
         """Record the target's notice; only its own answer to this request may end a limit."""
         if head.own and head.request == call.terms.request:
@@ -293,6 +302,7 @@
         splitter = EventSplitter()
         pause_s = self._pause_s(call)
         async for piece in response.content.iter_any():
+            await self._failovers.on_answer_part(call, attempt)
             events = splitter.feed(piece)
             now_s = loop.time()
             self._fleet.on_answer_part(attempt, now_s)
@@ -306,6 +316,7 @@
                 incomplete.resize(len(splitter.incomplete()))
         if splitter.incomplete():
             return Ending(Outcome.UNKNOWN, Reason.ANSWER_SHORT, disconnected=True)
+        attempt.complete()
         try:
             answer = await self._start_answer(call, response)
             await answer.write_eof()
--- a/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/relay.py
@@ -75,7 +75,7 @@
         self.queues = CallQueues(serving, self._pick_candidate, self._queue_error, tuning, metrics)
         self._failovers = Failovers(
             *(serving.fleet, self.queues, budget, self._pick_next, self._may_repeat),
-            *(suspect, self._call_log),
+            *(suspect, self._call_log, self._send, self._record_failure),
         )
         self._exchange = Exchange(
             *(serving, dialect, pooled, single_use, tuning, self._failovers, notices, buffers),
@@ -194,26 +194,37 @@
 
     async def _send_until_answered(self, call: Call) -> web.StreamResponse:
         while True:
-            attempt = await self._choose_candidate(call)
-            begun_s = asyncio.get_running_loop().time()
-            ending = await self._send(call, attempt)
+            if call.takeover is not None:
+                begun_s, takeover = asyncio.get_running_loop().time(), call.takeover
+                attempt = takeover.attempt
+                ending = await self._failovers.proceed(call, takeover)
+            else:
+                attempt = await self._choose_candidate(call)
+                begun_s = asyncio.get_running_loop().time()
+                ending = await self._send(call, attempt)
             if call.next_place is not None:
                 call.next_place.cancel()
             if ending.response is not None:
                 self._crashes.on_sound(call, attempt)
                 return ending.response
-            self._call_log.attempt_failed(call, attempt, ending, begun_s)
-            self._metrics.count(f"attempt.{ending.reason.value}")
-            if ending.outcome is not Outcome.NOT_RUN:
-                call.runs += 1
-            if ending.lost_contact and attempt.group is not None:
-                self._suspect(attempt.group)
-            call.tried.add(attempt.instance)
-            if ending.disconnected:
-                await self._crashes.on_disconnected(call, attempt)
+            await self._record_failure(call, attempt, ending, begun_s)
             await self._check_retry(call, ending)
             self._metrics.count(f"retry.{ending.reason.value}")
 
+    async def _record_failure(
+        self, call: Call, attempt: Attempt, ending: Ending, begun_s: float
+    ) -> None:
+        """Record an attempt that did not answer the call."""
+        self._call_log.attempt_failed(call, attempt, ending, begun_s)
+        self._metrics.count(f"attempt.{ending.reason.value}")
+        if ending.outcome is not Outcome.NOT_RUN:
+            call.runs += 1
+        if ending.lost_contact and attempt.group is not None:
+            self._suspect(attempt.group)
+        call.tried.add(attempt.instance)
+        if ending.disconnected:
+            await self._crashes.on_disconnected(call, attempt)
+
     def _check_fatal(self, call: Call, is_sent_now: bool = True) -> None:
         """Raise if a call is known to end its targets, so that it is not sent any more.
 
@@ -229,7 +240,7 @@
 
     async def _check_retry(self, call: Call, ending: Ending) -> None:
         """Raise unless the call may be sent again."""
-        if call.reserved is not None:
+        if call.takeover is not None:
             return
         now_s = asyncio.get_running_loop().time()
         allowed = (
@@ -266,9 +277,6 @@
 
     async def _choose_candidate(self, call: Call) -> Attempt:
         """Choose where to send a call, waiting while no target can take it."""
-        if call.reserved is not None:
-            reserved, call.reserved = call.reserved, None
-            return reserved
         if self.queues.applies_to(call):
             return await self.queues.place(call)
         return await self._poll_candidate(call)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/silencetimeout.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/silencetimeout.py
@@ -12,18 +12,18 @@
 class FailoverPort(Protocol):
     """Where the call of one attempt may go on."""
 
-    def reserve(self) -> bool:
-        """Return whether another target takes the call over; its place and retry are reserved."""
+    def take_over(self) -> bool:
+        """Return whether another target has begun to answer the call; ask one if there is none."""
 
     def is_target_gone(self) -> bool:
         """Return whether nothing listens any more at the target's address."""
 
     def cancel(self) -> None:
-        """Give up what is reserved, as the target goes on."""
+        """Have no other target take the call over, as this one goes on."""
 
 
 class SilenceTimeout:
-    """End an attempt whose target is silent or lost, once its call can move to another target.
+    """End an attempt whose target is silent or lost, once another target answers its call.
 
     Until then the target may go on, so nothing is ended that nobody else takes over. Given up all
     the same are a lost target that is gone, and one that has not begun to answer by ``give_up_s``.
@@ -37,7 +37,8 @@
         self._give_up_s = give_up_s
         self._timer: asyncio.TimerHandle | None = None
         self._silent_from_s = 0.0
-        self._is_reserving = False
+        self._asks_others = False
+        self._is_done = False
         self._is_lost = False
         self.ended = False
 
@@ -58,17 +59,19 @@
         self._schedule(self._loop.time())
 
     def cancel(self) -> None:
-        """Stop watching, as the attempt has ended."""
+        """Stop watching, as the attempt has ended or its answer is complete."""
+        self._is_done = True
         if self._timer is not None:
             self._timer.cancel()
 
     def _schedule(self, at_s: float) -> None:
-        self.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         self._timer = self._loop.call_at(at_s, self._check)
 
     def _check(self) -> None:
         now_s = self._loop.time()
-        if self._timeout.expired():
+        if self._is_done or self._timeout.expired():
             return
         if not self._is_lost and now_s < self._silent_from_s:
             self._recover()
@@ -80,14 +83,14 @@
             self._schedule(now_s + RECHECK_INTERVAL_S)
 
     def _should_end(self, now_s: float) -> bool:
-        self._is_reserving = True
-        if self._failover.reserve() or now_s >= self._give_up_s:
+        self._asks_others = True
+        if self._failover.take_over() or now_s >= self._give_up_s:
             return True
         return self._is_lost and now_s >= self._silent_from_s and self._failover.is_target_gone()
 
     def _recover(self) -> None:
-        if self._is_reserving:
-            self._is_reserving = False
+        if self._asks_others:
+            self._asks_others = False
             self._failover.cancel()
 
 
--- a/packages/ochreway-direct/src/ochreway_direct/serving.py
+++ b/packages/ochreway-direct/src/ochreway_direct/serving.py
@@ -29,10 +29,11 @@
     """Hold the newest known configuration, whose version never decreases, and the serving state.
 
     A process that is ``stopping`` still accepts requests until ``closes_s``, and none once it is
-    ``closed``. ``sent_bytes`` counts what was sent to callers and targets, ``admitted`` the admitted
-    requests, and ``proofs_awaited`` how often one waited for a proof of the configuration. While
-    there are ``short_resources``, new callers should use other entries. ``lag`` measures the
-    stalls of this process. ``queue_report`` tells what the queues report to other entries.
+    ``closed``. ``sent_bytes`` counts what was sent to callers and targets, ``admitted`` the
+    requests that were admitted, and ``proofs_awaited`` how often one waited for a proof of the
+    configuration. While there are ``short_resources``, new callers should use other entries.
+    ``lag`` measures the stalls of this process. ``queue_report`` tells what the queues report to
+    other entries.
     """
 
     fleet: Fleet
--- a/tests/direct/test_failoverkept.py
+++ b/tests/direct/test_failoverkept.py
@@ -3,15 +3,19 @@
 
 import asyncio
 import socket
+from collections import Counter
 
 from ochreway_core.ids import GroupId
 from ochreway_direct.configuration import RouteKind
 from tests.direct.relaycase import (
+    LAST_CHUNK,
     Headers,
     RelayCase,
     RunningRelay,
     Script,
     complete_response,
+    event_chunk,
+    stream_response_head,
 )
 from tests.direct.test_silenttargets import TUNING, Writer, ends, silent_after
 
@@ -109,3 +113,89 @@
             self.assertFalse(answer.broken)
 
         self.run_with_relay(work, silent_after(1, 1.5), ends)
+
+
+def answers_after(wait_s: float) -> Script:
+    """Return a script that begins to answer late."""
+
+    async def script(headers: Headers, writer: Writer) -> None:
+        await asyncio.sleep(wait_s)
+        await ends(headers, writer)
+
+    return script
+
+
+def paused_by(*pauses_s: float) -> Script:
+    """Return a script that pauses before each event of its stream."""
+
+    async def script(headers: Headers, writer: Writer) -> None:
+        begin = int(headers.get("after", "0")) + 1
+        writer.write(stream_response_head(headers))
+        for number, pause_s in enumerate(pauses_s, start=begin):
+            await asyncio.sleep(pause_s)
+            writer.write(event_chunk(number))
+            await writer.drain()
+        writer.write(LAST_CHUNK)
+
+    return script
+
+
+class FailoverOrderTests(RelayCase):
+    """Guard against answers that have a part twice, as two targets write them at one time."""
+
+    kind = RouteKind.STREAM
+    resumable = True
+    tuning = TUNING
+    budget = (0.0, 10.0)
+
+    def assert_whole(self, body: bytes) -> None:
+        expected = b"".join(f"id: {n}\ndata: e{n}\n\n".encode() for n in range(1, 4))
+        self.assertEqual(expected, body)
+
+    def sent_with_loss(self, loss_s: float, *scripts: Script) -> list[int]:
+        """Have the first target lost during a request; return how many requests each target got."""
+        seen: list[int] = []
+
+        async def work(running: RunningRelay) -> None:
+            running.budget.balance = 5.0
+            pending = asyncio.ensure_future(running.send_request())
+            while not running.targets[0].seen:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(loss_s)
+            running.fleet.abandon(GroupId("g0"))
+            answer = await pending
+            self.assertFalse(answer.broken)
+            self.assert_whole(answer.body)
+            seen.extend(len(target.seen) for target in running.targets)
+            self.assertEqual(Counter(), running.fleet.under_way())
+
+        self.run_with_relay(work, *scripts)
+        return seen
+
+    def test_a_lost_target_that_writes_on_is_followed_without_a_part_twice(self) -> None:
+        first = paused_by(0.0, 0.3, 0.3)
+        self.assertEqual([1, 1], self.sent_with_loss(0.1, first, answers_after(0.4)))
+
+    def test_a_lost_target_goes_on_if_its_next_one_turns_the_call_away(self) -> None:
+        first = paused_by(0.0, 0.3, 0.3)
+        self.assertEqual([1, 1], self.sent_with_loss(0.1, first, turns_away(9)))
+
+    def test_a_lost_target_goes_on_if_its_next_one_does_not_begin(self) -> None:
+        first = paused_by(0.0, 0.2, 0.2)
+        self.assertEqual([1, 1], self.sent_with_loss(0.1, first, answers_after(9.0)))
+
+    # Guards against more runs than a route allows: a takeover that was given up may have run.
+    def test_a_target_that_goes_on_keeps_its_call_and_no_third_one_runs_it(self) -> None:
+        async def work(running: RunningRelay) -> None:
+            running.budget.balance = 5.0
+            answer = await running.send_request()
+            self.assertFalse(answer.broken)
+            self.assert_whole(answer.body)
+            self.assertEqual([1, 1, 0], [len(target.seen) for target in running.targets])
+            self.assertEqual(Counter(), running.fleet.under_way())
+
+        self.run_with_relay(work, paused_by(0.0, 1.2, 1.2), answers_after(9.0), ends)
+
+
+class QueuedFailoverOrderTests(FailoverOrderTests):
+    queued = True
