What a holder keeps after its own outage does not replace what others have read

Callers saw: nothing; a plain server got a request 2.3 to 2.4 s after its row had gone (DRAIN, bound 2 s), from an entry in touch. Cause: an entry that was cut off from the store alone keeps missing targets for 2.2 s once it is back, as rows may have lapsed. As holder of the lease it published them with the age of its newest list, so entries that had read the list meanwhile took departed servers back. Change: while a holder keeps plain targets that its list lacks, its updates tell no age of a list; entries then use their own list, and read it themselves when it is old. Evidence: test_what_a_holder_keeps_after_an_outage_is_not_newer_than_a_reading failed before and passes now.

--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleetsharing.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleetsharing.py
@@ -130,7 +130,7 @@
             return
         lost = self._coordination.lost_groups(now_s)
         content = FleetContent.build(groups, lost, self._view.plain_targets(), self._view.leaving)
-        listed_age_s = self._view.listed_age_s(now_s)
+        listed_age_s = self._view.published_list_age_s(now_s)
         message = self._publisher.next_message(self._lease.acquired_revision, content, listed_age_s)
         if message is None:
             self._view.renew_update(now_s)
--- a/packages/ochreway-direct/src/ochreway_direct/fleets/fleetview.py
+++ b/packages/ochreway-direct/src/ochreway_direct/fleets/fleetview.py
@@ -30,6 +30,7 @@
         self._listed_s = NEVER_S
         self._leaving: frozenset[InstanceId] = frozenset()
         self._departures = DepartureTracker()
+        self._keeps_unlisted = False
         self.last_models = LastModels()
 
     @property
@@ -56,7 +57,8 @@
     def renew_update(self, now_s: float) -> None:
         """Mark the newest update and its targets as current, as their publisher."""
         self._updated_s = now_s
-        self._update_listed_s = self._listed_s
+        if not self._keeps_unlisted:
+            self._update_listed_s = self._listed_s
 
     def last_published_groups(self, now_s: float, max_age_s: float) -> tuple[GroupView, ...] | None:
         """Return the groups of the newest update, or None when it is older than ``max_age_s``."""
@@ -77,7 +79,7 @@
             lost=(),
             targets=self.plain_targets(),
             leaving=tuple(self._leaving),
-            listed_age_s=self.listed_age_s(now_s),
+            listed_age_s=self.published_list_age_s(now_s),
         )
 
     def apply_update(self, update: FleetUpdate, now_s: float) -> bool:
@@ -134,6 +136,7 @@
         self._listed_s = now_s - age_s
         engines = {i: t for i, t in self._targets.items() if t.engine is not None}
         self._targets = engines | {each.instance: each for each in update.targets}
+        self._keeps_unlisted = False
         self._leaving = frozenset(update.leaving)
         return True
 
@@ -152,6 +155,10 @@
             self._targets |= listed_targets
         else:
             self._targets = listed_targets
+        self._keeps_unlisted = any(
+            each.engine is None and each.instance not in listed_targets
+            for each in self._targets.values()
+        )
         self.last_models.record_targets(self._targets.values())
         self._leaving = frozenset(departed | announced)
         self._listed_s = max(self._listed_s, polled_s)
@@ -171,6 +178,15 @@
         """Return the age of the list, or None before it was read."""
         return now_s - self._listed_s if self._listed_s > NEVER_S else None
 
+    def published_list_age_s(self, now_s: float) -> float | None:
+        """Return the age of the list that others may use in place of their own, or None.
+
+        Targets that are missing after an outage are kept here for a while, as their registration
+        may have lapsed. Who has read the list meanwhile may know that they have left: the outage
+        may have been this entry's alone.
+        """
+        return None if self._keeps_unlisted else self.listed_age_s(now_s)
+
     def targets(self) -> tuple[ListedTarget, ...]:
         """Return all listed targets, engines included."""
         return tuple(self._targets.values())
--- a/tests/direct/test_fleetview.py
+++ b/tests/direct/test_fleetview.py
@@ -98,3 +98,26 @@
         view.merge_engines((PLAIN, engine("a")))
         self.assertEqual(["a"], [each.instance for each in view.targets()])
         self.assertTrue(view.list_is_stale(10.0))
+
+    # Guards against targets that have left and come back by the view of a holder that was cut off:
+    # it keeps what it misses for a while, as rows may have lapsed, but has not read it.
+    def test_what_a_holder_keeps_after_an_outage_is_not_newer_than_a_reading(self) -> None:
+        gone = replace(PLAIN, instance=InstanceId("gone"), address="gone:1")
+        holder, other = FleetView(1.4), FleetView(1.4)
+        holder.apply_update(update(5, 1, "g"), 10.0)
+        holder.apply_list((PLAIN, gone), 10.0, 10.0, NEVER_S)
+        holder.apply_list((PLAIN,), 20.0, 20.0, 20.0)
+        other.apply_list((PLAIN,), 20.1, 20.1, NEVER_S)
+        holder.apply_list((PLAIN,), 20.6, 20.6, 20.0)
+        self.assertEqual({PLAIN, gone}, set(holder.plain_targets()))
+        published = holder.full_update(20.7)
+        assert published is not None
+        other.apply_update(published, 20.7)
+        self.assertEqual({PLAIN}, set(other.plain_targets()))
+        holder.renew_update(20.8)
+        other.confirm(holder.mark(20.8), 20.8)
+        self.assertEqual({PLAIN}, set(other.plain_targets()))
+        holder.apply_list((PLAIN,), 22.6, 22.6, 20.0)
+        published = holder.full_update(22.7)
+        assert published is not None
+        self.assertLess(published.listed_age_s or 9.0, 0.2)
