--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -270,7 +270,11 @@
             group.enter(GroupPhase.DISSOLVING, now_s, PhaseCause.ENDED)
 
     def _advance_dissolving(self, group: GroupRecord, now_s: float) -> None:
-        """Release each member once a report since the phase began shows that it has left."""
+        """Release each member once it and the leader have left.
+
+        An unanswered join may be carried out at a member that has left already; it then belongs to
+        the group again. It is not used elsewhere while the group's leader may be open.
+        """
         for instance in group.members:
             record = self._state.engines.get(instance)
             if record is None or record.dead:
@@ -279,13 +283,25 @@
             if record.belongs_to(group.group, group.epoch):
                 self._state.issue_order(record, Leave(group.group, group.epoch), now_s)
                 group.leave_ordered.add(instance)
-            elif record.pending_order is None and (
-                instance in group.leave_ordered or record.observed_s > group.since_s
+            elif (
+                record.pending_order is None
+                and (instance in group.leave_ordered or record.observed_s > group.since_s)
+                and not self._leader_stays(group)
             ):
                 group.released.add(instance)
         if group.released.issuperset(group.members):
             del self._state.groups[group.group]
 
+    def _leader_stays(self, group: GroupRecord) -> bool:
+        """Return whether the leader of a dissolving group can be told to leave, but has not left.
+
+        A leader that has ended, or in whose hall nothing is ordered, cannot be waited for.
+        """
+        leader = self._state.engines.get(group.leader)
+        if leader is None or leader.dead or self._state.is_drained(leader):
+            return False
+        return leader.belongs_to(group.group, group.epoch)
+
     _PHASE_HANDLERS: dict[GroupPhase, Callable[["GroupLifecycle", GroupRecord, float], None]] = {
         GroupPhase.FORMING: _advance_forming,
         GroupPhase.SERVING: _advance_serving,
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -14,7 +14,7 @@
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.lists.listedtarget import ListedTarget
-from ochreway_direct.order import Close, Join, Leave, Open, Order, OrderOutcome, Stage
+from ochreway_direct.order import Close, Join, Leave, Open, OrderOutcome, Stage
 
 STEP_S = 0.05
 FOREVER_S = 1.0e9
@@ -251,7 +251,7 @@
         due = [each for at_s, each in self.late if at_s <= self.now_s]
         self.late = [(at_s, each) for at_s, each in self.late if at_s > self.now_s]
         for assignment in due:
-            self._carry_out(assignment.instance, assignment.order)
+            self._carry_out(assignment)
         if self.random.random() < 0.1:
             self._list()
         self._probe()
@@ -302,18 +302,26 @@
         elif not engine.alive:
             outcome = OrderOutcome.UNREACHABLE
         elif self.random.random() < self.lost_share:
-            late_s = self.now_s + self.random.uniform(2.0, 12.0)
-            self.late.append((late_s, assignment))
+            self.lose(assignment, self.random.uniform(2.0, 12.0))
+            return
         else:
-            outcome = self._carry_out(assignment.instance, assignment.order)
+            outcome = self._carry_out(assignment)
+        self._report_outcome(assignment, outcome)
+
+    def lose(self, assignment: Assignment, late_s: float) -> None:
+        """Leave an order unanswered, and carry it out some time later."""
+        self.late.append((self.now_s + late_s, assignment))
+        self._report_outcome(assignment, OrderOutcome.UNKNOWN)
+
+    def _report_outcome(self, assignment: Assignment, outcome: OrderOutcome) -> None:
         self.coordinator.on_order_outcome(
             assignment.instance, assignment.order, outcome, self.now_s
         )
 
     # What engines do.
 
-    def _carry_out(self, instance: InstanceId, order: Order) -> OrderOutcome:
-        engine = self.engines[instance]
+    def _carry_out(self, assignment: Assignment) -> OrderOutcome:
+        engine, order = self.engines[assignment.instance], assignment.order
         if not engine.alive:
             return OrderOutcome.UNREACHABLE
         engine.advance(self.now_s)
