--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -209,6 +209,7 @@
                 assignment.instance,
                 assignment.order,
                 self._timing.order_timeout_s,
+                assignment.orders_taken,
             )
         except TargetTurnedAway as rejection:
             self._notices.on_notice(assignment.instance, rejection.notice, born_ms)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -52,8 +52,9 @@
     """Compare the existing groups with the plan and issue orders.
 
     A group is opened only after each member was seen ready under the group's name, epoch and member
-    list, and an engine joins only after it was seen to be in no group. A coordinator whose lease
-    has expired unnoticed can therefore delay a group, but never run two groups on one engine.
+    list, and an engine joins only after it was seen to be in no group, on the condition that it has
+    taken no order since. A coordinator whose lease has expired unnoticed can therefore delay a
+    group, but never run two groups on one engine.
     """
 
     def __init__(
@@ -271,7 +272,10 @@
         record.pending_order = None
         record.order_accepted = outcome in ACCEPTED_OUTCOMES
         if record.order_accepted:
-            self._lifecycle.on_order_accepted(record, order, now_s)
+            begun = outcome is OrderOutcome.BEGUN
+            self._lifecycle.on_order_accepted(record, order, begun, now_s)
+        if isinstance(order, Join) and outcome is OrderOutcome.CONFLICT:
+            self._lifecycle.on_join_rejected(record, now_s)
         if outcome is OrderOutcome.OTHER_INSTANCE and not record.dead:
             self._count_loss(record, now_s)
             record.mark_displaced()
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -30,7 +30,8 @@
     ``last_model`` is the model that the engine can rejoin without its weights staged, if known.
     ``joining_since_s`` is when the join under way was first reported. ``missed_since_s`` is when
     the first of the current ``misses`` was probed, ``answered_s`` when the last answered probe was
-    sent.
+    sent. ``orders_taken`` is how many orders the engine has taken, or None until a report probed at
+    ``orders_settled_s`` or later tells it; earlier reports may lack the latest orders.
     """
 
     listed: ListedTarget
@@ -54,6 +55,8 @@
     staging: ModelName | None = None
     staging_until_s: float = NEVER_S
     order_accepted: bool = False
+    orders_taken: int | None = None
+    orders_settled_s: float = NEVER_S
     change_expected_s: float = NEVER_S
     departure: Departure | None = None
     listed_change_due_s: float = NEVER_S
@@ -136,6 +139,24 @@
             self.last_model = None
         self.last_model_until_s = until_s
 
+    def count_order(self, settled_s: float) -> None:
+        """Count an order that the engine has begun; reports show it from ``settled_s`` on."""
+        if self.orders_taken is not None:
+            self.orders_taken += 1
+        self.orders_settled_s = settled_s
+
+    def forget_orders(self, settled_s: float) -> None:
+        """Discard a count that the engine refused; a report probed at ``settled_s`` has its own."""
+        self.orders_taken = None
+        self.orders_settled_s = settled_s
+
+    def _observe_orders(self, state: EngineState, asked_s: float) -> None:
+        restarted = state.born_ms != self.state.born_ms
+        if restarted or asked_s >= self.orders_settled_s:
+            self.orders_taken = state.orders_taken
+        elif self.orders_taken is not None:
+            self.orders_taken = max(self.orders_taken, state.orders_taken)
+
     def update_listing(self, listed: ListedTarget, now_s: float) -> None:
         """Apply the engine's row; a changed cold time counts from now."""
         if listed.cold_s > 0.0 and listed.cold_s != self.listed.cold_s:
@@ -177,6 +198,7 @@
         """Apply the engine's own report, except for a group that it has left since."""
         if _joining_group(state) != _joining_group(self.state) or self.joining_since_s <= NEVER_S:
             self.joining_since_s = asked_s
+        self._observe_orders(state, asked_s)
         self.state = state
         self.observed_s = asked_s
         if state.membership is not None and asked_s >= self.last_model_until_s:
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -42,9 +42,14 @@
         for group in list(self._state.groups.values()):
             self._PHASE_HANDLERS[group.phase](self, group, now_s)
 
-    def on_order_accepted(self, record: EngineRecord, order: Order, now_s: float) -> None:
-        """Record that an engine carries out an order, and when its reports will show it."""
+    def on_order_accepted(
+        self, record: EngineRecord, order: Order, begun: bool, now_s: float
+    ) -> None:
+        """Record that an engine has accepted an order, and when its reports will show it."""
         reported_from_s = now_s + self.report_lag_s(record.service)
+        if begun or isinstance(order, Leave):
+            # A leave is done at once, so it is counted though nothing is begun.
+            record.count_order(reported_from_s)
         match order:
             case Leave(group, epoch):
                 record.assume_left(group, epoch, reported_from_s)
@@ -57,6 +62,10 @@
             case _:
                 pass
 
+    def on_join_rejected(self, record: EngineRecord, now_s: float) -> None:
+        """Record that an engine rejected a join, as it has taken other orders than was assumed."""
+        record.forget_orders(now_s + self.report_lag_s(record.service))
+
     def report_lag_s(self, service: ServiceName) -> float:
         """Return the maximum age of what a service's engines report."""
         spec = self._state.specs.get(service)
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -14,7 +14,7 @@
 from ochreway_direct.coordinator.lossmeter import LossMeter
 from ochreway_direct.coordinator.tuning import CoordinatorTuning
 from ochreway_direct.ids import ServiceName
-from ochreway_direct.order import Order
+from ochreway_direct.order import Join, Order
 
 MAX_REQUEST_NOTICE_DELAY_S = 0.5
 """Maximum delay until another entry's first request is known: a heartbeat and its transmission."""
@@ -84,9 +84,11 @@
     def issue_order(self, record: EngineRecord, order: Order, now_s: float) -> bool:
         """Issue an order unless one is in progress or the same was issued within the retry delay.
 
-        An engine of a drained hall gets no orders.
+        An engine of a drained hall gets no orders. A join is only issued with the number of orders
+        that the engine has taken: alone of all orders it replaces whatever group the engine is in,
+        and one that is carried out late, or was decided on an old report, is thus rejected.
         """
-        if self.is_drained(record):
+        if self.is_drained(record) or (isinstance(order, Join) and record.orders_taken is None):
             return False
         retry_delay_s = self._order_retry_delay_s(record)
         repeated = order == record.last_order and now_s - record.last_ordered_s < retry_delay_s
@@ -94,7 +96,8 @@
             return False
         record.pending_order = record.last_order = order
         record.last_ordered_s = now_s
-        self.assignments.append(Assignment(record.instance, record.listed.address, order))
+        taken = record.orders_taken if isinstance(order, Join) else None
+        self.assignments.append(Assignment(record.instance, record.listed.address, order, taken))
         return True
 
     def _order_retry_delay_s(self, record: EngineRecord) -> float:
--- a/packages/ochreway-direct/src/ochreway_direct/ports/enginecontrol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/ports/enginecontrol.py
@@ -23,10 +23,18 @@
 
     @abstractmethod
     async def order(
-        self, address: str, instance: InstanceId, order: Order, timeout_s: float
+        self,
+        address: str,
+        instance: InstanceId,
+        order: Order,
+        timeout_s: float,
+        orders_taken: int | None = None,
     ) -> OrderOutcome:
         """Send an order to an instance; another one at its address rejects it.
 
+        Whenever the order is carried out, the instance rejects it as a conflict if it has taken
+        another number of orders than ``orders_taken``.
+
         Raises:
             TargetTurnedAway: if the engine rejected the order and requests a backoff.
         """
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -14,7 +14,7 @@
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.lastmodels import LastModels
 from ochreway_direct.lists.listedtarget import ListedTarget
-from ochreway_direct.order import Close, Join, Leave, Open, OrderOutcome, Stage
+from ochreway_direct.order import Close, Join, Leave, Open, Order, OrderOutcome, Stage
 
 STEP_S = 0.05
 FOREVER_S = 1.0e9
@@ -76,6 +76,7 @@
     ends_s: float | None = None
     cold_s: float = 0.0
     highest: Epoch = field(default=Epoch(0))
+    orders_taken: int = 0
     reports: deque[Report] = field(default_factory=deque)
 
     def state(self, now_s: float) -> EngineState:
@@ -91,6 +92,7 @@
         staged = (self.staged,) if self.staged is not None else ()
         state = EngineState(self.domain, self.model, staged, self.membership)
         state = replace(state, busy=self.loading is not None, pace=self.pace)
+        state = replace(state, orders_taken=self.orders_taken)
         if not self.reports or self.reports[-1].state != state:
             self.reports.append(Report(now_s, state))
 
@@ -161,6 +163,8 @@
         self.cut = 0
         self.late: list[tuple[float, Assignment]] = []
         self.lost_share = 0.0
+        self.checks_orders = True
+        self.leaves_counted = True
         self.load_speed = 1.0
         self.coordinator = Coordinator(self.tuning)
         self.last_models = LastModels()
@@ -325,6 +329,14 @@
         if not engine.alive:
             return OrderOutcome.UNREACHABLE
         engine.advance(self.now_s)
+        if assignment.orders_taken not in (None, engine.orders_taken) and self.checks_orders:
+            return OrderOutcome.CONFLICT
+        outcome = self._apply(engine, order)
+        left = isinstance(order, Leave) and outcome is OrderOutcome.HOLDS
+        engine.orders_taken += outcome is OrderOutcome.BEGUN or (left and self.leaves_counted)
+        return outcome
+
+    def _apply(self, engine: FakeEngine, order: Order) -> OrderOutcome:
         match order:
             case Join():
                 return self._join(engine, order)
--- a/tests/direct/test_backoff.py
+++ b/tests/direct/test_backoff.py
@@ -103,7 +103,12 @@
         raise TargetTurnedAway(TargetNotice(RETRY_AFTER_S))
 
     async def order(
-        self, address: str, instance: InstanceId, order: Order, timeout_s: float
+        self,
+        address: str,
+        instance: InstanceId,
+        order: Order,
+        timeout_s: float,
+        orders_taken: int | None = None,
     ) -> OrderOutcome:
         self.calls += 1
         raise TargetTurnedAway(TargetNotice(RETRY_AFTER_S))
--- a/tests/direct/test_coordination.py
+++ b/tests/direct/test_coordination.py
@@ -73,7 +73,12 @@
         raise TargetBroke("no answer")
 
     async def order(
-        self, address: str, instance: InstanceId, order: Order, timeout_s: float
+        self,
+        address: str,
+        instance: InstanceId,
+        order: Order,
+        timeout_s: float,
+        orders_taken: int | None = None,
     ) -> OrderOutcome:
         return OrderOutcome.UNKNOWN
 
