--- a/packages/ochreway-direct/src/ochreway_direct/coordination.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordination.py
@@ -100,9 +100,9 @@
         """Apply the platform's list; the store's last outage ended at ``regained_s``."""
         self.coordinator.on_listing(targets, now_s, regained_s)
 
-    def run_tick(self, now_s: float) -> bool:
+    def run_tick(self, now_s: float, may_order: bool = True) -> bool:
         """Start the due orders and probes; return whether a group's phase changed."""
-        for assignment in self.coordinator.tick(now_s):
+        for assignment in self.coordinator.tick(now_s, may_order):
             self._metrics.count(f"order.{type(assignment.order).__name__.lower()}")
             self._spawn(self._send_order(assignment))
         for probe in self.coordinator.due_probes(now_s):
@@ -191,7 +191,8 @@
             self._on_changed()
         if outcome is OrderOutcome.FENCED:
             self._log.event("order_fenced", instance=assignment.instance, order=assignment.order)
-            self._on_fenced()
+            if self.coordinator.is_superseded(assignment.instance, assignment.order):
+                self._on_fenced()
         self._metrics.count(f"order_outcome.{outcome.value}")
         self._log.detail(
             "order", instance=assignment.instance, order=assignment.order, outcome=outcome.value
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -3,7 +3,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from ochreway_core.ids import Epoch, GroupId, HallId, InstanceId
+from ochreway_core.ids import NO_EPOCH, Epoch, GroupId, HallId, InstanceId
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.coordinator.assignment import Assignment
 from ochreway_direct.coordinator.demand import Demand
@@ -97,6 +97,19 @@
         """Return whether the engines were probed since ``begin``, so that views are current."""
         return self._started
 
+    @property
+    def foreign_epoch(self) -> Epoch:
+        """Return the newest epoch seen above all that were issued here."""
+        return self._state.foreign_epoch
+
+    def is_superseded(self, instance: InstanceId, order: Order) -> bool:
+        """Return whether an engine that rejected an order's epoch has seen one of another holder.
+
+        Otherwise it has seen a newer one of this holder.
+        """
+        record = self.engines.get(instance)
+        return record is None or not isinstance(order, Join) or order.epoch >= record.newest_join
+
     @property
     def demand(self) -> Demand:
         """Return the offered work."""
@@ -108,6 +121,7 @@
         """Start with epochs above ``epoch`` and the last models that are known of engines."""
         self._last_models = last_models or LastModels()
         self._state.epoch = epoch
+        self._state.foreign_epoch = NO_EPOCH
         self._began_s = now_s
         self._changed = True
         self._started = False
@@ -370,9 +384,10 @@
         """Return the number of a service's engines that are loading weights."""
         return self._state.count_loading(service)
 
-    def tick(self, now_s: float) -> list[Assignment]:
-        """Return the orders to send now."""
+    def tick(self, now_s: float, may_order: bool = True) -> list[Assignment]:
+        """Return the orders to send now; without ``may_order`` groups are only observed."""
         self._state.assignments = []
+        self._state.may_order = may_order
         self._remove_departed()
         self._finish_startup(now_s)
         if not self._started:
@@ -382,7 +397,7 @@
         self._check_inherited_loads(now_s)
         if not self._most_silent():
             self._lifecycle.advance(now_s)
-            if self._plan_due(now_s):
+            if may_order and self._plan_due(now_s):
                 self._last_planned_s = now_s
                 self._plan(now_s)
         return self._state.assignments
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/enginerecord.py
@@ -3,7 +3,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from ochreway_core.ids import DomainId, Epoch, GroupId, InstanceId
+from ochreway_core.ids import NO_EPOCH, DomainId, Epoch, GroupId, InstanceId
 from ochreway_direct.enginestate import EngineState, MemberPhase, Membership, proven_model
 from ochreway_direct.ids import ModelName, ServiceName
 from ochreway_direct.lists.listedtarget import ListedTarget
@@ -30,8 +30,9 @@
     ``last_model`` is the model that the engine can rejoin without its weights staged, if known.
     ``joining_since_s`` is when the join under way was first reported. ``missed_since_s`` is when
     the first of the current ``misses`` was probed, ``answered_s`` when the last answered probe was
-    sent. ``orders_taken`` is how many orders the engine has taken, or None until a report probed at
-    ``orders_settled_s`` or later tells it; earlier reports may lack the latest orders.
+    sent. ``newest_join`` is the epoch of the latest join sent. ``orders_taken`` is how many orders
+    the engine has taken, or None until a report probed at ``orders_settled_s`` or later tells it;
+    earlier reports may lack the latest orders.
     """
 
     listed: ListedTarget
@@ -55,6 +56,7 @@
     staging: ModelName | None = None
     staging_until_s: float = NEVER_S
     order_accepted: bool = False
+    newest_join: Epoch = NO_EPOCH
     orders_taken: int | None = None
     orders_settled_s: float = NEVER_S
     change_expected_s: float = NEVER_S
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -94,6 +94,10 @@
             if known is None or known.epoch != membership.epoch:
                 unknown_groups[membership.group, membership.epoch][membership.rank] = record
         for (group, epoch), ranks in unknown_groups.items():
+            if epoch > max(self._state.epoch, self._state.foreign_epoch):
+                # Not taken for remains before the lease is confirmed.
+                self._state.foreign_epoch = epoch
+                continue
             self._adopt_group(group, epoch, ranks, now_s)
 
     def _adopt_group(
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -28,6 +28,8 @@
     No load begins before ``inherited_loads_seen``: the loads that the previous lease holder began
     have been observed. Nothing is planned or ordered in ``drained_halls``: their engines are not
     part of the capacity, and their groups are kept unchanged without counting as current.
+    ``foreign_epoch`` is the newest epoch seen above all that were issued here: a newer lease holder
+    may have formed its group. Without ``may_order`` no order is issued.
     """
 
     tuning: CoordinatorTuning
@@ -40,6 +42,8 @@
     inherited_loads_seen: bool = False
     drained_halls: frozenset[HallId] = frozenset()
     epoch: Epoch = NO_EPOCH
+    foreign_epoch: Epoch = NO_EPOCH
+    may_order: bool = True
     assignments: list[Assignment] = field(default_factory=list)
 
     @property
@@ -88,7 +92,9 @@
         that the engine has taken: alone of all orders it replaces whatever group the engine is in,
         and one that is carried out late, or was decided on an old report, is thus rejected.
         """
-        if self.is_drained(record) or (isinstance(order, Join) and record.orders_taken is None):
+        if not self.may_order or self.is_drained(record):
+            return False
+        if isinstance(order, Join) and record.orders_taken is None:
             return False
         retry_delay_s = self._order_retry_delay_s(record)
         repeated = order == record.last_order and now_s - record.last_ordered_s < retry_delay_s
@@ -96,7 +102,10 @@
             return False
         record.pending_order = record.last_order = order
         record.last_ordered_s = now_s
-        taken = record.orders_taken if isinstance(order, Join) else None
+        taken = None
+        if isinstance(order, Join):
+            taken = record.orders_taken
+            record.newest_join = order.epoch
         self.assignments.append(Assignment(record.instance, record.listed.address, order, taken))
         return True
 
--- a/packages/ochreway-direct/src/ochreway_direct/entries/peers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entries/peers.py
@@ -164,6 +164,11 @@
         """Return the entries whose heartbeats are expected."""
         return frozenset(n for n, r in self._records.items() if r.expected_since_s is not None)
 
+    def heard_since(self, nodes: Iterable[NodeId], since_s: float) -> bool:
+        """Return whether a heartbeat of each of these entries has arrived since a time."""
+        records = [self._records.get(node) for node in nodes]
+        return all(record is not None and record.last_received_s > since_s for record in records)
+
     def without_hall(self) -> list[Peer]:
         """Return the entries of which only the link is known, not the hall."""
         return [record.peer for record in self._records.values() if record.hall is None]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -9,7 +9,7 @@
 
 from ochreway_core.backoff import Backoff
 from ochreway_core.crashnews import CrashNews
-from ochreway_core.ids import GroupId, HallId, NodeId
+from ochreway_core.ids import NO_EPOCH, GroupId, HallId, NodeId
 from ochreway_core.peer import Peer
 from ochreway_direct.bounds.resourcebounds import bounds_of
 from ochreway_direct.bounds.resourcewatch import CHECK_INTERVAL_S, ResourceWatch
@@ -35,6 +35,7 @@
 from ochreway_direct.fleets.fleetview import FleetView
 from ochreway_direct.halls.homecheck import HomeCheck
 from ochreway_direct.halls.homes import Homes
+from ochreway_direct.leases.authority import Authority
 from ochreway_direct.leases.lease import Holder, Lease
 from ochreway_direct.leases.leasekeeper import LeaseKeeper
 from ochreway_direct.lists.listfollower import ListFollower
@@ -162,13 +163,14 @@
             timing.lease_renew_s,
             self._backoff(timing),
         )
+        self.authority = Authority(self.lease, self.peers, timing, self._on_doubt)
         self.coordination = Coordination(
             services.engines,
             timing,
             _tuning(settings),
             self.spawn,
             self._schedule_coordinator_tick,
-            self.lease.renew_at_once,
+            lambda: self.authority.doubt("fenced", self._loop.time()),
             self.lag,
             lambda group: fleet.load(group) > 0,
             self.notices,
@@ -284,6 +286,7 @@
         }
         self._tasks: set[asyncio.Task[None]] = set()
         self._start_steps = StartSteps(self._start_checks(), self._loop.time(), log)
+        self._doubted_epoch = NO_EPOCH
         self._last_tick_s = 0.0
         self._tick_planned = False
         self._tick_due_s = 0.0
@@ -376,6 +379,7 @@
             "keys_trusted": float(self.serving.freshness.keys_trusted(now_s)),
             "loop_stalled_s": self.lag.stalled_since(now_s - STALL_RETENTION_S, now_s),
             "lease_held": float(self.lease.held),
+            "lease_in_doubt": float(self.authority.in_doubt),
             "groups": float(len(self.view.groups(now_s))),
             "proofs_awaited": float(self.serving.proofs_awaited),
             "entries_heard": float(len(self.peers.alive(now_s))),
@@ -420,6 +424,7 @@
         # Every entry tracks the offered work, as it may be the next to form groups.
         if self.lease.held or self.settings.has(Mechanism.FOLLOWED_DEMAND):
             self._update_demand(now_s)
+        self.authority.may_order(now_s)
         if self.lease.held:
             self._tick_coordinator()
 
@@ -435,11 +440,19 @@
         begun_s = self._loop.time()
         if not self.lease.held or begun_s < self._tick_due_s:
             return
-        if self.coordination.run_tick(begun_s):
+        if self.coordination.run_tick(begun_s, self.authority.may_order(begun_s)):
             self._sharing.publish()
+        foreign_epoch = self.coordination.coordinator.foreign_epoch
+        if foreign_epoch > self._doubted_epoch:
+            self._doubted_epoch = foreign_epoch
+            self.authority.doubt("newer_epoch", begun_s)
         ended_s = self._loop.time()
         self._tick_due_s = ended_s + TICK_REST_FACTOR * (ended_s - begun_s)
 
+    def _on_doubt(self, cause: str) -> None:
+        self.metrics.count(f"lease.in_doubt.{cause}")
+        self.log.event("lease_in_doubt", cause=cause, revision=self.lease.revision)
+
     def _suspect_silent_groups(self, now_s: float) -> None:
         silent_s = SUSPECT_SILENCE_S + self.lag.stalled_since(now_s - SUSPECT_SILENCE_S, now_s)
         for group in self.serving.fleet.silent_groups(now_s, silent_s):
--- a/packages/ochreway-direct/src/ochreway_direct/leases/lease.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/lease.py
@@ -61,7 +61,8 @@
     If a write has no reply, its outcome is determined by reading the row back. ``term`` is that of
     this holder, and ``former_term`` that of the row which its acquisition replaced, or empty if
     that is not known. ``acquired_revision`` is the row's revision at the acquisition; loans name
-    the lease by it, and rows by the term.
+    the lease by it, and rows by the term. ``confirmed_s`` is when the last write was sent that the
+    table is known to have done.
     """
 
     def __init__(self, table: Table, holder: Holder, renew_s: float, backoff: Backoff) -> None:
@@ -80,6 +81,7 @@
         self.former_term = ""
         self.acquired_revision = ABSENT
         self.renewed_s = 0.0
+        self.confirmed_s = 0.0
         self.unchanged_since_s = 0.0
 
     @property
@@ -92,7 +94,7 @@
         return self.held and now_s >= max(self._retry_s, self.renewed_s + self._renew_s)
 
     def renew_at_once(self) -> None:
-        """Make the renewal due at once, as an engine refused an order for a newer epoch."""
+        """Make the renewal due at once, as another process may have acquired the lease."""
         self.renewed_s = 0.0
 
     def may_retry(self, now_s: float) -> bool:
@@ -227,7 +229,7 @@
         self._backoff.reset()
         self._retry_s = 0.0
         self.revision = revision
-        self.renewed_s = now_s
+        self.renewed_s = self.confirmed_s = now_s
         self.unchanged_since_s = now_s
 
 
--- a/tests/direct/test_lateorders.py
+++ b/tests/direct/test_lateorders.py
@@ -156,3 +156,21 @@
         for each in delayed:
             world._carry_out(replace(each, orders_taken=None))
         self.assertNotEqual([], world.violations)
+
+
+class ForeignEpochTests(testtools.TestCase):
+    def test_a_group_of_a_newer_holder_is_not_taken_for_remains(self) -> None:
+        # The members were told to leave at once, whatever their group's epoch.
+        world, group = lost_member()
+        former = world.coordinator
+        world.take_over()
+        world.run_until(lambda: world.serving(LARGE) >= 2, 30.0)
+        for engine in world.engines.values():
+            if engine.alive and engine.instance in former.engines:
+                former.on_state(engine.instance, engine.state(world.now_s), world.now_s)
+        former._state.groups.clear()
+        leaves = [each for each in former.tick(world.now_s) if isinstance(each.order, Leave)]
+        newest = max(each.epoch for each in world.coordinator.groups.values())
+        self.assertEqual(newest, former.foreign_epoch)
+        told = {each.order.epoch for each in leaves if isinstance(each.order, Leave)}
+        self.assertNotIn(newest, told)
