--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -416,7 +416,7 @@
         """
         if self._state.inherited_loads_seen:
             return
-        lag_s = max(spec.report_lag_s for spec in self._state.specs.values())
+        lag_s = max((spec.report_lag_s for spec in self._state.specs.values()), default=0.0)
         reports_from_s = self._began_s + lag_s
         if now_s < reports_from_s:
             return
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -158,7 +158,11 @@
         """Return how many times slower than usual a group is: as its slowest member, or farther."""
         members = [self.engines[each] for each in group.members if each in self.engines]
         pace = max((each.state.pace for each in members), default=1.0)
-        return pace * (self.specs[group.service].far_factor if group.domain == SPANNING else 1.0)
+        # A version of the configuration may drop the service while its groups still serve.
+        spec = self.specs.get(group.service)
+        if spec is None or group.domain != SPANNING:
+            return pace
+        return pace * spec.far_factor
 
     def closing_time_s(self, group: GroupRecord, others_s: float) -> float:
         """Return how long a closing group's requests may take to end.
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -1,11 +1,12 @@
 # SPDX-License-Identifier: Apache-2.0
 import testtools
 
-from ochreway_core.ids import DomainId, Epoch
+from ochreway_core.ids import DomainId, Epoch, Version
+from ochreway_direct.configuration import Configuration
 from ochreway_direct.coordinator import Assignment, CoordinatorTuning
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
 from ochreway_direct.order import Join
-from ochreway_standins.engineworld import LARGE, SMALL, SPEC, STEP_S, EngineWorld
+from ochreway_standins.engineworld import CONFIGURATION, LARGE, SMALL, SPEC, STEP_S, EngineWorld
 
 
 def settled(seed: int = 1) -> EngineWorld:
@@ -327,3 +328,23 @@
             world.add(DomainId(lost.domain))
         if world.random.random() < 0.005:
             world.take_over()
+
+
+class ConfigurationTests(testtools.TestCase):
+    def test_a_configuration_without_engines_ends_no_tick(self) -> None:
+        # The list may show engines of a service that no version names, or no longer does.
+        world = settled()
+        world.take_over()
+        for configuration in (Configuration(Version(2)), CONFIGURATION):
+            world.coordinator.configure(configuration)
+            world.run(5.0)
+        self.assertGreaterEqual(world.serving(LARGE), 2)
+
+    def test_a_service_of_groups_across_domains_may_be_dropped(self) -> None:
+        world = EngineWorld(domains=0)
+        for n in range(4):
+            world.add(DomainId(f"d{n}"), LARGE.name)
+        world.run_until(lambda: world.serving(LARGE) == 1, 60.0)
+        world.coordinator.configure(Configuration(Version(2)))
+        world.run(3.0)
+        self.assertEqual(1, world.serving(LARGE))
