--- a/packages/ochreway-daemon/src/ochreway_daemon/shell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/shell.py
@@ -15,6 +15,7 @@
 from ochreway_daemon.tls import client_context, server_context
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.supervisor import Supervisor
 from ochreway_runtime.timer import TimerService
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
@@ -57,7 +58,8 @@
         self.log = log
         self.metrics = metrics
         self.timing = timing
-        self.timer = TimerService(timing.tick_s / 2)
+        self.supervisor = Supervisor(log, metrics)
+        self.timer = TimerService(timing.tick_s / 2, self.supervisor)
         self.links = Links(
             me,
             LinkSettings(
@@ -69,6 +71,7 @@
             lambda: node.version,
             self._on_batch,
             self._handle_link_down,
+            on_error=self.supervisor.report,
         )
         self.effects: dict[type, EffectHandler] = {
             Send: self._send,
@@ -78,7 +81,6 @@
         self._node = node
         self._mailbox: deque[EventHandler] = deque()
         self._mailbox_filled = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
         invariants.set_reporter(self._on_invariant_violated)
 
     def _on_invariant_violated(self, invariant: invariants.Invariant, detail: str) -> None:
@@ -92,10 +94,7 @@
 
     def spawn(self, coroutine: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Start a task that runs until it ends or the process stops."""
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        return self.supervisor.spawn(coroutine)
 
     def _send(self, effect: Send) -> None:
         self.links.send(effect.peer, effect.message)
@@ -116,13 +115,17 @@
         """Notify the node of a lost link; does nothing unless overridden."""
 
     async def run_mailbox(self) -> None:
-        """Handle events one at a time and perform the effects of each."""
+        """Handle events one at a time and perform the effects of each.
+
+        An event that fails is reported, and does not keep the next one from being handled.
+        """
         loop = asyncio.get_running_loop()
+        handle = self.supervisor.guard("event", self._handle)
         while True:
             await self._mailbox_filled.wait()
             self._mailbox_filled.clear()
             while self._mailbox:
-                self._handle(self._mailbox.popleft(), loop.time())
+                handle(self._mailbox.popleft(), loop.time())
 
     def _handle(self, event: EventHandler, now_s: float) -> None:
         event(now_s)
@@ -134,14 +137,14 @@
         host, _, port = self.settings.link_listen.rpartition(":")
         await self.links.listen(host, int(port))
         self.timer.every(self.timing.tick_s, lambda _: self.post(self._node.on_tick))
-        self.spawn(self.run_mailbox())
-        self.spawn(self.timer.run())
+        self.supervisor.watch_loop()
+        self.supervisor.keep("mailbox", self.run_mailbox)
+        self.supervisor.keep("timer", self.timer.run)
 
     async def stop(self) -> None:
         """Close the links and cancel all tasks."""
         await self.links.close()
-        for task in list(self._tasks):
-            task.cancel()
+        self.supervisor.cancel_all()
 
 
 __all__ = ["Node", "Shell"]
--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -78,11 +78,13 @@
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.looplag import STALL_RETENTION_S, LoopLag
 from ochreway_runtime.metrics import Metrics
+from ochreway_runtime.supervisor import Supervisor
 from ochreway_runtime.suspension import SuspensionDetector
 from ochreway_runtime.timer import TimerService
 from ochreway_wire.batch import Batch
 from ochreway_wire.links import Links, LinkSettings
 
+EACH_TICK_S = 0.0
 COUNTERS_LOG_INTERVAL_S = 5.0
 """How often all counters are written to the log in detail."""
 TICK_REST_FACTOR = 4.0
@@ -90,6 +92,10 @@
 
 Ticks thus take at most a fifth of the processor, and requests have the rest.
 """
+MAX_FAILING_S = 2.0
+"""How long all coordinator ticks may fail before the lease is left to another entry."""
+GIVEN_UP_REST_S = 10.0
+"""How long this entry does not acquire the lease again after that, as the others come first."""
 SUSPECT_SILENCE_S = 0.3
 """How long all answers of a group have to stall before its members are probed at once."""
 SUSPECT_INTERVAL_S = 0.15
@@ -144,7 +150,8 @@
         self.resources = ResourceWatch(
             *(bounds_of(settings), self.serving, self.peers, log, metrics, idle_limits)
         )
-        self.timer = TimerService(timing.tick_s)
+        self.supervisor = Supervisor(log, metrics)
+        self.timer = TimerService(timing.tick_s, self.supervisor)
         self.lag = LoopLag(timing.tick_s, log)
         self.serving.lag = self.lag
         self.buffers = self._new_buffers()
@@ -155,6 +162,7 @@
             self._on_batch,
             self._on_link_down,
             self._on_link_up,
+            self.supervisor.report,
         )
         incarnation = secrets.token_hex(6)
         self.lease = Lease(
@@ -284,9 +292,9 @@
             Suspicion: self._on_suspicion,
             CrashNews: self._crash_spread.on_news,
         }
-        self._tasks: set[asyncio.Task[None]] = set()
         self._start_steps = StartSteps(self._start_checks(), self._loop.time(), log)
         self._doubted_epoch = NO_EPOCH
+        self._ticks_failed_since_s: float | None = None
         self._last_tick_s = 0.0
         self._tick_planned = False
         self._tick_due_s = 0.0
@@ -319,18 +327,16 @@
 
     def spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run a task of this process until it ends or the process stops."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        return self.supervisor.spawn(work)
 
     async def start(self) -> None:
         """Listen for other entries and start all tasks."""
         host, _, port = self.settings.link_listen.rpartition(":")
         await self.links.listen(host, int(port))
         timing = self._timing
-        self.timer.ticks.subscribe(self.lag.tick)
-        self.timer.ticks.subscribe(SuspensionDetector(self.log, self.metrics).tick)
+        self.supervisor.watch_loop()
+        self.timer.every(EACH_TICK_S, self.lag.tick)
+        self.timer.every(EACH_TICK_S, SuspensionDetector(self.log, self.metrics).tick)
         self.timer.every(timing.tick_s, self._tick)
         self.timer.every(timing.heartbeat_s, self._heartbeats.send)
         # Shares of limits change with heartbeats.
@@ -346,19 +352,19 @@
             self.timer.every(SUSPECT_INTERVAL_S, self._suspect_silent_groups)
         self.timer.every(timing.fleet_update_s, lambda _: self._sharing.publish())
         self.timer.every(COUNTERS_LOG_INTERVAL_S, lambda _: self._log_counters())
-        self.spawn(self.timer.run())
-        self.spawn(self._configurations.run())
-        self.spawn(self._list_follower.run())
-        self.spawn(self._lease_keeper.run())
-        self.spawn(self._loan_keeper.run(timing.tick_s))
-        self.spawn(self._crash_keeper.run())
+        keep = self.supervisor.keep
+        keep("timer", self.timer.run)
+        keep("configurations", self._configurations.run)
+        keep("list", self._list_follower.run)
+        keep("lease", self._lease_keeper.run)
+        keep("loans", lambda: self._loan_keeper.run(timing.tick_s))
+        keep("crashes", self._crash_keeper.run)
 
     async def stop(self) -> None:
         """Release the lease and end every task."""
         await self.release_lease()
         await self.links.close()
-        for task in list(self._tasks):
-            task.cancel()
+        self.supervisor.cancel_all()
 
     async def release_lease(self) -> None:
         """Release the lease, if held, so that another entry can acquire it at once."""
@@ -428,6 +434,17 @@
         if self.lease.held:
             self._tick_coordinator()
 
+    def _on_failed_tick(self, now_s: float) -> None:
+        """Leave the lease to another entry if no coordinator tick has succeeded for a while."""
+        if self._ticks_failed_since_s is None:
+            self._ticks_failed_since_s = now_s
+        if now_s - self._ticks_failed_since_s >= MAX_FAILING_S:
+            self._ticks_failed_since_s = None
+            self.metrics.count("lease.given_up")
+            self.log.fault("lease_given_up", revision=self.lease.revision)
+            self._lease_keeper.rest(now_s + GIVEN_UP_REST_S)
+            self.spawn(self.release_lease())
+
     def _schedule_coordinator_tick(self) -> None:
         """Schedule a coordinator tick soon, as an event that it waits for has occurred."""
         if not self._tick_planned:
@@ -440,14 +457,22 @@
         begun_s = self._loop.time()
         if not self.lease.held or begun_s < self._tick_due_s:
             return
+        try:
+            self._run_coordinator(begun_s)
+            self._ticks_failed_since_s = None
+        except Exception as error:
+            self.supervisor.report("coordinator", error)
+            self._on_failed_tick(begun_s)
+        ended_s = self._loop.time()
+        self._tick_due_s = ended_s + TICK_REST_FACTOR * (ended_s - begun_s)
+
+    def _run_coordinator(self, begun_s: float) -> None:
         if self.coordination.run_tick(begun_s, self.authority.may_order(begun_s)):
             self._sharing.publish()
         foreign_epoch = self.coordination.coordinator.foreign_epoch
         if foreign_epoch > self._doubted_epoch:
             self._doubted_epoch = foreign_epoch
             self.authority.doubt("newer_epoch", begun_s)
-        ended_s = self._loop.time()
-        self._tick_due_s = ended_s + TICK_REST_FACTOR * (ended_s - begun_s)
 
     def _on_doubt(self, cause: str) -> None:
         self.metrics.count(f"lease.in_doubt.{cause}")
@@ -484,7 +509,7 @@
         for message in batch.messages:
             handler = self._handlers.get(type(message))
             if handler is not None:
-                handler(sender, message)
+                self.supervisor.guard(type(message).__name__, handler)(sender, message)
 
     def _on_configuration_update(self, _: Peer, update: ConfigurationUpdate) -> None:
         if not self._drains.known:
--- a/packages/ochreway-direct/src/ochreway_direct/leases/leasekeeper.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/leasekeeper.py
@@ -70,6 +70,10 @@
             elif now_s >= self._observe_due_s and self._may_acquire(now_s):
                 await self._acquire(now_s)
 
+    def rest(self, until_s: float) -> None:
+        """Acquire no lease until a time, as this process could not do its work."""
+        self._observe_due_s = until_s
+
     def on_link_down(self, node: NodeId) -> None:
         """Check whether the lease holder has ended, which its silence alone would show late."""
         holder = self._peers.holder(self._loop.time())
--- a/packages/ochreway-wire/src/ochreway_wire/link.py
+++ b/packages/ochreway-wire/src/ochreway_wire/link.py
@@ -4,9 +4,11 @@
 import asyncio
 from collections.abc import Callable
 
+from cbor2 import CBOREncodeError
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
 
+from ochreway_core.errors import CodecError
 from ochreway_core.ids import Version
 from ochreway_core.peer import Peer
 from ochreway_wire.batch import Batch, decode_batch, encode_batch
@@ -26,12 +28,18 @@
     """Own a websocket; flush immediately when idle, otherwise once per tick."""
 
     def __init__(
-        self, socket: Connection, peer: Peer, version: Callable[[], Version], tick_s: float
+        self,
+        socket: Connection,
+        peer: Peer,
+        version: Callable[[], Version],
+        tick_s: float,
+        on_error: Callable[[str, BaseException], None],
     ) -> None:
         self.peer = peer
         self._socket = socket
         self._version = version
         self._tick_s = tick_s
+        self._on_error = on_error
         self._queue: list[object] = []
         self._wake = asyncio.Event()
         self.sent_bytes = 0
@@ -47,7 +55,7 @@
         return True
 
     async def run_writer(self) -> None:
-        """Send queued messages until the link closes."""
+        """Send queued messages until the link closes; an error closes it and is reported."""
         loop = asyncio.get_running_loop()
         last_flush_s = 0.0
         try:
@@ -61,15 +69,32 @@
                 await self._flush()
         except ConnectionClosed:
             return
+        except Exception as error:
+            self._on_error("link_writer", error)
 
     async def _flush(self) -> None:
         while self._queue:
             batch = self._queue[:MESSAGES_PER_BATCH]
             del self._queue[:MESSAGES_PER_BATCH]
-            content = encode_batch(self._version(), batch)
+            content = self._encode(batch)
             self.sent_bytes += len(content)
             await self._socket.send(content)
 
+    def _encode(self, messages: list[object]) -> bytes:
+        """Encode messages, leaving out those that cannot be encoded."""
+        try:
+            return encode_batch(self._version(), messages)
+        except (CodecError, CBOREncodeError, ValueError):
+            return encode_batch(self._version(), [m for m in messages if self._can_encode(m)])
+
+    def _can_encode(self, message: object) -> bool:
+        try:
+            encode_batch(self._version(), [message])
+        except (CodecError, CBOREncodeError, ValueError) as error:
+            self._on_error(f"encode_{type(message).__name__}", error)
+            return False
+        return True
+
     async def run_reader(self, on_batch: Callable[[Peer, Batch], None]) -> None:
         """Pass received batches to ``on_batch`` until the link closes or violates the protocol."""
         try:
--- a/packages/ochreway-wire/src/ochreway_wire/links.py
+++ b/packages/ochreway-wire/src/ochreway_wire/links.py
@@ -41,6 +41,7 @@
 BatchHandler = Callable[[Peer, Batch], None]
 LinkDownHandler = Callable[[NodeId], None]
 LinkUpHandler = Callable[[Peer], None]
+ErrorHandler = Callable[[str, BaseException], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,13 +76,16 @@
         on_batch: BatchHandler,
         on_down: LinkDownHandler,
         on_up: LinkUpHandler | None = None,
+        on_error: ErrorHandler | None = None,
     ) -> None:
+        """Start without links; ``on_error`` is called with each error that ends a task."""
         self._me = me
         self._settings = settings
         self._version = version
         self._on_batch = on_batch
         self._on_down = on_down
         self._on_up = on_up
+        self._on_error = on_error or (lambda name, error: None)
         self._links: dict[NodeId, Link] = {}
         self._queued_while_dialling: dict[NodeId, list[object]] = {}
         self._addresses_dialling: set[str] = set()
@@ -145,7 +149,13 @@
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._on_error("link", error)
 
     async def _dial(self, peer: Peer) -> None:
         scheme = "wss" if self._settings.client_tls else "ws"
@@ -173,9 +183,13 @@
             self._on_down(node)
 
     async def _accept(self, socket: ServerConnection) -> None:
-        with contextlib.suppress(HandshakeRefused, asyncio.TimeoutError, ConnectionClosed):
+        try:
             peer = await self._perform_handshake(socket, dialled=False)
             await self._run_link(socket, peer)
+        except (TimeoutError, HandshakeRefused, ConnectionClosed):
+            return
+        except Exception as error:
+            self._on_error("link", error)
 
     async def _perform_handshake(self, socket: Connection, dialled: bool) -> Peer:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
@@ -190,13 +204,14 @@
 
     async def _run_link(self, socket: Connection, peer: Peer) -> None:
         _set_ack_timeout(socket)
-        link = Link(socket, peer, self._version, self._settings.tick_s)
+        link = Link(socket, peer, self._version, self._settings.tick_s, self._on_error)
         self._links[peer.node] = link
         for message in self._queued_while_dialling.pop(peer.node, ()):
             link.send(message)
         if self._on_up is not None:
             self._on_up(peer)
         writer = asyncio.create_task(link.run_writer())
+        writer.add_done_callback(lambda task: None if task.cancelled() else link.abort())
         try:
             await link.run_reader(self._on_batch)
         finally:
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -23,12 +23,14 @@
         self.peer = Peer(NodeId(name), f"127.0.0.1:{free_port()}")
         self.received: list[tuple[str, int, object]] = []
         self.down: list[str] = []
+        self.errors: list[str] = []
         self.links = Links(
             self.peer,
             LinkSettings(key, compressed=compressed),
             lambda: Version(7),
             self._record_batch,
             self.down.append,
+            on_error=lambda name, _: self.errors.append(name),
         )
 
     def _record_batch(self, sender: Peer, batch: Batch) -> None:
@@ -86,6 +88,20 @@
         for compressed in ((True, True), (True, False), (False, True)):
             run_with_two_ends(work, compressed=compressed)
 
+    def test_a_message_that_cannot_be_encoded_ends_no_link(self) -> None:
+        # One row's text that is no UTF-8 ended the task that sends, and the link stayed silent.
+        async def work(one: End, other: End) -> None:
+            for name in ("before", "\ud800", "after"):
+                one.links.send(other.peer, Follow(GroupId(name)))
+            await wait_until(lambda: len(other.received) == 2)
+            self.assertEqual(
+                [Follow(GroupId("before")), Follow(GroupId("after"))],
+                [message for _, _, message in other.received],
+            )
+            self.assertEqual(["encode_Follow"], one.errors)
+
+        run_with_two_ends(work)
+
     def test_order_is_kept(self) -> None:
         async def work(one: End, other: End) -> None:
             for number in range(5000):
