--- a/packages/ochreway-core/src/ochreway_core/reason.py
+++ b/packages/ochreway-core/src/ochreway_core/reason.py
@@ -40,6 +40,8 @@
     TARGET_SILENT = "target_silent"
     TARGET_ENDED = "target_ended"
     ANSWER_SHORT = "answer_short"
+    ANSWER_TOO_LONG = "answer_too_long"
+    ANSWER_INVALID = "answer_invalid"
     ENDS_TARGETS = "ends_targets"
     MAY_END_TARGETS = "may_end_targets"
     PROMPT_PART_ENDS_TARGETS = "prompt_part_ends_targets"
--- a/packages/ochreway-daemon/src/ochreway_daemon/main.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -150,7 +150,7 @@
     log = EventLog("entry", settings.name, settings.log_level)
     metrics = Metrics(settings.statsd, "entry")
     loop = asyncio.get_running_loop()
-    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+    async with aiohttp.ClientSession(connector=ResetAwareConnector(limit=0)) as session:
         base_url, timeout_s = settings.platform_url, timing.table_timeout_s
         node = EntryNode(
             Peer(NodeId(settings.name), settings.link_listen),
--- a/packages/ochreway-direct/src/ochreway_direct/bounds/resourcebounds.py
+++ b/packages/ochreway-direct/src/ochreway_direct/bounds/resourcebounds.py
@@ -3,7 +3,7 @@
 
 from dataclasses import dataclass
 
-from ochreway_direct.settings import DirectSettings
+from ochreway_direct.settings import BYTES_PER_MB, DirectSettings
 
 RESERVED_DESCRIPTORS = 200
 """Descriptors reserved for files and for libraries."""
@@ -16,7 +16,6 @@
 HELD_SHARE = 0.25
 """Share of the memory for bodies, and for answers that callers have not read yet."""
 BYTES_PER_MBPS = 125_000.0
-BYTES_PER_MB = 1e6
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ochreway-direct/src/ochreway_direct/main.py
+++ b/packages/ochreway-direct/src/ochreway_direct/main.py
@@ -84,6 +84,7 @@
 @option("--hall-regions", "", "Comma-separated hall=region pairs of all halls.")
 @option("--descriptors", 0, "Maximum number of open files and sockets; 0: unbounded.")
 @option("--memory-mb", 0.0, "Maximum memory of this process; 0: unbounded.")
+@option("--max-answer-mb", 32.0, "Longest answer that is not a stream.")
 @option("--link-mbps", 0.0, "Bandwidth of this instance's link; 0: unknown.")
 @option(
     "--min-groups", 0, "Groups that each model with callers keeps before any gets more; 0: off."
@@ -139,7 +140,7 @@
                 pooled_session,
                 single_session,
                 entry.first_tries,
-                RelayTuning(),
+                RelayTuning(max_answer_bytes=settings.max_answer_bytes),
             ),
             *(entry.retry_budget, entry.suspect, entry.crashes, entry.notices, log, metrics),
             buffers=entry.buffers,
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -24,13 +24,14 @@
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
 from ochreway_direct.relay.ending import Ending
-from ochreway_direct.relay.errors import CallerGone
+from ochreway_direct.relay.errors import AnswerTooLong, CallerGone
 from ochreway_direct.relay.eventsplitter import EventSplitter
 from ochreway_direct.relay.failovers import Failovers
 from ochreway_direct.relay.sendguard import SendWithheld, send_guard
 from ochreway_direct.relay.silencetimeout import SilenceTimeout
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
+from ochreway_platform.answers import AnswerInvalid, read_body
 
 SUPPRESSED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -45,6 +46,10 @@
 
 What crashes a target when it begins to write an answer does so within its first few steps.
 """
+MAX_SKIPPED_BYTES = 64 * 1024
+"""Longest body that is read although nobody needs it; a longer one closes its connection."""
+MAX_EVENT_BYTES = 1024 * 1024
+"""Longest event of a stream, which is held until it is complete."""
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
 
@@ -107,6 +112,10 @@
             return Ending(Outcome.NOT_RUN, Reason.BACKOFF, failed=False)
         except CONNECT_ERRORS:
             return Ending(Outcome.NOT_RUN, Reason.LINK_LOST, lost_contact=True)
+        except AnswerTooLong:
+            return Ending(Outcome.UNKNOWN, Reason.ANSWER_TOO_LONG)
+        except AnswerInvalid:
+            return Ending(Outcome.UNKNOWN, Reason.ANSWER_INVALID, lost_contact=True)
         except CONNECTION_ERRORS:
             return Ending(
                 Outcome.UNKNOWN, Reason.TARGET_FAILED, lost_contact=True, disconnected=True
@@ -159,7 +168,7 @@
             attempt.status, attempt.notice = response.status, head.notice
             self._record_notice(call, attempt, head)
             if head.not_run:
-                await self._finish_body(response)
+                await self._skip_body(response)
                 return self._rejection(head)
             mismatch = self._mismatch(call, response, head)
             if mismatch is not None:
@@ -241,28 +250,48 @@
             return None
         return pieces_of(call.body)
 
-    async def _finish_body(self, response: aiohttp.ClientResponse) -> None:
-        try:
-            with contextlib.suppress(*CONNECTION_ERRORS):
-                await self._read_body(response)
-        except MemoryFull:
-            response.close()
+    async def _skip_body(self, response: aiohttp.ClientResponse) -> None:
+        """Read a short body that nobody needs, so that its connection can be used again."""
+        with contextlib.suppress(*CONNECTION_ERRORS):
+            await read_body(response, MAX_SKIPPED_BYTES)
 
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
-        if self._buffers is None:
-            return await response.read()
+        """Return the whole body of an answer.
+
+        Raises:
+            AnswerTooLong: if it has no end within the limit, or none within the memory.
+            MemoryFull: if its length is announced, and does not fit into the memory.
+        """
+        max_bytes = self._tuning.max_answer_bytes
         # The answer to a HEAD request names the length of a body that does not follow.
         length_bytes = None if response.content.at_eof() else response.content_length
-        with self._buffers.answer_holding() as holding:
-            return await read_whole(response.content, length_bytes, holding)
+        if length_bytes is not None and length_bytes > max_bytes:
+            raise AnswerTooLong
+        if self._buffers is None:
+            return await self._read_bounded(response, max_bytes)
+        try:
+            with self._buffers.answer_holding() as holding:
+                return await read_whole(response.content, length_bytes, holding, max_bytes)
+        except web.HTTPRequestEntityTooLarge as error:
+            raise AnswerTooLong from error
+        except MemoryFull as error:
+            if length_bytes is not None:
+                raise
+            # Without a length it may have no end. Another target's answer may fit.
+            raise AnswerTooLong from error
+
+    async def _read_bounded(self, response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+        try:
+            return await read_body(response, max_bytes)
+        except AnswerInvalid as error:
+            raise AnswerTooLong from error
 
     async def _forward_body(self, call: Call, response: aiohttp.ClientResponse) -> Ending:
-        body = await self._read_body(response)
-        if call.answer is not None:
-            return Ending(Outcome.UNKNOWN, Reason.TARGET_FAILED)
         may_retry = call.runs + 1 < call.route.attempts_at_most and call.route.repeatable
-        if response.status >= 500 and may_retry:
+        if call.answer is not None or (response.status >= 500 and may_retry):
+            await self._skip_body(response)
             return Ending(Outcome.UNKNOWN, Reason.TARGET_FAILED)
+        body = await self._read_body(response)
         answer = web.Response(
             status=response.status, headers=self._dialect.answer(response.headers), body=body
         )
@@ -304,6 +333,8 @@
         async for piece in response.content.iter_any():
             await self._failovers.on_answer_part(call, attempt)
             events = splitter.feed(piece)
+            if len(splitter.incomplete()) > MAX_EVENT_BYTES:
+                raise AnswerTooLong
             now_s = loop.time()
             self._fleet.on_answer_part(attempt, now_s)
             self._check_sound(call, attempt, now_s)
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -14,7 +14,8 @@
     where new calls may not, as it cannot be refused. A target may be
     silent for ``first_answer_objectives`` before its answer and for ``stall_pauses`` within it
     before its call moves to another one. A stream that no target has begun to answer is refused
-    after the longest of the three ``caller_silence`` bounds.
+    after the longest of the three ``caller_silence`` bounds. An answer that is read whole may have
+    ``max_answer_bytes``.
     """
 
     max_extra_sends: int = 2
@@ -36,6 +37,7 @@
     retry_after_share: float = 0.3
     stall_pauses: float = 3.0
     min_stall_s: float = 0.7
+    max_answer_bytes: int = 64 * 1024 * 1024
 
 
 __all__ = ["RelayTuning"]
--- a/packages/ochreway-direct/src/ochreway_direct/settings.py
+++ b/packages/ochreway-direct/src/ochreway_direct/settings.py
@@ -8,6 +8,7 @@
 from ochreway_direct.versions.freshness import KeyTrust
 from ochreway_runtime import checks
 
+BYTES_PER_MB = 1e6
 KEY_TRUST_SHARE = 0.9
 """Share of the time allowed for revoking a key in which keys are trusted without a new proof."""
 LIST_TRUST_SHARE = 0.7
@@ -53,6 +54,7 @@
     hall_regions: tuple[str, ...] = ()
     descriptors: int = 0
     memory_mb: float = 0.0
+    max_answer_mb: float = 32.0
     link_mbps: float = 0.0
     min_groups: int = 0
     without: tuple[str, ...] = ()
@@ -95,6 +97,11 @@
         """Return the maximum age of a list of targets that requests are routed by."""
         return self.drain_ms / 1000.0 * LIST_TRUST_SHARE
 
+    @property
+    def max_answer_bytes(self) -> int:
+        """Return the longest answer that is read whole."""
+        return int(self.max_answer_mb * BYTES_PER_MB)
+
     @property
     def retries_per_request(self) -> float:
         """Return the number of retries that a request adds to the budget."""
@@ -153,6 +160,7 @@
     "hall_regions": _check_hall_regions,
     "descriptors": checks.not_negative,
     "memory_mb": checks.not_negative,
+    "max_answer_mb": checks.positive,
     "link_mbps": checks.not_negative,
     "min_groups": checks.not_negative,
     "without": _check_mechanisms,
--- a/packages/ochreway-platform/src/ochreway_platform/httpobjectstore.py
+++ b/packages/ochreway-platform/src/ochreway_platform/httpobjectstore.py
@@ -3,6 +3,8 @@
 
 import aiohttp
 
+from ochreway_platform.answers import read_body
+from ochreway_platform.calls import MAX_BODY_BYTES
 from ochreway_platform.errors import ObjectMissing, ObjectStoreUnavailable
 from ochreway_platform.objectstore import ObjectStore
 
@@ -22,7 +24,7 @@
                 if response.status == 404:
                     raise ObjectMissing(name)
                 response.raise_for_status()
-                return await response.read()
+                return await read_body(response, MAX_BODY_BYTES)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise ObjectStoreUnavailable(str(error)) from error
 
--- a/packages/ochreway-platform/src/ochreway_platform/httptarget.py
+++ b/packages/ochreway-platform/src/ochreway_platform/httptarget.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Target accessed over HTTP."""
 
+import json
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
@@ -13,6 +14,7 @@
 from ochreway_core.targetnotice import TargetNotice
 from ochreway_core.targetorder import TargetOrder
 from ochreway_platform.answernotice import REJECTION_STATUSES, NoticeHeaders, parse_notice
+from ochreway_platform.answers import read_body
 from ochreway_platform.errors import (
     HandOverRefused,
     TargetBroke,
@@ -23,6 +25,7 @@
 from ochreway_platform.targetcheck import TargetCheck
 
 STATE_TIMEOUT_S = 1.0
+MAX_STATE_BYTES = 1024 * 1024
 NOT_RUN_HEADER = "Not-Run"
 """Header with which a target states that it did not start the request it rejected."""
 NOTICE_HEADERS = NoticeHeaders(leaving="Leaving", limit="Request-Limit")
@@ -71,7 +74,7 @@
                 response.raise_for_status()
                 if self._kind is TargetKind.SERVICE:
                     return TargetReport(Epoch(0), "", True, leaving=notice.leaving)
-                state = await response.json()
+                state = json.loads(await read_body(response, MAX_STATE_BYTES))
                 return TargetReport(
                     Epoch(state["epoch"]),
                     state["artifact"],
@@ -80,7 +83,7 @@
                     tuple(state.get("evicted", ())),
                     notice.leaving,
                 )
-        except (TimeoutError, aiohttp.ClientError, OSError, KeyError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError) as error:
             raise TargetUnreachable(str(error)) from error
 
     async def order(self, order: TargetOrder) -> None:
--- a/packages/ochreway-platform/src/ochreway_platform/instancelist.py
+++ b/packages/ochreway-platform/src/ochreway_platform/instancelist.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """The platform's list of live and leaving instances."""
 
+import json
 from abc import ABC, abstractmethod
 from typing import Any
 
@@ -8,6 +9,8 @@
 
 from ochreway_core.ids import DomainId, HallId, NodeId
 from ochreway_core.listing import InstanceKind, ListedInstance
+from ochreway_platform.answers import read_body
+from ochreway_platform.calls import MAX_BODY_BYTES
 from ochreway_platform.errors import ListUnavailable
 
 
@@ -54,7 +57,8 @@
                 if response.status == 304:
                     return self._last_list
                 response.raise_for_status()
-                self._last_list = [instance_from_json(item) for item in await response.json()]
+                items = json.loads(await read_body(response, MAX_BODY_BYTES))
+                self._last_list = [instance_from_json(item) for item in items]
                 self._etag = response.headers.get("ETag", "")
                 return self._last_list
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
