--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/coordinator.py
@@ -243,7 +243,7 @@
         """
         others = [
             each
-            for each in self.engines.values()
+            for each in self._state.engines_in_service()
             if each is not silent and not each.dead and not each.leaving
         ]
         return bool(others) and all(each.answered_s < silent.missed_since_s for each in others)
@@ -426,7 +426,7 @@
                 record.probed_s = NEVER_S
         self._state.inherited_loads_seen = now_s - self._began_s >= self.tuning.settle_s or all(
             record.dead or record.misses or record.observed_s >= reports_from_s
-            for record in self.engines.values()
+            for record in self._state.engines_in_service()
         )
 
     def _plan_due(self, now_s: float) -> bool:
@@ -449,7 +449,7 @@
         from half of a list are repeated for the other half.
         """
         passed_s = now_s - self._began_s
-        records = self.engines.values()
+        records = self._state.engines_in_service()
         probed = bool(records) and all(r.observed_s > 0 or r.misses for r in records)
         if not probed and passed_s < self.tuning.settle_s:
             return False
@@ -461,7 +461,7 @@
         """Return whether no engine is in a group, has weights or is loading any."""
         return not any(
             record.membership or record.state.staged or record.state.busy
-            for record in self.engines.values()
+            for record in self._state.engines_in_service()
         )
 
     def _finish_startup(self, now_s: float) -> None:
@@ -489,7 +489,7 @@
         """
         expected = [
             each
-            for each in self.engines.values()
+            for each in self._state.engines_in_service()
             if not each.leaving and not self._state.is_drained(each)
         ]
         silent = [each for each in expected if each.misses or each.dead]
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/lifecycle.py
@@ -86,7 +86,7 @@
     def _adopt_reported(self, now_s: float) -> None:
         """Adopt complete groups that engines report; dissolve what remains of others."""
         unknown_groups: dict[tuple[GroupId, Epoch], dict[int, EngineRecord]] = defaultdict(dict)
-        for record in self._state.engines.values():
+        for record in self._state.engines_in_service():
             membership = record.membership
             if membership is None or record.dead or record.observed_s < 0:
                 continue
--- a/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
+++ b/packages/ochreway-direct/src/ochreway_direct/coordinator/state.py
@@ -59,6 +59,13 @@
         """
         return self.tuning.least_gain if self.demand.measured else 0.0
 
+    def engines_in_service(self) -> list[EngineRecord]:
+        """Return the engines of services that the configuration names.
+
+        The list may hold rows of other writers, at whose addresses nothing may answer.
+        """
+        return [each for each in self.engines.values() if each.service in self.specs]
+
     def next_epoch(self) -> Epoch:
         """Return an epoch above all that were issued."""
         self.epoch = Epoch(self.epoch + 1)
--- a/packages/ochreway-standins/src/ochreway_standins/engineworld.py
+++ b/packages/ochreway-standins/src/ochreway_standins/engineworld.py
@@ -55,6 +55,7 @@
 
     instance: InstanceId
     domain: DomainId
+    service: ServiceName = ServiceName("models")
     alive: bool = True
     leaving: bool = False
     staged: ModelName | None = None
@@ -131,7 +132,7 @@
         """Return the entry in the platform's list."""
         return ListedTarget(
             self.instance,
-            SERVICE,
+            self.service,
             f"{self.instance}:1",
             HallId(self.domain),
             self.leaving,
@@ -283,7 +284,8 @@
         listed = [
             each.listed()
             for each in self.engines.values()
-            if (each.alive or each.instance in self.replaced) and each.listed_s <= self.now_s
+            if (each.alive or each.service != SERVICE or each.instance in self.replaced)
+            and each.listed_s <= self.now_s
         ]
         self.last_models.record_targets(listed)
         self.coordinator.on_listing(listed, self.now_s)
--- a/tests/direct/test_coordinator.py
+++ b/tests/direct/test_coordinator.py
@@ -5,6 +5,7 @@
 from ochreway_direct.configuration import Configuration
 from ochreway_direct.coordinator import Assignment, CoordinatorTuning
 from ochreway_direct.coordinator.grouprecord import SPANNING, GroupPhase
+from ochreway_direct.ids import ServiceName
 from ochreway_direct.order import Join
 from ochreway_standins.engineworld import CONFIGURATION, LARGE, SMALL, SPEC, STEP_S, EngineWorld
 
@@ -348,3 +349,15 @@
         world.coordinator.configure(Configuration(Version(2)))
         world.run(3.0)
         self.assertEqual(1, world.serving(LARGE))
+
+    def test_silent_engines_of_a_service_that_is_not_configured_stop_nothing(self) -> None:
+        # Rows of another writer counted as silent engines, and no group was formed any more.
+        world = settled()
+        for n in range(3 * len(world.engines)):
+            stranger = world.add(DomainId(f"d{n % 2}"))
+            stranger.service, stranger.alive = ServiceName("other"), False
+        world.run(10.0)
+        before = world.serving(LARGE)
+        world.crash(world.members(LARGE)[1])
+        world.run_until(lambda: world.serving(LARGE) < before, 3.0)
+        self.assertLess(world.run_until(lambda: world.serving(LARGE) >= before, 30.0), 4.0)
