--- a/packages/ochreway-direct/src/ochreway_direct/leases/authority.py
+++ b/packages/ochreway-direct/src/ochreway_direct/leases/authority.py
@@ -7,8 +7,6 @@
 from ochreway_direct.leases.lease import Lease
 from ochreway_direct.timing import DirectTiming
 
-NEVER_S = -1.0e9
-
 
 class Authority:
     """Decide whether this process may give orders as lease holder.
@@ -16,8 +14,9 @@
     Another process acquires the lease once it has not heard of the holder for ``peer_silent_s``.
     The holder's authority is therefore in doubt after it stood still for about as long, while it
     hears no other entry and the store confirms nothing, and when an engine shows a newer epoch.
-    A renewal that was sent after the doubt arose ends it, and so does contact: every entry whose
-    heartbeats are expected was heard since, for as long as news of a newer holder takes.
+
+    A renewal that was sent after the doubt arose ends it. So does contact: every entry whose
+    heartbeats are expected was heard since, and news of a newer holder would have arrived.
     """
 
     def __init__(
--- a/packages/ochreway-direct/src/ochreway_direct/relay/errors.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/errors.py
@@ -23,12 +23,8 @@
         self.reason = reason
 
 
-class AnswerTooLong(OchrewayError):
-    """A target's answer, or one event of it, has no end within the limit."""
-
-
 class CallerGone(OchrewayError):
     """The caller no longer accepts the answer."""
 
 
-__all__ = ["AnswerBroken", "AnswerTooLong", "CallerGone", "Refused"]
+__all__ = ["AnswerBroken", "CallerGone", "Refused"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/exchange.py
@@ -24,14 +24,14 @@
 from ochreway_direct.relay.attempt import Attempt
 from ochreway_direct.relay.call import Call
 from ochreway_direct.relay.ending import Ending
-from ochreway_direct.relay.errors import AnswerTooLong, CallerGone
+from ochreway_direct.relay.errors import CallerGone
 from ochreway_direct.relay.eventsplitter import EventSplitter
 from ochreway_direct.relay.failovers import Failovers
 from ochreway_direct.relay.sendguard import SendWithheld, send_guard
 from ochreway_direct.relay.silencetimeout import SilenceTimeout
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
-from ochreway_platform.answers import AnswerInvalid, read_body
+from ochreway_platform.answers import AnswerInvalid, AnswerTooLong, read_body
 
 SUPPRESSED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -268,7 +268,7 @@
         if length_bytes is not None and length_bytes > max_bytes:
             raise AnswerTooLong
         if self._buffers is None:
-            return await self._read_bounded(response, max_bytes)
+            return await read_body(response, max_bytes)
         try:
             with self._buffers.answer_holding() as holding:
                 return await read_whole(response.content, length_bytes, holding, max_bytes)
@@ -280,12 +280,6 @@
             # Without a length it may have no end. Another target's answer may fit.
             raise AnswerTooLong from error
 
-    async def _read_bounded(self, response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-        try:
-            return await read_body(response, max_bytes)
-        except AnswerInvalid as error:
-            raise AnswerTooLong from error
-
     async def _forward_body(self, call: Call, response: aiohttp.ClientResponse) -> Ending:
         may_retry = call.runs + 1 < call.route.attempts_at_most and call.route.repeatable
         if call.answer is not None or (response.status >= 500 and may_retry):
--- a/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/tuning.py
@@ -37,7 +37,7 @@
     retry_after_share: float = 0.3
     stall_pauses: float = 3.0
     min_stall_s: float = 0.7
-    max_answer_bytes: int = 64 * 1024 * 1024
+    max_answer_bytes: int = 32_000_000
 
 
 __all__ = ["RelayTuning"]
--- a/packages/ochreway-platform/src/ochreway_platform/answers.py
+++ b/packages/ochreway-platform/src/ochreway_platform/answers.py
@@ -19,6 +19,10 @@
     """The bytes that arrived are no answer, or one that does not end."""
 
 
+class AnswerTooLong(AnswerInvalid):
+    """A body, or one event of a stream, has no end within its limit."""
+
+
 class AnswerCheck:
     """Check the answers of one connection as they arrive."""
 
@@ -69,7 +73,7 @@
     """Return the body of an answer; the connection is closed if it is too long.
 
     Raises:
-        AnswerInvalid: if the body is longer than ``max_bytes``.
+        AnswerTooLong: if the body is longer than ``max_bytes``.
     """
     pieces: list[bytes] = []
     size_bytes = 0
@@ -77,7 +81,7 @@
         size_bytes += len(piece)
         if size_bytes > max_bytes:
             response.close()
-            raise AnswerInvalid(f"body of more than {max_bytes} bytes")
+            raise AnswerTooLong(f"body of more than {max_bytes} bytes")
         pieces.append(piece)
     return b"".join(pieces)
 
@@ -88,5 +92,6 @@
     "MAX_INTERIM_ANSWERS",
     "AnswerCheck",
     "AnswerInvalid",
+    "AnswerTooLong",
     "read_body",
 ]
