--- a/tests/daemon/test_mailbox.py
+++ b/tests/daemon/test_mailbox.py
@@ -26,7 +26,7 @@
         async def work() -> None:
             shell: Any = object.__new__(Shell)
             shell.supervisor = Supervisor(log, metrics)
-            shell._node = SimpleNamespace(take=lambda: [])
+            shell._node = SimpleNamespace(take=list)
             shell._mailbox, shell._mailbox_filled = deque[Any](), asyncio.Event()
             for event in (fail, handled.append, fail, handled.append):
                 shell.post(event)
