A request that is given up is not kept for a slow target

Callers saw nothing; the entry grew. When a caller left, its connection to the target was closed gracefully, so the unsent part of a body stayed in the transport's buffer until the target had read it. With 3,600 connections ended in three seconds, each under a body of 60 kB, this was a part of what an entry held after the crowd had gone. The connection is now aborted if a part of the request is unsent: nobody waits for its answer, and the target learns at once that the request has no end.

--- a/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/targetprotocol.py
@@ -33,6 +33,16 @@
         self._keep_alive_s = keep_alive_s(data[0].headers.get("Keep-Alive"))
         super().feed_data(data, size)
 
+    def close(self) -> None:
+        """Close the connection; a request of which a part is still unsent is given up.
+
+        Otherwise it would be kept until a slow target has taken it.
+        """
+        transport = self.transport
+        super().close()
+        if transport is not None and transport.get_write_buffer_size():
+            transport.abort()
+
     def start_idle(self, now_s: float) -> None:
         """Mark the connection as idle from now on."""
         self._reusable_until_s = now_s + self._keep_alive_s
