Unfinished bodies give way to smaller ones when memory is short

Callers with whole, small requests got 503 memory_full while clients that never finish their bodies held the memory for bodies. The largest unfinished body that holds more than the new one now gives way, with a counter and a log line; a body that would be the largest itself is refused as before. Bodies are collected in one buffer instead of a list, so that a body in chunks of a byte costs its size, and the buffer is emptied on failure: the error's traceback keeps the frame.

--- a/packages/ochreway-direct/src/ochreway_direct/buffering/bodyreader.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/bodyreader.py
@@ -20,14 +20,20 @@
     """
     if length_bytes and (max_bytes is None or length_bytes <= max_bytes):
         holding.require(length_bytes)
-    pieces: list[bytes] = []
-    async for piece in content.iter_any():
-        size_bytes = holding.size_bytes + len(piece)
-        if max_bytes is not None and size_bytes > max_bytes:
-            raise web.HTTPRequestEntityTooLarge(max_bytes, size_bytes)
-        holding.resize(size_bytes)
-        pieces.append(piece)
-    return b"".join(pieces)
+    body = bytearray()
+    with holding.reading(content):
+        try:
+            async for piece in content.iter_any():
+                size_bytes = len(body) + len(piece)
+                if max_bytes is not None and size_bytes > max_bytes:
+                    raise web.HTTPRequestEntityTooLarge(max_bytes, size_bytes)
+                holding.resize(size_bytes)
+                body += piece
+        except BaseException:
+            # The traceback of the error keeps this frame for a while.
+            body.clear()
+            raise
+    return bytes(body)
 
 
 __all__ = ["read_whole"]
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/buffers.py
@@ -2,6 +2,7 @@
 """What an entry holds for callers: bodies, and answers read ahead of them."""
 
 import asyncio
+from weakref import WeakSet
 
 from ochreway_core.ids import OrganisationId
 from ochreway_direct.buffering.callerreader import CallerReader
@@ -38,6 +39,7 @@
         self._log = log
         self._metrics = metrics
         self._readers: dict[asyncio.Transport, CallerReader] = {}
+        self._bodies: WeakSet[Holding] = WeakSet()
 
     @property
     def unread_bytes(self) -> int:
@@ -45,9 +47,15 @@
         self._refresh(_now_s())
         return self._held.unread_bytes
 
+    def squeeze(self, share: float) -> None:
+        """Admit bodies up to a share of their limit, as the process has little memory left."""
+        self._held.admitted_share = share
+
     def request_holding(self) -> Holding:
         """Return an empty holding for the body of a request."""
-        return Holding(self._held, self._admit)
+        holding = Holding(self._held, lambda more_bytes: self._admit(holding, more_bytes))
+        self._bodies.add(holding)
+        return holding
 
     def answer_holding(self) -> Holding:
         """Return an empty holding for an answer of which nothing was written yet."""
@@ -103,8 +111,24 @@
             "held_bytes_share": round(total_bytes / self.limits.total_bytes, SHARE_DIGITS),
         }
 
-    def _admit(self, more_bytes: int) -> bool:
-        """Return whether more bytes of a request body fit; callers that read do not give way."""
+    def _admit(self, holding: Holding, more_bytes: int) -> bool:
+        """Return whether more bytes of a request body fit; callers that read do not give way.
+
+        Incomplete bodies that hold more than this one would give way, the largest first.
+        """
+        wanted_bytes = holding.size_bytes + more_bytes
+        incomplete = [each for each in self._bodies if each.is_incomplete and each is not holding]
+        incomplete.sort(key=lambda each: each.size_bytes)
+        while not self._fits(more_bytes):
+            if not incomplete or incomplete[-1].size_bytes <= wanted_bytes:
+                return False
+            largest = incomplete.pop()
+            self._metrics.count("body.given_up")
+            self._log.failure("body_given_up", bytes=largest.size_bytes)
+            largest.give_up()
+        return True
+
+    def _fits(self, more_bytes: int) -> bool:
         min_behind_s = self.limits.min_behind_s
         return self._held.admits(more_bytes) and self._make_room(more_bytes, min_behind_s)
 
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/heldbytes.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/heldbytes.py
@@ -39,6 +39,7 @@
         self.limits = limits
         self.body_bytes = 0
         self.unread_bytes = 0
+        self.admitted_share = 1.0
         self._stalled_since = stalled_since
 
     @property
@@ -52,7 +53,7 @@
 
     def admits(self, more_bytes: int) -> bool:
         """Return whether a request body may take more bytes beside the bodies that are held."""
-        return self.body_bytes + more_bytes <= self.limits.request_bytes
+        return self.body_bytes + more_bytes <= self.admitted_share * self.limits.request_bytes
 
     def update(
         self, reader: UnreadAnswers, added_bytes: int, held_bytes: int, now_s: float
--- a/packages/ochreway-direct/src/ochreway_direct/buffering/holding.py
+++ b/packages/ochreway-direct/src/ochreway_direct/buffering/holding.py
@@ -1,9 +1,12 @@
 # SPDX-License-Identifier: Apache-2.0
 """The part of the sum that one body takes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from types import TracebackType
 
+from aiohttp import StreamReader
+
 from ochreway_direct.buffering.heldbytes import HeldBytes
 from ochreway_direct.buffering.memoryfull import MemoryFull
 
@@ -15,8 +18,29 @@
         """Create an empty holding; ``make_room`` returns whether more bytes fit."""
         self._held = held
         self._make_room = make_room
+        self._content: StreamReader | None = None
         self.size_bytes = 0
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Return whether the rest of the body is still awaited."""
+        return self._content is not None and not self._content.is_eof()
+
+    @contextmanager
+    def reading(self, content: StreamReader) -> Iterator[None]:
+        """Read the body from a stream, which may be given up for bodies that hold less."""
+        self._content = content
+        try:
+            yield
+        finally:
+            self._content = None
+
+    def give_up(self) -> None:
+        """Stop counting an incomplete body; its reader gets ``MemoryFull``."""
+        assert self._content is not None
+        self.release()
+        self._content.set_exception(MemoryFull())
+
     def require(self, size_bytes: int) -> None:
         """Check that the body would fit with a size, without counting it yet.
 
