Links bound what peers may send before they have proved that they hold the key

A peer that never proves itself could send batches of 8 MB on any number of connections, each for 2 s, and heads of 1 MB (128 lines of 8 kB) for 10 s. In sum they may now send 4 MB, and 64 may be unproven at a time: the one that sent most, or the oldest, is aborted (link.unproven). The opening of the websocket has the same 2 s as the handshake, and accepted links have bounded kernel buffers.

--- a/packages/ochreway-direct/src/ochreway_direct/entry.py
+++ b/packages/ochreway-direct/src/ochreway_direct/entry.py
@@ -168,6 +168,7 @@
             self._on_link_down,
             self._on_link_up,
             self.supervisor.report,
+            lambda: metrics.count("link.unproven"),
         )
         incarnation = secrets.token_hex(6)
         self.lease = Lease(
--- a/packages/ochreway-wire/src/ochreway_wire/links.py
+++ b/packages/ochreway-wire/src/ochreway_wire/links.py
@@ -7,6 +7,8 @@
 import ssl
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
+from functools import partial
+from typing import Any
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -15,6 +17,7 @@
 
 from ochreway_core.ids import NodeId, Version
 from ochreway_core.peer import Peer
+from ochreway_runtime.clients.socketbuffers import listening_socket
 from ochreway_wire.batch import MAX_BATCH_BYTES, Batch, PreparedMessage
 from ochreway_wire.errors import HandshakeRefused
 from ochreway_wire.handshake import (
@@ -25,6 +28,7 @@
     verify_proof,
 )
 from ochreway_wire.link import Link
+from ochreway_wire.unproven import LinkConnection, UnprovenConnections
 
 HANDSHAKE_TIMEOUT_S = 2.0
 ACK_TIMEOUT_MS = 4000
@@ -33,6 +37,9 @@
 Unlike pings, it costs nothing while a link is idle. It does not detect a stopped process whose
 kernel still acknowledges data; the heartbeats and reports of the layers above do.
 """
+BACKLOG = 128
+BUFFER_BYTES = 128 * 1024
+"""Buffers of an accepted link: some MB/s over the longest distances between halls."""
 MAX_QUEUED_WHILE_DIALLING = 1024
 """Bounds the messages queued for one peer while it is dialled; further ones are dropped."""
 UNKNOWN_NODE = NodeId("")
@@ -77,8 +84,13 @@
         on_down: LinkDownHandler,
         on_up: LinkUpHandler | None = None,
         on_error: ErrorHandler | None = None,
+        on_unproven: Callable[[], None] = lambda: None,
     ) -> None:
-        """Start without links; ``on_error`` is called with each error that ends a task."""
+        """Start without links; ``on_error`` is called with each error that ends a task.
+
+        ``on_unproven`` is called with each connection that is aborted as there are too many whose
+        peer is not known.
+        """
         self._me = me
         self._settings = settings
         self._version = version
@@ -91,16 +103,19 @@
         self._addresses_dialling: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: Server | None = None
+        self._unproven = UnprovenConnections(on_unproven)
 
     def __len__(self) -> int:
         return len(self._links)
 
     async def listen(self, host: str, port: int) -> int:
         """Accept links; return the port, which is a free one if ``port`` is 0."""
+        connection: Any = partial(LinkConnection, self._unproven)
         self._server = await serve(
             self._accept,
-            host,
-            port,
+            sock=listening_socket(host, port, BACKLOG, BUFFER_BYTES),
+            create_connection=connection,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
             ssl=self._settings.server_tls,
             max_size=MAX_BATCH_BYTES,
             compression=self._settings.compression,
@@ -185,6 +200,8 @@
     async def _accept(self, socket: ServerConnection) -> None:
         try:
             peer = await self._perform_handshake(socket, dialled=False)
+            if isinstance(socket, LinkConnection):
+                self._unproven.discard(socket)
             await self._run_link(socket, peer)
         except (TimeoutError, HandshakeRefused, ConnectionClosed):
             return
