Whether a request is served is decided before its body is read

An unknown path or key, a request without an id or with a length over the limit held its connection and memory for 15 s and got 408, then 10 s more; Expect: 100-continue was never answered, so its clients waited. The head now decides; only then is the body asked for and read, and it has to arrive before the request has to be answered. What was decided is decided again if the body was not there at once, as a newer configuration may have come.

--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import zlib
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -25,9 +26,21 @@
 from ochreway_direct.relay.tuning import RelayTuning
 from ochreway_direct.serving import Serving
 from ochreway_direct.versions.routetable import RouteTable
+from ochreway_runtime.clients.clientprotocol import head_bytes
+from ochreway_runtime.clients.expectation import request_body
 
-HEADER_LINE_OVERHEAD_BYTES = 4
-"""Bytes that a header line has beside its name and value: ``: `` and CRLF."""
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Hold what is decided by the head of a request, before its body is read."""
+
+    routes: RouteTable
+    route: Route
+    organisation: Organisation | None
+
+    def time_s(self, terms: CallerTerms) -> float:
+        """Return the time from its arrival within which a request has to be answered."""
+        return min(self.route.timeout_s, terms.deadline_s or self.route.timeout_s)
 
 
 class Admission:
@@ -47,83 +60,108 @@
             Refused: if the request is invalid or unauthorised, its body does not fit into memory,
                 keys cannot be trusted now, or none of the halls it is restricted to is left.
         """
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
+        started_s = asyncio.get_running_loop().time()
         self._check_headers(request)
-        body = await self._read_body(request, holding)
-        if isinstance(request.protocol, CallerProtocol) and request.protocol.refused:
-            raise Refused(
-                NOT_RUN_STATUS, Reason.CONNECTIONS_FULL, self._tuning.retry_after_elsewhere_s
-            )
-        if not self._serving.accepts_requests():
-            raise Refused(NOT_RUN_STATUS, Reason.STOPPING, self._tuning.retry_after_elsewhere_s)
+        self._check_accepts(request)
         # Awaited before the routes are read, as a newer configuration may arrive meanwhile.
         await self._serving.wait_for_trusted_keys()
-        routes = self._serving.routes
-        if routes is None:
-            raise Refused(NOT_RUN_STATUS, Reason.NO_CONFIGURATION, self._tuning.retry_after_stale_s)
-        route = routes.route(request.host.partition(":")[0], request.raw_path.partition("?")[0])
-        if route is None:
-            raise self._unknown_refusal(404, Reason.UNKNOWN_TARGET)
-        if not terms.request:
-            raise Refused(400, Reason.BAD_REQUEST)
+        decision = self._decide(request, terms)
+        end_s = started_s + decision.time_s(terms)
+        has_arrived = request.content.is_eof()
+        body = await self._read_body(request, holding, end_s)
+        if not has_arrived:
+            # What was decided may not hold any more.
+            self._check_accepts(request)
+            await self._serving.wait_for_trusted_keys()
+            decision = self._decide(request, terms)
+        route, organisation = decision.route, decision.organisation
         call = Call(
             request=request,
             terms=terms,
             route=route,
             service=_choose_service(route, terms.request),
-            organisation=None,
-            priority=route.priority,
+            organisation=organisation.name if organisation is not None else None,
+            priority=_priority(route, organisation),
             body=body,
             started_s=started_s,
-            end_s=started_s + min(route.timeout_s, terms.deadline_s or route.timeout_s),
+            end_s=started_s + decision.time_s(terms),
             work_s=0.0,
             resume_after=terms.resume_after,
         )
-        organisation = self._identify(call, routes)
         call.fingerprint = _fingerprint(call)
         call.causes = causes_of(call.fingerprint, terms.parts, terms.model)
         self._restrict_to_homes(call, organisation)
-        self._estimate_work(call, routes)
+        self._estimate_work(call, decision.routes)
         return call
 
     def _check_headers(self, request: web.BaseRequest) -> None:
-        size_bytes = sum(
-            len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
-            for name, value in request.raw_headers
-        )
-        if size_bytes + len(request.raw_path) > self._serving.limits.header_bytes:
+        size_bytes = head_bytes(request.raw_path, request.raw_headers)
+        if size_bytes > self._serving.limits.header_bytes:
             raise Refused(431, Reason.TOO_LARGE)
 
-    async def _read_body(self, request: web.BaseRequest, holding: Holding | None) -> bytes:
+    def _check_accepts(self, request: web.BaseRequest) -> None:
+        """Raise if this entry takes no request, or none from this connection."""
+        if isinstance(request.protocol, CallerProtocol) and request.protocol.refused:
+            raise self._elsewhere(Reason.CONNECTIONS_FULL)
+        if not self._serving.accepts_requests():
+            raise self._elsewhere(Reason.STOPPING)
+
+    def _elsewhere(self, reason: Reason) -> Refused:
+        return Refused(NOT_RUN_STATUS, reason, self._tuning.retry_after_elsewhere_s)
+
+    def _decide(self, request: web.BaseRequest, terms: CallerTerms) -> Decision:
+        """Return what the head of a request decides, by the configuration in force now."""
+        routes = self._serving.routes
+        if routes is None:
+            raise Refused(NOT_RUN_STATUS, Reason.NO_CONFIGURATION, self._tuning.retry_after_stale_s)
+        route = routes.route(request.host.partition(":")[0], request.raw_path.partition("?")[0])
+        if route is None:
+            raise self._unknown_refusal(404, Reason.UNKNOWN_TARGET)
+        if not terms.request:
+            raise Refused(400, Reason.BAD_REQUEST)
+        organisation = self._identify(route, terms, routes)
+        max_bytes, length_bytes = self._max_body_bytes, request.content_length
+        if max_bytes and length_bytes and length_bytes > max_bytes:
+            raise Refused(413, Reason.TOO_LARGE)
+        return Decision(routes, route, organisation)
+
+    @property
+    def _max_body_bytes(self) -> int | None:
+        return self._serving.limits.body_bytes or None
+
+    async def _read_body(
+        self, request: web.BaseRequest, holding: Holding | None, end_s: float
+    ) -> bytes:
+        """Return the body; it must arrive within the idle time and before the request's end."""
+        loop = asyncio.get_running_loop()
+        due_s = min(end_s, loop.time() + self._serving.limits.idle_timeout_s)
         try:
-            async with asyncio.timeout(self._serving.limits.idle_timeout_s):
+            async with asyncio.timeout_at(due_s):
+                request_body(request)
                 if holding is None:
                     return await request.read()
-                max_bytes = self._serving.limits.body_bytes or None
                 length_bytes = request.content_length
-                return await read_whole(request.content, length_bytes, holding, max_bytes)
+                return await read_whole(
+                    request.content, length_bytes, holding, self._max_body_bytes
+                )
         except MemoryFull as error:
-            raise Refused(
-                NOT_RUN_STATUS, Reason.MEMORY_FULL, self._tuning.retry_after_elsewhere_s
-            ) from error
+            raise self._elsewhere(Reason.MEMORY_FULL) from error
         except web.HTTPRequestEntityTooLarge as error:
             raise Refused(413, Reason.TOO_LARGE) from error
         except TimeoutError as error:
             raise Refused(408, Reason.DEADLINE_PASSED) from error
 
-    def _identify(self, call: Call, routes: RouteTable) -> Organisation | None:
+    def _identify(
+        self, route: Route, terms: CallerTerms, routes: RouteTable
+    ) -> Organisation | None:
         """Authenticate the caller; keys are trusted only while they are fresh."""
-        if call.route.public or not routes.requires_keys:
+        if route.public or not routes.requires_keys:
             return None
         if not self._serving.keys_trusted():
             raise Refused(NOT_RUN_STATUS, Reason.STALE_VERSION, self._tuning.retry_after_stale_s)
-        organisation = routes.organisation(call.terms.key)
+        organisation = routes.organisation(terms.key)
         if organisation is None:
             raise self._unknown_refusal(401, Reason.UNAUTHORISED)
-        call.organisation = organisation.name
-        if organisation.priority is not None:
-            call.priority = organisation.priority
         return organisation
 
     def _restrict_to_homes(self, call: Call, organisation: Organisation | None) -> None:
@@ -170,6 +208,13 @@
     return fingerprint_of(call.organisation or "", request.method, path, call.body)
 
 
+def _priority(route: Route, organisation: Organisation | None) -> int:
+    """Return the priority of an organisation, if it has one, or of the route."""
+    if organisation is not None and organisation.priority is not None:
+        return organisation.priority
+    return route.priority
+
+
 def _choose_service(route: Route, request: str) -> ServiceName:
     """Choose one of a route's services by weight, keyed by the request's id."""
     total = sum(share.weight for share in route.shares)
