Log lines are bounded in length, and ends that unknown callers cause in number

Callers choose the ids of their requests, up to the limit on heads, and each line repeated them; a value is cut at 1,000 characters. A connection that its caller ended before the request was admitted has a line within the budget for failures: anybody could cause any number of them, and such lines wait without a bound. Ends of admitted requests, and all that this entry brings about, keep a line each.

Test: test_logs, a_long_value_is_cut.

--- a/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/calllog.py
@@ -17,12 +17,16 @@
 DURATION_DIGITS = 3
 """Durations are logged in seconds with this many decimals."""
 
+CALLER_ENDS = frozenset({Reason.CALLER_GONE, Reason.CALLER_STALLED, Reason.CONNECTIONS_FULL})
+"""Ends that a caller brought about; before it is known, it could cause any number of them."""
+
 
 class CallLog:
     """Log failed attempts and the result of each request.
 
     Failures and late answers have a line budget of their own; of answers in time only some are
-    logged. A connection that ends without a complete answer always has its line.
+    logged. A connection that ends without a complete answer always has its line, unless its
+    caller ended it before the request was admitted.
     """
 
     def __init__(self, log: EventLog, serving: Serving) -> None:
@@ -100,7 +104,8 @@
         if call is not None:
             fields["left_s"] = round(call.left_s(now_s), DURATION_DIGITS)
             fields |= self._call_fields(call, now_s)
-        self._log.loss("broken", **fields)
+        write = self._log.failure if call is None and reason in CALLER_ENDS else self._log.loss
+        write("broken", **fields)
 
     def failed(self, request: str, error: Exception) -> None:
         """Log an error that no part of the relay handles."""
--- a/packages/ochreway-runtime/src/ochreway_runtime/logs.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/logs.py
@@ -14,9 +14,15 @@
 DROPPED_REPORT_INTERVAL_S = 1.0
 """Bounds how often a line reports the number of lines dropped."""
 
+MAX_VALUE_CHARACTERS = 1000
+"""Bounds what a line repeats of a request: a client may send ids of many kB."""
+CUT_MARK = "..."
+
 
 def _quote(value: object) -> str:
     text = str(value)
+    if len(text) > MAX_VALUE_CHARACTERS:
+        text = text[:MAX_VALUE_CHARACTERS] + CUT_MARK
     plain = text and not any(char in ' "=\n' for char in text)
     return text if plain else '"' + text.replace('"', "'").replace("\n", " ") + '"'
 
--- a/tests/runtime/test_logs.py
+++ b/tests/runtime/test_logs.py
@@ -97,3 +97,15 @@
             written = list(lines)
         self.assertEqual(10, sum("event=broken" in line for line in written))
         self.assertEqual(0, sum("event=refused" in line for line in written))
+
+    def test_a_long_value_is_cut(self) -> None:
+        # Guards against lines of many kB, as callers choose the ids of their requests.
+        reads, writes = os.pipe()
+        with os.fdopen(writes, "w") as stream:
+            log = EventLog("entry", "e", "info", LineWriter(stream))
+            log.loss("broken", request="r" * 16_000)
+            log.close()
+        with os.fdopen(reads) as lines:
+            (line,) = lines
+        self.assertLess(len(line), 1200)
+        self.assertIn("rrr...", line)
