Native entries and agents bound what their clients hold

Seen by others on: 71 MB to 970 MB (entry) and over 700 MB (agent) under 48 clients. Deadlines count from when the head has arrived.

--- a/packages/ochreway-daemon/src/ochreway_daemon/api/callers.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/callers.py
@@ -6,6 +6,7 @@
 import json
 import uuid
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from aiohttp import web
 
@@ -19,14 +20,19 @@
 from ochreway_daemon.api.callerheaders import CallerHeaders, parse_headers
 from ochreway_daemon.api.completionbody import parse_completion
 from ochreway_daemon.api.refusal import refusal, refusal_content, request_error
+from ochreway_daemon.api.requestbody import HOLDING, expect_later, read_body
 from ochreway_daemon.callerstream import CallerStream
 from ochreway_daemon.entryshell import EntryShell
 from ochreway_daemon.errors import CallerFault
+from ochreway_direct.buffering.memoryfull import MemoryFull
 from ochreway_routing.prefix import prompt_block_hashes
 from ochreway_runtime import steadyclock
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+SERVICE_PATH = "/services/{service}/{path:.*}"
+EXPECT: dict[str, Any] = {"expect_handler": expect_later}
 STOPPING_RETRY_S = 1.0
+MEMORY_RETRY_S = 1.0
 CONFIGURATION_RETRY_S = 2.0
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -43,10 +49,10 @@
     def routes(self) -> list[web.RouteDef]:
         """Return the routes."""
         return [
-            web.post("/v1/chat/completions", self._with_refusals(self._chat)),
-            web.post("/v1/completions", self._with_refusals(self._complete)),
-            web.get("/v1/models", self._with_refusals(self._models)),
-            web.route("*", "/services/{service}/{path:.*}", self._with_refusals(self._service)),
+            web.post("/v1/chat/completions", self._with_refusals(self._chat), **EXPECT),
+            web.post("/v1/completions", self._with_refusals(self._complete), **EXPECT),
+            web.get("/v1/models", self._with_refusals(self._models), **EXPECT),
+            web.route("*", SERVICE_PATH, self._with_refusals(self._service), **EXPECT),
         ]
 
     def _with_refusals(self, handler: Handler) -> Handler:
@@ -56,7 +62,12 @@
             if self._shell.node.view_sync.view.bundle is None:
                 return refusal(Outcome.NOT_RUN, Reason.NO_CONFIGURATION, CONFIGURATION_RETRY_S)
             try:
-                return await handler(request)
+                with self._shell.clients.bodies.request_holding() as request[HOLDING]:
+                    return await handler(request)
+            except MemoryFull:
+                return self._refuse_body(Reason.MEMORY_FULL)
+            except TimeoutError:
+                return self._refuse_body(Reason.DEADLINE_PASSED)
             except CallerFault as caller_fault:
                 self._shell.metrics.count(f"refusal.{Reason.BAD_REQUEST.value}")
                 return request_error(Reason.BAD_REQUEST, str(caller_fault))
@@ -67,6 +78,11 @@
 
         return handle
 
+    def _refuse_body(self, reason: Reason) -> web.Response:
+        """Refuse a request whose body could not be read; it may be sent again."""
+        self._shell.metrics.count(f"refusal.{reason.value}")
+        return refusal(Outcome.NOT_RUN, reason, MEMORY_RETRY_S)
+
     @property
     def _bundle(self) -> Bundle:
         bundle = self._shell.node.view_sync.view.bundle
@@ -108,16 +124,18 @@
         organisation = self._organisation(request)
         if organisation is None:
             return self._refuse_unauthorised()
-        raw = await request.read()
-        body = parse_completion(raw, chat)
-        if self._bundle.model_named(body.model) is None:
-            return self._refuse_unknown(f"model {body.model}")
         name = OrganisationId(organisation.name)
         # A completion costs tokens and may be acted on, so it is repeated only if allowed.
         headers = parse_headers(request.headers, name, self._default_deadline_s, False)
+        arrived_s = steadyclock.now_s()
+        raw = await read_body(request, self._body_bytes_at_most, headers.deadline_in_s)
+        body = parse_completion(raw, chat)
+        if self._bundle.model_named(body.model) is None:
+            return self._refuse_unknown(f"model {body.model}")
         node_request = self._build_request(
             name,
             headers,
+            arrived_s,
             TargetKind.MODEL,
             body.model,
             "POST",
@@ -136,15 +154,17 @@
         service = self._bundle.service_named(request.match_info["service"])
         if service is None:
             return self._refuse_unknown(f"service {request.match_info['service']}")
-        raw = await request.read()
         name = OrganisationId(organisation.name)
         repeatable = request.method in service.repeatable_methods
         headers = parse_headers(request.headers, name, self._default_deadline_s, repeatable)
+        arrived_s = steadyclock.now_s()
+        raw = await read_body(request, self._body_bytes_at_most, headers.deadline_in_s)
         path = "/" + request.match_info["path"]
         if request.query_string:
             path += "?" + request.query_string
         node_request = self._build_request(
-            name, headers, TargetKind.SERVICE, service.name, request.method, path, raw, 1, 1, ()
+            *(name, headers, arrived_s, TargetKind.SERVICE, service.name, request.method, path),
+            *(raw, 1, 1, ()),
         )
         return await self._answer(request, node_request, streamed=False)
 
@@ -152,6 +172,7 @@
         self,
         organisation: OrganisationId,
         headers: CallerHeaders,
+        arrived_s: float,
         kind: TargetKind,
         target: str,
         method: str,
@@ -170,7 +191,7 @@
             key=headers.key,
             key_issued_wall_s=headers.key_issued_wall_s,
             priority=headers.priority,
-            deadline_s=steadyclock.now_s() + headers.deadline_in_s,
+            deadline_s=arrived_s + headers.deadline_in_s,
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             blocks=blocks,
--- a/packages/ochreway-daemon/src/ochreway_daemon/api/refusal.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/refusal.py
@@ -10,6 +10,7 @@
 from ochreway_core.reason import Reason
 
 DEFAULT_STATUS = 503
+MAX_DETAIL_CHARACTERS = 200
 
 STATUS_BY_REASON: Mapping[Reason, int] = {
     Reason.BAD_REQUEST: 400,
@@ -59,8 +60,11 @@
 
 
 def request_error(reason: Reason, detail: str) -> web.Response:
-    """Return the refusal of a request that is itself invalid."""
-    return refusal(Outcome.NOT_RUN, reason, detail=detail)
+    """Return the refusal of a request that is itself invalid.
 
+    ``detail`` may name what the request holds, of which it shows only so much.
+    """
+    return refusal(Outcome.NOT_RUN, reason, detail=detail[:MAX_DETAIL_CHARACTERS])
 
-__all__ = ["refusal_content", "request_error", "refusal"]
+
+__all__ = ["MAX_DETAIL_CHARACTERS", "refusal_content", "request_error", "refusal"]
--- a/packages/ochreway-daemon/src/ochreway_daemon/main.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/main.py
@@ -48,6 +48,8 @@
 from ochreway_routing.policy import POLICIES
 from ochreway_runtime import earlysignals, steadyloop
 from ochreway_runtime.checks import format_settings
+from ochreway_runtime.clients.clientserver import ClientAppRunner
+from ochreway_runtime.clients.socketbuffers import listening_socket
 from ochreway_runtime.errors import SettingsInvalid
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
@@ -56,8 +58,8 @@
 EXIT_SETTINGS = 2
 EXIT_REQUESTS_CUT = 3
 EXIT_LISTEN = 4
-MAX_HEADER_BYTES = 16 * 1024
-IDLE_CALLER_TIMEOUT_S = 30.0
+BACKLOG = 128
+"""Connections that wait to be accepted."""
 
 F = TypeVar("F", bound=Callable[..., Any])
 
@@ -80,6 +82,8 @@
     option("--tls-certificate", "", "Certificate of this process for links (PEM)."),
     option("--tls-key", "", "Private key of the certificate (PEM)."),
     option("--tls-authority", "", "Certificate of the authority for links (PEM)."),
+    option("--memory-mb", 0.0, "Maximum memory of this process; 0: unbounded."),
+    option("--descriptors", 0, "Maximum number of open files and sockets; 0: the system's limit."),
     click.option("--check", "only_check", is_flag=True, help="Print the settings and stop."),
 )
 
@@ -233,18 +237,17 @@
         await shell.start()
     except OSError as error:
         return await _cannot_listen(shell, shell.settings.link_listen, error)
-    runner = web.AppRunner(
+    clients = shell.clients
+    runner = ClientAppRunner(
         application,
-        access_log=None,
+        *(clients.account, clients.listener),
         handler_cancellation=True,
-        max_field_size=MAX_HEADER_BYTES,
-        max_line_size=MAX_HEADER_BYTES,
         shutdown_timeout=1.0,
     )
     await runner.setup()
     host, _, port = shell.settings.http_listen.rpartition(":")
     try:
-        await web.TCPSite(runner, host, int(port)).start()
+        await web.SockSite(runner, listening_socket(host, int(port), BACKLOG)).start()
     except OSError as error:
         await runner.cleanup()
         return await _cannot_listen(shell, shell.settings.http_listen, error)
--- a/packages/ochreway-daemon/src/ochreway_daemon/settings.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/settings.py
@@ -36,6 +36,8 @@
     tls_certificate: str
     tls_key: str
     tls_authority: str
+    memory_mb: float
+    descriptors: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +108,8 @@
     "tls_certificate": _check_file,
     "tls_key": _check_file,
     "tls_authority": _check_file,
+    "memory_mb": checks.not_negative,
+    "descriptors": checks.not_negative,
     "body_bytes_at_most": checks.positive,
     "default_deadline_s": checks.positive,
     "load_s": checks.positive,
--- a/packages/ochreway-daemon/src/ochreway_daemon/shell.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/shell.py
@@ -11,8 +11,10 @@
 from ochreway_core.ids import NodeId, Version
 from ochreway_core.peer import Peer
 from ochreway_core.timing import Timing
+from ochreway_daemon.clients import MEMORY_CHECK_INTERVAL_S, DaemonClients
 from ochreway_daemon.settings import CommonSettings
 from ochreway_daemon.tls import client_context, server_context
+from ochreway_runtime.clients.clientaccount import CHECK_INTERVAL_S
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 from ochreway_runtime.supervisor import Supervisor
@@ -58,6 +60,7 @@
         self.log = log
         self.metrics = metrics
         self.timing = timing
+        self.clients = DaemonClients(settings, log, metrics)
         self.supervisor = Supervisor(log, metrics)
         self.timer = TimerService(timing.tick_s / 2, self.supervisor)
         self.links = Links(
@@ -72,6 +75,7 @@
             self._on_batch,
             self._handle_link_down,
             on_error=self.supervisor.report,
+            on_unproven=lambda: metrics.count("link.unproven"),
         )
         self.effects: dict[type, EffectHandler] = {
             Send: self._send,
@@ -137,6 +141,8 @@
         host, _, port = self.settings.link_listen.rpartition(":")
         await self.links.listen(host, int(port))
         self.timer.every(self.timing.tick_s, lambda _: self.post(self._node.on_tick))
+        self.timer.every(CHECK_INTERVAL_S, self.clients.account.check)
+        self.timer.every(MEMORY_CHECK_INTERVAL_S, self.clients.check_memory)
         self.supervisor.watch_loop()
         self.supervisor.keep("mailbox", self.run_mailbox)
         self.supervisor.keep("timer", self.timer.run)
