Client account: choosing a connection to end costs the same however many are open

A refused connection looked at all others for one that could give way, and each check counted anew what idle connections hold: with 1,500 connections some milliseconds of processor time each. The account now keeps the connections that have brought no request in their order, and checks those that hold something, four times a second.

--- a/packages/ochreway-direct/src/ochreway_direct/relay/callerprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/callerprotocol.py
@@ -60,7 +60,7 @@
         """Count the connection; if it is over the limit, another one may give way."""
         self._admittance = self._bounded.admit()
         super().connection_made(transport)
-        if self.refused and self._account.make_place(CALLERS, self.opened_s, only_unused=True):
+        if self.refused and self._account.make_place(CALLERS, self.opened_s, only_late=True):
             self._admittance = Admittance.SERVED
         if self._admittance is Admittance.DROPPED:
             self.end()
--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/clientaccount.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/clientaccount.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """The sum of what the connections of all clients hold, and which are ended to bound it."""
 
-from collections import Counter
+from collections import defaultdict
 
 from ochreway_runtime.clients.clientfault import ClientFault
 from ochreway_runtime.clients.connection import Connection
@@ -9,7 +9,7 @@
 from ochreway_runtime.logs import EventLog
 from ochreway_runtime.metrics import Metrics
 
-CHECK_INTERVAL_S = 0.1
+CHECK_INTERVAL_S = 0.25
 """How often what the kernel holds is counted, and clients that take nothing are looked for."""
 DEFAULT_LIMIT_BYTES = 64 * 1000 * 1000
 """Limit where the memory of the process is not bounded."""
@@ -34,33 +34,43 @@
         self.total_bytes = 0
         self._log = log
         self._metrics = metrics
-        self._connections: set[Connection] = set()
-        self._open: Counter[Listener] = Counter()
+        self._open: dict[Listener, dict[Connection, None]] = defaultdict(dict)
+        self._unused: dict[Listener, dict[Connection, None]] = defaultdict(dict)
+        self._holding: dict[Connection, None] = {}
 
     def is_full(self, listener: Listener) -> bool:
         """Return whether a listener has more open connections than it may have."""
-        return listener.max_open is not None and self._open[listener] > listener.max_open
+        return listener.max_open is not None and len(self._open[listener]) > listener.max_open
 
     def add(self, connection: Connection) -> None:
         """Count a connection from now on."""
-        self._connections.add(connection)
-        self._open[connection.listener] += 1
+        self._open[connection.listener][connection] = None
+        self._unused[connection.listener][connection] = None
+
+    def mark_used(self, connection: Connection) -> None:
+        """Record that a connection has brought a request."""
+        self._unused[connection.listener].pop(connection, None)
 
     def remove(self, connection: Connection) -> None:
         """Stop counting a connection."""
-        if connection not in self._connections:
+        if connection not in self._open[connection.listener]:
             return
-        self._connections.discard(connection)
-        self._open[connection.listener] -= 1
+        del self._open[connection.listener][connection]
+        self.mark_used(connection)
+        self._holding.pop(connection, None)
         self.total_bytes -= connection.held_bytes
         connection.held_bytes = 0
 
     def update(self, connection: Connection, held_bytes: int) -> None:
         """Record what a connection holds now; end others or itself if the sum is too large."""
-        if connection not in self._connections:
+        if connection not in self._open[connection.listener]:
             return
         self.total_bytes += held_bytes - connection.held_bytes
         connection.held_bytes = held_bytes
+        if held_bytes:
+            self._holding[connection] = None
+        else:
+            self._holding.pop(connection, None)
         if self.total_bytes > self.limit_bytes:
             self._relieve()
 
@@ -71,26 +81,25 @@
             self._relieve()
 
     def check(self, now_s: float) -> None:
-        """Check every connection once."""
-        for each in list(self._connections):
+        """Check every connection that holds something."""
+        for each in list(self._holding):
             each.check(now_s)
 
-    def make_place(self, listener: Listener, now_s: float, only_unused: bool = False) -> bool:
+    def make_place(self, listener: Listener, now_s: float, only_late: bool = False) -> bool:
         """End a connection of a listener that has no request; return whether there was one.
 
         Those that never brought a request go first, the oldest of them at the start. With
-        ``only_unused`` no others do, and only once their first request is late.
+        ``only_late`` no others do, and only once their first request is late.
         """
-        idle = [
-            each
-            for each in self._connections
-            if each.listener == listener
-            and not each.has_requests
-            and not (only_unused and (each.was_used or now_s - each.opened_s < MIN_AGE_S))
-        ]
-        if not idle:
+        chosen = next(iter(self._unused[listener]), None)
+        if only_late:
+            if chosen is None or now_s - chosen.opened_s < MIN_AGE_S:
+                return False
+        elif chosen is None:
+            chosen = next((e for e in self._open[listener] if not e.has_requests), None)
+        if chosen is None:
             return False
-        self._end(min(idle, key=_by_use), ClientFault.CONNECTIONS)
+        self._end(chosen, ClientFault.CONNECTIONS)
         return True
 
     def record(self, fault: ClientFault, connection: Connection) -> None:
@@ -106,7 +115,7 @@
     def gauges(self) -> dict[str, float]:
         """Return the gauges for the metrics page."""
         return {
-            "client_connections": float(len(self._connections)),
+            "client_connections": float(sum(len(each) for each in self._open.values())),
             "client_held_bytes": float(self.total_bytes),
             "client_held_bytes_share": round(self.total_bytes / self.limit_bytes, SHARE_DIGITS),
         }
@@ -114,11 +123,10 @@
     def _relieve(self) -> None:
         """End the connections that hold most, those without a whole request first."""
         low_bytes = int(LOW_SHARE * self.limit_bytes)
-        for each in sorted(self._connections, key=_by_need):
+        for each in sorted(self._holding, key=_by_need):
             if self.total_bytes <= low_bytes:
                 return
-            if each.held_bytes:
-                self._end(each, ClientFault.MEMORY)
+            self._end(each, ClientFault.MEMORY)
 
     def _end(self, connection: Connection, fault: ClientFault) -> None:
         self.record(fault, connection)
@@ -130,8 +138,4 @@
     return connection.has_requests, -connection.held_bytes
 
 
-def _by_use(connection: Connection) -> tuple[bool, float]:
-    return connection.was_used, connection.opened_s
-
-
 __all__ = ["CHECK_INTERVAL_S", "LIMIT_SHARE", "ClientAccount"]
--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/clientprotocol.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/clientprotocol.py
@@ -146,11 +146,6 @@
             for message, body in self._messages
         )
 
-    @property
-    def was_used(self) -> bool:
-        """Return whether it ever brought a request."""
-        return bool(self._request_count)
-
     def check(self, now_s: float) -> None:
         """Count anew what it holds, in the kernel as well, and end it if nothing is taken."""
         transport = self._connection
@@ -244,6 +239,7 @@
         super().data_received(data)
         new_requests = self._request_count - requests_before
         if new_requests:
+            self._account.mark_used(self)
             self._check_requests(new_requests)
             self._cancel_header_timer()
         elif data and in_head and self._headers_due is None:
--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/connection.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/connection.py
@@ -20,10 +20,6 @@
     def has_requests(self) -> bool:
         """Return whether it has whole requests that are not answered."""
 
-    @property
-    def was_used(self) -> bool:
-        """Return whether it ever brought a request."""
-
     def check(self, now_s: float) -> None:
         """Count anew what it holds, in the kernel as well, and end it if nothing is taken."""
 
--- a/tests/runtime/clients/test_clientaccount.py
+++ b/tests/runtime/clients/test_clientaccount.py
@@ -21,7 +21,6 @@
     name: str
     listener: Listener = CALLERS
     has_requests: bool = False
-    was_used: bool = False
     opened_s: float = 0.0
     held_bytes: int = 0
     ended: list[str] = field(default_factory=list)
@@ -78,19 +77,21 @@
         self.assertEqual((1.0, LEAST), (squeeze_of(0.5), squeeze_of(1.2)))
 
     def test_an_unused_connection_gives_way_before_a_used_one(self) -> None:
-        self.connection("used", listener=PROBES, was_used=True, opened_s=1.0)
-        self.connection("busy", listener=PROBES, has_requests=True, opened_s=2.0)
+        used = self.connection("used", listener=PROBES, opened_s=1.0)
+        busy = self.connection("busy", listener=PROBES, has_requests=True, opened_s=2.0)
         self.connection("unused", listener=PROBES, opened_s=3.0)
+        for each in (used, busy):
+            self.account.mark_used(each)
         self.assertTrue(self.account.is_full(PROBES))
         self.assertTrue(self.account.make_place(PROBES, 4.0))
-        self.assertTrue(not self.account.is_full(PROBES))
+        self.assertFalse(self.account.is_full(PROBES))
         self.assertTrue(self.account.make_place(PROBES, 4.0))
         self.assertFalse(self.account.make_place(PROBES, 4.0))
         self.assertEqual(["unused", "used"], self.ended)
 
     def test_a_kept_connection_of_a_caller_does_not_give_way(self) -> None:
-        self.connection("kept", was_used=True, opened_s=0.0)
+        self.account.mark_used(self.connection("kept", opened_s=0.0))
         self.connection("young", opened_s=9.5)
-        self.assertFalse(self.account.make_place(CALLERS, 10.0, only_unused=True))
-        self.assertTrue(self.account.make_place(CALLERS, 10.6, only_unused=True))
+        self.assertFalse(self.account.make_place(CALLERS, 10.0, only_late=True))
+        self.assertTrue(self.account.make_place(CALLERS, 10.6, only_late=True))
         self.assertEqual(["young"], self.ended)
