A body whose framing is broken is refused at once

A chunk without a size got 400 queued behind its own request, which waited for the rest of its body until its time was over. The request now gets 400 itself, at direct and native entries alike.

Test: test_limits, a_chunk_without_a_size_gets_400.

--- a/packages/ochreway-daemon/src/ochreway_daemon/api/requestbody.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/api/requestbody.py
@@ -23,14 +23,18 @@
     Raises:
         MemoryFull: if it does not fit beside the bodies of other requests.
         HTTPRequestEntityTooLarge: if it is longer than ``max_bytes``, at once if it says so.
+        HTTPBadRequest: if its bytes are no body.
         TimeoutError: if it does not arrive in time.
     """
     length_bytes = request.content_length
     if length_bytes is not None and length_bytes > max_bytes:
         raise web.HTTPRequestEntityTooLarge(max_bytes, length_bytes)
     request_body(request)
-    async with asyncio.timeout(time_s):
-        return await read_whole(request.content, length_bytes, request[HOLDING], max_bytes)
+    try:
+        async with asyncio.timeout(time_s):
+            return await read_whole(request.content, length_bytes, request[HOLDING], max_bytes)
+    except web.RequestPayloadError as error:
+        raise web.HTTPBadRequest from error
 
 
 __all__ = ["HOLDING", "expect_later", "read_body"]
--- a/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/admission.py
@@ -148,6 +148,8 @@
             raise self._elsewhere(Reason.MEMORY_FULL) from error
         except web.HTTPRequestEntityTooLarge as error:
             raise Refused(413, Reason.TOO_LARGE) from error
+        except (web.HTTPBadRequest, web.RequestPayloadError) as error:
+            raise Refused(400, Reason.BAD_REQUEST) from error
         except TimeoutError as error:
             raise Refused(408, Reason.DEADLINE_PASSED) from error
 
--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/clientprotocol.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/clientprotocol.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+from aiohttp.web_exceptions import HTTPBadRequest, HTTPRequestEntityTooLarge
 from aiohttp.web_protocol import RequestPayloadError
 
 from ochreway_runtime.clients import refusals
@@ -305,10 +305,14 @@
             self._closes_after = message.should_close
 
     def _refuse_from(self, index: int, refused: RefusedHead, fault: ClientFault) -> None:
-        """Let a refusal take the place of a queued request and of all behind it."""
+        """Let a refusal take the place of what was parsed from a queued request on."""
         while len(self._messages) > index:
             self._messages.pop()
-        self._messages.append((refused, EMPTY_PAYLOAD))
+        if self._body.is_eof():
+            self._messages.append((refused, EMPTY_PAYLOAD))
+        else:
+            # The bytes belong to a body, whose request is refused as a whole.
+            self._body.set_exception(HTTPBadRequest())
         self._begin_discarding(fault)
 
     def _refuses_head(self, message: RawRequestMessage) -> bool:
--- a/tests/direct/test_limits.py
+++ b/tests/direct/test_limits.py
@@ -107,6 +107,10 @@
     def test_an_unknown_key_gets_401(self) -> None:
         self.check_refused(KNOWN.replace(b"secret", b"stolen") + UNFINISHED, b"401")
 
+    def test_a_chunk_without_a_size_gets_400(self) -> None:
+        chunked = KNOWN + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        self.check_refused(chunked + b"no size\r\n", b"400")
+
     def test_a_request_without_an_id_gets_400(self) -> None:
         self.check_refused(KNOWN.replace(b"Request: r1\r\n", b"") + UNFINISHED, b"400")
 
