A connection that gives way for memory keeps the answer that is under way

Connections that were ended because all of them held too much lost answers that were ready or being written, also when what waited behind them was all that filled the memory. What waits is now dropped and refused with 503 in its place; the answer arrives first, and the connection closes. Only if this is not enough is a connection aborted, the largest first.

Tests: test_clientprotocol, an_answer_under_way_arrives; test_clientaccount (both fail before: the connection is ended).

--- a/packages/ochreway-direct/src/ochreway_direct/relay/callerprotocol.py
+++ b/packages/ochreway-direct/src/ochreway_direct/relay/callerprotocol.py
@@ -2,10 +2,12 @@
 """Protocol of a caller's connection, with the configured limits."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Any
 
 from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
 
 from ochreway_core.reason import Reason
 from ochreway_direct.configuration import CallerLimits
@@ -100,11 +102,19 @@
         self._bounded.release()
         super().connection_lost(exc)
 
+    def shed(self) -> bool:
+        """Report the requests that are dropped, if there is an answer that is not."""
+        waiting = list(self._messages)
+        if not super().shed():
+            return False
+        self._report_unread(waiting, Reason.CALLER_STALLED)
+        return True
+
     def end(self) -> None:
         """Abort the connection, as it holds too much or its caller takes nothing."""
         if self._end_reason is None:
             self._end_reason = Reason.CALLER_STALLED
-        self._report_unread(self._end_reason)
+        self._report_unread(self._messages, self._end_reason)
         super().end()
 
     def _refuses_head(self, _: RawRequestMessage) -> bool:
@@ -126,12 +136,12 @@
             if delivery.written and not (aborted and delivery.unsent_bytes()):
                 self._deliveries.complete(delivery)
             self._deliveries.break_off(delivery, reason)
-        self._report_unread(reason)
+        self._report_unread(self._messages, reason)
         self._delivery = None
 
-    def _report_unread(self, reason: Reason) -> None:
+    def _report_unread(self, waiting: Iterable[tuple[Any, StreamReader]], reason: Reason) -> None:
         """Report the whole requests that nobody has looked at."""
-        for message, body in self._messages:
+        for message, body in waiting:
             if isinstance(message, RawRequestMessage) and body.is_eof():
                 self._deliveries.break_off_unread(message.headers, reason)
 
--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/clientaccount.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/clientaccount.py
@@ -37,6 +37,7 @@
         self._open: dict[Listener, dict[Connection, None]] = defaultdict(dict)
         self._unused: dict[Listener, dict[Connection, None]] = defaultdict(dict)
         self._holding: dict[Connection, None] = {}
+        self._is_relieving = False
 
     def is_full(self, listener: Listener) -> bool:
         """Return whether a listener has more open connections than it may have."""
@@ -121,12 +122,19 @@
         }
 
     def _relieve(self) -> None:
-        """End the connections that hold most, those without a whole request first."""
+        """End the connections that hold most, those without a whole request first.
+
+        One with an answer that its client is about to get keeps that, unless this is not enough.
+        """
+        if self._is_relieving:
+            return
+        self._is_relieving = True
         low_bytes = int(LOW_SHARE * self.limit_bytes)
-        for each in sorted(self._holding, key=_by_need):
-            if self.total_bytes <= low_bytes:
-                return
-            self._end(each, ClientFault.MEMORY)
+        for may_shed in (True, False):
+            for each in sorted(self._holding, key=_by_need):
+                if self.total_bytes > low_bytes and not (may_shed and each.shed()):
+                    self._end(each, ClientFault.MEMORY)
+        self._is_relieving = False
 
     def _end(self, connection: Connection, fault: ClientFault) -> None:
         self.record(fault, connection)
--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/clientprotocol.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/clientprotocol.py
@@ -170,6 +170,29 @@
         """Return whether a part of a request has arrived, or more follows a refused one."""
         return self._discarding or bool(self._pending_bytes) or not self._body.is_eof()
 
+    def shed(self) -> bool:
+        """Drop all that waits if an answer is under way or not taken; return whether it was.
+
+        The client gets that answer, and then a refusal of what it sent after it.
+        """
+        is_body_awaited = not self._messages and not self._body.is_eof()
+        if self._discarding or is_body_awaited or not self._has_answer():
+            return False
+        self._messages.clear()
+        self._body = EMPTY_PAYLOAD
+        self._put_refusal(refusals.UNAVAILABLE_STATUS)
+        self._begin_discarding(ClientFault.MEMORY)
+        self._update_held()
+        return True
+
+    def _has_answer(self) -> bool:
+        """Return whether an answer is under way, or was written and is not taken."""
+        transport = self._connection
+        if self._request_in_progress or transport is None:
+            return self._request_in_progress
+        written_bytes = transport.get_write_buffer_size()
+        return bool(written_bytes or unsent_bytes(transport.get_extra_info("socket")))
+
     def end(self) -> None:
         """Abort the connection, and free what it holds at once: others are about to hold more."""
         self._is_ended = True
--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/connection.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/connection.py
@@ -23,6 +23,9 @@
     def check(self, now_s: float) -> None:
         """Count anew what it holds, in the kernel as well, and end it if nothing is taken."""
 
+    def shed(self) -> bool:
+        """Drop all that waits if an answer is under way or not taken; return whether it was."""
+
     def end(self) -> None:
         """Abort the connection."""
 
--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/refusals.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/refusals.py
@@ -10,10 +10,12 @@
 MALFORMED_STATUS = 400
 LATE_STATUS = 408
 TOO_LARGE_STATUS = 431
+UNAVAILABLE_STATUS = 503
 TEXTS = {
     MALFORMED_STATUS: "not a request\n",
     LATE_STATUS: "the head of the request took too long\n",
     TOO_LARGE_STATUS: "the head of the request is too large\n",
+    UNAVAILABLE_STATUS: "too much waits at this server; the request has not run\n",
 }
 TOO_MANY_LINES = "Too many headers received"
 """What the parser says when a head has more lines than fit into the limit on heads."""
@@ -25,7 +27,7 @@
 
 
 def refused_head(status: int) -> RefusedHead:
-    """Return what takes the place of a request that is refused with a status."""
+    """Return what takes the place of requests that are refused with a status."""
     return RefusedHead(status, BadHttpMessage(TEXTS[status]), TEXTS[status])
 
 
@@ -56,6 +58,7 @@
     "MALFORMED_STATUS",
     "TEXTS",
     "TOO_LARGE_STATUS",
+    "UNAVAILABLE_STATUS",
     "RefusedHead",
     "answer",
     "fault_of",
--- a/tests/runtime/clients/servercase.py
+++ b/tests/runtime/clients/servercase.py
@@ -29,6 +29,7 @@
         self.metrics = Metrics(None, "test")
         self.account = ClientAccount(self.log, self.metrics, limit_bytes)
         self.paths: list[str] = []
+        self.may_answer = asyncio.Event()
         server = ClientServer(
             self._answer,
             self.account,
@@ -49,6 +50,8 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         self.paths.append(request.path)
+        if request.path == "/slow":
+            await self.may_answer.wait()
         if request.path == "/body":
             return web.Response(text=str(len(await request.read())))
         return web.Response(text=request.path)
--- a/tests/runtime/clients/test_clientaccount.py
+++ b/tests/runtime/clients/test_clientaccount.py
@@ -24,10 +24,21 @@
     opened_s: float = 0.0
     held_bytes: int = 0
     ended: list[str] = field(default_factory=list)
+    account: ClientAccount | None = None
+    kept_bytes: int | None = None
+    """What is left once all that waits is dropped, if an answer is under way."""
 
     def check(self, now_s: float) -> None:
         del now_s
 
+    def shed(self) -> bool:
+        if self.kept_bytes is None or self.account is None:
+            return False
+        kept_bytes, self.kept_bytes = self.kept_bytes, None
+        self.account.update(self, kept_bytes)
+        self.ended.append(f"waiting of {self.name}")
+        return True
+
     def end(self) -> None:
         self.ended.append(self.name)
 
@@ -40,7 +51,7 @@
         self.ended: list[str] = []
 
     def connection(self, name: str, held_bytes: int = 0, **fields: object) -> FakeConnection:
-        made = FakeConnection(name, ended=self.ended, **fields)  # type: ignore[arg-type]
+        made = FakeConnection(name, ended=self.ended, account=self.account, **fields)  # type: ignore[arg-type]
         self.account.add(made)
         self.account.update(made, held_bytes)
         return made
@@ -61,6 +72,18 @@
         self.connection("whole-new", 400, has_requests=True)
         self.assertEqual(["partial", "whole-large"], self.ended)
 
+    def test_an_answer_under_way_is_kept_if_what_waits_behind_it_is_enough(self) -> None:
+        self.connection("answering", 600, has_requests=True, kept_bytes=50)
+        self.connection("whole", 300, has_requests=True)
+        self.connection("new", 200, has_requests=True)
+        self.assertEqual(["waiting of answering"], self.ended)
+        self.assertEqual(550, self.account.total_bytes)
+
+    def test_an_answer_under_way_is_given_up_if_that_is_not_enough(self) -> None:
+        self.connection("answering", 900, has_requests=True, kept_bytes=890)
+        self.connection("new", 200, has_requests=True, kept_bytes=190)
+        self.assertEqual(["waiting of answering", "waiting of new", "answering"], self.ended)
+
     def test_one_that_grows_too_large_ends_itself(self) -> None:
         grown = self.connection("grown", 10)
         self.account.update(grown, LIMIT_BYTES + 1)
--- a/tests/runtime/clients/test_clientprotocol.py
+++ b/tests/runtime/clients/test_clientprotocol.py
@@ -139,6 +139,25 @@
         self.run_server(work)
 
 
+class ShortMemoryTests(ServerCase):
+    limit_bytes = 100_000
+
+    def test_an_answer_under_way_arrives_although_what_waits_is_dropped(self) -> None:
+        slow = b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+        waiting = b"POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n" + bytes(60_000)
+
+        async def work(running: RunningServer) -> None:
+            sending = asyncio.ensure_future(running.send(slow, waiting, waiting))
+            async with asyncio.timeout(10.0):
+                while not running.metrics.counters.get("client.memory"):
+                    await asyncio.sleep(0.01)
+            running.may_answer.set()
+            self.assertEqual([b"200", b"503"], statuses(await sending))
+            self.assertEqual(["/slow"], running.paths)
+
+        self.run_server(work)
+
+
 class CrowdedServerTests(ServerCase):
     max_open = 4
 
