What a handler has not read of a body counts in the sum of its connection

Cause: content that has arrived and waits for its handler, up to 128 kB a connection, was counted nowhere: 25 MB over the 200 connections of that process. It now counts in the account, whose limit ends the largest without a whole request.

Test: test_what_the_handler_has_not_read (fails before: nothing is counted).

--- a/packages/ochreway-runtime/src/ochreway_runtime/clients/clientprotocol.py
+++ b/packages/ochreway-runtime/src/ochreway_runtime/clients/clientprotocol.py
@@ -461,6 +461,8 @@
         held_bytes = self._pending_bytes + LINE_MEMORY_BYTES * self._pending_lines
         held_bytes += self._tail_bytes + self._kernel_bytes
         held_bytes += min(UNTAKEN_BYTES, self._connection.get_write_buffer_size())
+        if not self._messages:
+            held_bytes += _unread_content(self._body)
         if self._current_request is not None:
             held_bytes += _memory_bytes(len(self._current_request.raw_headers))
         for message, body in self._messages:
@@ -482,6 +484,11 @@
         body.read_nowait()
 
 
+def _unread_content(body: StreamReader) -> int:
+    """Return how much of a body was received and not read by its handler."""
+    return 0 if body is EMPTY_PAYLOAD else body._size
+
+
 def _memory_bytes(header_lines: int) -> int:
     return REQUEST_MEMORY_BYTES + LINE_MEMORY_BYTES * header_lines
 
--- a/tests/runtime/clients/test_clientprotocol.py
+++ b/tests/runtime/clients/test_clientprotocol.py
@@ -158,6 +158,22 @@
         self.run_server(work)
 
 
+class UnreadContentTests(ServerCase):
+    def test_what_the_handler_has_not_read_of_a_body_is_counted(self) -> None:
+        # Guards against a sum that leaves out what waits for busy handlers.
+        head = b"POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n"
+
+        async def work(running: RunningServer) -> None:
+            _, writer = await running.connect()
+            writer.write(head + bytes(50_000))
+            async with asyncio.timeout(10.0):
+                while running.account.total_bytes < 50_000:
+                    await asyncio.sleep(0.01)
+            writer.transport.abort()
+
+        self.run_server(work)
+
+
 class CrowdedServerTests(ServerCase):
     max_open = 4
 
