Native processes take their limits for clients of what their code leaves of the memory

Its code takes 75 MB, nearly half, so that shares of the whole memory (40 MB of bodies, 16 of connections) with what they cost beyond their count did not fit. The shares are now taken of what is left.

--- a/packages/ochreway-daemon/src/ochreway_daemon/clients.py
+++ b/packages/ochreway-daemon/src/ochreway_daemon/clients.py
@@ -19,6 +19,7 @@
 
 DEFAULT_BODY_BYTES = 256 * 1000 * 1000
 """Sum of bodies of requests under way, where the memory of the process is not bounded."""
+MIN_FREE_SHARE = 0.1
 MIN_CONNECTIONS = 16
 MEMORY_CHECK_INTERVAL_S = 0.25
 
@@ -31,11 +32,23 @@
         self._log = log
         self._memory: MemoryReader | None = MemoryReader() if self._memory_bytes else None
         self._heap = Heap()
-        body_bytes = int(HELD_SHARE * self._memory_bytes) or DEFAULT_BODY_BYTES
+        free_bytes = self._free_bytes()
+        body_bytes = int(HELD_SHARE * free_bytes) or DEFAULT_BODY_BYTES
         self.bodies = Buffers(HeldLimits(body_bytes), log, metrics)
-        self.account = ClientAccount(log, metrics, int(LIMIT_SHARE * self._memory_bytes) or None)
+        self.account = ClientAccount(log, metrics, int(LIMIT_SHARE * free_bytes) or None)
         self.listener = Listener("http", _max_connections(settings.descriptors))
 
+    def _free_bytes(self) -> float:
+        """Return what the process has beside its code, at least a tenth; 0 if unbounded."""
+        if self._memory is None:
+            return 0.0
+        try:
+            resident_bytes = self._memory.resident_bytes()
+        except (OSError, ValueError) as error:
+            self._log.fault("memory_unknown", cause=error)
+            resident_bytes = 0
+        return max(MIN_FREE_SHARE * self._memory_bytes, self._memory_bytes - resident_bytes)
+
     def check_memory(self, now_s: float) -> None:
         """Lower what clients may hold, and give freed memory back, while little is left."""
         if self._memory is None:
